Contracts: messages between processes, caller and endpoint APIs, package interfaces

The types and interfaces of each package, with units, so that packages can be built side by side. No behaviour yet.

--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,26 @@
+package fleet
+
+// View is the set of live instances at a view number. A View is never changed
+// after it is published; a delta makes a new one.
+type View struct {
+	Number    uint64
+	Instances map[InstanceID]Instance
+}
+
+// Holds tells whether the process o is a live member of the view.
+func (v View) Holds(o Owner) bool {
+	i, ok := v.Instances[o.Instance]
+	return ok && i.Incarnation == o.Incarnation
+}
+
+// Entries gives the instances with the entry role that are not draining and
+// whose zone is permitted, in no set order.
+func (v View) Entries(permitted ZoneSet) []Instance {
+	entries := make([]Instance, 0, len(v.Instances))
+	for _, i := range v.Instances {
+		if i.Entry && !i.Draining && permitted.Permits(i.Zone) {
+			entries = append(entries, i)
+		}
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// Fleet is the fleet subtree: what all teams share.
+type Fleet struct {
+	Zones        []Zone       `yaml:"availability_zones"` // at least one
+	Links        []Link       `yaml:"links"`              // KV transfer links between zones
+	Models       []Model      `yaml:"models"`
+	Services     []Service    `yaml:"services"` // plain services
+	EndpointKeys []KeyHash    `yaml:"endpoint_key_hashes"`
+	Operators    []Operator   `yaml:"operators"`
+	WeightStore  WeightStore  `yaml:"weight_store"`
+	Decisions    Decisions    `yaml:"decisions"`
+	Timeouts     Timeouts     `yaml:"timeouts"`
+	Callers      []CallerKind `yaml:"caller_kinds"` // defaults for teams
+}
+
+// Zone declares an availability zone.
+type Zone struct {
+	Name   fleet.AvailabilityZone `yaml:"name"`   // no "+", no "/"
+	Region string                 `yaml:"region"` // required
+}
+
+// Link is the KV transfer path between two zones, or within one.
+type Link struct {
+	From  fleet.AvailabilityZone `yaml:"from"`
+	To    fleet.AvailabilityZone `yaml:"to"`
+	Rate  ByteRate               `yaml:"rate"`  // e.g. "10GB/s"
+	Delay time.Duration          `yaml:"delay"` // one way
+}
+
+// ByteRate is bytes a second; in YAML "500MB/s" or "10GB/s" (powers of 1000).
+type ByteRate int64
+
+// ByteSize is bytes; in YAML "64KB", "128MB" (powers of 1000).
+type ByteSize int64
+
+// KeyHash is "sha256:" and 64 hex digits.
+type KeyHash string
+
+// Model declares a model that engines may load.
+type Model struct {
+	Name            string        `yaml:"name"`
+	Versions        []string      `yaml:"versions"` // newest first; the first is the default
+	Adapters        []string      `yaml:"adapters"`
+	KVBytesPerToken ByteSize      `yaml:"kv_bytes_per_token"`
+	MaxTokens       int           `yaml:"max_tokens"` // prompt and output together
+	LoadTime        time.Duration `yaml:"load_time"`  // longest time of a load order
+	WeightBytes     ByteSize      `yaml:"weight_bytes"`
+}
+
+// Service declares a plain service and which of its calls may be repeated.
+type Service struct {
+	Name    string         `yaml:"name"`
+	Timeout time.Duration  `yaml:"timeout"` // longest call, default 30s
+	Routes  []ServiceRoute `yaml:"routes"`  // first match wins; none: not idempotent, but for GET and HEAD
+}
+
+// ServiceRoute tells whether calls of a method below a path are idempotent.
+type ServiceRoute struct {
+	Method     string `yaml:"method"` // "*" for any
+	Prefix     string `yaml:"prefix"` // path below the service, begins with "/"
+	Idempotent bool   `yaml:"idempotent"`
+}
+
+// Operator may change the subtrees that match Subtrees ("*", "fleet",
+// "teams/*" or a full name).
+type Operator struct {
+	Name     string   `yaml:"name"`
+	KeyHash  KeyHash  `yaml:"key_hash"`
+	Subtrees []string `yaml:"subtrees"`
+}
+
+// WeightStore bounds model loads over the fleet.
+type WeightStore struct {
+	Rate            ByteRate `yaml:"rate"`             // shared by all loads
+	ConcurrentLoads int      `yaml:"concurrent_loads"` // default 2
+}
+
+// Decisions chooses the policy of each decision by name; see package schedule
+// for the names.
+type Decisions struct {
+	Prefill string `yaml:"prefill"` // endpoint choice for prefill, default "least-wait"
+	Decode  string `yaml:"decode"`  // endpoint choice for decode, default "two-choices"
+	Start   string `yaml:"start"`   // when a prefill may start, default "predicted-room"
+	Plain   string `yaml:"plain"`   // endpoint choice for plain services, default "two-choices"
+}
+
+// Timeouts are the fleet's time bounds; docs/DESIGN.md has their relations,
+// which Check enforces.
+type Timeouts struct {
+	InstanceLease     time.Duration `yaml:"instance_lease"`     // default 2s
+	SettingsLease     time.Duration `yaml:"settings_lease"`     // default 3s: an entry not confirmed for so long stops
+	EndpointHeartbeat time.Duration `yaml:"endpoint_heartbeat"` // default 300ms
+	EndpointLease     time.Duration `yaml:"endpoint_lease"`     // default 1500ms
+	GrantLife         time.Duration `yaml:"grant_life"`         // default 2s unless confirmed by the endpoint's held list
+	AddressKeep       time.Duration `yaml:"address_keep"`       // default 5s: how long callers may keep addresses
+	RecordLife        time.Duration `yaml:"record_life"`        // default 10m: outcome records
+	KVLife            time.Duration `yaml:"kv_life"`            // default 800ms: a prefill's result
+	Transfer          time.Duration `yaml:"transfer"`           // default 600ms: a stalled transfer is given up
+	QuarantineLife    time.Duration `yaml:"quarantine_life"`    // default 1h
+}
+
+// CallerKind is the patience owed to one kind of caller.
+type CallerKind struct {
+	Kind     string        `yaml:"kind"`     // e.g. "sorter"
+	Patience time.Duration `yaml:"patience"` // time from arrival to the first token
+	Priority int           `yaml:"priority"` // 0 to 9, higher goes first
+}
--- /dev/null
+++ b/internal/settings/team.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// Team is one team's subtree.
+type Team struct {
+	Name                fleet.Team               `yaml:"team"`
+	KeyHashes           []KeyHash                `yaml:"key_hashes"`      // at least one
+	PermittedZones      []fleet.AvailabilityZone `yaml:"permitted_zones"` // at least one
+	Models              []string                 `yaml:"models"`          // "model" or "model@version"
+	Services            []string                 `yaml:"services"`        // plain services
+	Targets             Targets                  `yaml:"targets"`
+	Callers             []CallerKind             `yaml:"caller_kinds"`          // override the fleet's
+	WastedPrefillWeight float64                  `yaml:"wasted_prefill_weight"` // 0 to 1: 1 cares for waste alone, 0 for goodput alone; default 0.5
+	Share               float64                  `yaml:"share"`                 // weight in fair sharing, default 1
+	Limits              Limits                   `yaml:"limits"`
+}
+
+// Permitted gives the team's permission.
+func (t Team) Permitted() fleet.ZoneSet { return fleet.NewZoneSet(t.PermittedZones...) }
+
+// Targets are a team's latency targets.
+type Targets struct {
+	FirstToken time.Duration `yaml:"first_token"` // default 1600ms
+	TokenGap   time.Duration `yaml:"token_gap"`   // default 38ms
+}
+
+// Limits bound one team; 0 means no limit of that kind.
+type Limits struct {
+	Concurrent        int      `yaml:"concurrent"`
+	RequestsPerSecond float64  `yaml:"requests_per_second"`
+	PromptTokens      int      `yaml:"prompt_tokens"`
+	BodyBytes         ByteSize `yaml:"body_bytes"` // default 4MB
+}
