--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,42 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+)
+
+// Server takes calls from other processes of the fleet.
+type Server struct {
+	// Mux is where services register (pb.DRPCRegister...) before Serve.
+	Mux  *drpcmux.Mux
+	tls  *tls.Config
+	part logging.Part
+}
+
+// NewServer makes a server without services.
+func NewServer(config *tls.Config, part logging.Part) *Server {
+	return &Server{Mux: drpcmux.New(), tls: config, part: part}
+}
+
+// Serve answers on listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	options := drpcserver.Options{
+		Manager: managerOptions(),
+		Log: func(err error) {
+			s.part.Debug("Connection ended.", "err", err)
+		},
+	}
+	server := drpcserver.NewWithOptions(s.Mux, options)
+	err := server.Serve(ctx, tls.NewListener(listener, s.tls))
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/internal/rpc/tls.go
@@ -0,0 +1,50 @@
+package rpc
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/gravitational/trace"
+)
+
+// ServerName is the DNS name in each daemon's certificate. Peers are dialled
+// by IP number, so the name stands for "a daemon of this fleet".
+const ServerName = "hyssopsaild"
+
+// Files names the PEM files of one daemon.
+type Files struct {
+	Authority   string // the fleet's certificate authority
+	Certificate string
+	Key         string
+}
+
+// LoadTLS reads the files into a configuration in which both sides must show
+// a certificate of the fleet's authority.
+func LoadTLS(f Files) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, trace.Wrap(err, "certificate %s with key %s", f.Certificate, f.Key)
+	}
+	pem, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, trace.BadParameter("%s holds no certificate", f.Authority)
+	}
+	return MutualTLS(pair, pool), nil
+}
+
+// MutualTLS makes the configuration that both sides of a connection use.
+func MutualTLS(own tls.Certificate, authority *x509.CertPool) *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{own},
+		RootCAs:      authority,
+		ClientCAs:    authority,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   ServerName,
+	}
+}
