--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -10,7 +10,6 @@
 // read is a Read that awaits a quorum's answer to round.
 type read struct {
 	id    uint64
-	index uint64
 	round uint64
 }
 
