--- a/internal/consensus/history_test.go
+++ b/internal/consensus/history_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -20,6 +19,8 @@
 	called     int
 	ended      int // 0 while the outcome is unknown
 	place      int // among the writes of the key; of a read, that of its value
+	// readsBefore counts the reads of the value that a write replaced.
+	readsBefore int
 }
 
 // history gathers the operations whose outcome matters.
@@ -32,9 +33,13 @@
 
 func (h *history) end(op *operation, order int) { op.ended = order }
 
-// register is the model of one key. Its state is how many writes of the key
-// came so far. A write is allowed only at its place in the log: that is the
-// order the protocol promises, and it spares porcupine the search over others.
+// registerState is a register after so many writes and, since the last of
+// them, so many reads.
+type registerState struct{ writes, reads int }
+
+// register is the model of one key. An operation is allowed only at its place
+// in the log, which is the order the protocol promises: a write after all
+// reads of the value before. It spares porcupine the search over all others.
 var register = porcupine.Model{
 	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
 		byKey := map[string][]porcupine.Operation{}
@@ -44,13 +49,13 @@
 		}
 		return slices.Collect(maps.Values(byKey))
 	},
-	Init: func() any { return 0 },
+	Init: func() any { return registerState{} },
 	Step: func(state, input, _ any) (bool, any) {
-		op, count := input.(*operation), state.(int)
+		op, s := input.(*operation), state.(registerState)
 		if op.read {
-			return op.place == count, count
+			return op.place == s.writes, registerState{s.writes, s.reads + 1}
 		}
-		return op.place == count+1, op.place
+		return op.place == s.writes+1 && op.readsBefore == s.reads, registerState{op.place, 0}
 	},
 	Equal: func(a, b any) bool { return a == b },
 }
@@ -59,66 +64,31 @@
 // A write of unknown outcome that is not in the log never took effect.
 func (h *history) check(log map[uint64]*pb.LogEntry, end int) porcupine.CheckResult {
 	places := placesInLog(log)
-	byKey := map[string][]*operation{}
+	reads := map[string]map[int]int{"k": {}, "l": {}, "m": {}}
+	var operations []porcupine.Operation
 	for _, op := range h.operations {
 		place, written := places[op.Value]
 		if op.ended == 0 && (op.read || !written) {
 			continue
 		}
 		op.place = place
+		if op.read {
+			reads[op.Key][place]++
+		}
 		if op.ended == 0 {
 			op.ended = end
 		}
-		byKey[op.Key] = append(byKey[op.Key], op)
+		operations = append(operations, porcupine.Operation{
+			ClientId: len(operations), Input: op, Call: int64(op.called), Return: int64(op.ended),
+		})
 	}
-	var operations []porcupine.Operation
-	for _, ofKey := range byKey {
-		if !tighten(ofKey) {
-			return porcupine.Illegal
-		}
-		for _, op := range ofKey {
-			operations = append(operations, porcupine.Operation{
-				ClientId: len(operations), Input: op, Call: int64(op.called), Return: int64(op.ended),
-			})
-		}
+	for _, o := range operations {
+		op := o.Input.(*operation)
+		op.readsBefore = reads[op.Key][op.place-1]
 	}
 	return porcupine.CheckOperationsTimeout(register, operations, time.Minute)
 }
 
-// tighten narrows the times in which operations of one key can take effect,
-// as their places in the log demand; otherwise writes of unknown outcome make
-// porcupine's search endless. False when an operation has no time left.
-func tighten(operations []*operation) bool {
-	slices.SortFunc(operations, func(a, b *operation) int {
-		if a.place == b.place && a.read != b.read {
-			return map[bool]int{false: -1, true: 1}[a.read]
-		}
-		return a.place - b.place
-	})
-	began, write := 0, 0 // latest call among earlier places, and of the write
-	for _, op := range operations {
-		if !op.read {
-			write = max(began, op.called)
-			began = write
-		}
-		op.called = max(op.called, write)
-	}
-	ended, later := math.MaxInt, math.MaxInt // earliest end behind, and behind the next write
-	for _, op := range slices.Backward(operations) {
-		if op.read {
-			op.ended = min(op.ended, later)
-			ended = min(ended, op.ended)
-		} else {
-			op.ended = min(op.ended, ended)
-			ended, later = op.ended, op.ended
-		}
-		if op.called > op.ended {
-			return false
-		}
-	}
-	return true
-}
-
 // placesInLog numbers the values of each key in the order of the log.
 func placesInLog(log map[uint64]*pb.LogEntry) map[string]int {
 	places, counts := map[string]int{}, map[string]int{}
