--- a/internal/storage/faultfs/file.go
+++ b/internal/storage/faultfs/file.go
@@ -43,12 +43,13 @@
 
 // persist makes data up to end durable, with zeros for what was given up.
 func (n *node) persist(end int) {
-	for i := len(n.durable); i < end; i++ {
-		b := n.data[i]
-		if i < n.dropped {
-			b = 0
-		}
-		n.durable = append(n.durable, b)
+	from := len(n.durable)
+	if end <= from {
+		return
+	}
+	n.durable = append(n.durable, n.data[from:end]...)
+	if n.dropped > from {
+		clear(n.durable[from:min(n.dropped, end)])
 	}
 }
 
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -16,12 +16,18 @@
 func (s *Store) loadLog(names []string) error {
 	s.number = 1
 	replayed := replay{snapshot: s.state.Snapshot}
-	numbers := numbered(names, segmentPrefix)
-	for i, number := range numbers {
+	all := numbered(names, segmentPrefix)
+	if len(all) == 0 && s.identity.Group != "" {
+		return &ErrCorrupt{File: s.dir, Reason: "the disk belongs to a group, but its log is missing"}
+	}
+	numbers, err := s.fromNewestCopy(all)
+	if err != nil {
+		return err
+	}
+	for i := range numbers {
 		if err := s.replaySegment(&replayed, numbers, i); err != nil {
 			return err
 		}
-		s.segments = append(s.segments, segment{number: number})
 	}
 	if s.identity.Group == "" {
 		// Init saves its first entry before the disk joins the group. A crash
@@ -38,15 +44,48 @@
 	if err := s.beginSegment(s.compacted()); err != nil {
 		return err
 	}
-	for _, number := range numbers {
+	for _, number := range all {
 		if err := s.remove(segmentName(number)); err != nil {
 			return err
 		}
 	}
-	s.segments = s.segments[len(numbers):]
 	return nil
 }
 
+// fromNewestCopy drops the numbers of segments that a later one replaces: a
+// crash can bring back what an earlier Open removed.
+func (s *Store) fromNewestCopy(numbers []uint64) ([]uint64, error) {
+	for i := len(numbers) - 1; i >= 0; i-- {
+		first, err := s.firstBatch(numbers[i])
+		if err != nil {
+			return nil, err
+		}
+		if first.Copied > 0 {
+			return numbers[i:], nil
+		}
+	}
+	return numbers, nil
+}
+
+// firstBatch reads a segment's first record. It was durable before the
+// segment got its name, so it is never one that was cut short.
+func (s *Store) firstBatch(number uint64) (*pb.LogBatch, error) {
+	path := s.path(segmentName(number))
+	content, err := s.fs.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	record, err := decodeRecord(content, s.identity.DiskId)
+	if err != nil {
+		return nil, &ErrCorrupt{File: path, Reason: err.Error()}
+	}
+	batch := &pb.LogBatch{}
+	if err := proto.Unmarshal(record.payload, batch); err != nil {
+		return nil, &ErrCorrupt{File: path, Reason: err.Error()}
+	}
+	return batch, nil
+}
+
 // replaySegment reads the segment at place i of numbers.
 func (s *Store) replaySegment(r *replay, numbers []uint64, i int) error {
 	path := s.path(segmentName(numbers[i]))
@@ -54,6 +93,11 @@
 		return &ErrCorrupt{File: path, Reason: fmt.Sprintf("record %d expected, a file is missing", s.number)}
 	}
 	s.number = numbers[i]
+	first, err := s.firstBatch(s.number)
+	if err != nil {
+		return err
+	}
+	copied := s.number + uint64(first.Copied)
 	content, err := s.fs.ReadFile(path)
 	if err != nil {
 		return trace.ConvertSystemError(err)
@@ -61,6 +105,9 @@
 	offset := 0
 	for offset < len(content) {
 		record, err := decodeRecord(content[offset:], s.identity.DiskId)
+		if (err != nil || record.number != s.number) && s.number < copied {
+			return &ErrCorrupt{File: path, Offset: int64(offset), Reason: fmt.Sprintf("bad record %d in a copy", s.number)}
+		}
 		if err != nil || record.number != s.number {
 			return s.checkTail(path, content, offset, numbers, i)
 		}
@@ -70,6 +117,9 @@
 		offset += record.size
 		s.number++
 	}
+	if s.number < copied {
+		return &ErrCorrupt{File: path, Offset: int64(offset), Reason: "the copy ends early"}
+	}
 	return nil
 }
 
@@ -82,9 +132,8 @@
 		reason := fmt.Sprintf("bad record %d before a good one at byte %d", s.number, offset+1+later)
 		return &ErrCorrupt{File: path, Offset: int64(offset), Reason: reason}
 	}
-	// A segment begun by Open takes the number of the record that was cut
-	// short; one begun because this was full takes the next.
-	if i+1 < len(numbers) && numbers[i+1] != s.number {
+	if i+1 < len(numbers) {
+		// The next segment was begun because this one was full and synced.
 		reason := fmt.Sprintf("bad record %d before segment %d", s.number, numbers[i+1])
 		return &ErrCorrupt{File: path, Offset: int64(offset), Reason: reason}
 	}
@@ -108,6 +157,7 @@
 		last.Entries = append(last.Entries, e)
 		size += len(e.Data)
 	}
+	first.Copied = uint32(len(batches))
 	return batches
 }
 
--- a/internal/storage/segments.go
+++ b/internal/storage/segments.go
@@ -135,6 +135,10 @@
 		if err := s.remove(segmentName(s.segments[0].number)); err != nil {
 			return s.fail(err)
 		}
+		// A crash must not undo this removal and keep the next.
+		if err := s.fs.SyncDir(s.dir); err != nil {
+			return s.fail(trace.ConvertSystemError(err))
+		}
 		s.segments = s.segments[1:]
 	}
 	return nil
