Proofs of the replicated log under failure, with nodes in one bubble

Cause: the failures that a user would meet: the leader killed between sync and reply, members cut off both ways and one way, lost disks, a restart after 500 and 1200 entries, all restarting without unsynced writes, bad disks, and the leader killed while a member is replaced.

--- /dev/null
+++ b/internal/replica/failures_test.go
@@ -0,0 +1,299 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The operator's change is synced and replicated, and the leader dies before
+// it answers. The operator sees "uncertain" and resends: the first one must be
+// there, once, for the resend to find.
+func TestLeaderKilledBetweenSyncAndReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		c.propose("first")
+		old := c.leader()
+		// The followers persist and answer, but the answers are lost.
+		for _, other := range c.others(old) {
+			c.setCut(other.name, old.name, true)
+		}
+		outcome := make(chan error, 1)
+		go func() {
+			_, err := old.node.Propose(context.Background(), []byte("second"))
+			outcome <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		c.kill(old.name)
+		assert.ErrorIs(t, <-outcome, ErrUncertain)
+		delete(c.hosts, old.name)
+		commands := c.leader().state.list()
+		assert.DeepEqual(t, commands, []string{"first", "second"})
+	})
+}
+
+// A member is cut off, both ways or one way, for a long time, silently. Asked,
+// it must not answer from its old state; the rest goes on; and when it comes
+// back nobody loses the leader over it.
+func TestCutOffMember(t *testing.T) {
+	tables := []struct {
+		name        string
+		leader      bool // the leader is the one cut off
+		sends, gets bool // what still works
+	}{
+		{"leader, both ways", true, false, false},
+		{"leader, still sends", true, true, false},
+		{"leader, still gets", true, false, true},
+		{"follower, both ways", false, false, false},
+		{"follower, still sends", false, true, false},
+		{"follower, still gets", false, false, true},
+	}
+	for _, row := range tables {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { cutOff(t, row.leader, row.sends, row.gets) })
+		})
+	}
+}
+
+func cutOff(t *testing.T, leader, sends, gets bool) {
+	c := newCluster(t, "a", "b", "c")
+	c.init("a", "b", "c")
+	c.propose("before")
+	lost := c.leader()
+	if !leader {
+		lost = c.others(lost)[0]
+	}
+	for _, other := range c.others(lost) {
+		c.setCut(lost.name, other.name, !sends)
+		c.setCut(other.name, lost.name, !gets)
+	}
+	time.Sleep(5 * time.Second)
+	rest := c.others(lost)
+	current := c.leaderOf(rest)
+	for i := range 20 {
+		_, err := current.node.Propose(short(t), fmt.Appendf(nil, "during-%d", i))
+		assert.NilError(t, err)
+		assert.Assert(t, lost.node.ReadBarrier(short(t)) != nil)
+		time.Sleep(time.Second)
+	}
+	before := current.node.Status()
+	for _, other := range rest {
+		c.setCut(lost.name, other.name, false)
+		c.setCut(other.name, lost.name, false)
+	}
+	assert.Equal(t, len(c.agree("a", "b", "c")), 21)
+	after := current.node.Status()
+	assert.Assert(t, after.IsLeader)
+	assert.Equal(t, after.Term, before.Term)
+}
+
+// A change is confirmed by the leader and one member. The member loses its
+// disk and comes back empty, and the leader dies: together with the third,
+// which never saw the change, the empty one must not elect a leader without
+// it. After the repair a second disk is lost, and still nothing is missing.
+func TestLostDiskCannotVoteAChangeAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		c.propose("first")
+		leader := c.leader()
+		holder, behind := c.others(leader)[0], c.others(leader)[1]
+		c.setCut(leader.name, behind.name, true)
+		c.propose("accepted")
+		c.kill(holder.name)
+		c.loseDisk(holder.name)
+		c.kill(leader.name)
+		c.start(holder.name)
+		c.setCut(leader.name, behind.name, false)
+		time.Sleep(time.Minute)
+		assert.Assert(t, !holder.node.Status().IsLeader && !behind.node.Status().IsLeader)
+		assert.Equal(t, holder.node.Status().Initialised, false)
+
+		c.start(leader.name)
+		c.repair(holder)
+		assert.DeepEqual(t, c.agree("a", "b", "c"), []string{"first", "accepted"})
+
+		c.kill(leader.name)
+		c.loseDisk(leader.name)
+		c.start(leader.name)
+		c.repair(leader)
+		c.propose("last")
+		assert.DeepEqual(t, c.agree("a", "b", "c"), []string{"first", "accepted", "last"})
+	})
+}
+
+// An instance is down while hundreds of changes pass and the log before them
+// is dropped. On its return it must catch up, by snapshot, and nothing of its
+// own disk may be in the way.
+func TestRestartAfterManyEntries(t *testing.T) {
+	for _, missed := range []int{500, 1200} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t)
+			c.options = func(o *Options) { o.SnapshotEntries, o.KeepEntries = 100, 20 }
+			c.add("a", "b", "c")
+			c.init("a", "b", "c")
+			c.proposeMany("early", 130)
+			lost := c.others(c.leader())[0]
+			c.kill(lost.name)
+			c.proposeMany("missed", missed)
+			c.start(lost.name)
+			assert.Equal(t, len(c.agree("a", "b", "c")), 130+missed)
+			for _, name := range []string{"a", "b", "c"} {
+				c.kill(name)
+				c.start(name)
+			}
+			c.propose("late")
+			assert.Equal(t, len(c.agree("a", "b", "c")), 131+missed)
+		})
+	}
+}
+
+// All control instances lose power at once, in the middle of proposals, and
+// what their disks had not synced is gone. Each confirmed change is there.
+func TestAllRestartWithUnsyncedWritesDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		var confirmed []string
+		for round := range 10 {
+			leader := c.leader()
+			release := c.others(leader)[0].disk.Stall()
+			for i := range 5 {
+				command := fmt.Sprintf("%d-%d", round, i)
+				if _, err := leader.node.Propose(short(t), []byte(command)); err == nil {
+					confirmed = append(confirmed, command)
+				}
+			}
+			go leader.node.Propose(context.Background(), []byte("pending"))
+			for _, name := range []string{"a", "b", "c"} {
+				c.kill(name)
+			}
+			release()
+			for _, name := range []string{"a", "b", "c"} {
+				c.start(name)
+			}
+			all := c.agreeUnder(c.leader())
+			for _, command := range confirmed {
+				assert.Assert(t, slices.Contains(all, command), "%s is lost", command)
+			}
+		}
+		assert.Equal(t, len(confirmed), 50)
+	})
+}
+
+// A disk is full, fails a sync, or takes forever. The instance must stop at
+// once and for good, its callers must not be told that anything was done, and
+// the others go on.
+func TestBadDiskStepsDown(t *testing.T) {
+	tables := []struct {
+		name  string
+		spoil func(h *machineHost) (mend func())
+	}{
+		{"full", func(h *machineHost) func() { h.disk.SetCapacity(1); return func() {} }},
+		{"fails a sync", func(h *machineHost) func() { h.disk.FailSyncs(1); return func() {} }},
+		{"stalls", func(h *machineHost) func() { return h.disk.Stall() }},
+	}
+	for _, row := range tables {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, "a", "b", "c")
+				c.init("a", "b", "c")
+				c.propose("before")
+				bad := c.leader()
+				mend := row.spoil(bad)
+				_, err := bad.node.Propose(context.Background(), []byte("caught"))
+				assert.ErrorIs(t, err, ErrUncertain)
+				assert.ErrorIs(t, <-bad.ended, ErrStorage)
+				mend()
+				assert.Assert(t, bad.node.Status().StorageFailed && !bad.node.Status().IsLeader)
+				_, err = bad.node.Propose(short(t), []byte("x"))
+				assert.ErrorIs(t, err, ErrStorage)
+				assert.ErrorIs(t, bad.node.ReadBarrier(short(t)), ErrStorage)
+				_, err = c.leaderOf(c.others(bad)).node.Propose(short(t), []byte("after"))
+				assert.NilError(t, err)
+			})
+		})
+	}
+}
+
+// A member's disk is lost and its replacement is being added when the leader
+// is killed. The operator repeats the command at the next leader; the group
+// ends with three voters and every confirmed change.
+func TestLeaderKilledWhileAMemberIsReplaced(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, "a", "b", "c")
+			c.init("a", "b", "c")
+			c.proposeMany("x", 50)
+			leader := c.leader()
+			replaced := c.others(leader)[0]
+			c.kill(replaced.name)
+			c.loseDisk(replaced.name)
+			c.start(replaced.name)
+			go leader.node.ProposeMember(context.Background(), false, c.member(replaced.name))
+			time.Sleep(delay)
+			c.kill(leader.name)
+			time.Sleep(3 * time.Second)
+			c.start(leader.name)
+			c.repair(replaced)
+			c.propose("last")
+			assert.Equal(t, len(c.agree("a", "b", "c")), 51)
+			members := c.leader().node.Status().Members
+			assert.Equal(t, len(members), 3)
+			for _, m := range members {
+				assert.Assert(t, !m.Member.Learner)
+				assert.Equal(t, m.Member.DiskId, c.hosts[m.Member.InstanceId].node.DiskID())
+			}
+		})
+	}
+}
+
+func (c *cluster) setCut(from, to string, cut bool) {
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	c.link.cut[[2]string{from, to}] = cut
+}
+
+// repair adds a host's new disk, as an operator who repeats the command until
+// it is confirmed.
+func (c *cluster) repair(h *machineHost) {
+	c.t.Helper()
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := c.leader().node.ProposeMember(ctx, false, c.member(h.name))
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	c.t.Fatal("the member was not added")
+}
+
+func (c *cluster) leaderOf(hosts []*machineHost) *machineHost {
+	c.t.Helper()
+	for range 200 {
+		for _, h := range hosts {
+			if h.node.Status().IsLeader && h.node.ReadBarrier(short(c.t)) == nil {
+				return h
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatal("no leader within 10 s")
+	return nil
+}
+
+func (c *cluster) agreeUnder(leader *machineHost) []string {
+	c.t.Helper()
+	if err := leader.node.ReadBarrier(short(c.t)); err != nil {
+		c.t.Fatal(err)
+	}
+	return leader.state.list()
+}
