A member whose uncommitted removal is in its own log still stands

A leader removed itself and crashed with the removal only on its own disk. By its own log it was no voter and didn't stand; one disk being lost, the others needed its vote and could not have it, their logs being shorter. It now stands until the removal is known to be committed.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -59,7 +59,7 @@
 		c.tickLeader(now)
 		return
 	}
-	if now.Before(c.electionDue) || !isVoter(c.log.membership(), c.config.ID) {
+	if now.Before(c.electionDue) || !c.mayStand() {
 		return
 	}
 	c.standPre(now)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -31,6 +31,15 @@
 	return c.role == Leader || now.Sub(c.lastLeader) < c.config.ElectionTimeout
 }
 
+// mayStand: voters stand, and so does a member whose removal is in its log but
+// not known to be committed. It may be the only one with that entry; the
+// others then lack its vote, which it can't give to their shorter logs, and
+// without its candidacy no leader would ever be elected.
+func (c *Core) mayStand() bool {
+	return isVoter(c.log.membership(), c.config.ID) ||
+		isVoter(c.log.membershipBefore(c.log.commit), c.config.ID)
+}
+
 // standPre asks whether an election could be won, without a new term. A
 // member that can't reach a quorum thus never raises its term, and on its
 // return disturbs nobody.
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -19,9 +19,15 @@
 type journal struct {
 	mu       sync.Mutex
 	commands []string
+	// freeze, when set, holds up the whole node at the command "freeze", as a
+	// stopped process is held up.
+	freeze chan struct{}
 }
 
 func (j *journal) Apply(_ uint64, command []byte) []byte {
+	if j.freeze != nil && string(command) == "freeze" {
+		<-j.freeze
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = append(j.commands, string(command))
--- a/internal/replica/failures_test.go
+++ b/internal/replica/failures_test.go
@@ -46,36 +46,45 @@
 		name        string
 		leader      bool // the leader is the one cut off
 		sends, gets bool // what still works
+		pair        bool // only the link between leader and follower is cut
 	}{
-		{"leader, both ways", true, false, false},
-		{"leader, still sends", true, true, false},
-		{"leader, still gets", true, false, true},
-		{"follower, both ways", false, false, false},
-		{"follower, still sends", false, true, false},
-		{"follower, still gets", false, false, true},
+		{"leader, both ways", true, false, false, false},
+		{"leader, still sends", true, true, false, false},
+		{"leader, still gets", true, false, true, false},
+		{"follower, both ways", false, false, false, false},
+		{"follower, still sends", false, true, false, false},
+		{"follower, still gets", false, false, true, false},
+		{"follower from leader, both ways", false, false, false, true},
+		{"follower from leader, still sends", false, true, false, true},
 	}
 	for _, row := range tables {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { cutOff(t, row.leader, row.sends, row.gets) })
+			synctest.Test(t, func(t *testing.T) { cutOff(t, row.leader, row.sends, row.gets, row.pair) })
 		})
 	}
 }
 
-func cutOff(t *testing.T, leader, sends, gets bool) {
+func cutOff(t *testing.T, leader, sends, gets, pair bool) {
 	c := newCluster(t, "a", "b", "c")
 	c.init("a", "b", "c")
 	c.propose("before")
-	lost := c.leader()
+	first := c.leader()
+	lost := first
 	if !leader {
-		lost = c.others(lost)[0]
+		lost = c.others(first)[0]
 	}
-	for _, other := range c.others(lost) {
+	far := c.others(lost)
+	if pair {
+		far = []*machineHost{first}
+	}
+	for _, other := range far {
 		c.setCut(lost.name, other.name, !sends)
 		c.setCut(other.name, lost.name, !gets)
 	}
 	time.Sleep(5 * time.Second)
 	rest := c.others(lost)
 	current := c.leaderOf(rest)
+	assert.Assert(t, leader || current == first, "a working leader was deposed")
 	for i := range 20 {
 		_, err := current.node.Propose(short(t), fmt.Appendf(nil, "during-%d", i))
 		assert.NilError(t, err)
@@ -222,6 +231,37 @@
 	}
 }
 
+// A leader is frozen for longer than its lease, with a read and a change in
+// hand; meanwhile another leads and commits. When the first wakes, the read
+// must not be answered from its old state, nor the change be confirmed.
+func TestFrozenLeaderAnswersNothing(t *testing.T) {
+	for _, frozen := range []time.Duration{1500 * time.Millisecond, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, "a", "b", "c")
+			c.init("a", "b", "c")
+			c.propose("before")
+			old := c.leader()
+			thaw := make(chan struct{})
+			old.state.freeze = thaw
+			go old.node.Propose(context.Background(), []byte("freeze"))
+			time.Sleep(10 * time.Millisecond)
+			answers := make(chan error, 2)
+			go func() { answers <- old.node.ReadBarrier(context.Background()) }()
+			go func() {
+				_, err := old.node.Propose(context.Background(), []byte("late"))
+				answers <- err
+			}()
+			time.Sleep(frozen)
+			_, err := c.leaderOf(c.others(old)).node.Propose(short(t), []byte("meanwhile"))
+			assert.NilError(t, err)
+			close(thaw)
+			assert.Assert(t, <-answers != nil)
+			assert.Assert(t, <-answers != nil)
+			assert.DeepEqual(t, c.agree("a", "b", "c"), []string{"before", "freeze", "meanwhile"})
+		})
+	}
+}
+
 // A member's disk is lost and its replacement is being added when the leader
 // is killed. The operator repeats the command at the next leader; the group
 // ends with three voters and every confirmed change.
