--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -106,3 +106,25 @@
 		assert.Equal(t, c.Status().Last, uint64(1), name)
 	}
 }
+
+// An entry of an earlier term is on a quorum, and the leader counts it as
+// committed; it crashes, and a member whose last entry is of a term between
+// the two wins and overwrites it: a confirmed change is gone.
+func TestEntriesOfEarlierTermsAreNotCommittedByCounting(t *testing.T) {
+	state := threeMembers(t)
+	state.HardState = &pb.HardState{Term: 3, Commit: 1}
+	state.Entries = append(state.Entries, &pb.LogEntry{Index: 2, Term: 2, Kind: pb.EntryKind_ENTRY_KIND_NO_OP})
+	c, err := New(Config{ID: "a", Random: rand.New(rand.NewPCG(1, 1))}, state, begin)
+	assert.NilError(t, err)
+	now := begin.Add(2 * DefaultElectionTimeout)
+	c.Tick(now)
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: "b", To: "a", Term: 4})
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: "b", To: "a", Term: 4})
+	assert.Equal(t, c.Status().Role, Leader)
+	acknowledge := &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 2}
+	answers(c, now, acknowledge)
+	assert.Equal(t, c.Status().Commit, uint64(1))
+	acknowledge.PrevIndex = 3
+	answers(c, now, acknowledge)
+	assert.Equal(t, c.Status().Commit, uint64(3))
+}
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -25,6 +25,13 @@
 	return l.round
 }
 
+// live tells whether no other leader can exist at now. The monotonic clock
+// stands still while a virtual machine is suspended, and the host's clock may
+// be set back; a lease is over as soon as either says so.
+func (l *lease) live(now time.Time) bool {
+	return now.Before(l.until) && now.Round(0).Before(l.until.Round(0))
+}
+
 // confirm takes in that a quorum answered round; the lease counts from the
 // moment the round was sent, for no answer began to bind later than that.
 func (l *lease) confirm(round uint64, length time.Duration) bool {
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -23,7 +23,7 @@
 	// Until an entry of its own term is committed, a new leader doesn't know
 	// how far its predecessor's log was committed; the lease alone would let
 	// it answer from before a change that was already confirmed.
-	if c.committedInTerm() && now.Before(c.lease.until) {
+	if c.committedInTerm() && c.lease.live(now) {
 		c.results = append(c.results, ReadResult{ID: id, Index: c.log.commit, OK: true})
 		return nil
 	}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -93,7 +95,7 @@
 }
 
 func (c *Core) handleAppend(now time.Time, m *pb.ConsensusMessage) {
-	if !consecutive(m) {
+	if !wellFormed(m) {
 		return
 	}
 	c.heardLeader(now, m)
@@ -115,13 +117,19 @@
 	c.acknowledge(m.From, last)
 }
 
-// consecutive tells whether the entries follow the previous one in the
-// message without a gap.
-func consecutive(m *pb.ConsensusMessage) bool {
+// wellFormed tells whether the entries follow the previous one in the message
+// without a gap and can be appended.
+func wellFormed(m *pb.ConsensusMessage) bool {
 	for i, e := range m.Entries {
 		if e.GetIndex() != m.PrevIndex+1+uint64(i) {
 			return false
 		}
+		if e.Kind != pb.EntryKind_ENTRY_KIND_MEMBERSHIP {
+			continue
+		}
+		if proto.Unmarshal(e.Data, &pb.Membership{}) != nil {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -38,11 +38,11 @@
 }
 
 func (c *Core) handleSnapshot(now time.Time, m *pb.ConsensusMessage) {
-	c.heardLeader(now, m)
 	s := m.Snapshot
-	if s == nil || m.SnapshotSize > MaxSnapshot {
+	if s.GetMembership() == nil || m.SnapshotSize > MaxSnapshot {
 		return
 	}
+	c.heardLeader(now, m)
 	if s.Index <= c.log.commit {
 		c.acknowledge(m.From, c.log.commit)
 		return
--- a/internal/replica/failures_test.go
+++ b/internal/replica/failures_test.go
@@ -196,6 +196,26 @@
 	})
 }
 
+// Both followers' disks are slow when a change comes. The change must not be
+// confirmed on the word of members that don't hold it durably: the power
+// fails, the leader's disk is lost, and a confirmed change would be gone.
+func TestNothingIsConfirmedBeforeFollowersSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		c.propose("before")
+		leader := c.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		for _, other := range c.others(leader) {
+			release := other.disk.Stall()
+			defer release()
+		}
+		_, err := leader.node.Propose(ctx, []byte("x"))
+		assert.ErrorIs(t, err, ErrUncertain)
+	})
+}
+
 // A disk is full, fails a sync, or takes forever. The instance must stop at
 // once and for good, its callers must not be told that anything was done, and
 // the others go on.
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -174,6 +174,9 @@
 			_, err := storage.Open(folder, fs)
 			var corrupt *storage.ErrCorrupt
 			assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+			if missing == "identity" {
+				assert.Equal(t, corrupt.File, folder+"/identity")
+			}
 		})
 	}
 }
