Leadership is handed over at a planned stop

Cause: without it each planned stop of a leader costs the others an election timeout, 0.5 s to 1 s. Node.HandOver(ctx) is to be called before Run's context ends. The lease ends for the term before the request leaves. consensus.proto: ConsensusMessage gains handover.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -97,7 +97,7 @@
 		c.becomeFollower(now, m.Term, "")
 		return false
 	case pb.MessageKind_MESSAGE_KIND_VOTE:
-		if c.followsLeader(now) {
+		if c.followsLeader(now) && !m.Handover {
 			return false
 		}
 		c.becomeFollower(now, m.Term, "")
@@ -141,6 +141,8 @@
 		c.handleAppendReply(now, m)
 	case pb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
 		c.handleHeartbeatReply(now, m)
+	case pb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW:
+		c.handleTimeoutNow(now, m)
 	case pb.MessageKind_MESSAGE_KIND_SNAPSHOT_REPLY:
 		c.handleSnapshotReply(now, m)
 	}
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -157,3 +157,18 @@
 	answers(c, now, acknowledge)
 	assert.Equal(t, c.Status().Commit, uint64(3))
 }
+
+// A leader asks another to stand and goes on under its old lease: the
+// successor commits a change, and a user reads the state before it here.
+func TestNoLeaseReadAfterHandOver(t *testing.T) {
+	c, now := newLeader(t)
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 3})
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, From: "b", To: "a", Term: 4, ReadRound: 1})
+	assert.NilError(t, c.Read(now, 1))
+	r := c.Ready()
+	assert.DeepEqual(t, r.Reads, []ReadResult{{ID: 1, Index: 3, OK: true}})
+	c.Advance(now, r)
+	assert.NilError(t, c.HandOver(now))
+	assert.NilError(t, c.Read(now, 2))
+	assert.Equal(t, len(c.Ready().Reads), 0)
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -49,13 +49,13 @@
 	c.receiving = nil
 	c.resetElection(now)
 	if c.won() {
-		c.stand(now)
+		c.stand(now, false)
 		return
 	}
-	c.askVotes(pb.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1)
+	c.askVotes(pb.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1, false)
 }
 
-func (c *Core) stand(now time.Time) {
+func (c *Core) stand(now time.Time, handover bool) {
 	c.role, c.leader = Candidate, ""
 	c.term++
 	c.vote = c.config.ID
@@ -65,17 +65,17 @@
 		c.becomeLeader(now)
 		return
 	}
-	c.askVotes(pb.MessageKind_MESSAGE_KIND_VOTE, c.term)
+	c.askVotes(pb.MessageKind_MESSAGE_KIND_VOTE, c.term, handover)
 }
 
-func (c *Core) askVotes(kind pb.MessageKind, term uint64) {
+func (c *Core) askVotes(kind pb.MessageKind, term uint64, handover bool) {
 	for _, member := range c.log.membership().Members {
 		if member.Learner || member.DiskId == c.config.ID {
 			continue
 		}
 		c.send(&pb.ConsensusMessage{
 			Kind: kind, To: member.DiskId, Term: term,
-			PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(),
+			PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Handover: handover,
 		})
 	}
 }
@@ -112,12 +112,12 @@
 	}
 	c.votes[m.From] = true
 	if c.won() {
-		c.stand(now)
+		c.stand(now, false)
 	}
 }
 
 func (c *Core) answerVote(now time.Time, m *pb.ConsensusMessage) {
-	if c.followsLeader(now) {
+	if c.followsLeader(now) && !m.Handover {
 		return
 	}
 	free := c.vote == m.From || c.vote == "" && c.leader == ""
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -145,6 +145,13 @@
 	return false
 }
 
+// handOver makes a leader hand over, as at a planned stop.
+func (w *world) handOver() {
+	if leader := w.newestLeader(); leader != nil {
+		w.run(leader, func(now time.Time) { _ = leader.core.HandOver(now) })
+	}
+}
+
 // changeMember adds h when it is a stranger, and removes it now and then.
 func (w *world) changeMember(h *host) {
 	leader := w.newestLeader()
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -9,6 +9,7 @@
 	confirmed uint64      // newest round a quorum answered
 	sent      []time.Time // sending times of the rounds after confirmed
 	until     time.Time
+	given     bool // handed over: never live again in this term
 }
 
 // maxOpenRounds bounds the rounds kept that no quorum answered. A leader
@@ -29,7 +30,7 @@
 // stands still while a virtual machine is suspended, and the host's clock may
 // be set back; a lease is over as soon as either says so.
 func (l *lease) live(now time.Time) bool {
-	return now.Before(l.until) && now.Round(0).Before(l.until.Round(0))
+	return !l.given && now.Before(l.until) && now.Round(0).Before(l.until.Round(0))
 }
 
 // confirm takes in that a quorum answered round; the lease counts from the
--- a/internal/consensus/model_test.go
+++ b/internal/consensus/model_test.go
@@ -34,12 +34,21 @@
 // disks are lost within the bound, and members come and go. At the end all
 // faults stop. A user would see a lost or reverted change, a stale read, or a
 // group that never works again.
-func TestModel(t *testing.T) {
+func TestModel(t *testing.T) { runModel(t, defaultRuns, func(*world) {}) }
+
+// Besides, leaders hand over now and then. A user would see a stale read if a
+// leader kept its lease after it had asked another to stand.
+func TestModelWithHandovers(t *testing.T) {
+	runModel(t, defaultRuns/3, func(w *world) { w.every(time.Second, w.handOver) })
+}
+
+func runModel(t *testing.T, otherwise uint64, prepare func(*world)) {
 	first := fromEnvironment(t, seedVariable, 1)
-	runs := fromEnvironment(t, runsVariable, defaultRuns)
+	runs := fromEnvironment(t, runsVariable, otherwise)
 	steps, operations, terms := 0, 0, 0
 	for seed := first; seed < first+runs; seed++ {
 		w := newWorld(t, seed, 3+2*int(seed%2))
+		prepare(w)
 		w.live()
 		steps += w.steps
 		operations += len(w.history.operations)
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -125,6 +125,21 @@
 	n.changes = append(n.changes, memberChange{change: e.change, term: n.core.Status().Term, reply: e.reply})
 }
 
+// handoverEvent asks another member to lead.
+type handoverEvent struct{ reply chan struct{} } // closed when not leading
+
+func (e handoverEvent) refuse(error) { close(e.reply) }
+
+func (e handoverEvent) size() int { return 0 }
+
+func (e handoverEvent) run(n *Node, now time.Time) {
+	if n.core.HandOver(now) == consensus.ErrNotLeader {
+		close(e.reply)
+		return
+	}
+	n.handovers = append(n.handovers, e)
+}
+
 // initEvent begins a group on this disk.
 type initEvent struct {
 	group   string
--- a/internal/replica/failures_test.go
+++ b/internal/replica/failures_test.go
@@ -282,6 +282,24 @@
 	}
 }
 
+// A leader's process is stopped as planned. Users must not wait for an
+// election timeout, and nothing in flight is lost.
+func TestHandOverAtAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		c.proposeMany("x", 10)
+		old := c.leader()
+		began := time.Now()
+		assert.NilError(t, old.node.HandOver(short(t)))
+		next := c.leaderOf(c.others(old))
+		assert.Assert(t, time.Since(began) <= 100*time.Millisecond, "%s", time.Since(began))
+		_, err := next.node.Propose(short(t), []byte("last"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(c.agree("a", "b", "c")), 11)
+	})
+}
+
 // A member's disk is lost and its replacement is being added when the leader
 // is killed. The operator repeats the command at the next leader; the group
 // ends with three voters and every confirmed change.
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -65,6 +66,29 @@
 	}
 }
 
+// HandOver gives up leadership at a planned stop: it returns nil once this
+// member doesn't lead, also when it did not before, and the error of ctx when
+// no other member took over in time. Run and the transport must be working.
+func (n *Node) HandOver(ctx context.Context) error {
+	retry := time.NewTicker(n.options.ElectionTimeout)
+	defer retry.Stop()
+	for n.Status().IsLeader {
+		e := handoverEvent{reply: make(chan struct{})}
+		if err := n.hand(ctx, e); err != nil {
+			return err
+		}
+		select {
+		case <-e.reply:
+		case <-retry.C:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-n.done:
+			return nil
+		}
+	}
+	return nil
+}
+
 // Step implements Group. It returns when the message is queued; a full queue
 // drops it.
 func (n *Node) Step(_ context.Context, message *pb.ConsensusMessage) error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -42,6 +42,7 @@
 	proposals map[uint64]proposal // by index
 	reads     map[uint64]chan error
 	changes   []memberChange
+	handovers []handoverEvent
 }
 
 // New opens the data folder and restores the state machine. An error that is
--- a/internal/replica/waiting.go
+++ b/internal/replica/waiting.go
@@ -114,4 +114,8 @@
 		c.reply <- changeResult{err: ErrUncertain}
 	}
 	n.changes = nil
+	for _, h := range n.handovers {
+		close(h.reply)
+	}
+	n.handovers = nil
 }
