--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -16,6 +16,7 @@
 	DefaultMaxMessageBytes   = 1 << 20
 	DefaultMaxInflight       = 64
 	DefaultMaxUncommitted    = 16384
+	DefaultMaxPendingBytes   = 64 << 20
 )
 
 // MaxCommand bounds one proposed command, bytes.
@@ -42,6 +43,8 @@
 	MaxInflight int
 	// MaxUncommitted bounds the entries of a leader that await commit.
 	MaxUncommitted uint64
+	// MaxPendingBytes bounds the commands in them.
+	MaxPendingBytes int
 	// Random draws election timeouts.
 	Random *rand.Rand
 }
@@ -68,6 +71,9 @@
 	if c.MaxUncommitted == 0 {
 		c.MaxUncommitted = DefaultMaxUncommitted
 	}
+	if c.MaxPendingBytes == 0 {
+		c.MaxPendingBytes = DefaultMaxPendingBytes
+	}
 	if c.HeartbeatInterval*3 > c.ElectionTimeout {
 		return c, trace.BadParameter("election timeout %s is under three heartbeats of %s",
 			c.ElectionTimeout, c.HeartbeatInterval)
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -25,6 +25,7 @@
 
 	members      map[string]*progress // as leader
 	heartbeatDue time.Time
+	pending      int // bytes of the own proposals that await commit
 	lease        lease
 	reads        []read
 	receiving    *pb.Snapshot // parts of a snapshot that came so far
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -172,3 +172,23 @@
 	assert.NilError(t, c.Read(now, 2))
 	assert.Equal(t, len(c.Ready().Reads), 0)
 }
+
+// Nothing commits, since no follower answers, and clients go on proposing: the
+// leader's memory must stay bounded, and be free again after the commit.
+func TestUncommittedCommandsAreBounded(t *testing.T) {
+	c, now := newLeader(t)
+	c.config.MaxPendingBytes, c.config.MaxUncommitted = 100, 12
+	propose := func(size int) error {
+		_, _, err := c.Propose(now, make([]byte, size))
+		return err
+	}
+	assert.ErrorIs(t, propose(MaxCommand+1), ErrTooLarge)
+	assert.NilError(t, propose(60))
+	assert.ErrorIs(t, propose(60), ErrBusy)
+	c.Advance(now, c.Ready())
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 4})
+	for range 12 {
+		assert.NilError(t, propose(1))
+	}
+	assert.ErrorIs(t, propose(1), ErrBusy)
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -142,6 +142,7 @@
 func (c *Core) becomeLeader(now time.Time) {
 	c.role, c.leader = Leader, c.config.ID
 	c.votes = nil
+	c.pending = 0
 	c.members = map[string]*progress{}
 	c.lease = lease{}
 	c.syncProgress(now)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -16,9 +16,11 @@
 	if len(command) > MaxCommand {
 		return 0, 0, ErrTooLarge
 	}
-	if c.log.last()-c.log.commit >= c.config.MaxUncommitted {
+	if c.log.last()-c.log.commit >= c.config.MaxUncommitted ||
+		c.pending > 0 && c.pending+len(command) > c.config.MaxPendingBytes {
 		return 0, 0, ErrBusy
 	}
+	c.pending += len(command)
 	index = c.appendEntry(pb.EntryKind_ENTRY_KIND_COMMAND, command)
 	return index, c.term, nil
 }
@@ -130,6 +132,11 @@
 	if term, _ := c.log.termAt(index); index <= c.log.commit || term != c.term {
 		return
 	}
+	for _, e := range c.log.entries[c.log.commit-c.log.offset : index-c.log.offset] {
+		if e.Term == c.term && e.Kind == pb.EntryKind_ENTRY_KIND_COMMAND {
+			c.pending -= len(e.Data)
+		}
+	}
 	c.log.commit = index
 	c.releaseReads()
 }
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -50,7 +50,7 @@
 // join makes an empty disk part of the group that named it. Only a member of
 // the group can know the disk's ID, from an operator who gave it.
 func (n *Node) join(group string) bool {
-	if err := n.guarded(func() error { return n.store.JoinGroup(group) }); err != nil {
+	if err := n.guarded(0, func() error { return n.store.JoinGroup(group) }); err != nil {
 		n.options.Part.Error("Can't join the group.", "group", group, "err", err)
 		n.failed.Store(true)
 		return false
@@ -163,7 +163,7 @@
 	if err != nil {
 		return refusal(err)
 	}
-	err = n.guarded(func() error {
+	err = n.guarded(0, func() error {
 		if err := n.store.Save(state.HardState, state.Entries); err != nil {
 			return err
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -38,6 +38,7 @@
 	metrics   *metrics
 
 	applied   uint64
+	newBytes  uint64 // of the entries applied since the newest snapshot
 	nextRead  uint64
 	proposals map[uint64]proposal // by index
 	reads     map[uint64]chan error
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -15,6 +15,7 @@
 	DefaultTick            = 50 * time.Millisecond
 	DefaultStorageTimeout  = 3 * time.Second
 	DefaultSnapshotEntries = 4096
+	DefaultSnapshotBytes   = 64 << 20
 	DefaultKeepEntries     = 1024
 )
 
@@ -43,11 +44,12 @@
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration
 	// StorageTimeout is the longest a write and its sync may take before
-	// the disk counts as failed.
+	// the disk counts as failed, besides a second for each 10 MiB.
 	StorageTimeout time.Duration
-	// SnapshotEntries is how many applied entries make a new snapshot due;
-	// KeepEntries of them stay in memory for members that lag a little.
+	// SnapshotEntries or SnapshotBytes of applied entries make a new snapshot
+	// due; KeepEntries of them stay in memory for members that lag a little.
 	SnapshotEntries uint64
+	SnapshotBytes   uint64
 	KeepEntries     uint64
 }
 
@@ -73,6 +75,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = DefaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if o.KeepEntries == 0 {
 		o.KeepEntries = DefaultKeepEntries
 	}
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -12,7 +12,7 @@
 // carryOut persists, then sends, then applies.
 func (n *Node) carryOut(r consensus.Ready) error {
 	if r.NeedsSync() {
-		if err := n.guarded(func() error { return n.save(r) }); err != nil {
+		if err := n.guarded(sizeOf(r), func() error { return n.save(r) }); err != nil {
 			return err
 		}
 	}
@@ -34,21 +34,34 @@
 	return n.store.Save(r.HardState, r.Entries)
 }
 
-// guarded runs a write to the disk, and gives up on a disk that takes too
+// sizeOf is about what r writes, bytes.
+func sizeOf(r consensus.Ready) int {
+	size := len(r.Snapshot.GetData())
+	for _, e := range r.Entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
+// slowestDisk is the least rate, bytes a second, of a disk that is not bad.
+const slowestDisk = 10 << 20
+
+// guarded runs a write of size bytes to the disk, and gives up on a disk that takes too
 // long: it would otherwise hold this member between leading and not, with
 // callers waiting. The write may still end later; nothing is built on it.
-func (n *Node) guarded(write func() error) error {
+func (n *Node) guarded(size int, write func() error) error {
 	began := time.Now()
+	limit := n.options.StorageTimeout + time.Duration(size)*time.Second/slowestDisk
 	result := make(chan error, 1)
 	go func() { result <- write() }()
-	timer := time.NewTimer(n.options.StorageTimeout)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case err := <-result:
 		n.metrics.save.Observe(time.Since(began).Seconds())
 		return err
 	case <-timer.C:
-		return trace.LimitExceeded("disk took longer than %s", n.options.StorageTimeout)
+		return trace.LimitExceeded("disk took longer than %s", limit)
 	}
 }
 
@@ -76,6 +89,7 @@
 			result = n.options.Machine.Apply(e.Index, e.Data)
 		}
 		n.applied = e.Index
+		n.newBytes += uint64(len(e.Data))
 		n.answerProposal(e, result)
 	}
 	return nil
@@ -83,9 +97,11 @@
 
 // snapshotIfDue bounds the log on disk and in memory.
 func (n *Node) snapshotIfDue() error {
-	if n.applied < n.core.Status().Snapshot+n.options.SnapshotEntries {
+	entries := n.applied - n.core.Status().Snapshot
+	if entries < n.options.SnapshotEntries && n.newBytes < n.options.SnapshotBytes {
 		return nil
 	}
+	n.newBytes = 0
 	s := n.core.SnapshotAt(n.applied)
 	data, err := n.options.Machine.Snapshot()
 	if err != nil {
@@ -93,7 +109,7 @@
 		return nil
 	}
 	s.Data = data
-	if err := n.guarded(func() error { return n.store.SaveSnapshot(s) }); err != nil {
+	if err := n.guarded(len(data), func() error { return n.store.SaveSnapshot(s) }); err != nil {
 		return err
 	}
 	n.core.Compact(s, n.options.KeepEntries)
