Replicated log over real processes: stopped for longer than the lease, killed

Cause: a stopped or killed process is a real fault, which one bubble only imitates. The test binary runs itself as nodes. TestStoppedProcess fails with a lease that never ends (process_test.go:197: the old state is read), and TestKilledProcesses without syncs (process_test.go:226).

--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -7,8 +7,11 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -21,8 +24,14 @@
 	"github.com/hyssopsail/hyssopsail/internal/storage"
 )
 
-// selfSigned makes a TLS configuration of a one-certificate fleet.
-func selfSigned(t testing.TB) *tls.Config {
+// filesIn names the files that writeFiles makes.
+func filesIn(dir string) rpc.Files {
+	path := filepath.Join(dir, "fleet.pem")
+	return rpc.Files{Authority: path, Certificate: path, Key: filepath.Join(dir, "key.pem")}
+}
+
+// writeFiles makes a fleet whose daemons share one self-signed certificate.
+func writeFiles(t testing.TB, dir string) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	template := &x509.Certificate{
@@ -30,13 +39,17 @@
 		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	assert.NilError(t, err)
-	certificate, err := x509.ParseCertificate(der)
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
 	assert.NilError(t, err)
-	authority := x509.NewCertPool()
-	authority.AddCert(certificate)
-	return rpc.MutualTLS(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authority)
+	writePEM(t, filesIn(dir).Certificate, "CERTIFICATE", certificate)
+	writePEM(t, filesIn(dir).Key, "PRIVATE KEY", secret)
+}
+
+func writePEM(t testing.TB, path, kind string, content []byte) {
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+	assert.NilError(t, os.WriteFile(path, block, 0o600))
 }
 
 // process is one node over drpc on the loopback, with real files.
@@ -75,7 +88,10 @@
 }
 
 func startProcesses(t testing.TB, count int) (*tls.Config, []*process) {
-	config := selfSigned(t)
+	base := t.TempDir()
+	writeFiles(t, base)
+	config, err := rpc.LoadTLS(filesIn(base))
+	assert.NilError(t, err)
 	var all []*process
 	var members []*pb.Member
 	for i := range count {
--- /dev/null
+++ b/internal/replica/process_test.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/storage"
+)
+
+// childVariable makes the test binary run as one node: its value is the
+// folder, with the name of the instance last.
+const childVariable = "HYSSOPSAIL_TEST_NODE"
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv(childVariable); dir != "" {
+		runChild(dir)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// runChild answers requests, one a line, until its input ends.
+func runChild(dir string) {
+	listener, err := net.Listen("tcp", os.Getenv(childVariable+"_ADDRESS"))
+	must(err)
+	config, err := rpc.LoadTLS(filesIn(filepath.Dir(dir)))
+	must(err)
+	pool := rpc.NewPool(config)
+	transport := NewTransport(pool, logging.Part{})
+	state := &journal{}
+	node, err := New(Options{
+		InstanceID: filepath.Base(dir), RPCAddress: listener.Addr().String(), Dir: dir, FS: storage.OSFS{},
+		Machine: state, Transport: transport, Seed: uint64(os.Getpid()),
+	})
+	must(err)
+	server := rpc.NewServer(config, logging.Part{})
+	must(pb.DRPCRegisterConsensus(server.Mux, Server{Group: node}))
+	go transport.Run(context.Background())
+	go server.Serve(context.Background(), listener)
+	go node.Run(context.Background())
+	fmt.Println(node.DiskID(), listener.Addr())
+	lines := bufio.NewScanner(os.Stdin)
+	for lines.Scan() {
+		fmt.Println(answerLine(node, state, lines.Text()))
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func answerLine(node *Node, state *journal, line string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	verb, rest, _ := strings.Cut(line, " ")
+	var err error
+	switch verb {
+	case "init":
+		var members []*pb.Member
+		must(json.Unmarshal([]byte(rest), &members))
+		err = node.Init("fleet", members)
+	case "propose":
+		_, err = node.Propose(ctx, []byte(rest))
+	case "read":
+		if err = node.ReadBarrier(ctx); err == nil {
+			return "ok " + strings.Join(state.list(), ",")
+		}
+	}
+	if err != nil {
+		return "error " + err.Error()
+	}
+	return "ok"
+}
+
+// child is a node in a process of its own.
+type child struct {
+	t            *testing.T
+	dir, address string
+	diskID       string
+	command      *exec.Cmd
+	input        io.WriteCloser
+	output       *bufio.Scanner
+}
+
+func startChild(t *testing.T, c *child) {
+	c.command = exec.Command(os.Args[0])
+	c.command.Env = append(os.Environ(), childVariable+"="+c.dir, childVariable+"_ADDRESS="+c.address)
+	c.command.Stderr = os.Stderr
+	var err error
+	c.input, err = c.command.StdinPipe()
+	assert.NilError(t, err)
+	output, err := c.command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, c.command.Start())
+	c.output = bufio.NewScanner(output)
+	assert.Assert(t, c.output.Scan(), "the child did not start")
+	c.diskID, c.address, _ = strings.Cut(c.output.Text(), " ")
+	t.Cleanup(c.kill)
+}
+
+func (c *child) kill() {
+	_ = c.command.Process.Kill()
+	_ = c.command.Wait()
+}
+
+func (c *child) send(line string) {
+	_, err := fmt.Fprintln(c.input, line)
+	assert.NilError(c.t, err)
+}
+
+// ask gives the answer, empty when the process died first.
+func (c *child) ask(line string) string {
+	c.send(line)
+	return c.answer()
+}
+
+func (c *child) answer() string {
+	if !c.output.Scan() {
+		return ""
+	}
+	return c.output.Text()
+}
+
+func startChildren(t *testing.T) []*child {
+	base := t.TempDir()
+	writeFiles(t, base)
+	var children []*child
+	var members []*pb.Member
+	for _, name := range []string{"a", "b", "c"} {
+		c := &child{t: t, dir: filepath.Join(base, name), address: "127.0.0.1:0"}
+		startChild(t, c)
+		children = append(children, c)
+		members = append(members, &pb.Member{InstanceId: name, DiskId: c.diskID, RpcAddress: c.address})
+	}
+	data, err := json.Marshal(members)
+	assert.NilError(t, err)
+	assert.Equal(t, children[0].ask("init "+string(data)), "ok")
+	return children
+}
+
+// leadingChild polls until one of children answers a read.
+func leadingChild(t *testing.T, children []*child) (*child, string) {
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, c := range children {
+			if answer := c.ask("read"); strings.HasPrefix(answer, "ok") {
+				return c, strings.TrimPrefix(answer, "ok ")
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no leader within 30 s")
+	return nil, ""
+}
+
+func without(children []*child, gone *child) []*child {
+	var rest []*child
+	for _, c := range children {
+		if c != gone {
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
+
+// The leader's process is stopped (SIGSTOP) for longer than its lease, with a
+// read and a change on its way to it; others lead and commit. When it goes on,
+// the read must not show the state from before, nor the change be confirmed.
+func TestStoppedProcess(t *testing.T) {
+	children := startChildren(t)
+	old, _ := leadingChild(t, children)
+	assert.Equal(t, old.ask("propose before"), "ok")
+	assert.NilError(t, old.command.Process.Signal(syscall.SIGSTOP))
+	old.send("read")
+	old.send("propose late")
+	next, _ := leadingChild(t, without(children, old))
+	assert.Equal(t, next.ask("propose meanwhile"), "ok")
+	assert.NilError(t, old.command.Process.Signal(syscall.SIGCONT))
+	assert.Assert(t, strings.HasPrefix(old.answer(), "error"))
+	assert.Assert(t, strings.HasPrefix(old.answer(), "error"))
+	_, state := leadingChild(t, children)
+	assert.Equal(t, state, "before,meanwhile")
+}
+
+// Leaders are killed (kill -9) with a change on its way, again and again, and
+// come back. Each confirmed change is there once, in order.
+func TestKilledProcesses(t *testing.T) {
+	children := startChildren(t)
+	var confirmed []string
+	for round := range 4 {
+		leader, _ := leadingChild(t, children)
+		for i := range 20 {
+			command := fmt.Sprintf("%d-%d", round, i)
+			assert.Equal(t, leader.ask("propose "+command), "ok")
+			confirmed = append(confirmed, command)
+		}
+		leader.send("propose lost")
+		leader.kill()
+		startChild(t, leader)
+	}
+	_, state := leadingChild(t, children)
+	var found []string
+	for command := range strings.SplitSeq(state, ",") {
+		if command != "lost" {
+			found = append(found, command)
+		}
+	}
+	assert.DeepEqual(t, found, confirmed)
+}
