--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,16 +22,21 @@
 	idleLife         = 30 * time.Second
 )
 
-// Pool dials peers and keeps their idle connections. It implements Dialer.
+// Pool dials peers and keeps their idle connections. It implements Dialer. A
+// call whose context ends closes its connection: a peer that was cut off or
+// frozen never leaves a half-used connection for the next call.
 type Pool struct {
-	tls  *tls.Config
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	tls   *tls.Config
+	clock Clock
+	pool  *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewPool makes a pool that shows and checks certificates by config.
-func NewPool(config *tls.Config) *Pool {
+// NewPool makes a pool that shows and checks certificates by config. clock
+// stamps each call; nil for none.
+func NewPool(config *tls.Config, clock Clock) *Pool {
 	return &Pool{
-		tls: config,
+		tls:   config,
+		clock: clock,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleLife,
 			Capacity:    totalConnections,
@@ -46,7 +50,11 @@
 	if address == "" {
 		return nil, trace.BadParameter("no address to dial")
 	}
-	return p.pool.Get(ctx, address, p.dial), nil
+	conn := p.pool.Get(ctx, address, p.dial)
+	if p.clock == nil {
+		return conn, nil
+	}
+	return stampedConn{Conn: conn, clock: p.clock}, nil
 }
 
 // Close closes the idle connections.
@@ -55,7 +63,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &tls.Dialer{NetDialer: &net.Dialer{}, Config: p.tls}
+	dialer := &tls.Dialer{NetDialer: netDialer(), Config: p.tls}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't reach process at %s", address)
@@ -65,8 +73,6 @@
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
-		SoftCancel:      true,
-		SoftCancelGrace: 5 * time.Millisecond,
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
 	}
 }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -15,14 +15,16 @@
 // Server takes calls from other processes of the fleet.
 type Server struct {
 	// Mux is where services register (pb.DRPCRegister...) before Serve.
-	Mux  *drpcmux.Mux
-	tls  *tls.Config
-	part logging.Part
+	Mux   *drpcmux.Mux
+	tls   *tls.Config
+	clock Clock
+	part  logging.Part
 }
 
-// NewServer makes a server without services.
-func NewServer(config *tls.Config, part logging.Part) *Server {
-	return &Server{Mux: drpcmux.New(), tls: config, part: part}
+// NewServer makes a server without services. clock observes the stamp of each
+// call; nil for none.
+func NewServer(config *tls.Config, clock Clock, part logging.Part) *Server {
+	return &Server{Mux: drpcmux.New(), tls: config, clock: clock, part: part}
 }
 
 // Serve answers on listener until ctx ends.
@@ -33,7 +35,7 @@
 			s.part.Debug("Connection ended.", "err", err)
 		},
 	}
-	server := drpcserver.NewWithOptions(s.Mux, options)
+	server := drpcserver.NewWithOptions(observingHandler{next: s.Mux, clock: s.clock}, options)
 	err := server.Serve(ctx, tls.NewListener(listener, s.tls))
 	if ctx.Err() != nil {
 		return nil
--- a/internal/timeline/clock.go
+++ b/internal/timeline/clock.go
@@ -92,3 +92,15 @@
 		c.last = s
 	}
 }
+
+// Stamp gives Now as text; with ObserveText it implements rpc.Clock.
+func (c *Clock) Stamp() string { return c.Now().String() }
+
+// ObserveText is Observe of a stamp's text; a malformed one is ignored.
+func (c *Clock) ObserveText(text string) {
+	s, err := ParseStamp(text)
+	if err != nil {
+		return
+	}
+	c.Observe(s)
+}
