--- /dev/null
+++ b/internal/quarantine/limits.go
@@ -0,0 +1,26 @@
+package quarantine
+
+import "time"
+
+// Limits bound what the register and the shared suspects keep.
+type Limits struct {
+	SuspectLife  time.Duration // a suspect or quarantine lapses after this long without a crash
+	ProvenLife   time.Duration // a completed run vouches for its fingerprint for so long
+	RunLife      time.Duration // a run whose end was lost is forgotten after this long
+	UnprovenRuns int           // concurrent runs of a fingerprint that never completed
+	MaxSuspects  int           // in the shared state; quarantined ones are evicted last
+	MaxTracked   int           // fingerprints tracked by one register
+	RetryAfter   time.Duration // a waiting run asks again after this long
+}
+
+// DefaultLimits is what the fleet runs with; SuspectLife follows the settings'
+// quarantine life.
+var DefaultLimits = Limits{
+	SuspectLife:  time.Hour,
+	ProvenLife:   10 * time.Minute,
+	RunLife:      10 * time.Minute,
+	UnprovenRuns: 2,
+	MaxSuspects:  4096,
+	MaxTracked:   65536,
+	RetryAfter:   50 * time.Millisecond,
+}
