--- /dev/null
+++ b/internal/schedule/leastload.go
@@ -0,0 +1,32 @@
+package schedule
+
+import (
+	"math/rand/v2"
+
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+)
+
+// leastReportedLoad takes the candidate with the fewest requests for each
+// slot, and looks at neither cache, link nor time. It is a baseline to measure
+// against.
+type leastReportedLoad struct{}
+
+// Choose implements Choice.
+func (leastReportedLoad) Choose(r Request, candidates []endpoint.Candidate, _ *rand.Rand) (endpoint.Candidate, bool) {
+	var best *endpoint.Candidate
+	for n := range candidates {
+		c := &candidates[n]
+		if avoided(r, c) {
+			continue
+		}
+		if best == nil || load(c)*max(1, best.Slots) < load(best)*max(1, c.Slots) {
+			best = c
+		}
+	}
+	if best == nil {
+		return endpoint.Candidate{}, false
+	}
+	return *best, true
+}
+
+func load(c *endpoint.Candidate) int { return c.Granted + c.Queued }
--- /dev/null
+++ b/internal/schedule/names.go
@@ -0,0 +1,84 @@
+package schedule
+
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// The names of the policies in settings.Decisions. NameDefault picks the
+// default of the kind.
+const (
+	NameDefault           = ""
+	NameLeastWait         = "least-wait"
+	NameTwoChoices        = "two-choices"
+	NameRoundRobin        = "round-robin"
+	NameLeastReportedLoad = "least-reported-load"
+	NamePredictedRoom     = "predicted-room"
+	NamePrefillFirst      = "prefill-first"
+	NameReserveFirst      = "reserve-first"
+)
+
+// ChoiceOptions is what a policy may draw on besides the candidates. Zero
+// fields get defaults.
+type ChoiceOptions struct {
+	Prefill *PrefillPredictor
+	Links   LinkCost
+}
+
+func (o ChoiceOptions) withDefaults() ChoiceOptions {
+	if o.Prefill == nil {
+		o.Prefill = NewPrefillPredictor()
+	}
+	if o.Links == nil {
+		o.Links = FlatLinkCost{}
+	}
+	return o
+}
+
+// ChoiceByName gives the policy called name for work of a kind (RolePrefill,
+// RoleDecode or RolePlain) with default options. The error is a BadParameter.
+func ChoiceByName(kind fleet.EndpointRole, name string) (Choice, error) {
+	return NewChoice(kind, name, ChoiceOptions{})
+}
+
+// NewChoice is ChoiceByName with options. A Choice is safe for concurrent use
+// as long as each caller passes its own random source.
+func NewChoice(kind fleet.EndpointRole, name string, options ChoiceOptions) (Choice, error) {
+	options = options.withDefaults()
+	if name == NameDefault {
+		name = defaultChoice(kind)
+	}
+	switch name {
+	case NameLeastWait:
+		return newLeastWait(kind, options), nil
+	case NameTwoChoices:
+		return twoChoices{kind: kind, links: options.Links}, nil
+	case NameRoundRobin:
+		return &roundRobin{}, nil
+	case NameLeastReportedLoad:
+		return leastReportedLoad{}, nil
+	}
+	return nil, trace.BadParameter("no choice policy %q", name)
+}
+
+func defaultChoice(kind fleet.EndpointRole) string {
+	if kind == fleet.RolePrefill {
+		return NameLeastWait
+	}
+	return NameTwoChoices
+}
+
+// StartByName gives the Start policy called name. The error is a
+// BadParameter.
+func StartByName(name string) (Start, error) {
+	switch name {
+	case NamePredictedRoom, NameDefault:
+		return predictedRoom{}, nil
+	case NamePrefillFirst:
+		return prefillFirst{}, nil
+	case NameReserveFirst:
+		return reserveFirst{}, nil
+	}
+	return nil, trace.BadParameter("no start policy %q", name)
+}
--- /dev/null
+++ b/internal/schedule/twochoices.go
@@ -0,0 +1,74 @@
+package schedule
+
+import (
+	"math/rand/v2"
+
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// drawRounds bounds the pairs that twoChoices draws before it settles for an
+// endpoint with no free slot.
+const drawRounds = 3
+
+// twoChoices draws two endpoints at random and takes the better: the one with
+// a free slot, then the shorter predicted wait, then the larger free share.
+// While neither has a free slot it draws again, a few times.
+type twoChoices struct {
+	kind  fleet.EndpointRole
+	links LinkCost
+}
+
+// Choose implements Choice.
+func (p twoChoices) Choose(r Request, candidates []endpoint.Candidate, random *rand.Rand) (endpoint.Candidate, bool) {
+	var best *endpoint.Candidate
+	for range 2 * drawRounds {
+		c := draw(r, candidates, random)
+		if c == nil {
+			return endpoint.Candidate{}, false
+		}
+		first := best == nil
+		if first || p.better(r, c, best) {
+			best = c
+		}
+		if !first && free(best) > 0 {
+			break
+		}
+	}
+	return *best, true
+}
+
+// draw gives a random candidate that need not be avoided; nil when there is
+// none.
+func draw(r Request, candidates []endpoint.Candidate, random *rand.Rand) *endpoint.Candidate {
+	if len(candidates) == 0 {
+		return nil
+	}
+	at := random.IntN(len(candidates))
+	for n := range candidates {
+		c := &candidates[(at+n)%len(candidates)]
+		if !avoided(r, c) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (p twoChoices) better(r Request, a, b *endpoint.Candidate) bool {
+	freeA, freeB := free(a), free(b)
+	if (freeA > 0) != (freeB > 0) {
+		return freeA > 0
+	}
+	waitA := a.NextFree + a.QueuedWork + p.links.Cost(r.EntryZone, a.Zone, r.KVBytes)
+	waitB := b.NextFree + b.QueuedWork + p.links.Cost(r.EntryZone, b.Zone, r.KVBytes)
+	if difference := waitA - waitB; difference > tieWindow || difference < -tieWindow {
+		return difference < 0
+	}
+	if a.Queued != b.Queued {
+		return a.Queued < b.Queued
+	}
+	// freeA/slotsA > freeB/slotsB without division.
+	return freeA*b.Slots > freeB*a.Slots
+}
+
+func free(c *endpoint.Candidate) int { return c.Slots - c.Granted - c.Queued }
