--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// The client's time bounds.
+const (
+	attemptTimeout  = 1500 * time.Millisecond // one try at one member
+	commandTimeout  = proposeTimeout + attemptTimeout
+	shortestBackoff = 20 * time.Millisecond
+	longestBackoff  = 400 * time.Millisecond
+	maxRedirects    = 2 // redirects in a row without a wait
+)
+
+// Client calls the control group from other processes. It follows the leader
+// and repeats calls until one is answered or the context ends; all calls are
+// idempotent, by change ID, order ID, incarnation or content. Safe for use by
+// many goroutines.
+type Client struct {
+	dialer    rpc.Dialer
+	addresses func() []string
+	part      logging.Part
+
+	mu     sync.Mutex
+	random *rand.Rand
+	leader string // last known; empty when not
+	next   int    // of addresses, when there is no leader known
+	reader string // where pulls go
+}
+
+// NewClient makes a client of the control instances at addresses, which is
+// asked anew whenever the client has to look for another one.
+func NewClient(dialer rpc.Dialer, addresses func() []string, part logging.Part) *Client {
+	return &Client{
+		dialer:    dialer,
+		addresses: addresses,
+		part:      part,
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// attempt makes one call and gives the address to ask instead, if any.
+type attempt func(ctx context.Context, c pb.DRPCControlClient) (elsewhere string, err error)
+
+// follow repeats try at the leader, as far as it is known, until it is
+// answered there.
+func (c *Client) follow(ctx context.Context, timeout time.Duration, try attempt) error {
+	backoff := shortestBackoff
+	redirects := 0
+	for {
+		address := c.target()
+		elsewhere, err := c.once(ctx, timeout, address, try)
+		if err == nil && elsewhere == "" {
+			c.setLeader(address)
+			return nil
+		}
+		if err != nil {
+			c.part.Debug("Call failed.", "address", address, "err", err)
+		}
+		c.setLeader(elsewhere)
+		if elsewhere != "" && redirects < maxRedirects {
+			redirects++
+			continue
+		}
+		redirects = 0
+		if !c.sleep(ctx, backoff) {
+			return givenUp(ctx, err)
+		}
+		backoff = min(2*backoff, longestBackoff)
+	}
+}
+
+func givenUp(ctx context.Context, last error) error {
+	if last == nil {
+		last = ctx.Err()
+	}
+	return trace.ConnectionProblem(last, "no answer from the control group")
+}
+
+func (c *Client) once(ctx context.Context, timeout time.Duration, address string, try attempt) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	return try(ctx, client)
+}
+
+func (c *Client) at(ctx context.Context, address string) (pb.DRPCControlClient, error) {
+	if address == "" {
+		return nil, trace.BadParameter("no address of a control instance is known")
+	}
+	conn, err := c.dialer.Conn(ctx, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return pb.NewDRPCControlClient(conn), nil
+}
+
+// target gives the leader, or the next address in turn.
+func (c *Client) target() string {
+	addresses := c.addresses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	if c.next == 0 {
+		c.next = 1 + c.random.IntN(len(addresses))
+	}
+	c.next++
+	return addresses[c.next%len(addresses)]
+}
+
+func (c *Client) setLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// sleep waits for a random part of about backoff; false when ctx ended.
+func (c *Client) sleep(ctx context.Context, backoff time.Duration) bool {
+	c.mu.Lock()
+	wait := backoff/2 + time.Duration(c.random.Int64N(int64(backoff)))
+	c.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/control/client_calls.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// RenewLease asks the leader for a lease. A reply that isn't granted has a
+// final refusal, or none when the caller should try again or has left.
+func (c *Client) RenewLease(ctx context.Context, r *pb.RenewLeaseRequest) (*pb.RenewLeaseReply, error) {
+	var reply *pb.RenewLeaseReply
+	err := c.follow(ctx, attemptTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.RenewLease(ctx, r)
+		if err != nil {
+			return "", err
+		}
+		if reply.Refusal == refusalNotLeader || reply.Refusal == refusalNotInitialised {
+			if reply.LeaderAddress != "" {
+				return reply.LeaderAddress, nil
+			}
+			return "", trace.ConnectionProblem(nil, "refused: %s", reply.Refusal)
+		}
+		return "", nil
+	})
+	return reply, err
+}
+
+// Change commits a change of settings. On an error the change may or may not
+// be accepted; sending it again with the same change ID tells.
+func (c *Client) Change(ctx context.Context, r *pb.ChangeRequest) (*pb.ChangeReply, error) {
+	var reply *pb.ChangeReply
+	timeout := commandTimeout + time.Duration(r.GetWaitInForceMs())*time.Millisecond
+	err := c.follow(ctx, timeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.Change(ctx, r)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
+
+// GetSettings reads settings as of now.
+func (c *Client) GetSettings(ctx context.Context, r *pb.GetSettingsRequest) (*pb.GetSettingsReply, error) {
+	var reply *pb.GetSettingsReply
+	err := c.follow(ctx, attemptTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.GetSettings(ctx, r)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
+
+// ChangeMember adds or removes a member of the group.
+func (c *Client) ChangeMember(ctx context.Context, r *pb.ChangeMemberRequest) (*pb.ChangeMemberReply, error) {
+	var reply *pb.ChangeMemberReply
+	err := c.follow(ctx, memberTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.ChangeMember(ctx, r)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
+
+// memberTimeout allows for a learner that catches up first.
+const memberTimeout = time.Minute
+
+// Drain makes an instance drain.
+func (c *Client) Drain(ctx context.Context, r *pb.DrainRequest) (*pb.DrainReply, error) {
+	var reply *pb.DrainReply
+	err := c.follow(ctx, commandTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.Drain(ctx, r)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
+
+// Order gets a fencing token for an order.
+func (c *Client) Order(ctx context.Context, o *pb.IssueOrder) (*pb.OrderReply, error) {
+	var reply *pb.OrderReply
+	err := c.follow(ctx, commandTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.Order(ctx, o)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
+
+// Crash reports an endpoint's death.
+func (c *Client) Crash(ctx context.Context, r *pb.ReportCrash) (*pb.ReportReply, error) {
+	return c.report(ctx, func(ctx context.Context, at pb.DRPCControlClient) (*pb.ReportReply, error) {
+		return at.Crash(ctx, r)
+	})
+}
+
+// Ready reports copied ledger shards.
+func (c *Client) Ready(ctx context.Context, r *pb.LedgerReady) (*pb.ReportReply, error) {
+	return c.report(ctx, func(ctx context.Context, at pb.DRPCControlClient) (*pb.ReportReply, error) {
+		return at.Ready(ctx, r)
+	})
+}
+
+type reportCall func(ctx context.Context, at pb.DRPCControlClient) (*pb.ReportReply, error)
+
+func (c *Client) report(ctx context.Context, send reportCall) (*pb.ReportReply, error) {
+	var reply *pb.ReportReply
+	err := c.follow(ctx, commandTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = send(ctx, at)
+		return reply.GetLeaderAddress(), err
+	})
+	return reply, err
+}
--- /dev/null
+++ b/internal/control/client_members.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Pull gets what follows the caller's state from one member, and goes to
+// another one when that fails. It makes one try; the caller repeats it.
+func (c *Client) Pull(ctx context.Context, r *pb.PullRequest) (*pb.PullReply, error) {
+	timeout := attemptTimeout + time.Duration(r.GetWaitMs())*time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	address := c.pullAddress()
+	reply, err := c.pullAt(ctx, address, r)
+	if err != nil {
+		c.leaveReader(address)
+		return nil, trace.Wrap(err, "pull at %s", address)
+	}
+	return reply, nil
+}
+
+func (c *Client) pullAt(ctx context.Context, address string, r *pb.PullRequest) (*pb.PullReply, error) {
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Pull(ctx, r)
+}
+
+// Elsewhere makes the next Pull go to another member: this one lags.
+func (c *Client) Elsewhere() {
+	c.mu.Lock()
+	address := c.reader
+	c.mu.Unlock()
+	c.leaveReader(address)
+}
+
+func (c *Client) pullAddress() string {
+	addresses := c.addresses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reader == "" && len(addresses) > 0 {
+		c.reader = addresses[c.random.IntN(len(addresses))]
+	}
+	return c.reader
+}
+
+// leaveReader takes the address after the one that failed.
+func (c *Client) leaveReader(address string) {
+	addresses := c.addresses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reader != address {
+		return
+	}
+	c.reader = ""
+	for n, a := range addresses {
+		if a == address {
+			c.reader = addresses[(n+1)%len(addresses)]
+		}
+	}
+}
+
+// Status asks the member at address; empty: any one.
+func (c *Client) Status(ctx context.Context, address string) (*pb.StatusReply, error) {
+	if address != "" {
+		return c.statusAt(ctx, address)
+	}
+	var reply *pb.StatusReply
+	err := c.follow(ctx, attemptTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+		var err error
+		reply, err = at.Status(ctx, &pb.StatusRequest{})
+		return "", err
+	})
+	return reply, err
+}
+
+func (c *Client) statusAt(ctx context.Context, address string) (*pb.StatusReply, error) {
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Status(ctx, &pb.StatusRequest{})
+	return reply, trace.Wrap(err)
+}
+
+// Init starts a fleet through the member at address. It makes one try.
+func (c *Client) Init(ctx context.Context, address string, r *pb.InitRequest) (*pb.InitReply, error) {
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Init(ctx, r)
+	return reply, trace.Wrap(err)
+}
+
+// DiskIdentity asks the instance at address for its disk's identity.
+func (c *Client) DiskIdentity(ctx context.Context, address string) (*pb.Member, error) {
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.DiskIdentity(ctx, &pb.StatusRequest{})
+	return reply, trace.Wrap(err)
+}
--- /dev/null
+++ b/internal/control/groupplan.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// groupPlanner decides the replica sets of ledger groups for one state of the
+// view. docs/design/control.md has the argument why no decided record is lost.
+type groupPlanner struct {
+	instances map[string]*pb.InstanceRecord
+	clock     int64
+	eligible  map[string][]fleet.Instance // by zone class, filled when asked for
+}
+
+func (m *Machine) planner() *groupPlanner {
+	return &groupPlanner{
+		instances: m.instances,
+		clock:     m.clock,
+		eligible:  make(map[string][]fleet.Instance),
+	}
+}
+
+// repair gives the group's next epoch, or g itself and false when its replica
+// set stays.
+//
+// Failure guarded: a replica dies and a second one right after. Records are
+// decided by a majority, so one survivor alone may lack a decided one; a
+// reader that took its silence for "never run" would let a request run twice.
+// Hence a new replica counts only after it has copied from a majority of the
+// ready ones, and when so many of these are gone that no majority can be
+// read, history_lost says that absent records mean "unknown".
+func (p *groupPlanner) repair(g *pb.LedgerGroup) (next *pb.LedgerGroup, changed bool) {
+	alive := p.alive(g.Replicas)
+	keep := alive
+	if leaving := p.leaving(g, alive); leaving != nil {
+		keep = without(alive, leaving)
+	}
+	spares := p.spares(g, keep)
+	if len(alive) == len(g.Replicas) && len(spares) == 0 {
+		return g, false
+	}
+	if len(spares) == 0 {
+		keep = alive
+	}
+	next = &pb.LedgerGroup{
+		ZoneClass:         g.ZoneClass,
+		Shard:             g.Shard,
+		Epoch:             g.Epoch + 1,
+		HistoryLostUnixMs: g.HistoryLostUnixMs,
+	}
+	p.fill(g, next, alive, keep, spares)
+	return next, true
+}
+
+// fill sets the replicas, sources and history of the next epoch.
+func (p *groupPlanner) fill(g, next *pb.LedgerGroup, alive, keep, spares []*pb.LedgerReplica) {
+	for _, r := range append(append([]*pb.LedgerReplica{}, keep...), spares...) {
+		next.Replicas = append(next.Replicas, proto.Clone(r).(*pb.LedgerReplica))
+	}
+	if len(g.Replicas) == 0 {
+		markReady(next)
+		next.Complete = len(next.Replicas) <= completeLimit
+		return
+	}
+	if len(ready(alive)) < readQuorum(g) {
+		next.HistoryLostUnixMs = p.clock
+		markReady(next)
+		next.Complete = len(next.Replicas) <= completeLimit
+		return
+	}
+	next.Sources = ready(g.Replicas)
+	if g.Complete {
+		next.Sources = ready(alive)
+	}
+	next.Complete = g.Complete && len(ready(next.Replicas)) <= completeLimit
+}
+
+// completeLimit is the number of ready replicas up to which a majority is all
+// of them, so that each holds every decided record.
+const completeLimit = 2
+
+// readQuorum is how many of the ready replicas together hold every decided
+// record.
+func readQuorum(g *pb.LedgerGroup) int {
+	if g.Complete {
+		return 1
+	}
+	return len(ready(g.Replicas))/2 + 1
+}
+
+func (p *groupPlanner) alive(replicas []*pb.LedgerReplica) []*pb.LedgerReplica {
+	var alive []*pb.LedgerReplica
+	for _, r := range replicas {
+		live, ok := p.instances[r.InstanceId]
+		if ok && live.Incarnation == r.Incarnation {
+			alive = append(alive, r)
+		}
+	}
+	return alive
+}
+
+// leaving gives a draining replica to replace: only one at a time and only in
+// a whole group, so that the draining one can be copied from while it is here.
+func (p *groupPlanner) leaving(g *pb.LedgerGroup, alive []*pb.LedgerReplica) *pb.LedgerReplica {
+	if len(alive) < fleet.LedgerReplicas || len(alive) < len(g.Replicas) || len(ready(alive)) < len(alive) {
+		return nil
+	}
+	for _, r := range alive {
+		if p.instances[r.InstanceId].Draining {
+			return r
+		}
+	}
+	return nil
+}
+
+// spares chooses instances for the free places: those in zones that the group
+// lacks first, then by rendezvous rank.
+func (p *groupPlanner) spares(g *pb.LedgerGroup, keep []*pb.LedgerReplica) []*pb.LedgerReplica {
+	free := fleet.LedgerReplicas - len(keep)
+	if free <= 0 {
+		return nil
+	}
+	zones := make(map[string]bool)
+	taken := make(map[string]bool)
+	for _, r := range g.Replicas {
+		live, ok := p.instances[r.InstanceId]
+		taken[r.InstanceId] = ok && live.Incarnation == r.Incarnation
+	}
+	for _, r := range keep {
+		zones[p.instances[r.InstanceId].AvailabilityZone] = true
+	}
+	key := g.ZoneClass + "/" + strconv.Itoa(int(g.Shard))
+	ranked := fleet.RankInstances(key, "", p.eligibleIn(g.ZoneClass))
+	var chosen []*pb.LedgerReplica
+	for _, newZonesOnly := range []bool{true, false} {
+		for _, i := range ranked {
+			if len(chosen) == free {
+				return chosen
+			}
+			if taken[string(i.ID)] || (newZonesOnly && zones[string(i.Zone)]) {
+				continue
+			}
+			taken[string(i.ID)] = true
+			zones[string(i.Zone)] = true
+			chosen = append(chosen, &pb.LedgerReplica{InstanceId: string(i.ID), Incarnation: uint64(i.Incarnation)})
+		}
+	}
+	return chosen
+}
+
+func (p *groupPlanner) eligibleIn(class string) []fleet.Instance {
+	if found, ok := p.eligible[class]; ok {
+		return found
+	}
+	permitted := fleet.ParseZoneClass(class)
+	found := []fleet.Instance{}
+	for _, i := range p.instances {
+		if i.Entry && !i.Draining && permitted.Permits(fleet.AvailabilityZone(i.AvailabilityZone)) {
+			found = append(found, fleet.InstanceFromProto(i))
+		}
+	}
+	p.eligible[class] = found
+	return found
+}
+
+func ready(replicas []*pb.LedgerReplica) []*pb.LedgerReplica {
+	var found []*pb.LedgerReplica
+	for _, r := range replicas {
+		if r.Ready {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+func without(replicas []*pb.LedgerReplica, gone *pb.LedgerReplica) []*pb.LedgerReplica {
+	var rest []*pb.LedgerReplica
+	for _, r := range replicas {
+		if r != gone {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
+func markReady(g *pb.LedgerGroup) {
+	for _, r := range g.Replicas {
+		r.Ready = true
+	}
+}
--- /dev/null
+++ b/internal/control/groups.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func shardOf(g *pb.LedgerGroup) fleet.LedgerShard {
+	return fleet.LedgerShard{ZoneClass: g.ZoneClass, Shard: g.Shard}
+}
+
+// repairGroups follows a change of the view.
+func (m *Machine) repairGroups() {
+	planner := m.planner()
+	for _, shard := range m.sortedShards() {
+		next, changed := planner.repair(m.groups[shard])
+		if changed {
+			m.putGroup(next)
+		}
+	}
+}
+
+func (m *Machine) sortedShards() []fleet.LedgerShard {
+	shards := make([]fleet.LedgerShard, 0, len(m.groups))
+	for s := range m.groups {
+		shards = append(shards, s)
+	}
+	sort.Slice(shards, func(a, b int) bool {
+		if shards[a].ZoneClass != shards[b].ZoneClass {
+			return shards[a].ZoneClass < shards[b].ZoneClass
+		}
+		return shards[a].Shard < shards[b].Shard
+	})
+	return shards
+}
+
+func (m *Machine) putGroup(g *pb.LedgerGroup) {
+	m.groups[shardOf(g)] = g
+	m.noteGroup(g)
+}
+
+// noteGroup puts the group into the delta once, with its last form.
+func (m *Machine) noteGroup(g *pb.LedgerGroup) {
+	for n, noted := range m.delta.LedgerGroups {
+		if shardOf(noted) == shardOf(g) {
+			m.delta.LedgerGroups[n] = g
+			return
+		}
+	}
+	m.delta.LedgerGroups = append(m.delta.LedgerGroups, g)
+}
+
+// applyReady marks a replica that has copied its shards. A report for another
+// epoch than the current one is dropped: that copy may lack what was decided
+// since.
+func (m *Machine) applyReady(l *pb.LedgerReady) string {
+	live := m.instances[l.GetInstanceId()]
+	if live == nil || live.Incarnation != l.GetIncarnation() {
+		return refusalUnknown
+	}
+	planner := m.planner()
+	for _, s := range l.GetShards() {
+		g := m.groups[fleet.LedgerShard{ZoneClass: s.GetZoneClass(), Shard: s.GetShard()}]
+		if g == nil || g.Epoch != s.GetEpoch() {
+			continue
+		}
+		next, changed := withReady(g, live)
+		if !changed {
+			continue
+		}
+		if repaired, again := planner.repair(next); again {
+			next = repaired
+		}
+		m.putGroup(next)
+	}
+	return ""
+}
+
+func withReady(g *pb.LedgerGroup, i *pb.InstanceRecord) (next *pb.LedgerGroup, changed bool) {
+	next = proto.Clone(g).(*pb.LedgerGroup)
+	for _, r := range next.Replicas {
+		if r.InstanceId == i.Id && r.Incarnation == i.Incarnation && !r.Ready {
+			r.Ready = true
+			changed = true
+		}
+	}
+	next.Complete = next.Complete && len(ready(next.Replicas)) <= completeLimit
+	return next, changed
+}
--- /dev/null
+++ b/internal/control/instances.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// applyJoin takes an instance into the view. Only an incarnation above all
+// that its ID has shown may join, so a process that was replaced or expired
+// stays out for good.
+func (m *Machine) applyJoin(index uint64, i *pb.InstanceRecord) string {
+	if !validInstance(i) {
+		return refusalMalformed
+	}
+	live := m.instances[i.Id]
+	if live.GetIncarnation() == i.Incarnation {
+		return m.updateInstance(live, i)
+	}
+	if i.Incarnation <= m.seen.highest(i.Id) {
+		return refusalIncarnation
+	}
+	if live == nil && len(m.instances) >= maxInstances {
+		return refusalFull
+	}
+	if live != nil {
+		m.delta.Left = append(m.delta.Left, live)
+	}
+	m.instances[i.Id] = i
+	m.seen.add(&pb.SeenIncarnation{InstanceId: i.Id, Incarnation: i.Incarnation, Index: index}, m.instances)
+	m.delta.Joined = append(m.delta.Joined, i)
+	m.repairGroups()
+	return ""
+}
+
+// updateInstance takes changed addresses; draining stays once it is set, and
+// a process can't move to another zone: its ledger shards would move with it.
+func (m *Machine) updateInstance(live, now *pb.InstanceRecord) string {
+	if live.AvailabilityZone != now.AvailabilityZone {
+		return refusalMalformed
+	}
+	next := proto.Clone(now).(*pb.InstanceRecord)
+	next.Draining = live.Draining || now.Draining
+	if !sameInstance(live, next) {
+		m.putInstance(next)
+	}
+	return ""
+}
+
+func (m *Machine) putInstance(next *pb.InstanceRecord) {
+	m.instances[next.Id] = next
+	m.delta.Joined = append(m.delta.Joined, next)
+	m.repairGroups()
+}
+
+func (m *Machine) applyExpire(e *pb.ExpireInstance) string {
+	live := m.instances[e.GetId()]
+	if live == nil || live.Incarnation != e.GetIncarnation() {
+		return refusalUnknown
+	}
+	delete(m.instances, live.Id)
+	m.delta.Left = append(m.delta.Left, live)
+	m.repairGroups()
+	return ""
+}
+
+func (m *Machine) applyDrain(d *pb.DrainInstance) string {
+	live := m.instances[d.GetId()]
+	if live == nil || (d.GetIncarnation() != 0 && d.GetIncarnation() != live.Incarnation) {
+		return refusalUnknown
+	}
+	if live.Draining {
+		return ""
+	}
+	next := proto.Clone(live).(*pb.InstanceRecord)
+	next.Draining = true
+	m.putInstance(next)
+	return ""
+}
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// Machine is the replicated state. Apply and Restore come from one goroutine,
+// in log order; all reads may come from any goroutine. Records that it hands
+// out are shared and must not be changed.
+type Machine struct {
+	check CheckFunc
+	build BuildFunc
+
+	mu         sync.RWMutex
+	applied    uint64 // last applied index
+	effect     uint64 // index of the last delta
+	clock      int64  // highest proposer's clock seen, unix ms
+	viewNumber uint64
+	tree       *settings.Tree
+	current    map[string]*pb.SubtreeDocument
+	treeBytes  int
+	history    *history
+	answers    *answers
+	instances  map[string]*pb.InstanceRecord
+	seen       *incarnations
+	classes    *classes
+	groups     map[fleet.LedgerShard]*pb.LedgerGroup
+	epochFloor uint64
+	orders     *orders
+	suspects   *suspects
+	recent     *deltaRing
+	delta      *pb.Delta // effect of the command being applied
+	changed    chan struct{}
+}
+
+// NewMachine makes an empty state.
+func NewMachine(o MachineOptions) *Machine {
+	m := &Machine{check: o.Check, build: o.Build, changed: make(chan struct{})}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	m.applied, m.effect, m.clock, m.viewNumber = 0, 0, 0, 0
+	m.tree = &settings.Tree{}
+	m.current = make(map[string]*pb.SubtreeDocument)
+	m.treeBytes = 0
+	m.history = newHistory()
+	m.answers = newAnswers()
+	m.instances = make(map[string]*pb.InstanceRecord)
+	m.seen = newIncarnations()
+	m.classes = newClasses()
+	m.groups = make(map[fleet.LedgerShard]*pb.LedgerGroup)
+	m.epochFloor = 0
+	m.orders = newOrders()
+	m.suspects = newSuspects()
+	m.recent = newDeltaRing()
+	m.delta = &pb.Delta{}
+}
+
+// Apply implements replica.StateMachine. The result is an encoded
+// pb.CommandResult; a malformed command is a refusal.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := m.applyLocked(index, command)
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		// All strings were checked on the way in, so this is a broken invariant.
+		panic("control: result can't be encoded: " + err.Error())
+	}
+	return encoded
+}
+
+func (m *Machine) applyLocked(index uint64, command []byte) *pb.CommandResult {
+	m.applied = index
+	var c pb.Command
+	if err := proto.Unmarshal(command, &c); err != nil {
+		return &pb.CommandResult{Refusal: refusalMalformed}
+	}
+	m.clock = max(m.clock, c.GetUnixMs())
+	m.delta = &pb.Delta{}
+	result := m.dispatch(index, &c)
+	m.expireOld(index)
+	m.publish(index)
+	return result
+}
+
+func (m *Machine) dispatch(index uint64, c *pb.Command) *pb.CommandResult {
+	switch body := c.GetBody().(type) {
+	case *pb.Command_ChangeSubtree:
+		return &pb.CommandResult{Change: m.applyChange(index, body.ChangeSubtree)}
+	case *pb.Command_JoinInstance:
+		return refused(m.applyJoin(index, body.JoinInstance.GetInstance()))
+	case *pb.Command_ExpireInstance:
+		return refused(m.applyExpire(body.ExpireInstance))
+	case *pb.Command_DrainInstance:
+		return refused(m.applyDrain(body.DrainInstance))
+	case *pb.Command_IssueOrder:
+		return m.applyOrder(index, body.IssueOrder)
+	case *pb.Command_ReportCrash:
+		return refused(m.applyCrash(index, body.ReportCrash))
+	case *pb.Command_LedgerReady:
+		return refused(m.applyReady(body.LedgerReady))
+	}
+	return refused(refusalMalformed)
+}
+
+// expireOld drops records whose age, in log entries or by the proposers'
+// clock, has passed.
+func (m *Machine) expireOld(index uint64) {
+	m.answers.expire(index)
+	m.dropRetired()
+	life := m.tree.Fleet.Timeouts.QuarantineLife.Milliseconds()
+	m.delta.Suspects = append(m.delta.Suspects, m.suspects.expire(m.clock, life)...)
+}
+
+func (m *Machine) publish(index uint64) {
+	d := m.delta
+	if len(d.Subtrees)+len(d.Joined)+len(d.Left)+len(d.LedgerGroups)+len(d.Suspects) == 0 {
+		return
+	}
+	if len(d.Joined)+len(d.Left) > 0 {
+		m.viewNumber++
+	}
+	d.Index = index
+	d.ViewNumber = m.viewNumber
+	m.recent.add(d, m.effect)
+	m.effect = index
+	m.wake()
+}
+
+func (m *Machine) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func refused(reason string) *pb.CommandResult {
+	return &pb.CommandResult{Refusal: reason}
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// CheckFunc checks a subtree's new document against the tree and gives the
+// tree with it; see settings.CheckChange. Empty yaml removes the subtree. It
+// must be deterministic and leave tree as it is.
+type CheckFunc func(tree *settings.Tree, name string, yaml []byte) (*settings.Tree, error)
+
+// BuildFunc makes a tree of accepted documents; see settings.Build.
+type BuildFunc func(documents []*pb.SubtreeDocument, index uint64) (*settings.Tree, error)
+
+// MachineOptions are a Machine's parts. Check and Build are required.
+type MachineOptions struct {
+	Check CheckFunc
+	Build BuildFunc
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"google.golang.org/protobuf/proto"
+)
+
+// orders keeps issued orders by ID for repeats, and the last one of each
+// endpoint, oldest first and bounded.
+type orders struct {
+	byID       map[string]*pb.OrderRecord
+	byEndpoint map[string]*pb.OrderRecord
+	sequence   []*pb.OrderRecord
+	slots      loadSlots
+}
+
+func newOrders() *orders {
+	return &orders{byID: make(map[string]*pb.OrderRecord), byEndpoint: make(map[string]*pb.OrderRecord)}
+}
+
+func (o *orders) add(r *pb.OrderRecord) {
+	o.byID[r.GetOrder().GetOrderId()] = r
+	o.byEndpoint[r.GetOrder().GetEndpointId()] = r
+	o.sequence = append(o.sequence, r)
+	if len(o.sequence) <= maxOrders {
+		return
+	}
+	oldest := o.sequence[0]
+	o.sequence = o.sequence[1:]
+	if o.byID[oldest.GetOrder().GetOrderId()] == oldest {
+		delete(o.byID, oldest.GetOrder().GetOrderId())
+	}
+	if o.byEndpoint[oldest.GetOrder().GetEndpointId()] == oldest {
+		delete(o.byEndpoint, oldest.GetOrder().GetEndpointId())
+	}
+}
+
+// applyOrder gives an order its fencing token: the log index, so that a later
+// order to any endpoint always has a higher one. An issuer that is no longer
+// in the view gets none.
+func (m *Machine) applyOrder(index uint64, o *pb.IssueOrder) *pb.CommandResult {
+	if !validOrder(o) {
+		return refused(refusalMalformed)
+	}
+	if first, ok := m.orders.byID[o.OrderId]; ok {
+		if !proto.Equal(first.Order, o) {
+			return refused(refusalOrderID)
+		}
+		return &pb.CommandResult{Order: first}
+	}
+	issuer := m.instances[o.IssuerInstance]
+	if issuer == nil || issuer.Incarnation != o.IssuerIncarnation {
+		return refused(refusalIssuer)
+	}
+	record := &pb.OrderRecord{Order: o, Token: index, IssuedUnixMs: m.clock}
+	if previous := m.orders.byEndpoint[o.EndpointId]; previous != nil {
+		record.PreviousToken = previous.Token
+		record.PreviousIssuer = previous.GetOrder().GetIssuerInstance()
+		record.PreviousIssuerIncarnation = previous.GetOrder().GetIssuerIncarnation()
+		record.PreviousUnixMs = previous.IssuedUnixMs
+	}
+	if o.Kind == pb.OrderKind_ORDER_KIND_LOAD {
+		delay, ok := m.orders.slots.reserve(m.clock, m.loadPlan(o))
+		if !ok {
+			return refused(refusalFull)
+		}
+		record.DelayMs = delay
+	}
+	m.orders.add(record)
+	return &pb.CommandResult{Order: record}
+}
+
+func validOrder(o *pb.IssueOrder) bool {
+	if !validName(o.GetOrderId()) || !validName(o.GetEndpointId()) || !validName(o.GetIssuerInstance()) {
+		return false
+	}
+	for _, s := range []string{o.Model, o.Version, o.Adapter, o.Role} {
+		if len(s) > maxNameBytes {
+			return false
+		}
+	}
+	switch o.Kind {
+	case pb.OrderKind_ORDER_KIND_LOAD, pb.OrderKind_ORDER_KIND_UNLOAD:
+		return o.Model != ""
+	case pb.OrderKind_ORDER_KIND_CHANGE_ROLE:
+		return validRole(fleet.EndpointRole(o.Role))
+	}
+	return false
+}
+
+func validRole(r fleet.EndpointRole) bool {
+	switch r {
+	case fleet.RolePrefill, fleet.RoleDecode, fleet.RoleBoth, fleet.RolePlain:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/refusal.go
@@ -0,0 +1,35 @@
+package control
+
+import "github.com/hyssopsail/hyssopsail/internal/pb"
+
+// The refusals of commands and calls; see pb.CommandResult and
+// pb.RenewLeaseReply.
+const (
+	refusalMalformed      = "malformed"
+	refusalIncarnation    = "incarnation"
+	refusalIssuer         = "issuer"
+	refusalOrderID        = "order-id"
+	refusalUnknown        = "unknown"
+	refusalFull           = "full"
+	refusalNotLeader      = "not-leader"
+	refusalNotInitialised = "not-initialised"
+)
+
+// RefusalIncarnation is the refusal of a lease to a process whose place a
+// later incarnation has taken, or that has been expired: it must not go on.
+const RefusalIncarnation = refusalIncarnation
+
+func validName(s string) bool { return s != "" && len(s) <= maxNameBytes }
+
+func validInstance(i *pb.InstanceRecord) bool {
+	if !validName(i.GetId()) || !validName(i.GetAvailabilityZone()) || i.GetIncarnation() == 0 {
+		return false
+	}
+	addresses := []string{i.GetRpcAddress(), i.GetCallerAddress(), i.GetEndpointAddress(), i.GetOperatorAddress()}
+	for _, a := range addresses {
+		if len(a) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/replica"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// The server's time bounds.
+const (
+	defaultInstanceLease = 2 * time.Second
+	proposeTimeout       = 5 * time.Second
+	inForcePoll          = 10 * time.Millisecond
+	longestPoll          = time.Minute
+	longestInForceWait   = 5 * time.Minute
+	ticksPerLease        = 20
+	expireWorkers        = 16
+	maxPulls             = 4096
+)
+
+// ServerOptions are a Server's parts. Group, Machine and Self are required;
+// Dialer is needed to learn the disk identities of other members at init.
+type ServerOptions struct {
+	Group      replica.Group
+	Machine    *Machine
+	Self       fleet.Instance
+	Dialer     rpc.Dialer
+	Part       logging.Part
+	Registerer prometheus.Registerer // nil: no metrics
+	Recorder   timeline.Recorder     // nil: no events
+	Now        func() time.Time      // nil: time.Now
+}
+
+// Server is a control instance's service. It implements
+// pb.DRPCControlServer and pb.DRPCConsensusServer. Lock order: none of its
+// locks is held while another one, the machine's or the group's is taken.
+type Server struct {
+	group    replica.Group
+	machine  *Machine
+	self     fleet.Instance
+	dialer   rpc.Dialer
+	part     logging.Part
+	metrics  *serverMetrics
+	recorder timeline.Recorder
+	now      func() time.Time
+	leases   *leases
+	expiring chan struct{} // one token for each expiry under way
+	pulls    chan struct{} // one token for each open pull
+}
+
+// NewServer makes the service; Run must be running for leases to end.
+func NewServer(o ServerOptions) *Server {
+	now := o.Now
+	if now == nil {
+		now = time.Now
+	}
+	return &Server{
+		group:    o.Group,
+		machine:  o.Machine,
+		self:     o.Self,
+		dialer:   o.Dialer,
+		part:     o.Part,
+		metrics:  newServerMetrics(o.Registerer),
+		recorder: o.Recorder,
+		now:      now,
+		leases:   newLeases(),
+		expiring: make(chan struct{}, expireWorkers),
+		pulls:    make(chan struct{}, maxPulls),
+	}
+}
+
+// errNoLeader is what a member answers that is not the leader and knows none.
+var errNoLeader = errors.New("this member is not the leader and knows none")
+
+// propose commits a command. When this is not the leader, leader is where to
+// ask instead and result is nil.
+func (s *Server) propose(ctx context.Context, c *pb.Command) (result *pb.CommandResult, leader string, err error) {
+	c.UnixMs = s.now().UnixMilli()
+	encoded, err := proto.Marshal(c)
+	if err != nil {
+		return nil, "", trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	started := s.now()
+	applied, err := s.group.Propose(ctx, encoded)
+	if err != nil {
+		leader, err = s.elsewhere(err)
+		return nil, leader, err
+	}
+	s.metrics.proposals.Observe(s.now().Sub(started).Seconds())
+	result = &pb.CommandResult{}
+	if err := proto.Unmarshal(applied.Result, result); err != nil {
+		return nil, "", trace.Wrap(err)
+	}
+	return result, "", nil
+}
+
+// elsewhere turns "not the leader" into the leader's address.
+func (s *Server) elsewhere(err error) (leader string, rest error) {
+	if !errors.Is(err, replica.ErrNotLeader) {
+		return "", trace.Wrap(err)
+	}
+	leader = s.leaderAddress()
+	if leader == "" {
+		return "", trace.Wrap(errNoLeader)
+	}
+	return leader, nil
+}
+
+func (s *Server) leaderAddress() string {
+	leader := s.group.Status().Leader
+	if leader.GetInstanceId() == string(s.self.ID) {
+		return ""
+	}
+	return leader.GetRpcAddress()
+}
+
+// barrier makes reads of the machine current, or tells where to ask.
+func (s *Server) barrier(ctx context.Context) (leader string, err error) {
+	if err := s.group.ReadBarrier(ctx); err != nil {
+		return s.elsewhere(err)
+	}
+	return "", nil
+}
+
+func (s *Server) instanceLease() time.Duration {
+	lease := s.machine.Tree().Fleet.Timeouts.InstanceLease
+	if lease <= 0 {
+		return defaultInstanceLease
+	}
+	return lease
+}
+
+func (s *Server) record(e timeline.Event) {
+	if s.recorder != nil {
+		s.recorder.Record(e)
+	}
+}
+
+// Step implements pb.DRPCConsensusServer.
+func (s *Server) Step(ctx context.Context, message *pb.ConsensusMessage) (*pb.StepReply, error) {
+	if err := s.group.Step(ctx, message); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &pb.StepReply{}, nil
+}
--- /dev/null
+++ b/internal/control/server_lease.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/replica"
+)
+
+// RenewLease implements pb.DRPCControlServer. Only the leader grants.
+//
+// Failure guarded: a leader frozen or cut off past its leadership would grant
+// leases and call old state current. The barrier comes before both: it fails
+// without a live leader lease or a quorum's answer.
+func (s *Server) RenewLease(ctx context.Context, r *pb.RenewLeaseRequest) (*pb.RenewLeaseReply, error) {
+	reply, err := s.renewLease(ctx, r)
+	if err == nil {
+		s.metrics.renewals.WithLabelValues(strconv.FormatBool(reply.Granted)).Inc()
+	}
+	return reply, err
+}
+
+func (s *Server) renewLease(ctx context.Context, r *pb.RenewLeaseRequest) (*pb.RenewLeaseReply, error) {
+	if !validInstance(r.GetInstance()) {
+		return &pb.RenewLeaseReply{Refusal: refusalMalformed}, nil
+	}
+	term, leading := s.observe()
+	if !leading {
+		return s.notLeading(), nil
+	}
+	if err := s.group.ReadBarrier(ctx); err != nil {
+		return s.refuseLease(err)
+	}
+	if r.Leaving {
+		return s.leave(ctx, r.Instance)
+	}
+	refusal, err := s.ensureJoined(ctx, r.Instance)
+	if err != nil {
+		return s.refuseLease(err)
+	}
+	if refusal != "" {
+		return &pb.RenewLeaseReply{Refusal: refusal}, nil
+	}
+	owner := ownerOf(r.Instance)
+	lease, ok := s.leases.renew(owner, term, r.AppliedIndex, s.now())
+	if !ok {
+		return &pb.RenewLeaseReply{}, nil // try again: its fate is being decided
+	}
+	return &pb.RenewLeaseReply{
+		Granted:     true,
+		LeaseMs:     uint64(lease.Milliseconds()),
+		CommitIndex: s.machine.EffectIndex(),
+		ViewNumber:  s.machine.ViewNumber(),
+	}, nil
+}
+
+func ownerOf(i *pb.InstanceRecord) fleet.Owner {
+	return fleet.Owner{Instance: fleet.InstanceID(i.Id), Incarnation: fleet.Incarnation(i.Incarnation)}
+}
+
+// ensureJoined proposes a join when the view lacks the process or holds it
+// with other fields.
+func (s *Server) ensureJoined(ctx context.Context, i *pb.InstanceRecord) (refusal string, err error) {
+	live := s.machine.Instance(fleet.InstanceID(i.Id))
+	if live.GetIncarnation() > i.Incarnation {
+		return refusalIncarnation, nil
+	}
+	if live != nil && sameButDraining(live, i) {
+		return "", nil
+	}
+	result, leader, err := s.propose(ctx, &pb.Command{Body: &pb.Command_JoinInstance{
+		JoinInstance: &pb.JoinInstance{Instance: i},
+	}})
+	if err != nil {
+		return "", err
+	}
+	if leader != "" {
+		return "", replica.ErrNotLeader
+	}
+	return result.Refusal, nil
+}
+
+// sameButDraining takes an instance that the operators drain, but that does
+// not know yet, as unchanged.
+func sameButDraining(live, now *pb.InstanceRecord) bool {
+	if !live.Draining || now.Draining {
+		return sameInstance(live, now)
+	}
+	draining := proto.Clone(now).(*pb.InstanceRecord)
+	draining.Draining = true
+	return sameInstance(live, draining)
+}
+
+// leave ends the lease of a planned stop. The reply is not granted and has no
+// refusal.
+func (s *Server) leave(ctx context.Context, i *pb.InstanceRecord) (*pb.RenewLeaseReply, error) {
+	_, leader, err := s.propose(ctx, expireCommand(ownerOf(i), "left"))
+	if err != nil {
+		return s.refuseLease(err)
+	}
+	if leader != "" {
+		return s.notLeading(), nil
+	}
+	return &pb.RenewLeaseReply{}, nil
+}
+
+func (s *Server) refuseLease(err error) (*pb.RenewLeaseReply, error) {
+	switch {
+	case errors.Is(err, replica.ErrNotInitialised):
+		return &pb.RenewLeaseReply{Refusal: refusalNotInitialised}, nil
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, errNoLeader):
+		return s.notLeading(), nil
+	}
+	return nil, err
+}
+
+func (s *Server) notLeading() *pb.RenewLeaseReply {
+	if !s.group.Status().Initialised {
+		return &pb.RenewLeaseReply{Refusal: refusalNotInitialised}
+	}
+	return &pb.RenewLeaseReply{Refusal: refusalNotLeader, LeaderAddress: s.leaderAddress()}
+}
--- /dev/null
+++ b/internal/control/server_members.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"slices"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// maxMembers bounds the control group.
+const maxMembers = 9
+
+// DiskIdentity implements pb.DRPCControlServer.
+func (s *Server) DiskIdentity(context.Context, *pb.StatusRequest) (*pb.Member, error) {
+	return &pb.Member{
+		InstanceId: string(s.self.ID),
+		DiskId:     s.group.DiskID(),
+		RpcAddress: s.self.RPCAddress,
+	}, nil
+}
+
+// Init implements pb.DRPCControlServer: it learns the members' disk
+// identities and starts the fleet on each of them with the same membership. A
+// repeated init of the same fleet succeeds, so one that broke off half way can
+// be sent again.
+func (s *Server) Init(ctx context.Context, r *pb.InitRequest) (*pb.InitReply, error) {
+	if !validName(r.GetFleetId()) || len(r.GetMembers()) == 0 || len(r.Members) > maxMembers {
+		return nil, trace.BadParameter("init needs a fleet ID and 1 to %d members", maxMembers)
+	}
+	if !slices.ContainsFunc(r.Members, s.isSelf) {
+		return nil, trace.BadParameter("this instance is none of the members")
+	}
+	complete := !slices.ContainsFunc(r.Members, func(m *pb.Member) bool { return m.DiskId == "" })
+	if complete {
+		return s.initSelf(r)
+	}
+	request := &pb.InitRequest{FleetId: r.FleetId}
+	for _, m := range r.Members {
+		identified, err := s.identify(ctx, m)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		request.Members = append(request.Members, identified)
+	}
+	if err := s.initOthers(ctx, request); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return s.initSelf(request)
+}
+
+func (s *Server) isSelf(m *pb.Member) bool { return m.GetInstanceId() == string(s.self.ID) }
+
+func (s *Server) initSelf(r *pb.InitRequest) (*pb.InitReply, error) {
+	status := s.group.Status()
+	if status.Initialised && status.FleetID == r.FleetId {
+		return &pb.InitReply{FleetId: r.FleetId}, nil
+	}
+	if err := s.group.Init(r.FleetId, r.Members); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.part.Info("Fleet initialised.", "fleet", r.FleetId, "members", len(r.Members))
+	return &pb.InitReply{FleetId: r.FleetId}, nil
+}
+
+func (s *Server) initOthers(ctx context.Context, r *pb.InitRequest) error {
+	for _, m := range r.Members {
+		if s.isSelf(m) {
+			continue
+		}
+		peer, err := s.peer(ctx, m.RpcAddress)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if _, err := peer.Init(ctx, r); err != nil {
+			return trace.Wrap(err, "init of member %s", m.InstanceId)
+		}
+	}
+	return nil
+}
+
+// identify fills in a member's disk identity by asking the member itself.
+func (s *Server) identify(ctx context.Context, m *pb.Member) (*pb.Member, error) {
+	next := proto.Clone(m).(*pb.Member)
+	if next.DiskId != "" {
+		return next, nil
+	}
+	if s.isSelf(m) {
+		next.DiskId = s.group.DiskID()
+		return next, nil
+	}
+	peer, err := s.peer(ctx, m.RpcAddress)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	identity, err := peer.DiskIdentity(ctx, &pb.StatusRequest{})
+	if err != nil {
+		return nil, trace.Wrap(err, "disk identity of member %s", m.InstanceId)
+	}
+	if identity.InstanceId != m.InstanceId {
+		return nil, trace.BadParameter("at %s answers %q, not %q", m.RpcAddress, identity.InstanceId, m.InstanceId)
+	}
+	next.DiskId = identity.DiskId
+	return next, nil
+}
+
+func (s *Server) peer(ctx context.Context, address string) (pb.DRPCControlClient, error) {
+	if s.dialer == nil {
+		return nil, trace.BadParameter("no way to reach other members")
+	}
+	conn, err := s.dialer.Conn(ctx, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return pb.NewDRPCControlClient(conn), nil
+}
+
+// ChangeMember implements pb.DRPCControlServer. A member to remove may be
+// named by its instance alone.
+func (s *Server) ChangeMember(ctx context.Context, r *pb.ChangeMemberRequest) (*pb.ChangeMemberReply, error) {
+	leader, err := s.barrier(ctx)
+	if err != nil || leader != "" {
+		return &pb.ChangeMemberReply{LeaderAddress: leader}, err
+	}
+	member, err := s.resolveMember(ctx, r)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	membership, err := s.group.ProposeMember(ctx, r.GetRemove(), member)
+	if err != nil {
+		leader, err = s.elsewhere(err)
+		return &pb.ChangeMemberReply{LeaderAddress: leader}, err
+	}
+	return &pb.ChangeMemberReply{Membership: membership}, nil
+}
+
+func (s *Server) resolveMember(ctx context.Context, r *pb.ChangeMemberRequest) (*pb.Member, error) {
+	if r.GetMember().GetInstanceId() == "" {
+		return nil, trace.BadParameter("no member named")
+	}
+	if !r.Remove {
+		return s.identify(ctx, r.Member)
+	}
+	if r.Member.DiskId != "" {
+		return r.Member, nil
+	}
+	for _, m := range s.group.Status().Members {
+		if m.Member.GetInstanceId() == r.Member.InstanceId {
+			return m.Member, nil
+		}
+	}
+	return nil, trace.NotFound("%s is no member", r.Member.InstanceId)
+}
--- /dev/null
+++ b/internal/control/server_pull.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Pull implements pb.DRPCControlServer. Any member answers, from its applied
+// state: a pull alone never makes a daemon current, only newer.
+func (s *Server) Pull(ctx context.Context, r *pb.PullRequest) (*pb.PullReply, error) {
+	select {
+	case s.pulls <- struct{}{}:
+		defer func() { <-s.pulls }()
+	default:
+		return nil, trace.LimitExceeded("too many open pulls")
+	}
+	wait := min(time.Duration(min(r.GetWaitMs(), uint64(longestPoll.Milliseconds())))*time.Millisecond, longestPoll)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := s.machine.Changed()
+		if reply := s.machine.Pull(r.GetAfterIndex()); reply != nil {
+			return s.pulled(reply), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			s.metrics.pulls.WithLabelValues("nothing").Inc()
+			return &pb.PullReply{ThroughIndex: r.GetAfterIndex()}, nil
+		case <-ctx.Done():
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (s *Server) pulled(reply *pb.PullReply) *pb.PullReply {
+	if reply.Snapshot == nil {
+		s.metrics.pulls.WithLabelValues("deltas").Inc()
+		return reply
+	}
+	s.metrics.pulls.WithLabelValues("snapshot").Inc()
+	reply.Snapshot.FleetId = s.group.Status().FleetID
+	return reply
+}
--- /dev/null
+++ b/internal/control/server_run.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// Run ends leases while this member leads, until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(s.instanceLease() / ticksPerLease)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		s.endLeases(ctx)
+	}
+}
+
+func (s *Server) endLeases(ctx context.Context) {
+	term, leading := s.observe()
+	if !leading {
+		return
+	}
+	ended := s.leases.tick(s.now(), term, s.instanceLease(), s.machine.Owners())
+	for _, o := range ended {
+		select {
+		case s.expiring <- struct{}{}:
+		default:
+			return // the next tick goes on
+		}
+		go func() {
+			defer func() { <-s.expiring }()
+			s.expire(ctx, o)
+		}()
+	}
+}
+
+// observe tells whether this member leads, and in which term. One that does
+// not forgets all lease times.
+func (s *Server) observe() (term uint64, leading bool) {
+	status := s.group.Status()
+	if !status.IsLeader {
+		s.leases.resign()
+		return 0, false
+	}
+	return status.Term, true
+}
+
+func (s *Server) expire(ctx context.Context, o fleet.Owner) {
+	if !s.leases.condemn(o, s.now()) {
+		return
+	}
+	defer s.leases.proposed(o)
+	_, _, err := s.propose(ctx, expireCommand(o, "lease"))
+	if err != nil {
+		s.part.Warn("Can't expire an instance yet.", "instance", o, "err", err)
+		return
+	}
+	s.metrics.expiries.Inc()
+	s.part.Info("Instance expired.", "instance", o)
+	s.record(timeline.Event{Kind: timeline.KindLeaseLost, Detail: o.String()})
+}
+
+func expireCommand(o fleet.Owner, reason string) *pb.Command {
+	return &pb.Command{Body: &pb.Command_ExpireInstance{ExpireInstance: &pb.ExpireInstance{
+		Id:          string(o.Instance),
+		Incarnation: uint64(o.Incarnation),
+		Reason:      reason,
+	}}}
+}
