--- /dev/null
+++ b/internal/settings/checker.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
+)
+
+// nameRule tells what a name may be. It leaves out "+", which joins zones in a
+// zone class, "/" and "@", which part model references and subtree names, and
+// all that would need quoting in a path, a metric label or a log line.
+const nameRule = `lower-case letters, digits, ".", "_" and "-", at most 63, a letter or digit first`
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+func validName(name string) bool { return namePattern.MatchString(name) }
+
+// checker notes the faults of one decoded document.
+type checker struct {
+	document *strictyaml.Document
+}
+
+func (c checker) fault(path, want, problem string, args ...any) {
+	c.document.Fault(path, want, problem, args...)
+}
+
+// required notes a fault when the file doesn't name path.
+func (c checker) required(path, want string) {
+	if !c.document.Has(path) {
+		c.fault(path, want, "is missing")
+	}
+}
+
+// name checks one name.
+func (c checker) name(path, name string) {
+	if !validName(name) {
+		c.fault(path, "write "+nameRule, "%q is not a name", name)
+	}
+}
+
+// distinct notes each repeat in values.
+func (c checker) distinct(path string, values []string, what string) {
+	seen := make(map[string]int, len(values))
+	for n, value := range values {
+		first, repeated := seen[value]
+		if repeated {
+			c.fault(strictyaml.Index(path, n), "keep one of them", "%s stands here again, first in %s",
+				what, strictyaml.Index(path, first))
+			continue
+		}
+		seen[value] = n
+	}
+}
+
+// names checks a list of names: each one valid, none repeated.
+func (c checker) names(path string, values []string) {
+	for n, value := range values {
+		c.name(strictyaml.Index(path, n), value)
+	}
+	c.distinct(path, values, "the same name")
+}
+
+// nonEmpty notes an empty or missing list.
+func (c checker) nonEmpty(path string, length int, want string) {
+	if length == 0 {
+		c.fault(path, want, "has no item")
+	}
+}
+
+// between checks low <= value <= high for any ordered kind that prints well.
+func between[T int | int64 | float64 | time.Duration | ByteRate | ByteSize](c checker, path string, value, low, high T) {
+	if value < low || value > high {
+		c.fault(path, fmt.Sprintf("choose from %v to %v", low, high), "%v is out of range", value)
+	}
+}
+
+func (c checker) oneOf(path, value string, known []string) {
+	if !slices.Contains(known, value) {
+		c.fault(path, "choose one of "+strings.Join(known, ", "), "%q is not known", value)
+	}
+}
+
+func stringsOf[T ~string](values []T) []string {
+	out := make([]string, len(values))
+	for n, value := range values {
+		out[n] = string(value)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/subtree.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
+)
+
+// Subtree is one parsed subtree: exactly one of Fleet and Team is set.
+type Subtree struct {
+	Name     string
+	Fleet    *Fleet
+	Team     *Team
+	document *strictyaml.Document
+}
+
+// fileSuffix makes the file name that stands in faults out of a subtree name.
+const fileSuffix = ".yaml"
+
+// ParseSubtree reads and checks the YAML of one subtree by itself, without the
+// rest of the tree. The error holds strictyaml.Faults with all faults found.
+func ParseSubtree(name string, yaml []byte) (Subtree, error) {
+	return ParseSubtreeFile(name+fileSuffix, name, yaml)
+}
+
+// ParseSubtreeFile is ParseSubtree for YAML whose faults are to name file.
+func ParseSubtreeFile(file, name string, yaml []byte) (Subtree, error) {
+	team, isTeam := strings.CutPrefix(name, TeamPrefix)
+	switch {
+	case name == FleetSubtree:
+		return parseFleet(file, yaml)
+	case isTeam && validName(team):
+		return parseTeam(file, fleet.Team(team), yaml)
+	}
+	return Subtree{}, trace.BadParameter("no subtree is called %q; there are %q and %q with a team's name (%s)",
+		name, FleetSubtree, TeamPrefix, nameRule)
+}
+
+func parseFleet(file string, yaml []byte) (Subtree, error) {
+	parsed := DefaultFleet()
+	document := strictyaml.Decode(file, yaml, &parsed)
+	if document.Err() == nil {
+		checkFleet(&parsed, document)
+	}
+	if err := document.Err(); err != nil {
+		return Subtree{}, trace.Wrap(err)
+	}
+	return Subtree{Name: FleetSubtree, Fleet: &parsed, document: document}, nil
+}
+
+func parseTeam(file string, name fleet.Team, yaml []byte) (Subtree, error) {
+	parsed := DefaultTeam()
+	document := strictyaml.Decode(file, yaml, &parsed)
+	if document.Err() == nil {
+		checkTeam(&parsed, name, document)
+	}
+	if err := document.Err(); err != nil {
+		return Subtree{}, trace.Wrap(err)
+	}
+	return Subtree{Name: TeamSubtree(name), Team: &parsed, document: document}, nil
+}
+
+// SubtreeNameOf tells which subtree a file is meant for: a team's names its
+// team, all others are the fleet's.
+func SubtreeNameOf(data []byte) string {
+	var head struct {
+		Team string `yaml:"team"`
+	}
+	// A file with faults is reported by ParseSubtree, with lines.
+	_ = yaml.NewDecoder(bytes.NewReader(data)).Decode(&head)
+	if head.Team == "" {
+		return FleetSubtree
+	}
+	return TeamSubtree(fleet.Team(head.Team))
+}
