--- /dev/null
+++ b/internal/certs/authority.go
@@ -0,0 +1,116 @@
+package certs
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// PEM block types.
+const (
+	blockCertificate = "CERTIFICATE"
+	blockKey         = "PRIVATE KEY"
+)
+
+// clockSkew dates certificates back, for instances whose clocks are behind.
+const clockSkew = time.Hour
+
+const serialBits = 128
+
+// authority signs the certificates of one fleet.
+type authority struct {
+	certificate *x509.Certificate
+	key         crypto.Signer
+}
+
+func newAuthority(now time.Time, life time.Duration) (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	template, err := newTemplate("hyssopsail fleet authority", now, life)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true // signs daemons, no further authority
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &authority{certificate: certificate, key: key}, trace.Wrap(err)
+}
+
+func loadAuthority(certificateFile, keyFile string) (*authority, error) {
+	pair, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, trace.Wrap(err, "authority %s with key %s", certificateFile, keyFile)
+	}
+	signer, ok := pair.PrivateKey.(crypto.Signer)
+	if !ok || !pair.Leaf.IsCA {
+		return nil, trace.BadParameter("%s is no certificate authority", certificateFile)
+	}
+	return &authority{certificate: pair.Leaf, key: signer}, nil
+}
+
+// issue makes a certificate and key for one daemon. Both sides of a
+// connection show it, so it serves for either.
+func (a *authority) issue(name string, now time.Time, life time.Duration) (certificate, key []byte, err error) {
+	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	template, err := newTemplate(name, now, life)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	template.DNSNames = []string{rpc.ServerName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, own.Public(), a.key)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	return encode(der, own)
+}
+
+func (a *authority) pem() (certificate, key []byte, err error) {
+	return encode(a.certificate.Raw, a.key)
+}
+
+func encode(der []byte, key crypto.Signer) (certificatePEM, keyPEM []byte, err error) {
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	certificatePEM = pem.EncodeToMemory(&pem.Block{Type: blockCertificate, Bytes: der})
+	keyPEM = pem.EncodeToMemory(&pem.Block{Type: blockKey, Bytes: raw})
+	return certificatePEM, keyPEM, nil
+}
+
+func newTemplate(name string, now time.Time, life time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(life),
+	}, nil
+}
--- /dev/null
+++ b/internal/config/daemon.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// Daemon is the daemon's own file.
+type Daemon struct {
+	InstanceID       fleet.InstanceID       `yaml:"instance_id"`
+	AvailabilityZone fleet.AvailabilityZone `yaml:"availability_zone"`
+	Roles            []Role                 `yaml:"roles"`             // at least one
+	DataFolder       string                 `yaml:"data_folder"`       // control only
+	ControlAddresses []string               `yaml:"control_addresses"` // ip:port of control instances, rpc listeners
+	Listeners        Listeners              `yaml:"listeners"`
+	TLS              TLS                    `yaml:"tls"`
+	FleetSecretFile  string                 `yaml:"fleet_secret_file"` // SecretBytes random bytes as hex
+	LogLevel         logging.Level          `yaml:"log_level"`         // default info
+	Bounds           Bounds                 `yaml:"bounds"`
+}
+
+// Role is a job of the daemon.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"   // serves callers and endpoints, routes
+	RoleControl Role = "control" // votes; has a data folder
+)
+
+// Listeners are the addresses that the daemon serves. RPC and Operators are
+// required; Callers and Endpoints belong to the entry role.
+type Listeners struct {
+	RPC       Listener `yaml:"rpc"`
+	Callers   Listener `yaml:"callers"`
+	Endpoints Listener `yaml:"endpoints"`
+	Operators Listener `yaml:"operators"`
+}
+
+// Listener is one TCP listener. Both are ip:port; Advertise is what others are
+// told to dial and defaults to Listen.
+type Listener struct {
+	Listen    string `yaml:"listen"`
+	Advertise string `yaml:"advertise"`
+}
+
+// TLS names the PEM files for connections between processes.
+type TLS struct {
+	Authority   string `yaml:"authority"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+}
+
+// Bounds limit what one connection or body may use of the daemon.
+type Bounds struct {
+	HeaderBytes settings.ByteSize `yaml:"header_bytes"` // default 64KB
+	BodyBytes   settings.ByteSize `yaml:"body_bytes"`   // default 64MB; a team's own limit may be lower
+	Connections int               `yaml:"connections"`  // for each listener, default 10000
+	IdleTimeout time.Duration     `yaml:"idle_timeout"` // default 60s
+	StreamTime  time.Duration     `yaml:"stream_time"`  // longest answer, default 10m
+}
+
+// DefaultDaemon is what a file starts from.
+func DefaultDaemon() Daemon {
+	return Daemon{
+		LogLevel: logging.LevelInfo,
+		Bounds: Bounds{
+			HeaderBytes: 64e3,
+			BodyBytes:   64e6,
+			Connections: 10_000,
+			IdleTimeout: time.Minute,
+			StreamTime:  10 * time.Minute,
+		},
+	}
+}
+
+// Has tells whether the daemon has a role.
+func (d Daemon) Has(role Role) bool {
+	for _, r := range d.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// RPCFiles gives the TLS files as package rpc takes them.
+func (d Daemon) RPCFiles() rpc.Files {
+	return rpc.Files{Authority: d.TLS.Authority, Certificate: d.TLS.Certificate, Key: d.TLS.Key}
+}
+
+// Instance describes the daemon as the view is to hold it, at an incarnation.
+func (d Daemon) Instance(incarnation fleet.Incarnation) fleet.Instance {
+	return fleet.Instance{
+		ID:              d.InstanceID,
+		Incarnation:     incarnation,
+		Zone:            d.AvailabilityZone,
+		RPCAddress:      d.Listeners.RPC.Advertise,
+		CallerAddress:   d.Listeners.Callers.Advertise,
+		EndpointAddress: d.Listeners.Endpoints.Advertise,
+		OperatorAddress: d.Listeners.Operators.Advertise,
+		Entry:           d.Has(RoleEntry),
+		Control:         d.Has(RoleControl),
+	}
+}
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
+)
+
+// Load reads and checks the daemon's file. Relative paths in it are taken from
+// the file's own folder. The error holds strictyaml.Faults with all faults.
+func Load(path string) (Daemon, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Daemon{}, trace.ConvertSystemError(err)
+	}
+	daemon, err := Parse(path, data)
+	if err != nil {
+		return Daemon{}, trace.Wrap(err)
+	}
+	folder := filepath.Dir(path)
+	for _, field := range daemon.paths() {
+		*field = under(folder, *field)
+	}
+	return daemon, nil
+}
+
+// Parse is Load for a file's bytes; paths stay as written.
+func Parse(file string, data []byte) (Daemon, error) {
+	daemon := DefaultDaemon()
+	document := strictyaml.Decode(file, data, &daemon)
+	if document.Err() == nil {
+		check(&daemon, document)
+	}
+	if err := document.Err(); err != nil {
+		return Daemon{}, trace.Wrap(err)
+	}
+	return daemon, nil
+}
+
+func (d *Daemon) paths() []*string {
+	return []*string{&d.DataFolder, &d.TLS.Authority, &d.TLS.Certificate, &d.TLS.Key, &d.FleetSecretFile}
+}
+
+func under(folder, path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(folder, path)
+}
