--- /dev/null
+++ b/internal/settings/fixture_test.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const goodFleet = `availability_zones:
+  - {name: howrah, region: bengal}
+  - {name: barasat, region: bengal}
+  - {name: durgapur, region: bengal}
+links:
+  - {from: howrah, to: barasat, rate: 10GB/s, delay: 300us}
+models:
+  - name: fibre
+    versions: [v2, v1]
+    adapters: [cotton]
+    kv_bytes_per_token: 128KB
+    max_tokens: 32000
+services:
+  - name: bank
+    timeout: 5s
+    routes:
+      - {method: POST, prefix: /slips, idempotent: false}
+      - {method: PUT, prefix: /, idempotent: true}
+operators:
+  - name: root
+    key_hash: %ROOT%
+    subtrees: ["*"]
+  - name: sorter-lead
+    key_hash: %LEAD%
+    subtrees: [teams/sorters]
+caller_kinds:
+  - {kind: sorter, patience: 20s, priority: 4}
+timeouts:
+  record_life: 5m
+`
+
+const goodTeam = `team: sorters
+key_hashes: ["%SORTERS%"]
+permitted_zones: [howrah, barasat]
+models: [fibre]
+services: [bank]
+wasted_prefill_weight: 0.9
+caller_kinds:
+  - {kind: volunteer, patience: 3s, priority: 8}
+`
+
+func fill(text string) []byte {
+	for _, name := range []string{"ROOT", "LEAD", "SORTERS"} {
+		text = strings.ReplaceAll(text, "%"+name+"%", string(HashKey(strings.ToLower(name)+"-key")))
+	}
+	return []byte(text)
+}
+
+func goodTree(t testing.TB) *Tree {
+	t.Helper()
+	tree, err := CheckChange(EmptyTree(), FleetSubtree, fill(goodFleet))
+	assert.NilError(t, err)
+	tree, err = CheckChange(tree, "teams/sorters", fill(goodTeam))
+	assert.NilError(t, err)
+	return tree
+}
+
+// manyTeams gives a tree with n teams.
+func manyTeams(t testing.TB, n int) *Tree {
+	t.Helper()
+	tree := goodTree(t)
+	for i := range n {
+		name := fmt.Sprintf("team-%d", i)
+		text := fmt.Sprintf("team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah]\nmodels: [fibre]\n", name, HashKey(name))
+		next, err := ParseSubtree("teams/"+name, []byte(text))
+		assert.NilError(t, err)
+		tree.setTeam(*next.Team)
+		tree.Versions["teams/"+name] = 1
+	}
+	return tree
+}
