--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// Bounds of the handler.
+const (
+	maxConcurrent = 64               // requests at once; more get 429
+	callTimeout   = 15 * time.Second // one request, without its wait for a change in force
+	// MaxWait is the longest wait for a change to be in force.
+	MaxWait = time.Minute
+)
+
+type handler struct {
+	options Options
+	secret  settings.KeyHash
+}
+
+// NewHandler makes the operators' HTTP handler.
+func NewHandler(options Options) http.Handler {
+	h := &handler{options: options, secret: settings.HashKey(options.Secret.Hex())}
+	router := chi.NewRouter()
+	router.Route("/v1", func(r chi.Router) {
+		r.Use(middleware.Throttle(maxConcurrent))
+		r.Post("/init", h.serve(h.init, callTimeout))
+		r.Get("/status", h.serve(h.status, callTimeout))
+		r.Get("/disk", h.serve(h.disk, callTimeout))
+		r.Get("/settings", h.serve(h.getSettings, callTimeout))
+		r.Post("/settings", h.serve(h.change, callTimeout+MaxWait))
+		r.Post("/members", h.serve(h.changeMember, callTimeout))
+		r.Post("/drain", h.serve(h.drain, callTimeout))
+		if options.Endpoints != nil {
+			r.Get("/endpoints", h.serve(h.endpoints, callTimeout))
+		}
+		if options.Timeline != nil {
+			r.Get("/timeline", h.serve(h.timeline, callTimeout))
+		}
+	})
+	mount(router, "/healthz", options.Health)
+	mount(router, "/readyz", options.Ready)
+	mount(router, "/metrics", options.Metrics)
+	return router
+}
+
+func mount(router chi.Router, path string, h http.Handler) {
+	if h != nil {
+		router.Method(http.MethodGet, path, h)
+	}
+}
+
+// action answers one request of a known sender; its error becomes a refusal.
+type action func(w http.ResponseWriter, r *http.Request, who identity) error
+
+func (h *handler) serve(do action, limit time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		who, err := h.identify(r)
+		if err != nil {
+			h.refuse(w, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), limit)
+		defer cancel()
+		if err := do(w, r.WithContext(ctx), who); err != nil {
+			h.refuse(w, err)
+		}
+	}
+}
