--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+)
+
+const opDecode = "decode"
+
+// Decode implements Client. The stream's ctx is the given one: when it ends,
+// Next fails. r.DeadlineMs, when set, bounds the wait for the first chunk.
+func (c *HTTPClient) Decode(ctx context.Context, t Target, gate Gate, r engineapi.DecodeRequest) (Stream, error) {
+	body, err := encode(r)
+	if err != nil {
+		return nil, c.finish(opDecode, &Error{Target: t, Op: opDecode, Err: err})
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	silence := time.AfterFunc(c.options.HeaderTimeout, func() { cancel(ErrIdle) })
+	x := exchange{op: opDecode, method: http.MethodPost, path: "/v1/decode"}
+	response, failure := c.open(ctx, t, gate, x, body)
+	if failure != nil {
+		silence.Stop()
+		cancel(failure)
+		return nil, c.finish(opDecode, failure)
+	}
+	silence.Reset(c.firstTimeout(r.DeadlineMs))
+	c.metrics.streams.Inc()
+	return &decodeStream{
+		client:   c,
+		ctx:      ctx,
+		cancel:   cancel,
+		silence:  silence,
+		body:     response.Body,
+		chunks:   newChunkReader(response.Body, c.options.MaxLine),
+		position: position{target: t, attempt: r.Attempt, next: r.Offset, end: r.MaxTokens},
+	}, nil
+}
+
+// open sends the request, a second time only if nothing of the first has left.
+func (c *HTTPClient) open(ctx context.Context, t Target, gate Gate, x exchange, body []byte) (*http.Response, *Error) {
+	response, s, failure := c.post(ctx, t, gate, x, body)
+	if failure != nil && !failure.Sent && s.stale() && ctx.Err() == nil {
+		response, _, failure = c.post(ctx, t, gate, x, body)
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	media, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || media != engineapi.MediaEvents {
+		response.Body.Close()
+		return nil, &Error{Target: t, Op: x.op, Sent: true, Err: ErrMalformed}
+	}
+	return response, nil
+}
+
+func (c *HTTPClient) firstTimeout(deadlineMs int64) time.Duration {
+	bound := c.options.FirstTimeout
+	if deadlineMs > 0 && deadlineMs < bound.Milliseconds() {
+		return time.Duration(deadlineMs) * time.Millisecond
+	}
+	return bound
+}
+
+// decodeStream is a Stream for one goroutine; Close may come from another.
+type decodeStream struct {
+	client   *HTTPClient
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	silence  *time.Timer // ends ctx when no chunk comes
+	body     io.ReadCloser
+	chunks   *chunkReader
+	position position
+	err      error // what Next gives from now on
+	once     sync.Once
+}
+
+// Next implements Stream.
+func (s *decodeStream) Next() (engineapi.Chunk, error) {
+	if s.err != nil {
+		return engineapi.Chunk{}, s.err
+	}
+	chunk, err := s.chunks.next()
+	if err == nil {
+		err = s.position.take(chunk)
+	}
+	if err != nil {
+		s.fail(err)
+		return engineapi.Chunk{}, s.err
+	}
+	if chunk.Finish != engineapi.FinishNone {
+		s.err = io.EOF
+		_ = s.client.finish(opDecode, nil)
+		s.release()
+		return chunk, nil
+	}
+	s.silence.Reset(s.client.options.IdleTimeout)
+	return chunk, nil
+}
+
+// fail keeps the first error: nothing that comes after it is passed on.
+func (s *decodeStream) fail(err error) {
+	if because := context.Cause(s.ctx); because != nil {
+		err = because
+	}
+	var known *Error
+	if !errors.As(err, &known) {
+		known = &Error{Target: s.position.target, Op: opDecode, Sent: true, Err: err}
+	}
+	s.err = s.client.finish(opDecode, known)
+	s.release()
+}
+
+// Close implements Stream.
+func (s *decodeStream) Close() error {
+	s.release()
+	return nil
+}
+
+// release ends the connection: what an endpoint sends after the last chunk, or
+// after a bad one, is never read.
+func (s *decodeStream) release() {
+	s.once.Do(func() {
+		s.silence.Stop()
+		s.cancel(context.Canceled)
+		s.body.Close()
+		s.client.metrics.streams.Dec()
+	})
+}
--- a/internal/engineapi/announce.go
+++ b/internal/engineapi/announce.go
@@ -103,7 +103,7 @@
 // CacheEvent is one stored or evicted prefix block.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
-	Prefix   uint64 `json:"prefix"` // hash of the prompt up to the block's end
+	Prefix   uint64 `json:"prefix"` // see PrefixHashes
 	Stored   bool   `json:"stored"` // false: evicted
 }
 
@@ -114,6 +114,7 @@
 
 // CacheSnapshot is the whole prefix cache after a sequence.
 type CacheSnapshot struct {
-	Sequence uint64   `json:"sequence"`
-	Prefixes []uint64 `json:"prefixes"`
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Sequence    uint64            `json:"sequence"`
+	Prefixes    []uint64          `json:"prefixes"`
 }
--- a/internal/engineapi/work.go
+++ b/internal/engineapi/work.go
@@ -3,10 +3,13 @@
 import "github.com/hyssopsail/hyssopsail/internal/fleet"
 
 // HeaderAttempt carries the attempt ID to plain services, and HeaderOwner the
-// daemon process that sends it.
+// daemon process that sends it. HeaderRefusal on an answer has the Code of an
+// endpoint that did not run the call; a service that knows nothing of
+// hyssopsail never sets it.
 const (
 	HeaderAttempt = "Hyssopsail-Attempt"
 	HeaderOwner   = "Hyssopsail-Owner"
+	HeaderRefusal = "Hyssopsail-Refusal"
 )
 
 // Work is what each request to an engine names: a stale attempt, owner or
@@ -17,8 +20,8 @@
 	Endpoint    fleet.EndpointID  `json:"endpoint"`
 	Incarnation fleet.Incarnation `json:"incarnation"` // of the endpoint
 	Model       ModelRef          `json:"model"`
-	Priority    int               `json:"priority"` // higher goes first
-	DeadlineMs  int64             `json:"deadline_ms"`
+	Priority    int               `json:"priority"`    // higher goes first
+	DeadlineMs  int64             `json:"deadline_ms"` // time left until the first token is due; 0: none
 }
 
 // PrefillRequest computes the KV cache of a prompt.
