--- /dev/null
+++ b/internal/standin/cancel.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+func (s *Standin) serveCancel(w http.ResponseWriter, r *http.Request) {
+	request, ok := take[engineapi.CancelRequest](w, r)
+	if !ok {
+		return
+	}
+	if s.losesCancel() {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+	reply(w, engineapi.CancelReply{Freed: s.cancel(request.Attempt)})
+}
+
+func (s *Standin) losesCancel() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.IgnoreCancels == 0 {
+		return false
+	}
+	s.faults.IgnoreCancels--
+	return true
+}
+
+// cancel frees an attempt and refuses its later work.
+func (s *Standin) cancel(attempt fleet.AttemptID) (freed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale.add(attempt)
+	h, ok := s.holds[attempt]
+	if !ok {
+		return false
+	}
+	h.fact.Cancelled = true
+	h.fact.Finish = engineapi.FinishCancelled
+	s.book.audit.Cancelled++
+	s.free(h, errCancelled)
+	return true
+}
+
+func (s *Standin) serveHeld(w http.ResponseWriter, _ *http.Request) {
+	reply(w, engineapi.HeldReply{Incarnation: s.options.Incarnation, Held: s.Held()})
+}
+
+// Held lists the requests in memory.
+func (s *Standin) Held() []engineapi.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	held := make([]engineapi.Held, 0, len(s.holds))
+	for _, h := range s.holds {
+		held = append(held, h.held(now))
+	}
+	return held
+}
--- /dev/null
+++ b/internal/standin/options.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+)
+
+// Options describe one emulated endpoint.
+type Options struct {
+	ID          fleet.EndpointID
+	Incarnation fleet.Incarnation // 0: from the clock
+	Zone        fleet.AvailabilityZone
+	Role        fleet.EndpointRole
+	Models      []engineapi.ModelRef
+	Service     string // plain only
+	Slots       int    // 0: 20
+	KVBytes     int64  // 0: bounded by slots alone
+	Timing      Timing
+
+	Listen      string   // host:port; empty: no listener, use Handler
+	Advertise   string   // host:port that others use; empty: the listener's
+	Entries     []string // endpoint listeners of daemons; empty: no announcement
+	EndpointKey string   // fleet's key for announcements
+
+	ChecksTokens     bool            // refuses orders with an old fencing token
+	FreeOnDisconnect bool            // frees a request when its connection ends
+	RefuseLeaving    bool            // takes no new work from the leave on
+	CrashMarker      string          // a prompt or body with it ends the process
+	CrashAt          engineapi.Stage // StagePrefill, StageDecode or StageCall
+	Faults           Faults          // at the start
+	MostFacts        int             // attempts kept for the audit; 0: 200000
+
+	Part logging.Part
+	// Exit ends the process; nil: os.Exit.
+	Exit func(code int)
+	// Transport carries calls to other endpoints and daemons; nil: TCP.
+	Transport http.RoundTripper
+}
+
+const (
+	defaultSlots     = 20
+	defaultMostFacts = 200_000
+	crashCode        = 3 // exit code after a crash marker
+)
+
+func (o Options) withDefaults() Options {
+	o.Timing = o.Timing.withDefaults()
+	orDefault(&o.Incarnation, fleet.Incarnation(time.Now().UnixMicro()))
+	orDefault(&o.Role, fleet.RoleBoth)
+	orDefault(&o.Slots, defaultSlots)
+	orDefault(&o.MostFacts, defaultMostFacts)
+	if o.Exit == nil {
+		o.Exit = os.Exit
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: o.Slots, IdleConnTimeout: time.Minute}
+	}
+	return o
+}
+
+func (o Options) check() error {
+	if o.ID == "" {
+		return trace.BadParameter("stand-in endpoint without an ID")
+	}
+	switch o.Role {
+	case fleet.RolePlain, fleet.RolePrefill, fleet.RoleDecode, fleet.RoleBoth:
+		return nil
+	}
+	return trace.BadParameter("stand-in endpoint %q has an unknown role %q", o.ID, o.Role)
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"strconv"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// CallRun is one run of a plain call.
+type CallRun struct {
+	Attempt fleet.AttemptID `json:"attempt_id"`
+	Method  string          `json:"method"`
+	Path    string          `json:"path"`
+	Marker  string          `json:"marker"` // from the body, or the body's hash
+	AtMs    int64           `json:"at_ms"`
+}
+
+// CallAnswer is the body of a plain call's answer.
+type CallAnswer struct {
+	Endpoint fleet.EndpointID `json:"endpoint"`
+	Attempt  fleet.AttemptID  `json:"attempt_id"`
+	Marker   string           `json:"marker"`
+	Bytes    int              `json:"bytes"` // of the body that came
+}
+
+func (s *Standin) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		refuse(w, refusal{badRequest, "body can't be read"})
+		return
+	}
+	s.crash(engineapi.StageCall, string(body))
+	run := callRun(r, body)
+	h, refused := s.startCall(r, run)
+	if refused != nil {
+		w.Header().Set(engineapi.HeaderRefusal, string(refused.code))
+		refuse(w, *refused)
+		return
+	}
+	defer s.freeNow(h, nil)
+	if !s.workCall(r.Context(), h) {
+		http.Error(w, "call was given up", http.StatusServiceUnavailable)
+		return
+	}
+	s.answerCall(w, CallAnswer{Endpoint: s.options.ID, Attempt: run.Attempt, Marker: run.Marker, Bytes: len(body)})
+}
+
+func callRun(r *http.Request, body []byte) CallRun {
+	run := CallRun{
+		Attempt: fleet.AttemptID(r.Header.Get(engineapi.HeaderAttempt)),
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		Marker:  Marker(string(body)),
+		AtMs:    time.Now().UnixMilli(),
+	}
+	if run.Marker == "" {
+		run.Marker = strconv.FormatUint(xxhash.Sum64(body), 16)
+	}
+	return run
+}
+
+func (s *Standin) startCall(r *http.Request, run CallRun) (*hold, *refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role != fleet.RolePlain {
+		return nil, &refusal{engineapi.CodeWrongRole, string(s.role)}
+	}
+	if s.stale.has(run.Attempt) {
+		return nil, &refusal{engineapi.CodeStale, "attempt was cancelled"}
+	}
+	if refused := s.refuseNew(); refused != nil {
+		return nil, refused
+	}
+	work := engineapi.Work{Attempt: run.Attempt, Owner: parseOwner(r.Header.Get(engineapi.HeaderOwner))}
+	h, refused := s.enter(work, engineapi.StageCall, 0, run.Marker)
+	if refused != nil {
+		return nil, refused
+	}
+	h.fact.Calls++
+	s.book.call(run)
+	return h, nil
+}
+
+// workCall takes the call's time; false when it was cancelled or its caller is
+// gone.
+func (s *Standin) workCall(client context.Context, h *hold) bool {
+	ctx, stop := context.WithCancel(client)
+	defer stop()
+	defer context.AfterFunc(h.ctx, stop)()
+	f := s.Faults()
+	if f.HangCalls {
+		<-ctx.Done()
+		return false
+	}
+	return sleep(ctx, s.timing.CallTime+time.Duration(f.CallDelayMs)*time.Millisecond)
+}
+
+func (s *Standin) answerCall(w http.ResponseWriter, answer CallAnswer) {
+	f := s.Faults()
+	if f.CutCalls {
+		panic(http.ErrAbortHandler)
+	}
+	if f.FailCalls {
+		http.Error(w, "service failed", http.StatusInternalServerError)
+		return
+	}
+	reply(w, answer)
+}
--- /dev/null
+++ b/internal/standin/reply.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+)
+
+const (
+	maxBody    = 16 << 20 // bytes of a request's body
+	badRequest = engineapi.CodeBadRequest
+)
+
+// refusal is why a request isn't taken.
+type refusal struct {
+	code    engineapi.Code
+	message string
+}
+
+func (r refusal) status() int {
+	switch r.code {
+	case engineapi.CodeStale, engineapi.CodeOldToken, engineapi.CodeWrongRole:
+		return http.StatusConflict
+	case engineapi.CodeFull, engineapi.CodeLeaving:
+		return http.StatusServiceUnavailable
+	case engineapi.CodeNoModel:
+		return http.StatusNotFound
+	case engineapi.CodeGone:
+		return http.StatusGone
+	case engineapi.CodeTransfer:
+		return http.StatusBadGateway
+	}
+	return http.StatusBadRequest
+}
+
+func refuse(w http.ResponseWriter, r refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(r.status())
+	// A reply that can't be written has lost its reader.
+	_ = json.NewEncoder(w).Encode(engineapi.ErrorReply{Code: r.code, Message: r.message})
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// take reads a request's JSON body; when it can't be read the request has been
+// refused.
+func take[T any](w http.ResponseWriter, r *http.Request) (value T, ok bool) {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&value)
+	if err != nil {
+		refuse(w, refusal{badRequest, err.Error()})
+		return value, false
+	}
+	return value, true
+}
+
+func contains(text, marker string) bool { return strings.Contains(text, marker) }
