--- a/internal/schedule/leastload.go
+++ b/internal/schedule/leastload.go
@@ -16,7 +16,7 @@
 	var best *endpoint.Candidate
 	for n := range candidates {
 		c := &candidates[n]
-		if avoided(r, c) {
+		if avoided(&r, c) {
 			continue
 		}
 		if best == nil || load(c)*max(1, best.Slots) < load(best)*max(1, c.Slots) {
--- a/internal/schedule/leastwait.go
+++ b/internal/schedule/leastwait.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -8,9 +9,13 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
-// maxCacheProbes bounds the cache lookups of one choice, so that its time
-// doesn't grow with the size of the subset.
-const maxCacheProbes = 96
+// maxWalk and maxCacheProbes bound the candidates and the cache lookups of one
+// choice, so that its time doesn't grow with the subset. The best of so many
+// at random is hardly worse than the best of all.
+const (
+	maxWalk        = 256
+	maxCacheProbes = 64
+)
 
 // tieWindow is the difference in predicted wait below which two endpoints are
 // taken as equal, so that entries with the same view don't all pick one.
@@ -36,22 +41,24 @@
 		return endpoint.Candidate{}, false
 	}
 	whole := p.prefillTime(r.PromptTokens)
-	s := search{start: random.IntN(len(candidates)), best: -1}
-	links := zoneCosts{request: &r, links: p.links}
-	for n := range candidates {
-		at := s.index(n, len(candidates))
+	s := search{best: -1, score: math.MaxInt64 - tieWindow, state: random.Uint64() | 1}
+	links := zoneCosts{from: r.EntryZone, bytes: r.KVBytes, links: p.links}
+	start := random.IntN(len(candidates))
+	for n := range min(len(candidates), maxWalk) {
+		at := start + n
+		if at >= len(candidates) {
+			at -= len(candidates)
+		}
 		c := &candidates[at]
-		if avoided(r, c) {
+		wait := c.NextFree + c.QueuedWork
+		if wait > s.score+tieWindow || avoided(&r, c) {
 			continue
 		}
-		wait := c.NextFree + c.QueuedWork + links.cost(c.Zone)
-		if s.best >= 0 && wait >= s.score {
+		wait += links.cost(c.Zone)
+		if wait > s.score+tieWindow {
 			continue
 		}
-		score := wait + whole - p.saving(r, c, whole, &s)
-		if s.best < 0 || score < s.score-tieWindow {
-			s.best, s.score = at, score
-		}
+		s.offer(at, wait+whole-p.saving(&r, c, whole, &s))
 	}
 	if s.best < 0 {
 		return endpoint.Candidate{}, false
@@ -67,41 +74,63 @@
 }
 
 // saving gives the prefill time that the candidate's cache would save.
-func (p leastWait) saving(r Request, c *endpoint.Candidate, whole time.Duration, s *search) time.Duration {
-	if whole == 0 || len(r.Prefixes) == 0 || s.probes >= maxCacheProbes {
+func (p leastWait) saving(r *Request, c *endpoint.Candidate, whole time.Duration, s *search) time.Duration {
+	if whole == 0 || len(r.Prefixes) == 0 || len(c.CachedPrefixes) == 0 || s.probes >= maxCacheProbes {
 		return 0
 	}
 	s.probes++
-	cached := CachedTokens(r.Prefixes, c.CachedPrefixes)
-	if cached == 0 {
+	blocks := cachedBlocks(r.Prefixes, c.CachedPrefixes, s.blocks)
+	if blocks == 0 {
 		return 0
 	}
-	return whole - p.prefill.Predict(max(0, r.PromptTokens-cached))
+	s.blocks = blocks
+	return whole - p.prefill.Predict(max(0, r.PromptTokens-blocks*PrefixBlockTokens))
 }
 
 // search is the state of one walk over the candidates.
 type search struct {
-	start  int
 	best   int // -1: none yet
 	score  time.Duration
+	ties   uint64 // candidates taken as equal to the best so far
 	probes int
+	blocks int    // cached at the last candidate that had any
+	state  uint64 // of the generator that breaks ties
 }
 
-func (s *search) index(n, length int) int {
-	at := s.start + n
-	if at >= length {
-		at -= length
+// offer takes a candidate that is better than the best so far. Among equals
+// each is taken with the same probability.
+func (s *search) offer(at int, score time.Duration) {
+	if score < s.score-tieWindow {
+		s.best, s.score, s.ties = at, score, 1
+		return
+	}
+	if score > s.score+tieWindow {
+		return
 	}
-	return at
+	s.ties++
+	if s.below(s.ties) == 0 {
+		s.best = at
+	}
+	s.score = min(s.score, score)
+}
+
+// below gives a number from 0 to n-1 by an xorshift generator, which costs a
+// fraction of rand.Rand's time; hundreds of ties are usual in an idle fleet.
+func (s *search) below(n uint64) uint64 {
+	s.state ^= s.state << 13
+	s.state ^= s.state >> 7
+	s.state ^= s.state << 17
+	return (s.state >> 32) * n >> 32
 }
 
 // zoneCosts remembers the link costs of the few zones that one walk meets.
 type zoneCosts struct {
-	request *Request
-	links   LinkCost
-	zones   [8]fleet.AvailabilityZone
-	costs   [8]time.Duration
-	known   int
+	from  fleet.AvailabilityZone
+	bytes int64
+	links LinkCost
+	zones [8]fleet.AvailabilityZone
+	costs [8]time.Duration
+	known int
 }
 
 func (z *zoneCosts) cost(zone fleet.AvailabilityZone) time.Duration {
@@ -110,7 +139,7 @@
 			return z.costs[n]
 		}
 	}
-	cost := z.links.Cost(z.request.EntryZone, zone, z.request.KVBytes)
+	cost := z.links.Cost(z.from, zone, z.bytes)
 	if z.known < len(z.zones) {
 		z.zones[z.known], z.costs[z.known] = zone, cost
 		z.known++
@@ -118,7 +147,7 @@
 	return cost
 }
 
-func avoided(r Request, c *endpoint.Candidate) bool {
+func avoided(r *Request, c *endpoint.Candidate) bool {
 	if len(r.Avoid) == 0 {
 		return false
 	}
--- a/internal/schedule/prefix.go
+++ b/internal/schedule/prefix.go
@@ -54,20 +54,41 @@
 // where lost cache events break that, the answer is low or high by some
 // blocks and costs only a worse choice.
 func CachedTokens(prefixes []uint64, cached map[uint64]struct{}) int {
-	if len(prefixes) == 0 || len(cached) == 0 {
+	return cachedBlocks(prefixes, cached, 0) * PrefixBlockTokens
+}
+
+// cachedBlocks is CachedTokens in blocks. guess is where to look first: caches
+// that share a preamble mostly end at the same block.
+func cachedBlocks(prefixes []uint64, cached map[uint64]struct{}, guess int) int {
+	low, high := 0, len(prefixes)
+	if len(cached) == 0 || high == 0 {
 		return 0
 	}
-	if _, ok := cached[prefixes[0]]; !ok {
+	if guess == 0 && !holds(cached, prefixes[0]) {
 		return 0
 	}
-	low, high := 1, len(prefixes)
+	if guess > 0 && guess <= high {
+		if !holds(cached, prefixes[guess-1]) {
+			high = guess - 1
+		} else {
+			low = guess
+		}
+		if low == guess && low < high && !holds(cached, prefixes[low]) {
+			return low
+		}
+	}
 	for low < high {
 		middle := (low + high + 1) / 2
-		if _, ok := cached[prefixes[middle-1]]; ok {
+		if holds(cached, prefixes[middle-1]) {
 			low = middle
 		} else {
 			high = middle - 1
 		}
 	}
-	return low * PrefixBlockTokens
+	return low
+}
+
+func holds(cached map[uint64]struct{}, prefix uint64) bool {
+	_, ok := cached[prefix]
+	return ok
 }
--- a/internal/schedule/roundrobin.go
+++ b/internal/schedule/roundrobin.go
@@ -18,7 +18,7 @@
 	for range candidates {
 		at := p.turn.Add(1) - 1
 		c := &candidates[at%uint64(len(candidates))]
-		if !avoided(r, c) {
+		if !avoided(&r, c) {
 			return *c, true
 		}
 	}
--- /dev/null
+++ b/internal/schedule/start_test.go
@@ -0,0 +1,49 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPredictedRoom(t *testing.T) {
+	typical := StartInput{PrefillTime: 200 * ms, TransferTime: 20 * ms, KVLife: 800 * ms, WasteWeight: 0.5, Spread: 50 * ms}
+	plan := predictedRoom{}.Plan(typical)
+	assert.Assert(t, plan.ReserveFirst)
+	assert.Assert(t, plan.Lead > typical.PrefillTime, "the slot would idle: lead %v", plan.Lead)
+	assert.Assert(t, plan.Lead < typical.PrefillTime+typical.KVLife-typical.TransferTime)
+
+	careful, eager := typical, typical
+	careful.WasteWeight, eager.WasteWeight = 1, 0
+	assert.Assert(t, predictedRoom{}.Plan(careful).Lead < predictedRoom{}.Plan(eager).Lead)
+
+	unsure := typical
+	unsure.Spread = 2000 * ms
+	assert.Equal(t, predictedRoom{}.Plan(unsure).Lead, 0*ms)
+
+	stalled := careful
+	stalled.TransferTime = 900 * ms
+	assert.Assert(t, predictedRoom{}.Plan(stalled).Lead < stalled.PrefillTime)
+}
+
+// A team that counts waste alone must not lose a prefill because the slot was
+// late by twice the predictor's error: the KV cache would have expired before
+// the slot came free, and its prefill would be thrown away.
+func TestLeadSurvivesALateSlot(t *testing.T) {
+	for _, spread := range []time.Duration{10 * ms, 50 * ms, 100 * ms, 200 * ms, 300 * ms, 900 * ms} {
+		in := StartInput{PrefillTime: 200 * ms, TransferTime: 50 * ms, KVLife: 800 * ms, WasteWeight: 1, Spread: spread}
+		lead := predictedRoom{}.Plan(in).Lead
+		if lead == 0 {
+			continue // held before the prefill: nothing can be late
+		}
+		wait := lead - in.PrefillTime + 2*spread + in.TransferTime
+		assert.Assert(t, wait <= in.KVLife, "spread %v: KV cache waits %v", spread, wait)
+	}
+}
+
+func TestBaselines(t *testing.T) {
+	in := StartInput{DecodeReadyIn: 300 * ms, PrefillTime: 200 * ms, KVLife: 800 * ms}
+	assert.Equal(t, prefillFirst{}.Plan(in), StartPlan{})
+	assert.Equal(t, reserveFirst{}.Plan(in), StartPlan{ReserveFirst: true})
+}
--- a/internal/schedule/twochoices.go
+++ b/internal/schedule/twochoices.go
@@ -22,32 +22,34 @@
 // Choose implements Choice.
 func (p twoChoices) Choose(r Request, candidates []endpoint.Candidate, random *rand.Rand) (endpoint.Candidate, bool) {
 	var best *endpoint.Candidate
-	for range 2 * drawRounds {
-		c := draw(r, candidates, random)
-		if c == nil {
+	for range drawRounds {
+		a := draw(&r, candidates, nil, random)
+		if a == nil {
 			return endpoint.Candidate{}, false
 		}
-		first := best == nil
-		if first || p.better(r, c, best) {
-			best = c
+		if b := draw(&r, candidates, a, random); b != nil && p.better(r, b, a) {
+			a = b
 		}
-		if !first && free(best) > 0 {
+		if best == nil || p.better(r, a, best) {
+			best = a
+		}
+		if free(best) > 0 {
 			break
 		}
 	}
 	return *best, true
 }
 
-// draw gives a random candidate that need not be avoided; nil when there is
-// none.
-func draw(r Request, candidates []endpoint.Candidate, random *rand.Rand) *endpoint.Candidate {
+// draw gives a random candidate that is not other and need not be avoided;
+// nil when there is none.
+func draw(r *Request, candidates []endpoint.Candidate, other *endpoint.Candidate, random *rand.Rand) *endpoint.Candidate {
 	if len(candidates) == 0 {
 		return nil
 	}
 	at := random.IntN(len(candidates))
 	for n := range candidates {
 		c := &candidates[(at+n)%len(candidates)]
-		if !avoided(r, c) {
+		if c != other && !avoided(r, c) {
 			return c
 		}
 	}
