--- a/internal/admission/fairness.go
+++ b/internal/admission/fairness.go
@@ -5,12 +5,16 @@
 	"time"
 )
 
-// The pressure, predicted wait over the least patience of the teams at work,
-// above which fair shares hold, and how far above its share a team may go
-// when they begin to. At pressure 1 it may go no further than its share.
+// Fair shares hold from a pressure (predicted wait over the least patience of
+// the teams at work) of fairnessFrom on. There a team may have fairnessSlack
+// times its fair level, at fairnessFull exactly the level, and at pressure 1
+// fairnessLeast of it. So an overload settles near fairnessFull, and the rest
+// of the patience takes the swings of arrivals.
 const (
 	fairnessFrom  = 0.4
-	fairnessSlack = 2.0
+	fairnessFull  = 0.75
+	fairnessSlack = 3.0
+	fairnessLeast = 0.9
 	levelLife     = 20 * time.Millisecond // how long a computed level is used
 )
 
@@ -45,6 +49,14 @@
 
 // allowed gives the work in the window that a team may have at a pressure.
 func allowed(level, share, pressure float64) float64 {
-	ease := (1 - min(pressure, 1)) / (1 - fairnessFrom)
-	return level * share * (1 + fairnessSlack*ease)
+	return level * share * easing(min(pressure, 1))
+}
+
+func easing(pressure float64) float64 {
+	if pressure < fairnessFull {
+		part := (fairnessFull - pressure) / (fairnessFull - fairnessFrom)
+		return 1 + (fairnessSlack-1)*part
+	}
+	part := (pressure - fairnessFull) / (1 - fairnessFull)
+	return 1 - (1-fairnessLeast)*part
 }
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -10,7 +10,7 @@
 	Random        *rand.Rand    // spreads Retry-After; default: a fixed seed
 	MaxTeams      int           // teams remembered, default 4096
 	MaxEndpoints  int           // endpoints with a retry budget, default 4096
-	Window        time.Duration // over which shares are measured, default 2s
+	Window        time.Duration // over which shares are measured, default 5s
 	RetryRatio    float64       // retries earned by a success, default 0.1
 	RetryPerSec   float64       // retries earned by time alone, default 0.2
 	RetryBurst    float64       // most retries saved up, default 10
@@ -24,7 +24,7 @@
 	}
 	setDefault(&o.MaxTeams, 4096)
 	setDefault(&o.MaxEndpoints, 4096)
-	setDefault(&o.Window, 2*time.Second)
+	setDefault(&o.Window, 5*time.Second)
 	setDefault(&o.RetryRatio, 0.1)
 	setDefault(&o.RetryPerSec, 0.2)
 	setDefault(&o.RetryBurst, 10)
