--- /dev/null
+++ b/cmd/hyssopsaild/main.go
@@ -0,0 +1,71 @@
+// Command hyssopsaild is the daemon: an entry that serves callers and routes
+// requests, a member of the control group, or both, as its file says.
+//
+// Exit codes: 0 after a graceful stop, 1 when it failed, 2 for a wrong command
+// line, 4 for a refused file.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hyssopsail/hyssopsail/internal/config"
+	"github.com/hyssopsail/hyssopsail/internal/daemon"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/version"
+)
+
+// The exit codes.
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitRefused = 4
+)
+
+func main() {
+	app := kingpin.New("hyssopsaild", "The hyssopsail daemon. Its file says which roles it has.")
+	app.Version(version.Text("hyssopsaild"))
+	app.HelpFlag.Short('h')
+	file := app.Flag("config", "The daemon's own settings file (YAML).").Short('c').Required().String()
+	checkOnly := app.Flag("check", "Check the file and exit.").Bool()
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "hyssopsaild: %v; try --help\n", err)
+		os.Exit(exitUsage)
+	}
+	os.Exit(run(*file, *checkOnly))
+}
+
+func run(file string, checkOnly bool) int {
+	settings, err := config.Load(file)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "hyssopsaild: %v\n", err)
+		return exitRefused
+	}
+	if checkOnly {
+		return 0
+	}
+	logger, err := logging.New(os.Stderr, settings.LogLevel)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "hyssopsaild: %v\n", err)
+		return exitRefused
+	}
+	part := logging.For(logger, "daemon")
+	built, err := daemon.New(settings, logger)
+	if err != nil {
+		part.Error("Can't start.", "err", err)
+		return exitFailed
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := built.Run(ctx); err != nil {
+		part.Error("Stopped by a failure.", "err", err)
+		return exitFailed
+	}
+	part.Info("Stopped gracefully.")
+	return 0
+}
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,6 +29,7 @@
 type Pool struct {
 	tls   *tls.Config
 	clock Clock
+	from  net.IP // nil: the kernel chooses
 	pool  *drpcpool.Pool[string, drpcpool.Conn]
 }
 
@@ -45,6 +47,15 @@
 	}
 }
 
+// DialFrom makes the pool dial from the IP number that its daemon listens on,
+// so that peers and packet filters see one number for a daemon. It is called
+// before the first Conn. An unspecified IP changes nothing.
+func (p *Pool) DialFrom(ip net.IP) {
+	if !ip.IsUnspecified() {
+		p.from = ip
+	}
+}
+
 // Conn implements Dialer. It dials at the first call, not here.
 func (p *Pool) Conn(ctx context.Context, address string) (drpc.Conn, error) {
 	if address == "" {
@@ -63,7 +74,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &tls.Dialer{NetDialer: netDialer(), Config: p.tls}
+	dialer := &tls.Dialer{NetDialer: netDialer(p.from), Config: p.tls}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't reach process at %s", address)
--- a/internal/rpc/tcp.go
+++ b/internal/rpc/tcp.go
@@ -17,8 +17,8 @@
 // connection, and the next call dials anew.
 const silenceTimeout = 3 * time.Second
 
-func netDialer() *net.Dialer {
-	return &net.Dialer{
+func netDialer(from net.IP) *net.Dialer {
+	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     2 * time.Second,
@@ -27,6 +27,10 @@
 		},
 		Control: boundSilence,
 	}
+	if from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
+	return dialer
 }
 
 func boundSilence(_, _ string, raw syscall.RawConn) error {
