--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -16,6 +16,7 @@
 // The client's time bounds.
 const (
 	attemptTimeout  = 1500 * time.Millisecond // one try at one member
+	renewTimeout    = 400 * time.Millisecond  // so that a lease outlives a silent member or two
 	commandTimeout  = proposeTimeout + attemptTimeout
 	shortestBackoff = 20 * time.Millisecond
 	longestBackoff  = 400 * time.Millisecond
--- a/internal/control/client_calls.go
+++ b/internal/control/client_calls.go
@@ -13,7 +13,7 @@
 // final refusal, or none when the caller should try again or has left.
 func (c *Client) RenewLease(ctx context.Context, r *pb.RenewLeaseRequest) (*pb.RenewLeaseReply, error) {
 	var reply *pb.RenewLeaseReply
-	err := c.follow(ctx, attemptTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
+	err := c.follow(ctx, renewTimeout, func(ctx context.Context, at pb.DRPCControlClient) (string, error) {
 		var err error
 		reply, err = at.RenewLease(ctx, r)
 		if err != nil {
--- /dev/null
+++ b/internal/membership/follow.go
@@ -0,0 +1,241 @@
+package membership
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// errGap: deltas are missing between the state and a reply; the whole state
+// must be taken.
+var errGap = errors.New("deltas are missing")
+
+// follower makes states of pulled replies. It is pure but for build and
+// change, which are. Not safe for concurrent use.
+type follower struct {
+	build     func([]*pb.SubtreeDocument, uint64) (*settings.Tree, error)
+	change    func(*settings.Tree, string, []byte) (*settings.Tree, error)
+	documents map[string]*pb.SubtreeDocument
+	state     *State
+}
+
+func newFollower(o Options) *follower {
+	return &follower{
+		build:     o.Build,
+		change:    o.Change,
+		documents: make(map[string]*pb.SubtreeDocument),
+		state: &State{
+			Tree:     &settings.Tree{Versions: map[string]uint64{}},
+			View:     fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}},
+			Groups:   map[fleet.LedgerShard]fleet.LedgerGroup{},
+			Suspects: map[fleet.Fingerprint]fleet.Suspect{},
+		},
+	}
+}
+
+// take applies the reply to a pull after index after. It never goes back: a
+// reply that ends at or before the state's index changes nothing.
+//
+// Failure guarded: an answer of a lagging member, or one long on its way,
+// arrives after newer ones. Applied, it would put an older version of a
+// subtree in force again.
+func (f *follower) take(after uint64, r *pb.PullReply) (changed bool, err error) {
+	if s := r.GetSnapshot(); s != nil {
+		return f.takeSnapshot(s)
+	}
+	if r.GetThroughIndex() <= f.state.Index {
+		return false, nil
+	}
+	if after > f.state.Index || f.state.Index == 0 {
+		return false, errGap
+	}
+	next := *f.state
+	for _, d := range r.GetDeltas() {
+		if d.GetIndex() <= next.Index {
+			continue
+		}
+		if err := f.applyDelta(&next, d); err != nil {
+			return false, err
+		}
+		next.Index = d.Index
+		f.publish(&next)
+	}
+	next.Index = max(next.Index, r.ThroughIndex)
+	f.publish(&next)
+	return true, nil
+}
+
+// publish makes next the state; what follows works on a copy.
+func (f *follower) publish(next *State) {
+	copied := *next
+	f.state = &copied
+}
+
+func (f *follower) takeSnapshot(s *pb.FleetState) (changed bool, err error) {
+	if s.Index <= f.state.Index {
+		return false, nil
+	}
+	if f.state.FleetID != "" && f.state.FleetID != s.FleetId {
+		return false, trace.BadParameter("the state is of fleet %q, not of %q", s.FleetId, f.state.FleetID)
+	}
+	tree, err := f.build(s.Subtrees, s.Index)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	next := &State{
+		Index:    s.Index,
+		FleetID:  s.FleetId,
+		View:     fleet.View{Number: s.ViewNumber, Instances: make(map[fleet.InstanceID]fleet.Instance, len(s.Instances))},
+		Groups:   make(map[fleet.LedgerShard]fleet.LedgerGroup, len(s.LedgerGroups)),
+		Suspects: make(map[fleet.Fingerprint]fleet.Suspect, len(s.Suspects)),
+	}
+	f.documents = make(map[string]*pb.SubtreeDocument, len(s.Subtrees))
+	for _, d := range s.Subtrees {
+		f.documents[d.Name] = d
+	}
+	next.Tree = f.stamped(tree, s.Index)
+	for _, i := range s.Instances {
+		next.View.Instances[fleet.InstanceID(i.Id)] = fleet.InstanceFromProto(i)
+	}
+	putGroups(next.Groups, s.LedgerGroups)
+	putSuspects(next.Suspects, s.Suspects)
+	f.state = next
+	return true, nil
+}
+
+func (f *follower) applyDelta(next *State, d *pb.Delta) error {
+	if err := applyView(next, d); err != nil {
+		return err
+	}
+	if err := f.applySubtrees(next, d); err != nil {
+		return err
+	}
+	if len(d.LedgerGroups) > 0 {
+		next.Groups = maps.Clone(next.Groups)
+		putGroups(next.Groups, d.LedgerGroups)
+	}
+	if len(d.Suspects) > 0 {
+		next.Suspects = maps.Clone(next.Suspects)
+		putSuspects(next.Suspects, d.Suspects)
+	}
+	return nil
+}
+
+func applyView(next *State, d *pb.Delta) error {
+	if len(d.Joined)+len(d.Left) == 0 {
+		return nil
+	}
+	if d.ViewNumber != next.View.Number+1 {
+		return errGap
+	}
+	instances := maps.Clone(next.View.Instances)
+	for _, i := range d.Left {
+		delete(instances, fleet.InstanceID(i.Id))
+	}
+	for _, i := range d.Joined {
+		instances[fleet.InstanceID(i.Id)] = fleet.InstanceFromProto(i)
+	}
+	next.View = fleet.View{Number: d.ViewNumber, Instances: instances}
+	return nil
+}
+
+func (f *follower) applySubtrees(next *State, d *pb.Delta) error {
+	if len(d.Subtrees) == 0 {
+		return nil
+	}
+	documents := maps.Clone(f.documents)
+	tree := next.Tree
+	for _, s := range d.Subtrees {
+		if s.Version != documents[s.Name].GetVersion()+1 && documents[s.Name] != nil {
+			return errGap
+		}
+		documents[s.Name] = s
+		var err error
+		tree, err = f.replace(tree, s, documents, d.Index)
+		if err != nil {
+			return trace.Wrap(err, "subtree %s version %d", s.Name, s.Version)
+		}
+	}
+	f.documents = documents
+	next.Tree = f.stamped(tree, d.Index)
+	return nil
+}
+
+func (f *follower) replace(tree *settings.Tree, s *pb.SubtreeDocument, all map[string]*pb.SubtreeDocument, index uint64) (*settings.Tree, error) {
+	if f.change != nil {
+		return f.change(tree, s.Name, s.Yaml)
+	}
+	present := make([]*pb.SubtreeDocument, 0, len(all))
+	for _, d := range all {
+		if len(d.Yaml) > 0 {
+			present = append(present, d)
+		}
+	}
+	return f.build(present, index)
+}
+
+// stamped gives the tree with its index and the documents' versions.
+func (f *follower) stamped(tree *settings.Tree, index uint64) *settings.Tree {
+	next := *tree
+	next.Index = index
+	next.Versions = make(map[string]uint64, len(f.documents))
+	for name, d := range f.documents {
+		if len(d.Yaml) > 0 {
+			next.Versions[name] = d.Version
+		}
+	}
+	return &next
+}
+
+func putGroups(groups map[fleet.LedgerShard]fleet.LedgerGroup, from []*pb.LedgerGroup) {
+	for _, g := range from {
+		shard := fleet.LedgerShard{ZoneClass: g.ZoneClass, Shard: g.Shard}
+		if g.Removed {
+			delete(groups, shard)
+			continue
+		}
+		groups[shard] = fleet.LedgerGroup{
+			Shard:         shard,
+			Epoch:         g.Epoch,
+			Replicas:      replicas(g.Replicas),
+			Sources:       replicas(g.Sources),
+			HistoryLostMs: g.HistoryLostUnixMs,
+		}
+	}
+}
+
+func replicas(from []*pb.LedgerReplica) []fleet.LedgerReplica {
+	out := make([]fleet.LedgerReplica, len(from))
+	for n, r := range from {
+		out[n] = fleet.LedgerReplica{
+			Owner: fleet.Owner{Instance: fleet.InstanceID(r.InstanceId), Incarnation: fleet.Incarnation(r.Incarnation)},
+			Ready: r.Ready,
+		}
+	}
+	return out
+}
+
+func putSuspects(suspects map[fleet.Fingerprint]fleet.Suspect, from []*pb.SuspectRecord) {
+	for _, s := range from {
+		f, ok := fleet.FingerprintFromBytes(s.Fingerprint)
+		if !ok {
+			continue
+		}
+		if s.Crashes == 0 {
+			delete(suspects, f)
+			continue
+		}
+		suspects[f] = fleet.Suspect{
+			Fingerprint: f,
+			Crashes:     int(s.Crashes),
+			Quarantined: s.Quarantined,
+			Updated:     time.UnixMilli(s.UpdatedUnixMs),
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/static.go
@@ -0,0 +1,26 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// Static is a Source that never changes, for parts run on their own.
+type Static struct {
+	Fixed    *State
+	Instance fleet.Instance
+	Lapsed   bool // Current answers false
+}
+
+// State implements Source.
+func (s *Static) State() *State { return s.Fixed }
+
+// Current implements Source.
+func (s *Static) Current(time.Time) bool { return !s.Lapsed }
+
+// Self implements Source.
+func (s *Static) Self() fleet.Instance { return s.Instance }
+
+// Changed implements Source with a channel that is never closed.
+func (s *Static) Changed() <-chan struct{} { return nil }
