--- /dev/null
+++ b/cmd/hyssopsail/app.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
+)
+
+const about = `Operate a hyssopsail fleet.
+
+The tool asks the daemons' operators' listeners, named by --address. Your key says who you are and which subtrees you may change.`
+
+// app is one run of the tool.
+type app struct {
+	ctx        context.Context
+	out        io.Writer
+	errors     io.Writer
+	now        func() time.Time
+	format     string
+	connection connection
+	terminated *int // set when help, version or completion was printed
+}
+
+// commandGroups add the commands, one small file each. A package with a
+// command of its own is plugged in by adding its function here.
+var commandGroups = []func(*app, *kingpin.Application){
+	addCerts,
+	addInit,
+	addSettings,
+	addStatus,
+	addEndpoints,
+	addDrain,
+	addControl,
+	addTimeline,
+	addHashKey,
+	addVersion,
+}
+
+// run parses arguments and runs the command that they name.
+func run(ctx context.Context, args []string, out, errOut io.Writer) exitCode {
+	a := &app{ctx: ctx, out: out, errors: errOut, now: time.Now}
+	parser := a.parser()
+	_, err := parser.Parse(args)
+	if a.terminated != nil {
+		return exitCode(*a.terminated)
+	}
+	if err == nil {
+		return exitOK
+	}
+	var broken *commandError
+	if errors.As(err, &broken) {
+		a.report(broken.err)
+		return codeOf(broken.err)
+	}
+	_, _ = fmt.Fprintf(errOut, "hyssopsail: %v; see hyssopsail --help\n", err)
+	return exitUsage
+}
+
+func (a *app) parser() *kingpin.Application {
+	parser := kingpin.New("hyssopsail", about+"\n\n"+exitHelp)
+	parser.UsageWriter(a.out)
+	parser.ErrorWriter(a.errors)
+	parser.Terminate(func(status int) {
+		a.terminated = &status
+		parser.UsageWriter(io.Discard) // parsing goes on and may print the help again
+	})
+	parser.HelpFlag.Short('h')
+	parser.Flag("output", "Form of the answer.").Short('o').Default(formatTable).EnumVar(&a.format, formatTable, formatJSON, formatYAML)
+	a.connection.addFlags(parser)
+	for _, add := range commandGroups {
+		add(a, parser)
+	}
+	return parser
+}
+
+// commandError tells a command's own error from one of usage.
+type commandError struct{ err error }
+
+// Error implements error.
+func (e *commandError) Error() string { return e.err.Error() }
+
+// do makes a kingpin action of a command. After help was printed nothing may
+// run any more: kingpin goes on when it isn't allowed to end the process.
+func (a *app) do(command func() error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		if a.terminated != nil {
+			return nil
+		}
+		if err := command(); err != nil {
+			return &commandError{err}
+		}
+		return nil
+	}
+}
+
+// report writes an error in one line, faults of settings in one line each.
+func (a *app) report(err error) {
+	var faults strictyaml.Faults
+	if errors.As(err, &faults) {
+		_, _ = fmt.Fprintln(a.errors, faults.Error())
+		return
+	}
+	_, _ = fmt.Fprintf(a.errors, "hyssopsail: %s\n", trace.UserMessage(err))
+}
--- /dev/null
+++ b/cmd/hyssopsail/timeline.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// timelineCommand shows events merged over all instances.
+type timelineCommand struct {
+	app   *app
+	query pb.TimelineQuery
+	since time.Duration
+}
+
+func addTimeline(a *app, parser *kingpin.Application) {
+	c := &timelineCommand{app: a}
+	command := parser.Command("timeline", "Show what happened, over all instances, in order.")
+	command.Flag("request", "Only this request ID.").StringVar(&c.query.RequestId)
+	command.Flag("endpoint", "Only this endpoint ID.").StringVar(&c.query.EndpointId)
+	command.Flag("team", "Only this team.").StringVar(&c.query.Team)
+	command.Flag("change", "Only this change ID.").StringVar(&c.query.ChangeId)
+	command.Flag("since", "Only events of so long ago, such as 10m; 0s for all kept.").Default("0s").DurationVar(&c.since)
+	command.Flag("limit", "At most so many events from each instance.").Default("1000").Uint32Var(&c.query.Limit)
+	command.Action(a.do(c.run))
+}
+
+func (c *timelineCommand) run() error {
+	if c.since > 0 {
+		c.query.SinceNs = uint64(c.app.now().Add(-c.since).UnixNano())
+	}
+	client, err := c.app.connection.client()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	reply, err := client.Timeline(c.app.ctx, &c.query)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	t := &table{header: []string{"TIME", "INSTANCE", "EVENT", "REQUEST", "ATTEMPT", "TEAM", "ENDPOINT", "CHANGE", "DETAIL"}}
+	for _, e := range reply.Events {
+		t.add(clock(e), e.GetInstanceId(), e.GetKind(), orDash(e.GetRequestId()), orDash(short(e.GetAttemptId())),
+			orDash(e.GetTeam()), orDash(e.GetEndpointId()), orDash(short(e.GetChangeId())), e.GetDetail())
+	}
+	if err := c.app.show(reply, t); err != nil {
+		return trace.Wrap(err)
+	}
+	if len(reply.Unreachable) > 0 || reply.Dropped > 0 {
+		c.app.warn("the time line is not whole: no answer from %v, %d older events overwritten", reply.Unreachable, reply.Dropped)
+	}
+	return nil
+}
+
+const clockForm = "15:04:05.000000"
+
+func clock(e *pb.TimelineEvent) string {
+	return time.Unix(0, int64(e.GetWallNs())).UTC().Format(clockForm)
+}
+
+// shortID is how much of an ID a table shows.
+const shortID = 8
+
+func short(id string) string {
+	if len(id) <= shortID {
+		return id
+	}
+	return id[:shortID]
+}
