--- /dev/null
+++ b/internal/standin/plain_test.go
@@ -0,0 +1,77 @@
+package standin_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+	"gotest.tools/v3/assert"
+)
+
+func call(t *testing.T, s *standin.Standin, attempt fleet.AttemptID, body string) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://caller/slips", strings.NewReader(body))
+	assert.NilError(t, err)
+	return engine.NewClient(engine.Options{}).Call(t.Context(), target(s), open, attempt, request)
+}
+
+func TestPlainCallIsRecorded(t *testing.T) {
+	s := start(t, standin.Options{Role: fleet.RolePlain, Service: "bank"})
+	attempt := newAttempt()
+	response, err := call(t, s, attempt, "[[id=slip-9]]")
+	assert.NilError(t, err)
+	var answer standin.CallAnswer
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
+	response.Body.Close()
+	assert.Equal(t, answer.Attempt, attempt)
+	assert.Equal(t, answer.Marker, "slip-9")
+	run := s.Audit().CallRuns[0]
+	assert.Equal(t, run.Path, "/call/slips")
+	assert.Equal(t, len(s.Audit().Repeated), 0)
+}
+
+// The same slip is run by two attempts: the audit must tell, since two trucks
+// would drive.
+func TestAuditTellsRepeatedCalls(t *testing.T) {
+	s := start(t, standin.Options{Role: fleet.RolePlain, Service: "bank"})
+	for range 2 {
+		response, err := call(t, s, newAttempt(), "[[id=slip-9]]")
+		assert.NilError(t, err)
+		response.Body.Close()
+	}
+	assert.DeepEqual(t, s.Audit().Repeated, []string{"slip-9"})
+}
+
+func TestCancelledCallIsRefusedUnrun(t *testing.T) {
+	s := start(t, standin.Options{Role: fleet.RolePlain, Service: "bank"})
+	client := engine.NewClient(engine.Options{})
+	attempt := newAttempt()
+	client.Cancel(target(s), attempt)
+	eventually(t, "cancel known", func() bool {
+		response, err := call(t, s, attempt, "late")
+		if err == nil {
+			response.Body.Close()
+		}
+		return codeOf(err) == engineapi.CodeStale
+	})
+}
+
+func TestFailingCalls(t *testing.T) {
+	s := start(t, standin.Options{Role: fleet.RolePlain, Service: "bank"})
+	s.SetFaults(standin.Faults{FailCalls: true})
+	response, err := call(t, s, newAttempt(), "x")
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	s.SetFaults(standin.Faults{CutCalls: true})
+	_, err = call(t, s, newAttempt(), "y")
+	failure, ok := err.(*engine.Error)
+	assert.Assert(t, ok)
+	assert.Assert(t, failure.Sent)
+	assert.Equal(t, len(s.Audit().CallRuns), 2)
+}
--- /dev/null
+++ b/internal/standin/request_test.go
@@ -0,0 +1,179 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+	"gotest.tools/v3/assert"
+)
+
+func TestWholeRequest(t *testing.T) {
+	p, d := pair(t)
+	f := newFlow(p, d, "[[id=one]] which fibres are in this bale?")
+	f.toDecode(t)
+	stream, err := f.open(t.Context(), 0)
+	assert.NilError(t, err)
+	text, finish, err := read(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, text, standin.ExpectedText(f.prompt, f.most))
+	assert.Equal(t, finish, engineapi.FinishStop)
+	assert.Assert(t, empty(p)())
+	assert.Assert(t, empty(d)())
+	a := p.Audit()
+	assert.Equal(t, a.PrefillUsedMs, a.PrefillMs)
+	assert.Assert(t, a.PrefillMs > 0)
+	assert.Equal(t, a.Attempts[0].Marker, "one")
+	tokens, _ := standin.OutputTokens(f.prompt, f.most)
+	assert.Equal(t, d.Audit().Tokens, tokens)
+}
+
+func TestOneProcessForBothRoles(t *testing.T) {
+	both := start(t, standin.Options{Role: fleet.RoleBoth})
+	f := newFlow(both, both, "[[tokens=5]]")
+	f.toDecode(t)
+	stream, err := f.open(t.Context(), 0)
+	assert.NilError(t, err)
+	text, _, err := read(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, text, standin.ExpectedText(f.prompt, f.most))
+	assert.Equal(t, both.Audit().PrefillUsedMs, both.Audit().PrefillMs)
+}
+
+// A decode engine dies after some tokens. The caller sees one answer without a
+// repeated or missing word: the request goes on elsewhere at the next token.
+func TestResumeAtOffset(t *testing.T) {
+	p, d := pair(t)
+	f := newFlow(p, d, "resume me [[tokens=40]]")
+	f.toDecode(t)
+	stream, err := f.open(t.Context(), 13)
+	assert.NilError(t, err)
+	text, _, err := read(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, standin.ExpectedPart(f.prompt, 0, 13)+text, standin.ExpectedText(f.prompt, f.most))
+}
+
+func TestResumeWithWrongPrefixIsRefused(t *testing.T) {
+	p, d := pair(t)
+	f := newFlow(p, d, "resume me [[tokens=40]]")
+	f.toDecode(t)
+	_, err := f.client.Decode(t.Context(), f.decode, open, engineapi.DecodeRequest{
+		Work: work(f.decode, f.attempt), Prompt: f.prompt, Offset: 3, Prefix: " not it",
+	})
+	assert.Equal(t, codeOf(err), engineapi.CodeBadRequest)
+}
+
+// A prefill's KV cache waits too long for a decode slot. The import must say
+// that it is gone, the memory must be free, and the work counts as discarded.
+func TestExportedKVExpires(t *testing.T) {
+	timing := quick()
+	timing.KVLife = 5 * time.Millisecond
+	p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill, Timing: timing})
+	d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode})
+	f := newFlow(p, d, "late")
+	assert.NilError(t, f.runPrefill(t.Context()))
+	eventually(t, "KV cache expired", empty(p))
+	assert.Equal(t, codeOf(f.runImport(t.Context())), engineapi.CodeGone)
+	assert.Assert(t, empty(d)())
+	a := p.Audit()
+	assert.Assert(t, a.PrefillDiscardedMs > 0)
+	assert.Equal(t, a.PrefillUsedMs, 0.0)
+}
+
+// A link stalls in the middle of a KV transfer. The request is given up when
+// its patience ends, and neither engine keeps its memory.
+func TestStalledTransferFreesBothEnds(t *testing.T) {
+	p, d := pair(t)
+	p.SetFaults(standin.Faults{StallTransfers: true})
+	f := newFlow(p, d, strings.Repeat("long prompt ", 1000))
+	assert.NilError(t, f.runPrefill(t.Context()))
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.runImport(ctx) }()
+	eventually(t, "transfer runs", func() bool { return len(d.Held()) == 1 })
+	stop()
+	assert.ErrorIs(t, <-done, context.Canceled)
+	f.client.Cancel(f.prefill, f.attempt)
+	f.client.Cancel(f.decode, f.attempt)
+	eventually(t, "prefill engine free", empty(p))
+	eventually(t, "decode engine free", empty(d))
+}
+
+// The process of a decode engine is replaced by a new one on the same address.
+// Work meant for the old one, and chunks of the new one for a request that
+// knows the old one, must not be taken.
+func TestNewIncarnationOnTheSameAddress(t *testing.T) {
+	p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill})
+	old, stop := startStoppable(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Incarnation: 1})
+	f := newFlow(p, old, "restart")
+	f.toDecode(t)
+	stop()
+	fresh := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Incarnation: 2, Listen: f.decode.Address})
+	_, err := f.open(t.Context(), 0)
+	assert.Equal(t, codeOf(err), engineapi.CodeStale)
+	_, err = f.client.Held(t.Context(), f.decode)
+	assert.ErrorIs(t, err, engine.ErrIncarnation)
+	_, err = f.client.Held(t.Context(), target(fresh))
+	assert.NilError(t, err)
+}
+
+// Wrong chunks of every kind come in the middle of a stream. The caller must
+// see the right beginning of its own answer and then an error.
+func TestWrongChunksEndTheStream(t *testing.T) {
+	for fault, want := range map[standin.ChunkFault]error{
+		standin.ChunkCrossed: engine.ErrAttempt,
+		standin.ChunkStale:   engine.ErrIncarnation,
+		standin.ChunkGap:     engine.ErrGap,
+		standin.ChunkRepeat:  engine.ErrRepeat,
+		standin.ChunkCut:     engine.ErrBroken,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			p, d := pair(t)
+			d.SetFaults(standin.Faults{ChunkFault: fault})
+			f := newFlow(p, d, "spoilt [[tokens=30]]")
+			f.toDecode(t)
+			stream, err := f.open(t.Context(), 0)
+			assert.NilError(t, err)
+			text, _, err := read(stream)
+			assert.ErrorIs(t, err, want)
+			assert.Assert(t, text != "")
+			assert.Assert(t, strings.HasPrefix(standin.ExpectedText(f.prompt, f.most), text))
+		})
+	}
+}
+
+func TestSlotsAndMemoryAreExact(t *testing.T) {
+	p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill})
+	for name, o := range map[string]standin.Options{
+		"slots":  {ID: "decode", Role: fleet.RoleDecode, Slots: 1},
+		"memory": {ID: "decode", Role: fleet.RoleDecode, KVBytes: 1500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, o)
+			first, second := newFlow(p, d, "abcd"), newFlow(p, d, "abcd")
+			first.toDecode(t)
+			assert.NilError(t, second.runPrefill(t.Context()))
+			assert.Equal(t, codeOf(second.runImport(t.Context())), engineapi.CodeFull)
+		})
+	}
+}
+
+// A request ends each engine that runs it.
+func TestCrashMarkerEndsTheProcess(t *testing.T) {
+	codes := make(chan int, 1)
+	p := start(t, standin.Options{
+		ID: "prefill", Role: fleet.RolePrefill, CrashMarker: "poison", CrashAt: engineapi.StagePrefill,
+		Exit: func(code int) { codes <- code; panic(http.ErrAbortHandler) },
+	})
+	f := newFlow(p, p, "some poison")
+	err := f.runPrefill(t.Context())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, codeOf(err), engineapi.Code(""))
+	assert.Equal(t, <-codes, 3)
+}
