endpoint: homes and followers, thin path

NewFollower gives a *HomeClient, since Follower is the interface's name.

TestTakeAndGiveThroughAnotherEntry passes: announce at a non-home, take, refuse when full, give. Proofs under failure are not written yet.

--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -63,6 +63,9 @@
 	Attempt     fleet.AttemptID
 	Kind        fleet.EndpointRole
 	ReadyIn     time.Duration // predicted wait until the slot is free
+	// Expires is until when work may begin on the grant, unless the follower
+	// has renewed it; HomeClient.Valid knows of renewals.
+	Expires time.Time
 }
 
 // Refusal is a grant that was not given.
--- /dev/null
+++ b/internal/endpoint/core_digest.go
@@ -0,0 +1,148 @@
+package endpoint
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// digests lists the endpoints that this home grants. Those of a follower that
+// has the same statics are brief; cache prefixes go only where they changed
+// since caches.
+func (c *core) digests(now time.Time, statics, caches uint64) *pb.DigestReply {
+	c.sequence++
+	reply := &pb.DigestReply{
+		Home:          c.self.Proto(),
+		StaticVersion: c.statics,
+		CacheVersion:  c.caches,
+		Sequence:      c.sequence,
+	}
+	if !c.current {
+		return reply
+	}
+	for _, r := range c.endpoints {
+		if !c.isHome(r) || r.silent || !r.beat {
+			continue
+		}
+		d := c.brief(now, r)
+		if statics != c.statics {
+			fillStatic(d, r)
+		}
+		if r.cacheAt > caches {
+			d.CachedPrefixes = r.cache.newest(maxDigestPrefix)
+			d.CacheSequence = r.cacheAt
+		}
+		reply.Digests = append(reply.Digests, d)
+	}
+	sort.Slice(reply.Digests, func(a, b int) bool { return reply.Digests[a].Id < reply.Digests[b].Id })
+	return reply
+}
+
+// one gives the brief digest of one endpoint, for a piggyback.
+func (c *core) one(now time.Time, id fleet.EndpointID) []*pb.EndpointDigest {
+	r, ok := c.endpoints[id]
+	if !ok || !c.isHome(r) || r.silent || !r.beat {
+		return nil
+	}
+	c.sequence++
+	return []*pb.EndpointDigest{c.brief(now, r)}
+}
+
+func (c *core) brief(now time.Time, r *record) *pb.EndpointDigest {
+	return &pb.EndpointDigest{
+		Id:           string(r.announced.ID),
+		Incarnation:  uint64(r.announced.Incarnation),
+		Granted:      uint32(r.used() + len(r.promised())),
+		Queued:       uint32(r.queue.size),
+		NextFreeMs:   uint64(r.freeIn(now, c.predictor, r.queue.size).Milliseconds()),
+		QueuedWorkMs: uint64(c.queuedWork(now, r).Milliseconds()),
+		Leaving:      r.leaving,
+		TokenTimeMs:  c.tokenTime(r),
+		Sequence:     c.sequence,
+		Brief:        true,
+	}
+}
+
+func fillStatic(d *pb.EndpointDigest, r *record) {
+	a := r.announced
+	d.Brief = false
+	d.AvailabilityZone = string(a.Zone)
+	d.Address = a.Address
+	d.Role = string(a.Role)
+	d.Service = a.Service
+	d.Slots = uint32(a.Slots)
+	d.ChecksTokens = a.ChecksTokens
+	for _, m := range a.Models {
+		d.Models = append(d.Models, m.String())
+	}
+}
+
+// queuedWork predicts the work ahead of a new prefill. The engine's report is
+// late: what it told has gone on since, and what was granted since is not in
+// it. Where the home's own books say more, they are right.
+func (c *core) queuedWork(now time.Time, r *record) time.Duration {
+	own := time.Duration(0)
+	since := time.Duration(0)
+	for _, h := range r.holds {
+		if h.key.kind != fleet.RolePrefill || h.stage == engineapi.StageExported {
+			continue
+		}
+		rest := c.predictor.Remaining(h.finished(), h.expected, now.Sub(h.granted), medianQuantile)
+		own += rest
+		if h.granted.After(r.loadAt) {
+			since += rest
+		}
+	}
+	for _, w := range r.queue.all() {
+		if w.ask.kind == fleet.RolePrefill {
+			own += millis(w.work)
+		}
+	}
+	told := time.Duration(0)
+	if r.load.PrefillQueueMs > 0 {
+		told = max(millis(min(r.load.PrefillQueueMs, float64(maxWait.Milliseconds())))-now.Sub(r.loadAt), 0)
+	}
+	return max(own, told+since)
+}
+
+// tokenTime prefers the engine's own figure, which knows its batch.
+func (c *core) tokenTime(r *record) float64 {
+	if t := r.load.TokenTimeMs; t > 0 && t < 10_000 {
+		return t
+	}
+	if len(r.announced.Models) == 0 {
+		return 0
+	}
+	learned := c.predictor.TokenTime(r.announced.Models[0].String())
+	return float64(learned) / float64(time.Millisecond)
+}
+
+// cacheEvents takes numbered events; it tells whether the endpoint's whole
+// cache has to be asked for.
+func (c *core) cacheEvents(e engineapi.CacheEvents) (resync bool) {
+	r, ok := c.known(e.ID, e.Incarnation)
+	if !ok {
+		return false
+	}
+	before := r.cache.version
+	resync = r.cache.apply(e.Events)
+	if resync {
+		c.out.resyncs = append(c.out.resyncs, r.target())
+	}
+	if resync || r.cache.version != before {
+		c.caches++
+		r.cacheAt = c.caches
+	}
+	return resync
+}
+
+func (c *core) cacheSnapshot(id fleet.EndpointID, incarnation fleet.Incarnation, s engineapi.CacheSnapshot) {
+	r, ok := c.known(id, incarnation)
+	if ok && r.cache.resync(s) {
+		c.caches++
+		r.cacheAt = c.caches
+	}
+}
--- /dev/null
+++ b/internal/endpoint/fakes_test.go
@@ -0,0 +1,238 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+const (
+	zoneNear = fleet.AvailabilityZone("howrah")
+	zoneFar  = fleet.AvailabilityZone("barasat")
+)
+
+var model = engineapi.ModelRef{Model: "assay", Version: "2"}
+
+// fakeSource is one daemon's view of the fleet, set by the test.
+type fakeSource struct {
+	self    fleet.Instance
+	current atomic.Bool
+	mu      sync.Mutex
+	state   *membership.State
+	changed chan struct{}
+}
+
+func newFakeSource(self fleet.Instance, view fleet.View) *fakeSource {
+	s := &fakeSource{self: self, changed: make(chan struct{})}
+	s.current.Store(true)
+	s.state = &membership.State{View: view}
+	return s
+}
+
+func (s *fakeSource) State() *membership.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+func (s *fakeSource) Current(time.Time) bool { return s.current.Load() }
+func (s *fakeSource) Self() fleet.Instance   { return s.self }
+
+func (s *fakeSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *fakeSource) set(view fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = &membership.State{View: view}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// fakeEngine answers probes and counts cancels.
+type fakeEngine struct {
+	engine.Client
+	mu      sync.Mutex
+	dead    bool
+	state   engineapi.Announcement
+	cache   engineapi.CacheSnapshot
+	cancels []fleet.AttemptID
+}
+
+func (e *fakeEngine) State(context.Context, engine.Target) (engineapi.Announcement, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return engineapi.Announcement{}, errors.New("connection refused")
+	}
+	return e.state, nil
+}
+
+func (e *fakeEngine) Cancel(_ engine.Target, attempt fleet.AttemptID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancels = append(e.cancels, attempt)
+}
+
+func (e *fakeEngine) Cache(context.Context, engine.Target) (engineapi.CacheSnapshot, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache, nil
+}
+
+func (e *fakeEngine) cancelled() []fleet.AttemptID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]fleet.AttemptID(nil), e.cancels...)
+}
+
+// fakeNet carries drpc over in-memory pipes between the daemons of one test.
+type fakeNet struct {
+	ctx  context.Context
+	mu   sync.Mutex
+	mux  map[string]*drpcmux.Mux
+	cut  map[string]bool // addresses that can't be reached
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+func newFakeNet(t *testing.T) *fakeNet {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &fakeNet{ctx: ctx, mux: map[string]*drpcmux.Mux{}, cut: map[string]bool{},
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Capacity: 64, KeyCapacity: 16})}
+	t.Cleanup(func() { cancel(); _ = n.pool.Close() })
+	return n
+}
+
+func (n *fakeNet) Conn(ctx context.Context, address string) (drpc.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[address] || n.mux[address] == nil {
+		return nil, errors.New("unreachable")
+	}
+	return n.pool.Get(ctx, address, n.dial), nil
+}
+
+func (n *fakeNet) dial(_ context.Context, address string) (drpcpool.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ours, theirs := net.Pipe()
+	server := drpcserver.New(n.mux[address])
+	go func() { _ = server.ServeOne(n.ctx, theirs) }()
+	return drpcconn.New(ours), nil
+}
+
+func (n *fakeNet) setCut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+// daemon is one in-process instance.
+type daemon struct {
+	source *fakeSource
+	engine *fakeEngine
+	home   *Home
+	client *HomeClient
+	crash  chan *pb.ReportCrash
+	stop   context.CancelFunc
+}
+
+func instance(id string, zone fleet.AvailabilityZone) fleet.Instance {
+	return fleet.Instance{ID: fleet.InstanceID(id), Incarnation: 1, Zone: zone, Entry: true,
+		RPCAddress: id + ":7000", EndpointAddress: id + ":7001", CallerAddress: id + ":7002"}
+}
+
+func viewOf(number uint64, list ...fleet.Instance) fleet.View {
+	v := fleet.View{Number: number, Instances: map[fleet.InstanceID]fleet.Instance{}}
+	for _, i := range list {
+		v.Instances[i.ID] = i
+	}
+	return v
+}
+
+// start runs a daemon; it must be stopped before the test's bubble ends.
+func start(t *testing.T, n *fakeNet, self fleet.Instance, view fleet.View) *daemon {
+	t.Helper()
+	d := &daemon{source: newFakeSource(self, view), engine: &fakeEngine{}, crash: make(chan *pb.ReportCrash, 16)}
+	d.home = NewHome(HomeOptions{
+		Source: d.source, Engine: d.engine, Dialer: n, Seed: 1,
+		CheckKey: func(k string) bool { return k == "key" },
+		Running:  func(a fleet.AttemptID) bool { return d.client.Running(a) },
+		Crash:    func(_ context.Context, r *pb.ReportCrash) error { d.crash <- r; return nil },
+	})
+	d.client = NewFollower(FollowerOptions{Source: d.source, Dialer: n, Home: d.home})
+	mux := drpcmux.New()
+	assert.NilError(t, pb.DRPCRegisterHome(mux, d.home))
+	n.mu.Lock()
+	n.mux[self.RPCAddress] = mux
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = d.home.Run(ctx) })
+	running.Go(func() { _ = d.client.Run(ctx) })
+	d.stop = func() { cancel(); running.Wait() }
+	return d
+}
+
+// post sends JSON to a daemon's endpoint listener.
+func (d *daemon) post(path string, body any, into any) int {
+	raw, ok := body.([]byte)
+	if !ok {
+		raw, _ = json.Marshal(body)
+	}
+	r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(raw))
+	r.Header.Set("Authorization", "Bearer key")
+	w := httptest.NewRecorder()
+	d.home.Handler().ServeHTTP(w, r)
+	if into != nil {
+		all, _ := io.ReadAll(w.Body)
+		_ = json.Unmarshal(all, into)
+	}
+	return w.Code
+}
+
+func announcement(id string, slots int) engineapi.Announcement {
+	return engineapi.Announcement{ID: fleet.EndpointID(id), Incarnation: 1, Zone: zoneNear, Address: "127.0.0.1:9",
+		Role: fleet.RoleDecode, Models: []engineapi.ModelRef{model}, Slots: slots}
+}
+
+// beat sends a heartbeat with these holds to d.
+func (d *daemon) beat(a engineapi.Announcement, sequence uint64, held ...engineapi.Held) (engineapi.AnnounceReply, int) {
+	var reply engineapi.AnnounceReply
+	code := d.post("/v1/endpoints/heartbeat", engineapi.Heartbeat{Announcement: a, Sequence: sequence, Held: held}, &reply)
+	return reply, code
+}
+
+func take(endpoint, attempt string, wait time.Duration) GrantRequest {
+	return GrantRequest{Endpoint: fleet.EndpointID(endpoint), Kind: fleet.RoleDecode, Attempt: fleet.AttemptID(attempt),
+		Team: "sorters", Model: model, ExpectedTokens: 100, Wait: wait, Share: 1}
+}
+
+func query(zones ...fleet.AvailabilityZone) Query {
+	return Query{Kind: fleet.RoleDecode, Model: model, Permitted: fleet.NewZoneSet(zones...)}
+}
--- /dev/null
+++ b/internal/endpoint/home.go
@@ -0,0 +1,265 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Home is the shell around the decisions for the endpoints whose home this
+// daemon is. It implements pb.DRPCHomeServer.
+//
+// Locks: mu guards core and state. Nothing is called with mu held but the core
+// and membership.Source; effects are carried out after it is released.
+type Home struct {
+	options HomeOptions
+	metrics *homeMetrics
+	jobs    chan job
+	crashes chan *pb.ReportCrash
+
+	mu    sync.Mutex
+	core  *core
+	state *membership.State // that core has observed
+}
+
+// job is one piece of I/O that a step of the core has asked for. A job that
+// finds the queue full is dropped: the core asks again.
+type job func(ctx context.Context)
+
+const (
+	jobWorkers  = 4
+	jobQueue    = 256
+	crashQueue  = 256
+	tickEvery   = 50 * time.Millisecond
+	callTimeout = time.Second
+	probeWait   = 300 * time.Millisecond
+	crashRetry  = 500 * time.Millisecond
+)
+
+// NewHome makes a home; Run does its work over time.
+func NewHome(o HomeOptions) *Home {
+	limits := limitsFrom(o.Source.State().Tree)
+	return &Home{
+		options: o,
+		metrics: newHomeMetrics(o.Registerer),
+		jobs:    make(chan job, jobQueue),
+		crashes: make(chan *pb.ReportCrash, crashQueue),
+		core:    newCore(time.Now(), o.Source.Self().Owner(), limits, o.Seed),
+	}
+}
+
+// Run ticks until ctx ends.
+func (h *Home) Run(ctx context.Context) error {
+	var workers sync.WaitGroup
+	for range jobWorkers {
+		workers.Go(func() { h.work(ctx) })
+	}
+	workers.Go(func() { h.reportCrashes(ctx) })
+	h.tickLoop(ctx)
+	workers.Wait()
+	return nil
+}
+
+func (h *Home) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		changed := h.options.Source.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+		h.step(func(c *core, now time.Time) { c.tick(now) })
+	}
+}
+
+// step runs f on the core with the daemon's present state, then carries the
+// effects out.
+func (h *Home) step(f func(c *core, now time.Time)) {
+	h.mu.Lock()
+	now := time.Now()
+	h.observe(now)
+	f(h.core, now)
+	out := h.core.drain()
+	for _, a := range out.answers {
+		if a.to.answers != nil {
+			a.to.answers <- a.answer
+		}
+	}
+	h.mu.Unlock()
+	h.carryOut(out)
+}
+
+func (h *Home) observe(now time.Time) {
+	state := h.options.Source.State()
+	current := h.options.Source.Current(now)
+	if state != h.state {
+		h.core.limits = limitsFrom(state.Tree)
+		h.core.tenure.limits = h.core.limits
+		h.state = state
+	}
+	h.core.observe(now, state.View, current)
+}
+
+func (h *Home) carryOut(out effects) {
+	for _, e := range out.events {
+		if h.options.Recorder != nil {
+			h.options.Recorder.Record(e)
+		}
+	}
+	for _, c := range out.cancels {
+		h.metrics.swept.Inc()
+		h.options.Engine.Cancel(c.target, c.attempt)
+	}
+	for _, r := range out.crashes {
+		h.queueCrash(r)
+	}
+	for _, t := range out.probes {
+		h.enqueue(func(ctx context.Context) { h.probe(ctx, t) })
+	}
+	for _, t := range out.resyncs {
+		h.enqueue(func(ctx context.Context) { h.resync(ctx, t) })
+	}
+	h.askOwners(out.disowns)
+}
+
+func (h *Home) enqueue(j job) {
+	select {
+	case h.jobs <- j:
+	default:
+		h.metrics.droppedJobs.Inc()
+	}
+}
+
+func (h *Home) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-h.jobs:
+			j(ctx)
+		}
+	}
+}
+
+// probe asks an endpoint whether it lives. One that answers under another
+// incarnation has died as the one asked for.
+func (h *Home) probe(ctx context.Context, t engine.Target) {
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	state, err := h.options.Engine.State(ctx, t)
+	if err == nil && state.ID == t.ID && state.Incarnation == t.Incarnation {
+		return
+	}
+	h.options.Part.Warn("Endpoint doesn't answer.", "endpoint", t.ID, "incarnation", t.Incarnation, "err", err)
+	h.step(func(c *core, now time.Time) { c.probeFailed(now, t.ID, t.Incarnation) })
+}
+
+func (h *Home) resync(ctx context.Context, t engine.Target) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snapshot, err := h.options.Engine.Cache(ctx, t)
+	if err != nil {
+		h.options.Part.Debug("No cache snapshot.", "endpoint", t.ID, "err", err)
+		return
+	}
+	h.step(func(c *core, _ time.Time) { c.cacheSnapshot(t.ID, t.Incarnation, snapshot) })
+}
+
+func (h *Home) queueCrash(r *pb.ReportCrash) {
+	h.metrics.crashes.Inc()
+	select {
+	case h.crashes <- r:
+	default:
+		h.options.Part.Error("Crash report dropped: too many wait.", "endpoint", r.EndpointId)
+	}
+}
+
+func (h *Home) reportCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-h.crashes:
+			h.reportCrash(ctx, r)
+		}
+	}
+}
+
+func (h *Home) reportCrash(ctx context.Context, r *pb.ReportCrash) {
+	if h.options.Crash == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		err := h.options.Crash(ctx, r)
+		if err == nil {
+			return
+		}
+		h.options.Part.Warn("Crash report not taken.", "endpoint", r.EndpointId, "err", err)
+		wait(ctx, crashRetry)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// askOwners asks each owner once for all its holds of one sweep.
+func (h *Home) askOwners(asks []disownAsk) {
+	byOwner := make(map[fleet.Owner][]disownAsk)
+	for _, a := range asks {
+		byOwner[a.owner] = append(byOwner[a.owner], a)
+	}
+	for owner, list := range byOwner {
+		h.enqueue(func(ctx context.Context) { h.askOwner(ctx, owner, list) })
+	}
+}
+
+func (h *Home) askOwner(ctx context.Context, owner fleet.Owner, list []disownAsk) {
+	request := &pb.DisownRequest{}
+	for _, a := range list {
+		request.Held = append(request.Held, a.held)
+	}
+	reply, err := h.callOwner(ctx, owner, request)
+	if err != nil {
+		h.options.Part.Debug("Owner not asked.", "owner", owner, "err", err)
+		return
+	}
+	disowned := make(map[string]struct{}, len(reply.GetDisowned()))
+	for _, id := range reply.GetDisowned() {
+		disowned[id] = struct{}{}
+	}
+	h.step(func(c *core, now time.Time) {
+		for _, a := range list {
+			if _, yes := disowned[a.held.AttemptId]; yes {
+				c.disowned(now, a.target.ID, owner, fleet.AttemptID(a.held.AttemptId))
+			}
+		}
+	})
+}
+
+func (h *Home) callOwner(ctx context.Context, owner fleet.Owner, request *pb.DisownRequest) (*pb.DisownReply, error) {
+	if owner == h.options.Source.Self().Owner() {
+		return h.Disown(ctx, request)
+	}
+	instance := h.options.Source.State().View.Instances[owner.Instance]
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := h.options.Dialer.Conn(ctx, instance.RPCAddress)
+	if err != nil {
+		return nil, err
+	}
+	return pb.NewDRPCHomeClient(conn).Disown(ctx, request)
+}
--- /dev/null
+++ b/internal/endpoint/home_leave.go
@@ -0,0 +1,74 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// leaveCopies is how many instances in each zone are told of a leave: the home
+// and those that would be home after it.
+const leaveCopies = 2
+
+// spreadLeave notes a leave here and tells the endpoint's possible homes. A
+// leave doesn't name the zone, so the first of each zone is asked: one of them
+// is the home. It tells whether the home has confirmed; when not, the endpoint
+// tells another entry.
+func (h *Home) spreadLeave(ctx context.Context, l engineapi.Leave) bool {
+	var confirmed atomic.Bool
+	h.step(func(c *core, _ time.Time) { confirmed.Store(c.leave(l.ID, l.Incarnation)) })
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, address := range h.possibleHomes(l.ID) {
+		calls.Go(func() {
+			if h.forwardLeave(ctx, address, l) {
+				confirmed.Store(true)
+			}
+		})
+	}
+	calls.Wait()
+	return confirmed.Load()
+}
+
+// possibleHomes lists RPC addresses, at most leaveCopies for each zone.
+func (h *Home) possibleHomes(id fleet.EndpointID) []string {
+	self := h.options.Source.Self().ID
+	byZone := make(map[fleet.AvailabilityZone][]fleet.Instance)
+	for _, i := range h.options.Source.State().View.Instances {
+		if i.Entry && !i.Draining {
+			byZone[i.Zone] = append(byZone[i.Zone], i)
+		}
+	}
+	var list []string
+	for zone, instances := range byZone {
+		ranked := fleet.RankInstances(string(id), zone, instances)
+		for _, i := range ranked[:min(leaveCopies, len(ranked))] {
+			if i.ID != self {
+				list = append(list, i.RPCAddress)
+			}
+		}
+	}
+	return list
+}
+
+func (h *Home) forwardLeave(ctx context.Context, address string, l engineapi.Leave) bool {
+	conn, err := h.options.Dialer.Conn(ctx, address)
+	if err != nil {
+		return false
+	}
+	reply, err := pb.NewDRPCHomeClient(conn).Leave(ctx, &pb.LeaveRequest{
+		EndpointId:          string(l.ID),
+		EndpointIncarnation: uint64(l.Incarnation),
+	})
+	if err != nil {
+		h.options.Part.Debug("Leave not forwarded.", "endpoint", l.ID, "address", address, "err", err)
+		return false
+	}
+	return reply.GetConfirmed()
+}
--- /dev/null
+++ b/internal/endpoint/path_test.go
@@ -0,0 +1,66 @@
+package endpoint
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// pair starts two daemons; the first one returned is home of endpoint.
+func pair(t *testing.T, n *fakeNet, endpoint string) (home, other *daemon) {
+	t.Helper()
+	a, b := instance("a", zoneNear), instance("b", zoneNear)
+	view := viewOf(1, a, b)
+	first, _ := fleet.HomeOf(fleet.EndpointID(endpoint), zoneNear, view)
+	if first.ID != a.ID {
+		a, b = b, a
+	}
+	return start(t, n, a, view), start(t, n, b, view)
+}
+
+// An endpoint tells any entry of itself and is sent to its home; callers at
+// another entry find it, take its slots up to the last one and give them back.
+func TestTakeAndGiveThroughAnotherEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home, other := pair(t, newFakeNet(t), "e1")
+		defer home.stop()
+		defer other.stop()
+		a := announcement("e1", 2)
+		var reply engineapi.AnnounceReply
+		assert.Equal(t, other.post("/v1/endpoints/announce", a, &reply), 200)
+		assert.Equal(t, reply.Home, home.source.self.EndpointAddress)
+		home.beat(a, 1)
+		time.Sleep(pollEvery + 10*time.Millisecond)
+
+		list := other.client.Candidates(query(zoneNear))
+		assert.Equal(t, len(list), 1)
+		assert.Equal(t, list[0].Slots, 2)
+		assert.Equal(t, len(other.client.Candidates(query(zoneFar))), 0)
+
+		first, _, err := other.client.Take(t.Context(), take("e1", "x1", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, first != nil)
+		second, _, err := home.client.Take(t.Context(), take("e1", "x2", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, second != nil)
+		_, refusal, err := other.client.Take(t.Context(), take("e1", "x3", 0))
+		assert.NilError(t, err)
+		assert.Equal(t, refusal.Status, pb.GrantStatus_GRANT_STATUS_FULL)
+		assert.Assert(t, refusal.RetryAfter > 0)
+		assert.Assert(t, other.client.Running("x1"))
+		assert.Assert(t, !other.client.Running("x3"))
+
+		other.client.Give(Release{Grant: *first, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED, OutputTokens: 10, Busy: time.Second})
+		synctest.Wait()
+		assert.Assert(t, !other.client.Running("x1"))
+		third, _, err := other.client.Take(t.Context(), take("e1", "x4", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, third != nil)
+	})
+}
