outcome: claims, finishes and lookups between processes

Cause: a request that may not be repeated needs one decision for its key over all entries.

Contract changes, ledger.proto: Ballot.proposer (two claims in one process must not share a ballot), LedgerVerdict.full, OutcomeRecord.age_ms in place of a wall clock time, FinishRequest.owner and endpoint_id (a replica that missed the intent learns it), CopyShardRequest.source_incarnation (a restarted source has lost its records). Service can't be the drpc server itself, since Finish and Lookup have other types there: Service.Server().

--- /dev/null
+++ b/internal/outcome/server.go
@@ -0,0 +1,134 @@
+package outcome
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Server is the Ledger service that other processes call.
+type Server struct {
+	service *Service
+}
+
+var _ pb.DRPCLedgerServer = (*Server)(nil)
+
+// Server gives what is to be registered with pb.DRPCRegisterLedger.
+func (s *Service) Server() *Server { return &Server{service: s} }
+
+// Prepare implements pb.DRPCLedgerServer.
+func (s *Server) Prepare(_ context.Context, q *pb.PrepareRequest) (*pb.LedgerVerdict, error) {
+	return s.serve(Request{
+		Action: ActionPrepare,
+		Ballot: ballotFromProto(q.GetBallot()),
+	}, q.GetShard(), q.GetKey())
+}
+
+// Accept implements pb.DRPCLedgerServer.
+func (s *Server) Accept(_ context.Context, q *pb.AcceptRequest) (*pb.LedgerVerdict, error) {
+	return s.serve(Request{
+		Action:   ActionAccept,
+		Ballot:   ballotFromProto(q.GetBallot()),
+		Decision: decisionFromProto(q.GetDecision()),
+		Endpoint: fleet.EndpointID(q.GetEndpointId()),
+	}, q.GetShard(), q.GetKey())
+}
+
+// Finish implements pb.DRPCLedgerServer.
+func (s *Server) Finish(_ context.Context, q *pb.FinishRequest) (*pb.LedgerVerdict, error) {
+	if q.GetAttemptId() == "" || knownOutcome(q.GetOutcome()) == pb.OutcomeKind_OUTCOME_KIND_UNSPECIFIED {
+		return nil, trace.BadParameter("finish without an attempt or outcome")
+	}
+	return s.serve(Request{
+		Action:   ActionFinish,
+		Decision: intentOf(fleet.AttemptID(q.GetAttemptId()), fleet.OwnerFromProto(q.GetOwner())),
+		Endpoint: fleet.EndpointID(q.GetEndpointId()),
+		Outcome:  q.GetOutcome(),
+		Status:   uint16(min(q.GetStatusCode(), maxStatus)),
+		Tokens:   q.GetTokensPassed(),
+	}, q.GetShard(), q.GetKey())
+}
+
+// Lookup implements pb.DRPCLedgerServer.
+func (s *Server) Lookup(_ context.Context, q *pb.LookupRequest) (*pb.LedgerVerdict, error) {
+	return s.serve(Request{Action: ActionLookup}, q.GetShard(), q.GetKey())
+}
+
+func (s *Server) serve(q Request, ref *pb.ShardRef, rawKey []byte) (*pb.LedgerVerdict, error) {
+	key, ok := keyFromBytes(rawKey)
+	if !ok {
+		return nil, trace.BadParameter("key of %d bytes", len(rawKey))
+	}
+	if !q.namesFit() {
+		return nil, trace.BadParameter("a name is over %d bytes", maxNameBytes)
+	}
+	q.Key = key
+	q.Shard, q.Epoch = shardFromRef(ref)
+	return s.service.handle(q).proto(key), nil
+}
+
+func (q Request) namesFit() bool {
+	return namesFit(
+		string(q.Ballot.Owner.Instance),
+		string(q.Decision.Attempt),
+		string(q.Decision.Owner.Instance),
+		string(q.Endpoint),
+	)
+}
+
+// CopyShard implements pb.DRPCLedgerServer.
+func (s *Server) CopyShard(_ context.Context, q *pb.CopyShardRequest) (*pb.CopyShardReply, error) {
+	name, epoch := shardFromRef(q.GetShard())
+	if !s.serveable(name) {
+		return nil, trace.BadParameter("no shard %s/%d here", name.ZoneClass, name.Shard)
+	}
+	query := CopyQuery{
+		Shard:  name,
+		Epoch:  epoch,
+		Source: fleet.Owner{Instance: s.service.self.Instance, Incarnation: fleet.Incarnation(q.GetSourceIncarnation())},
+		Limit:  int(q.GetLimit()),
+	}
+	if len(q.GetAfterKey()) > 0 {
+		after, ok := keyFromBytes(q.GetAfterKey())
+		if !ok {
+			return nil, trace.BadParameter("key of %d bytes", len(q.GetAfterKey()))
+		}
+		query.After = &after
+	}
+	return copyReply(s.service.source(query)), nil
+}
+
+// serveable bounds the shards that a peer can name: those of the shared state,
+// in zones that permit this process.
+func (s *Server) serveable(name fleet.LedgerShard) bool {
+	_, known := s.service.options.Source.State().Groups[name]
+	zone := s.service.options.Source.Self().Zone
+	return known && fleet.ParseZoneClass(name.ZoneClass).Permits(zone)
+}
+
+func copyReply(page CopyPage) *pb.CopyShardReply {
+	reply := &pb.CopyShardReply{Ok: page.OK, Done: page.Done}
+	for _, r := range page.Records {
+		reply.Records = append(reply.Records, r.Held.proto(r.Key))
+	}
+	return reply
+}
+
+// BeginRun implements pb.DRPCLedgerServer.
+func (s *Server) BeginRun(ctx context.Context, q *pb.BeginRunRequest) (*pb.BeginRunReply, error) {
+	if s.service.options.Runs == nil {
+		return nil, trace.NotImplemented("no guard of fingerprints here")
+	}
+	return s.service.options.Runs.BeginRun(ctx, q)
+}
+
+// EndRun implements pb.DRPCLedgerServer.
+func (s *Server) EndRun(ctx context.Context, q *pb.EndRunRequest) (*pb.EndRunReply, error) {
+	if s.service.options.Runs == nil {
+		return nil, trace.NotImplemented("no guard of fingerprints here")
+	}
+	return s.service.options.Runs.EndRun(ctx, q)
+}
--- /dev/null
+++ b/internal/outcome/wire.go
@@ -0,0 +1,155 @@
+package outcome
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func shardRef(s fleet.LedgerShard, epoch uint64) *pb.ShardRef {
+	return &pb.ShardRef{ZoneClass: s.ZoneClass, Shard: s.Shard, Epoch: epoch}
+}
+
+func shardFromRef(r *pb.ShardRef) (fleet.LedgerShard, uint64) {
+	return fleet.LedgerShard{ZoneClass: r.GetZoneClass(), Shard: r.GetShard()}, r.GetEpoch()
+}
+
+func (b Ballot) proto() *pb.Ballot {
+	return &pb.Ballot{
+		Round:       b.Round,
+		InstanceId:  string(b.Owner.Instance),
+		Incarnation: uint64(b.Owner.Incarnation),
+		Proposer:    b.Proposer,
+	}
+}
+
+func ballotFromProto(p *pb.Ballot) Ballot {
+	return Ballot{
+		Round: p.GetRound(),
+		Owner: fleet.Owner{
+			Instance:    fleet.InstanceID(p.GetInstanceId()),
+			Incarnation: fleet.Incarnation(p.GetIncarnation()),
+		},
+		Proposer: p.GetProposer(),
+	}
+}
+
+func (d Decision) proto() *pb.Decision {
+	if d.Kind == DecisionUnset {
+		return nil
+	}
+	return &pb.Decision{
+		Kind:      pb.DecisionKind(d.Kind),
+		AttemptId: string(d.Attempt),
+		Owner:     d.Owner.Proto(),
+	}
+}
+
+// decisionFromProto gives the zero Decision for what no proposer sends. A
+// tombstone has no attempt, so that all tombstones are equal.
+func decisionFromProto(p *pb.Decision) Decision {
+	switch p.GetKind() {
+	case pb.DecisionKind_DECISION_KIND_INTENT:
+		if p.GetAttemptId() == "" || len(p.GetAttemptId()) > maxNameBytes {
+			return Decision{}
+		}
+		return intentOf(fleet.AttemptID(p.GetAttemptId()), fleet.OwnerFromProto(p.GetOwner()))
+	case pb.DecisionKind_DECISION_KIND_TOMBSTONE:
+		return tombstone()
+	}
+	return Decision{}
+}
+
+// maxNameBytes bounds each name in a record, so that a record's memory is
+// bounded whatever a peer sends.
+const maxNameBytes = 128
+
+func (h Held) proto(key Key) *pb.OutcomeRecord {
+	if !h.Found() {
+		return nil
+	}
+	return &pb.OutcomeRecord{
+		Key:            key[:],
+		AcceptedBallot: h.Accepted.proto(),
+		Accepted:       h.Decision.proto(),
+		Outcome:        h.Outcome,
+		EndpointId:     string(h.Endpoint),
+		StatusCode:     uint32(h.Status),
+		TokensPassed:   h.Tokens,
+		AgeMs:          uint64(h.Age.Milliseconds()),
+	}
+}
+
+func heldFromProto(p *pb.OutcomeRecord) Held {
+	decision := decisionFromProto(p.GetAccepted())
+	if decision.Kind == DecisionUnset || !namesFit(p.GetEndpointId()) {
+		return Held{}
+	}
+	return Held{
+		Accepted: ballotFromProto(p.GetAcceptedBallot()),
+		Decision: decision,
+		Outcome:  knownOutcome(p.GetOutcome()),
+		Endpoint: fleet.EndpointID(p.GetEndpointId()),
+		Status:   uint16(min(p.GetStatusCode(), maxStatus)),
+		Tokens:   p.GetTokensPassed(),
+		Age:      time.Duration(min(p.GetAgeMs(), maxAgeMs)) * time.Millisecond,
+	}
+}
+
+const (
+	maxStatus = 999
+	maxAgeMs  = uint64(24 * time.Hour / time.Millisecond)
+)
+
+func knownOutcome(o pb.OutcomeKind) pb.OutcomeKind {
+	if _, ok := pb.OutcomeKind_name[int32(o)]; !ok {
+		return pb.OutcomeKind_OUTCOME_KIND_UNSPECIFIED
+	}
+	return o
+}
+
+func namesFit(names ...string) bool {
+	for _, n := range names {
+		if len(n) > maxNameBytes {
+			return false
+		}
+	}
+	return true
+}
+
+func (r Reply) proto(key Key) *pb.LedgerVerdict {
+	v := &pb.LedgerVerdict{
+		Ok:         r.Status == ReplyOK,
+		WrongEpoch: r.Status == ReplyWrongEpoch,
+		Full:       r.Status == ReplyFull,
+		Record:     r.Held.proto(key),
+	}
+	if r.Status == ReplyRefused {
+		v.Promised = r.Promised.proto()
+	}
+	return v
+}
+
+func replyFromProto(v *pb.LedgerVerdict) Reply {
+	r := Reply{
+		Status:   ReplyRefused,
+		Promised: ballotFromProto(v.GetPromised()),
+		Held:     heldFromProto(v.GetRecord()),
+	}
+	switch {
+	case v.GetOk():
+		r.Status = ReplyOK
+	case v.GetWrongEpoch():
+		r.Status = ReplyWrongEpoch
+	case v.GetFull():
+		r.Status = ReplyFull
+	}
+	return r
+}
+
+func copiedFromProto(p *pb.OutcomeRecord) (CopiedRecord, bool) {
+	key, ok := keyFromBytes(p.GetKey())
+	held := heldFromProto(p)
+	return CopiedRecord{Key: key, Held: held}, ok && held.Found()
+}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -29,8 +29,8 @@
 // was, it is quarantined and its neighbours aren't counted: they were there by
 // chance. When several were, only these are counted.
 func ApplyCrashWithin(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time, limits Limits) []fleet.Suspect {
-	changed := expired(suspects, now, limits)
 	ran := reported(report)
+	changed := expired(suspects, ran, now, limits)
 	known := stillSuspect(suspects, ran, now, limits)
 	switch {
 	case len(known) == 0:
@@ -82,11 +82,12 @@
 	return known
 }
 
-// expired gives removals for suspects whose life has run out.
-func expired(suspects map[fleet.Fingerprint]fleet.Suspect, now time.Time, limits Limits) []fleet.Suspect {
+// expired gives removals for suspects whose life has run out. Those that ran
+// begin anew or stay, as the rule says.
+func expired(suspects map[fleet.Fingerprint]fleet.Suspect, ran []fleet.Fingerprint, now time.Time, limits Limits) []fleet.Suspect {
 	var out []fleet.Suspect
 	for f, s := range suspects {
-		if now.Sub(s.Updated) >= limits.SuspectLife {
+		if now.Sub(s.Updated) >= limits.SuspectLife && !slices.Contains(ran, f) {
 			out = append(out, fleet.Suspect{Fingerprint: f})
 		}
 	}
