--- a/cmd/hyssopsaild/main.go
+++ b/cmd/hyssopsaild/main.go
@@ -7,12 +7,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-kit/log"
 
 	"github.com/hyssopsail/hyssopsail/internal/config"
 	"github.com/hyssopsail/hyssopsail/internal/daemon"
@@ -55,17 +57,28 @@
 		return exitRefused
 	}
 	part := logging.For(logger, "daemon")
-	built, err := daemon.New(settings, logger)
-	if err != nil {
-		part.Error("Can't start.", "err", err)
-		return exitFailed
-	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := built.Run(ctx); err != nil {
+	if err := serve(ctx, &settings, logger, part); err != nil {
 		part.Error("Stopped by a failure.", "err", err)
 		return exitFailed
 	}
 	part.Info("Stopped gracefully.")
 	return 0
 }
+
+// serve runs the daemon, anew under a new incarnation each time that it has
+// lost its place in the fleet.
+func serve(ctx context.Context, settings *config.Daemon, logger log.Logger, part logging.Part) error {
+	for {
+		built, err := daemon.New(settings, logger)
+		if err != nil {
+			return err
+		}
+		err = built.Run(ctx)
+		if !errors.Is(err, daemon.ErrRejoin) {
+			return err
+		}
+		part.Warn("Joining again under a new incarnation.", "cause", err)
+	}
+}
--- /dev/null
+++ b/internal/daemon/base.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/hyssopsail/hyssopsail/internal/config"
+	"github.com/hyssopsail/hyssopsail/internal/control"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+	"github.com/hyssopsail/hyssopsail/internal/version"
+
+	"time"
+)
+
+// base is what every daemon has, whatever its roles.
+type base struct {
+	file      config.Daemon
+	logger    log.Logger
+	part      logging.Part
+	self      fleet.Instance
+	secret    config.Secret
+	listeners listeners
+	registry  *prometheus.Registry
+	ring      *timeline.Ring
+	pool      *rpc.Pool
+	rpc       *rpc.Server
+	client    *control.Client
+	agent     *membership.Agent
+}
+
+func newBase(file config.Daemon, logger log.Logger, opened listeners, incarnation fleet.Incarnation) (*base, error) {
+	secret, err := config.LoadSecret(file.FleetSecretFile)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	secure, err := rpc.LoadTLS(file.RPCFiles())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	b := &base{
+		file:      file,
+		logger:    logger,
+		part:      newPart(logger, partName),
+		self:      file.Instance(incarnation),
+		secret:    secret,
+		listeners: opened,
+		registry:  newRegistry(),
+	}
+	clock := timeline.NewClock(time.Now)
+	b.ring = timeline.NewRing(timeline.DefaultRingSize, clock, b.self.Owner())
+	b.pool = rpc.NewPool(secure, clock)
+	if address, ok := opened.rpc.Addr().(*net.TCPAddr); ok {
+		b.pool.DialFrom(address.IP)
+	}
+	b.rpc = rpc.NewServer(secure, clock, newPart(logger, "rpc"))
+	if err := pb.DRPCRegisterTimeline(b.rpc.Mux, timeline.NewService(b.ring)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	b.client = control.NewClient(b.pool, b.controlAddresses, newPart(logger, "control-client"))
+	b.agent = membership.NewAgent(membership.Options{
+		Client:     b.client,
+		Self:       b.self,
+		Part:       newPart(logger, "membership"),
+		Registerer: b.registry,
+		Recorder:   b.ring,
+		Build:      settings.Build,
+		Change:     settings.CheckChange,
+	})
+	return b, nil
+}
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		version.NewMetric(),
+	)
+	return registry
+}
+
+// controlAddresses are those of the file, and those of control instances that
+// joined since.
+func (b *base) controlAddresses() []string {
+	addresses := append([]string(nil), b.file.ControlAddresses...)
+	if b.agent == nil {
+		return addresses
+	}
+	known := make(map[string]struct{}, len(addresses))
+	for _, a := range addresses {
+		known[a] = struct{}{}
+	}
+	for _, instance := range b.agent.State().View.Instances {
+		if _, ok := known[instance.RPCAddress]; instance.Control && !ok {
+			addresses = append(addresses, instance.RPCAddress)
+		}
+	}
+	return addresses
+}
+
+func (b *base) close() {
+	b.listeners.close()
+	_ = b.pool.Close() // connections to peers; nothing is lost with them
+}
--- /dev/null
+++ b/internal/daemon/entryrole.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopsail/hyssopsail/internal/admission"
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/outcome"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/route"
+	"github.com/hyssopsail/hyssopsail/internal/schedule"
+)
+
+// entryRole serves callers and endpoints and routes requests.
+type entryRole struct {
+	home     *endpoint.Home
+	follower *endpoint.HomeClient
+	ledger   *outcome.Service
+	guard    *quarantine.Service
+	router   *route.Router
+}
+
+func newEntryRole(b *base) (*entryRole, error) {
+	e := &entryRole{}
+	client := engine.NewClient(engine.Options{
+		Part:       newPart(b.logger, "engine"),
+		Registerer: b.registry,
+	})
+	e.newHomes(b, client)
+	e.newOutcomes(b)
+	e.router = route.New(route.Options{
+		Source:    b.agent,
+		Follower:  e.follower,
+		Engine:    client,
+		Ledger:    e.ledger,
+		Guard:     e.guard,
+		Admission: admission.New(admission.Options{Random: newRandom(b)}),
+		Policies:  newPolicies(b).choose,
+		Recorder:  b.ring,
+		Prefixes: func(_ engineapi.ModelRef, prompt string) []uint64 {
+			return schedule.Prefixes(prompt)
+		},
+		Secret:     b.secret[:],
+		Seed:       uint64(b.self.Incarnation),
+		Part:       newPart(b.logger, "route"),
+		Registerer: b.registry,
+	})
+	return e, trace.Wrap(e.register(b))
+}
+
+func newRandom(b *base) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(b.self.Incarnation), uint64(time.Now().UnixNano())))
+}
+
+func (e *entryRole) newHomes(b *base, client engine.Client) {
+	e.home = endpoint.NewHome(endpoint.HomeOptions{
+		Source:     b.agent,
+		Engine:     client,
+		Dialer:     b.pool,
+		Recorder:   b.ring,
+		Part:       newPart(b.logger, "home"),
+		Registerer: b.registry,
+		Seed:       uint64(b.self.Incarnation),
+		Crash: func(ctx context.Context, report *pb.ReportCrash) error {
+			_, err := b.client.Crash(ctx, report)
+			return err
+		},
+		CheckKey: func(key string) bool { return endpointKeyMatches(b, key) },
+		Running:  e.running,
+	})
+	e.follower = endpoint.NewFollower(endpoint.FollowerOptions{
+		Source:     b.agent,
+		Dialer:     b.pool,
+		Home:       e.home,
+		Recorder:   b.ring,
+		Part:       newPart(b.logger, "follower"),
+		Registerer: b.registry,
+		Seed:       uint64(b.self.Incarnation),
+	})
+}
+
+func (e *entryRole) newOutcomes(b *base) {
+	e.guard = quarantine.NewService(quarantine.Options{
+		Source:     b.agent,
+		Dialer:     b.pool,
+		Seed:       uint64(b.self.Incarnation),
+		Part:       newPart(b.logger, "quarantine"),
+		Registerer: b.registry,
+	})
+	e.ledger = outcome.NewService(outcome.Options{
+		Source: b.agent,
+		Dialer: b.pool,
+		Ready: func(ctx context.Context, ready *pb.LedgerReady) error {
+			_, err := b.client.Ready(ctx, ready)
+			return err
+		},
+		Runs:       e.guard,
+		Seed:       uint64(b.self.Incarnation),
+		Part:       newPart(b.logger, "ledger"),
+		Recorder:   b.ring,
+		Registerer: b.registry,
+	})
+}
+
+func (e *entryRole) register(b *base) error {
+	if err := pb.DRPCRegisterHome(b.rpc.Mux, e.home); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(pb.DRPCRegisterLedger(b.rpc.Mux, e.ledger.Server()))
+}
+
+func (e *entryRole) start(group *errgroup.Group, work context.Context) {
+	group.Go(func() error { return e.home.Run(work) })
+	group.Go(func() error { return e.follower.Run(work) })
+	group.Go(func() error { return e.ledger.Run(work) })
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// The bounds of a graceful stop.
+const (
+	handoverTimeout = 15 * time.Second // ledger shards copied to other replicas
+	leaveTimeout    = 5 * time.Second
+	closeTimeout    = 5 * time.Second
+	abandonTimeout  = 2 * time.Second
+	drainMargin     = 500 * time.Millisecond // over the time that callers keep an address
+)
+
+// stop ends the daemon without cutting off a request: it leaves the address
+// answers, serves for as long as callers may keep its address, finishes what
+// is in flight, hands its ledger shards and homes over, and leaves the view.
+//
+// Failure: a caller that asked for addresses just before the stop connects
+// after it and finds the port closed, or a stream ends in the middle. The
+// guard holds because no new address answer names a draining instance, and
+// the wait covers the longest time that an older answer may be kept.
+func (d *Daemon) stop() {
+	d.base.part.Info("Stopping gracefully.")
+	d.base.agent.SetDraining()
+	if d.entry != nil {
+		d.drain()
+	}
+	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.base.agent.Leave(leaving); err != nil {
+		d.base.part.Warn("Left without telling the control group.", "err", err)
+	}
+	d.closeServers(closeTimeout)
+}
+
+func (d *Daemon) drain() {
+	keep := d.addressKeep() + drainMargin
+	d.base.part.Info("Serving until callers have dropped this address.", "for", keep)
+	time.Sleep(keep)
+	finishing, cancel := context.WithTimeout(context.Background(), d.base.file.Bounds.StreamTime)
+	defer cancel()
+	if err := d.entry.router.Drain(finishing); err != nil {
+		d.base.part.Warn("Stopped with requests in flight.", "running", d.entry.router.Running(), "err", err)
+	}
+	handing, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if err := d.base.agent.AwaitHandover(handing); err != nil {
+		d.base.part.Warn("Left with ledger shards not handed over.", "err", err)
+	}
+}
+
+func (d *Daemon) addressKeep() time.Duration {
+	tree := d.base.agent.State().Tree
+	if tree == nil {
+		return 0
+	}
+	if keep := tree.Fleet.Timeouts.AddressKeep; keep > 0 {
+		return keep
+	}
+	return settings.DefaultTimeouts().AddressKeep
+}
+
+// abandon ends a daemon that lost its place or a part: its requests can't go
+// on, so it only lets their last events out.
+func (d *Daemon) abandon() { d.closeServers(abandonTimeout) }
+
+func (d *Daemon) closeServers(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	d.servers.shutdown(ctx)
+}
--- /dev/null
+++ b/internal/daemon/timelinereader.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/operator"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// timelineReader merges the time lines of all instances of the view.
+type timelineReader struct {
+	base *base
+}
+
+func newTimelineReader(b *base) timelineReader { return timelineReader{base: b} }
+
+func (r timelineReader) read(ctx context.Context, q *pb.TimelineQuery) (operator.TimelineReply, error) {
+	view := r.base.agent.State().View
+	instances := make([]fleet.Instance, 0, len(view.Instances))
+	for _, instance := range view.Instances {
+		instances = append(instances, instance)
+	}
+	merged := timeline.Collect(ctx, r.base.pool, instances, q, nil)
+	reply := operator.TimelineReply{Events: merged.Events, Dropped: merged.Dropped}
+	for _, silent := range merged.Silent {
+		reply.Unreachable = append(reply.Unreachable, string(silent.Instance))
+	}
+	return reply, nil
+}
--- a/internal/timeline/collect.go
+++ b/internal/timeline/collect.go
@@ -17,6 +17,8 @@
 type Merged struct {
 	Events []*pb.TimelineEvent `json:"events"`
 	Silent []Silent            `json:"silent"` // daemons that did not answer
+	// Dropped is how many events the answering daemons have overwritten.
+	Dropped uint64 `json:"dropped"`
 	// Sequences holds, for each daemon that answered, the last sequence seen,
 	// to go on from when following.
 	Sequences map[fleet.InstanceID]uint64 `json:"sequences"`
@@ -89,6 +91,7 @@
 			continue
 		}
 		merged.Events = append(merged.Events, a.page.GetEvents()...)
+		merged.Dropped += a.page.GetDropped()
 		merged.Sequences[a.instance] = a.page.GetLastSequence()
 	}
 	Sort(merged.Events)
