Callers' HTTP, a request's life and the last placement check, thin

The contracts had no code that takes a request from a caller to the engines. This adds placement.Gate, route.New and entry.NewCallers with their first life tests over fakes: each stage's caller gone, a decode engine killed at each token, prefill lost, a stalled transfer, crossed chunks and settings that narrow in flight.

--- /dev/null
+++ b/internal/entry/outcome.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"net/url"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/route"
+)
+
+// outcome answers GET /v1/requests/{key}.
+func (c *callers) outcome(x *exchange) *route.Failure {
+	key, err := url.PathUnescape(chi.URLParam(x.r, "key"))
+	if err != nil || key == "" || len(key) > c.bounds.KeyBytes {
+		return badRequest("the key is malformed")
+	}
+	known, failure := c.opts.Router.Lookup(x.r.Context(), x.team.Name, key)
+	if failure != nil {
+		return failure
+	}
+	if !known.Found {
+		// Nothing is recorded, which promises nothing of a copy under way.
+		return &route.Failure{
+			Code: callerapi.CodeNotFound, Message: "nothing is recorded for this key",
+			Outcome: callerapi.OutcomeUnknown,
+		}
+	}
+	x.w.Header().Set(callerapi.HeaderOutcome, string(known.Outcome))
+	return x.json(callerapi.RequestReply{
+		Outcome:    known.Outcome,
+		StatusCode: known.StatusCode,
+		AgeMs:      known.Age.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/placement/check.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// Check decides whether team's data may go to target from an entry in self,
+// by the given settings tree. Pure.
+func Check(tree *settings.Tree, team fleet.Team, self fleet.AvailabilityZone, target engine.Target) *Refusal {
+	if target.Zone == "" || target.Address == "" {
+		return &Refusal{Cause: CauseMisaddressed, Team: team, Zone: target.Zone}
+	}
+	if !Declared(tree, target.Zone) {
+		return &Refusal{Cause: CauseUndeclaredZone, Team: team, Zone: target.Zone}
+	}
+	if refusal := CheckEntry(tree, team, self); refusal != nil {
+		return refusal
+	}
+	owner := tree.Teams[team]
+	if !permits(owner, target.Zone) {
+		return &Refusal{Cause: CauseTargetZone, Team: team, Zone: target.Zone}
+	}
+	return nil
+}
+
+// CheckEntry decides whether an entry in zone self may take team's requests.
+// Pure.
+func CheckEntry(tree *settings.Tree, team fleet.Team, self fleet.AvailabilityZone) *Refusal {
+	owner, ok := tree.Teams[team]
+	if !ok {
+		return &Refusal{Cause: CauseNoTeam, Team: team, Zone: self}
+	}
+	if !permits(owner, self) {
+		return &Refusal{Cause: CauseEntryZone, Team: team, Zone: self}
+	}
+	return nil
+}
+
+// Declared tells whether the settings know zone.
+func Declared(tree *settings.Tree, zone fleet.AvailabilityZone) bool {
+	for _, z := range tree.Fleet.Zones {
+		if z.Name == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// permits scans the list, which is short: no set is built on the send path.
+func permits(team settings.Team, zone fleet.AvailabilityZone) bool {
+	for _, z := range team.PermittedZones {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/route/grants.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/schedule"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// grantTries bounds how many homes one stage asks.
+const grantTries = 3
+
+// want is what a stage asks a home for.
+type want struct {
+	kind   fleet.EndpointRole
+	choice schedule.Choice
+	wait   time.Duration // longest wait in a home's queue
+	lead   time.Duration
+}
+
+// take chooses an endpoint and asks its home for a slot, going to another
+// endpoint when the first one's home refuses.
+func (a *attempt) take(ctx context.Context, w want) (*hold, *setback) {
+	began := time.Now()
+	avoid := a.run.avoid.with()
+	last := &setback{cause: causeNoEndpoint}
+	for range grantTries {
+		chosen, ok := a.pick(w, avoid)
+		if !ok {
+			return nil, last
+		}
+		left := w.wait - time.Since(began)
+		if left < 0 {
+			return nil, last
+		}
+		h, s := a.askHome(ctx, w, chosen, left)
+		if s == nil {
+			return h, nil
+		}
+		if s.cause != causeFull {
+			return nil, s
+		}
+		avoid.add(chosen.ID)
+		last = worse(last, s)
+	}
+	return nil, last
+}
+
+// worse keeps the refusal that says when to come back soonest.
+func worse(a, b *setback) *setback {
+	if a.cause == causeFull && a.retryAfter > 0 && (b.retryAfter == 0 || a.retryAfter < b.retryAfter) {
+		return a
+	}
+	return b
+}
+
+func (a *attempt) pick(w want, avoid endpointSet) (endpoint.Candidate, bool) {
+	candidates := a.run.router.opts.Follower.Candidates(a.query(w.kind))
+	return a.run.router.choose(w.choice, a.scheduleRequest(avoid), allowed(candidates, avoid))
+}
+
+// allowed drops the endpoints to avoid: a retry never goes to an endpoint
+// that just failed the request, whatever a choice makes of Avoid.
+func allowed(candidates []endpoint.Candidate, avoid endpointSet) []endpoint.Candidate {
+	if len(avoid) == 0 {
+		return candidates
+	}
+	out := make([]endpoint.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if _, skip := avoid[c.ID]; !skip {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (a *attempt) scheduleRequest(avoid endpointSet) schedule.Request {
+	m := a.run
+	var prefixes []uint64
+	if m.router.opts.Prefixes != nil {
+		prefixes = m.router.opts.Prefixes(m.class.model, m.req.Prompt)
+	}
+	return schedule.Request{
+		Team:           m.req.Team,
+		EntryZone:      m.router.opts.Source.Self().Zone,
+		PromptTokens:   m.class.prompt,
+		ExpectedTokens: m.class.output - m.passed,
+		Prefixes:       prefixes,
+		KVBytes:        m.class.kvBytes(),
+		Avoid:          avoid,
+	}
+}
+
+func (a *attempt) askHome(ctx context.Context, w want, c endpoint.Candidate, wait time.Duration) (*hold, *setback) {
+	m := a.run
+	grant, refusal, err := m.router.opts.Follower.Take(ctx, endpoint.GrantRequest{
+		Endpoint:       c.ID,
+		Kind:           w.kind,
+		Attempt:        a.id,
+		Team:           m.req.Team,
+		Model:          m.class.model,
+		PromptTokens:   m.class.prompt,
+		ExpectedTokens: m.class.output - m.passed,
+		Wait:           wait,
+		Lead:           w.lead,
+		Share:          m.class.team.Share,
+		Priority:       m.class.priority,
+		Fingerprint:    m.fingerprint,
+		Alone:          a.alone,
+	})
+	switch {
+	case ctx.Err() != nil:
+		m.router.returnUnused(grant)
+		return nil, &setback{cause: fromContext(ctx)}
+	case err != nil:
+		return nil, &setback{cause: causeFull}
+	case refusal != nil:
+		m.event(timeline.KindGrantRefused, a.id, c.ID)
+		return nil, &setback{cause: causeFull, retryAfter: refusal.RetryAfter}
+	}
+	m.event(timeline.KindGranted, a.id, c.ID)
+	return newHold(*grant, time.Now()), nil
+}
+
+// returnUnused gives back a grant that came too late to be used.
+func (r *Router) returnUnused(g *endpoint.Grant) {
+	if g != nil {
+		r.free(newHold(*g, time.Now()), nil, 0)
+	}
+}
--- /dev/null
+++ b/internal/route/life_test.go
@@ -0,0 +1,277 @@
+package route_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/admission"
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/route"
+	"github.com/hyssopsail/hyssopsail/internal/schedule"
+)
+
+// inWorld runs a test in a bubble with its own clock.
+func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(t, newWorld()) })
+}
+
+func TestModelWhole(t *testing.T) {
+	plans := map[string]schedule.StartPlan{
+		"reserve first": {ReserveFirst: true},
+		"optimistic":    {},
+		"delayed":       {Delay: 50 * time.Millisecond, Lead: 10 * time.Millisecond},
+	}
+	for name, plan := range plans {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.plan = plan
+				s := &sink{}
+				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+				assert.Equal(t, s.got(), tokens(10))
+				assert.Equal(t, a.OutputTokens, 10)
+				assert.Equal(t, a.Finish, engineapi.FinishLength)
+				assert.Equal(t, w.releases[0].Reason, pb.ReleaseReason_RELEASE_REASON_COMPLETED)
+				w.assertFree(t)
+			})
+		})
+	}
+}
+
+// A caller hangs up while its request waits for a slot, is prefilled, moves or
+// decodes. Its slot and memory would stay occupied until the engine's own
+// limit, and at peak twenty of those fill a decode engine. The caller's end
+// must free each hold at once.
+func TestCallerGoneFreesAll(t *testing.T) {
+	stages := []struct {
+		op string
+		at fleet.EndpointID
+	}{{"take", "d1"}, {"take", "p1"}, {"prefill", "p1"}, {"import", "d1"}, {"decode", "d1"}}
+	for _, stage := range stages {
+		for _, key := range []string{"", "bale-7"} {
+			t.Run(stage.op+" "+string(stage.at)+" key="+key, func(t *testing.T) {
+				inWorld(t, func(t *testing.T, w *world) {
+					w.set(stage.op, stage.at, 1, fault{stall: true, after: 3})
+					r := w.router(route.Bounds{})
+					ctx, cancel := context.WithCancel(t.Context())
+					go func() {
+						time.Sleep(100 * time.Millisecond)
+						cancel()
+					}()
+					began := time.Now()
+					request := modelRequest()
+					request.Key = key
+					a := r.Model(ctx, request, &sink{})
+					synctest.Wait()
+					assert.Assert(t, a.Failure != nil)
+					assert.Equal(t, time.Since(began), 100*time.Millisecond)
+					assert.Equal(t, r.Running(), 0)
+					w.assertFree(t)
+				})
+			})
+		}
+	}
+}
+
+// A decode engine is killed in the middle of an answer. The caller would see
+// the stream stop, or the text repeat from the start. The answer goes on at
+// the next token at another engine; the quarantine learns of the crash.
+func TestDecodeKilledResumes(t *testing.T) {
+	for after := range 10 {
+		inWorld(t, func(t *testing.T, w *world) {
+			w.set("decode", "d1", 1, fault{broken: true, after: after})
+			s := &sink{}
+			a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+			assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+			assert.Equal(t, s.got(), tokens(10))
+			assert.Equal(t, w.sent("decode d1"), 1)
+			assert.Equal(t, w.sent("decode d2"), 1)
+			assert.DeepEqual(t, w.ends, []guardEnd{{crashed: true}, {completed: true}}, allowGuardEnd)
+			assert.Equal(t, w.releaseOf("d1"), pb.ReleaseReason_RELEASE_REASON_ENDPOINT_FAILED)
+			w.assertFree(t)
+		})
+	}
+}
+
+// A prefill engine is killed while it computes, or the KV cache is gone when
+// the decode engine fetches it. The request must run again from another
+// prefill engine, and never at the one that just failed it.
+func TestPrefillLostRetriesElsewhere(t *testing.T) {
+	faults := map[string]struct {
+		op string
+		at fleet.EndpointID
+		f  fault
+	}{
+		"prefill killed":  {"prefill", "p1", fault{broken: true}},
+		"no connection":   {"prefill", "p1", fault{unsent: true}},
+		"prefill refuses": {"prefill", "p1", fault{code: engineapi.CodeLeaving}},
+		"cache expired":   {"import", "d1", fault{code: engineapi.CodeGone}},
+		"source is gone":  {"import", "d1", fault{code: engineapi.CodeTransfer}},
+	}
+	for name, tc := range faults {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.set(tc.op, tc.at, 1, tc.f)
+				s := &sink{}
+				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+				assert.Equal(t, s.got(), tokens(10))
+				assert.Assert(t, w.sent("prefill p1") <= 1)
+				assert.Equal(t, w.sent("prefill p2"), 1)
+				w.assertFree(t)
+			})
+		})
+	}
+}
+
+// The link between two engines stands still in the middle of a transfer. The
+// decode slot and the prefill memory would stay occupied until the caller's
+// patience of 20 s ends. The transfer is given up on after its bound of
+// 300 ms; the cache, still alive, goes to another decode engine.
+func TestTransferStalls(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.set("import", "d1", 1, fault{stall: true})
+		s := &sink{}
+		began := time.Now()
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		assert.Equal(t, s.got(), tokens(10))
+		assert.Equal(t, time.Since(began), 310*time.Millisecond)
+		assert.Equal(t, w.sent("prefill"), 1)
+		w.assertFree(t)
+	})
+}
+
+// An engine mixes up two callers' answers, loses a chunk, or repeats one. One
+// caller would read another's note, or a note with a hole. Nothing foreign is
+// passed on; a gap is filled from another engine.
+func TestCrossedChunks(t *testing.T) {
+	bends := map[string]func(engineapi.Chunk) engineapi.Chunk{
+		"other attempt":     func(c engineapi.Chunk) engineapi.Chunk { c.Attempt, c.Text = "other", "secret"; return c },
+		"other incarnation": func(c engineapi.Chunk) engineapi.Chunk { c.Incarnation, c.Text = 6, "secret"; return c },
+		"gap":               func(c engineapi.Chunk) engineapi.Chunk { c.Offset += 2; return c },
+		"overlap":           func(c engineapi.Chunk) engineapi.Chunk { c.Offset--; c.Tokens += 1; return c },
+		"negative":          func(c engineapi.Chunk) engineapi.Chunk { c.Tokens = -1; return c },
+	}
+	for name, bend := range bends {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.set("decode", "d1", 1, fault{after: 4, bend: bend})
+				s := &sink{}
+				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+				assert.Equal(t, s.got(), tokens(10))
+				w.assertFree(t)
+			})
+		})
+	}
+}
+
+// Settings take the zone of the chosen endpoint away while the request waits
+// in its home's queue or computes. Its prompt would go on to a place that the
+// team has just forbidden. The last check sees the new settings; the request
+// runs in what is left, or is refused.
+func TestZonesNarrowInFlight(t *testing.T) {
+	for _, op := range []string{"prefill p1", "import d1", "decode d1"} {
+		t.Run(op, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.permit("howrah", "barasat")
+				w.add("p3", fleet.RolePrefill, "barasat")
+				w.add("d3", fleet.RoleDecode, "barasat")
+				w.moveTo("p1", "kolkata-north")
+				w.moveTo("d1", "kolkata-north")
+				w.permit("howrah", "kolkata-north", "barasat")
+				w.beforeSend = func(next string) {
+					if next == op {
+						w.permit("howrah", "barasat")
+					}
+				}
+				s := &sink{}
+				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+				assert.Equal(t, s.got(), tokens(10))
+				assert.Equal(t, w.sent(op), 0)
+				w.assertFree(t)
+			})
+		})
+	}
+}
+
+// The team's zones are all down. Serving it in another place would break the
+// one promise that matters more than speed: it is refused, at once.
+func TestZonesAllDown(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for _, id := range []fleet.EndpointID{"p1", "p2", "d1", "d2"} {
+			w.moveTo(id, "barasat")
+		}
+		began := time.Now()
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+		assert.Equal(t, a.Failure.Code, callerapi.CodeNoZone)
+		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
+		assert.Assert(t, a.Failure.RetryAfter > 0)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, len(w.sends), 0)
+	})
+}
+
+// Each way of being refused answers at once: a caller that is held back until
+// near its deadline can't go elsewhere.
+func TestRefusedAtOnce(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(w *world)
+		code    callerapi.Code
+		after   time.Duration
+	}{
+		"not current": {func(w *world) { w.freeze(true) }, callerapi.CodeNotCurrent, route.DefaultRetryAfter},
+		"entry zone":  {func(w *world) { w.permit("barasat") }, callerapi.CodeNoZone, 0},
+		"overload": {func(w *world) {
+			w.denied = &admission.Decision{Code: callerapi.CodeOverloaded, RetryAfter: 1300 * time.Millisecond}
+		}, callerapi.CodeOverloaded, 1300 * time.Millisecond},
+		"oversized": {func(w *world) {
+			w.denied = &admission.Decision{Code: callerapi.CodeTooLarge, Final: true}
+		}, callerapi.CodeTooLarge, 0},
+		"no slot": {func(w *world) {
+			w.refuse = endpoint.Refusal{Status: pb.GrantStatus_GRANT_STATUS_FULL, RetryAfter: 700 * time.Millisecond}
+		}, callerapi.CodeOverloaded, 700 * time.Millisecond},
+		"quarantined": {func(w *world) { w.verdict = pb.RunVerdict_RUN_VERDICT_QUARANTINED }, callerapi.CodeQuarantined, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				tc.prepare(w)
+				began := time.Now()
+				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+				assert.Equal(t, a.Failure.Code, tc.code)
+				assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
+				assert.Equal(t, a.Failure.RetryAfter, tc.after)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+				assert.Equal(t, len(w.sends), 0)
+				w.assertFree(t)
+			})
+		})
+	}
+}
+
+// Each engine that gets the request dies. The caller gets a clear failure with
+// when to come back after the bounded tries, not silence until its deadline.
+func TestGivenUpAtOnce(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.set("decode", "d1", 9, fault{broken: true, after: 2})
+		w.set("decode", "d2", 9, fault{broken: true, after: 2})
+		s := &sink{}
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
+		assert.Assert(t, a.Failure.RetryAfter > 0)
+		assert.Equal(t, s.got(), tokens(4))
+		w.assertFree(t)
+	})
+}
--- /dev/null
+++ b/internal/route/metrics.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+)
+
+// metrics are the router's own; label values come from fixed sets.
+type metrics struct {
+	requests   *prometheus.CounterVec
+	firstToken prometheus.Histogram
+	retries    prometheus.Counter
+	resumed    prometheus.Counter
+	wasted     prometheus.Counter
+	tokens     prometheus.Counter
+}
+
+const (
+	kindModel = "model"
+	kindCall  = "call"
+)
+
+func newMetrics(to prometheus.Registerer, f *flight) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_route_requests_total",
+			Help: "Requests by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "hyssopsail_route_first_token_seconds",
+			Help:    "Time from arrival to the first token.",
+			Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.4, 5, 10},
+		}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_retries_total",
+			Help: "Attempts after the first.",
+		}),
+		resumed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_resumed_total",
+			Help: "Streams that went on at another decode engine.",
+		}),
+		wasted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_wasted_prefill_tokens_total",
+			Help: "Prompt tokens whose prefill was discarded before use.",
+		}),
+		tokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_output_tokens_total",
+			Help: "Output tokens passed on to callers.",
+		}),
+	}
+	if to == nil {
+		return m
+	}
+	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "hyssopsail_route_running_requests",
+		Help: "Requests in flight.",
+	}, func() float64 { return float64(f.running()) })
+	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, running)
+	return m
+}
+
+func (m *metrics) ended(kind string, failure *Failure) {
+	outcome := callerapi.OutcomeCompleted
+	if failure != nil {
+		outcome = failure.Outcome
+	}
+	m.requests.WithLabelValues(kind, string(outcome)).Inc()
+}
+
+func (m *metrics) sawFirstToken(after time.Duration) { m.firstToken.Observe(after.Seconds()) }
--- /dev/null
+++ b/internal/route/model.go
@@ -0,0 +1,128 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/admission"
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// Model runs a completion and gives its chunks to sink as they come. It
+// returns once nothing of the request is held by this call: the end of ctx
+// cancels it at whatever stage it is.
+func (r *Router) Model(ctx context.Context, req ModelRequest, sink Sink) Answer {
+	a := r.model(ctx, req, sink)
+	r.metrics.ended(kindModel, a.Failure)
+	r.recordEnd(req.ID, req.Team, a.Failure)
+	return a
+}
+
+func (r *Router) model(ctx context.Context, req ModelRequest, sink Sink) Answer {
+	leave, failure := r.enter(req.Team)
+	if failure != nil {
+		return Answer{Failure: unsureOfKey(req.Key, failure)}
+	}
+	defer leave()
+	r.record(timeline.Event{Kind: timeline.KindReceived, Request: req.ID, Team: req.Team})
+	c, failure := classify(r.opts.Source.State().Tree, req, r.bounds)
+	if failure != nil {
+		return Answer{Failure: failure}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.bounds.StreamTime)
+	defer cancel()
+	f := r.hash.modelFingerprint(req, c.model, c.output)
+	if req.Key != "" {
+		return r.keyed(ctx, req, c, f, sink)
+	}
+	return r.admitted(ctx, req, c, f, sink)
+}
+
+// unsureOfKey keeps a refusal truthful at an entry that can't ask the ledger:
+// another copy under the same key may have run elsewhere, so that nothing is
+// promised about it. The caller may repeat it at another address.
+func unsureOfKey(key string, f *Failure) *Failure {
+	if key == "" || f == nil || f.Outcome != callerapi.OutcomeNotRun {
+		return f
+	}
+	out := *f
+	out.Outcome = callerapi.OutcomeUnknown
+	return &out
+}
+
+// admitted asks admission and runs the request.
+func (r *Router) admitted(ctx context.Context, req ModelRequest, c class, f fleet.Fingerprint, sink Sink) Answer {
+	m := r.newRun(req, c, f, sink)
+	done, failure := m.admit()
+	if failure != nil {
+		return Answer{Failure: failure}
+	}
+	defer done()
+	return m.answer(m.run(ctx))
+}
+
+func (m *modelRun) answer(f *Failure) Answer {
+	return Answer{Finish: m.finish, PromptTokens: m.promptTokens, OutputTokens: m.passed, Failure: f}
+}
+
+// admit asks admission once, by what the candidates promise now.
+func (m *modelRun) admit() (done func(), failure *Failure) {
+	q := m.admissionRequest()
+	d := m.router.admit(q)
+	if !d.Admitted {
+		return nil, admissionRefusal(d)
+	}
+	return func() { m.router.admissionDone(q) }, nil
+}
+
+func admissionRefusal(d admission.Decision) *Failure {
+	if d.Final {
+		return notRun(d.Code, "it can't be served within the limits", 0)
+	}
+	return refused(d.Code, "it can't be served in time now", d.RetryAfter)
+}
+
+func (m *modelRun) admissionRequest() admission.Request {
+	a := &attempt{run: m}
+	w := predictWaits(
+		m.router.opts.Follower.Candidates(a.query(fleet.RolePrefill)),
+		m.router.opts.Follower.Candidates(a.query(fleet.RoleDecode)),
+		m.class.output,
+	)
+	prefill, _ := m.router.speeds.prefill(m.class.prompt)
+	zone := m.router.opts.Source.Self().Zone
+	links := m.router.opts.Source.State().Tree.Fleet.Links
+	transfer := transferTime(links, zone, zone, m.class.kvBytes())
+	return admission.Request{
+		Team:          m.req.Team,
+		Limits:        m.class.team.Limits,
+		Share:         m.class.team.Share,
+		Work:          float64(prefill.Milliseconds()) + float64(w.tokenTime.Milliseconds())*float64(m.class.output),
+		Patience:      m.remaining(),
+		PredictedWait: w.firstToken(prefill, transfer),
+		DrainPerSec:   w.drainPerSec,
+		Queued:        w.queued,
+		PromptTokens:  m.class.prompt,
+		RequestID:     m.req.ID,
+	}
+}
+
+func (r *Router) recordEnd(id fleet.RequestID, team fleet.Team, f *Failure) {
+	e := timeline.Event{Kind: timeline.KindCompleted, Request: id, Team: team}
+	if f != nil {
+		e.Kind = timeline.KindFailed
+		e.Detail = string(f.Code) + " " + string(f.Outcome)
+	}
+	if f != nil && f.Outcome == callerapi.OutcomeNotRun {
+		e.Kind = timeline.KindRefused
+	}
+	r.record(e)
+}
+
+// noPolicy is the failure when the settings name policies unknown to this
+// build and none was in force before.
+func noPolicy() *Failure {
+	return refused(callerapi.CodeInternal, "the settings name policies that this build doesn't know", 5*time.Second)
+}
--- /dev/null
+++ b/internal/route/run.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/placement"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// modelRun is one model request over all its attempts. One goroutine owns it.
+type modelRun struct {
+	router      *Router
+	req         ModelRequest
+	class       class
+	fingerprint fleet.Fingerprint
+	gate        engine.Gate
+	sink        Sink
+
+	policies     Policies
+	avoid        endpointSet
+	deadline     time.Time // for the next token
+	attempts     int
+	passed       int // output tokens that the sink has
+	text         strings.Builder
+	promptTokens int
+	touched      bool // a byte may have reached an endpoint
+	finish       engineapi.Finish
+}
+
+func (r *Router) newRun(req ModelRequest, c class, f fleet.Fingerprint, sink Sink) *modelRun {
+	return &modelRun{
+		router:      r,
+		req:         req,
+		class:       c,
+		fingerprint: f,
+		gate:        placement.Gate(r.opts.Source, req.Team, r.opts.Recorder),
+		sink:        sink,
+		avoid:       endpointSet{},
+		deadline:    req.Arrived.Add(c.patience),
+	}
+}
+
+// run makes attempts until one ends whole or the request is given up on.
+func (m *modelRun) run(ctx context.Context) *Failure {
+	policies, ok := m.router.policies.get(m.router.opts.Source.State().Tree.Fleet.Decisions)
+	if !ok {
+		return noPolicy()
+	}
+	m.policies = policies
+	for {
+		m.attempts++
+		s := m.try(ctx)
+		if s == nil {
+			return nil
+		}
+		if failure := m.afterSetback(s); failure != nil {
+			return failure
+		}
+	}
+}
+
+// afterSetback decides what follows an attempt that ended short; nil: again.
+func (m *modelRun) afterSetback(s *setback) *Failure {
+	now := time.Now()
+	m.avoid.add(s.endpoint)
+	if m.passed > 0 && m.attempts == 1 {
+		m.deadline = now.Add(m.class.patience)
+	}
+	in := retryInput{
+		setback:  s,
+		attempts: m.attempts,
+		most:     m.router.bounds.Attempts,
+		passed:   m.passed,
+		touched:  m.touched,
+		now:      now,
+		deadline: m.deadline,
+	}
+	d := decideRetry(in)
+	if !d.again {
+		return d.failure
+	}
+	if !m.router.mayRetry(m.req.Team, s.endpoint) {
+		return finalFailure(in)
+	}
+	m.router.metrics.retries.Inc()
+	m.event(timeline.KindRetry, "", s.endpoint)
+	return nil
+}
+
+func (m *modelRun) event(k timeline.Kind, a fleet.AttemptID, at fleet.EndpointID) {
+	m.router.record(timeline.Event{Kind: k, Request: m.req.ID, Attempt: a, Team: m.req.Team, Endpoint: at})
+}
+
+// remaining is the time left until the next token is due.
+func (m *modelRun) remaining() time.Duration { return time.Until(m.deadline) }
--- /dev/null
+++ b/internal/route/setback.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/placement"
+)
+
+// cause is what stopped an attempt.
+type cause int
+
+const (
+	causeCallerGone cause = iota + 1
+	causeDeadline         // the caller's patience or the stream's time is over
+	causeForbidden        // the last check refused the send
+	causeNoEndpoint       // no candidate will do
+	causeFull             // no slot in time
+	causeRefused          // the endpoint answered that it won't
+	causeBroken           // the connection broke: the endpoint may have died
+	causeStalled          // the transfer or the stream stood still
+	causeLost             // KV expired before it could be used
+	causeFinal            // failure says all
+)
+
+// setback is how an attempt ended short of a whole answer.
+type setback struct {
+	cause      cause
+	endpoint   fleet.EndpointID // that failed it; empty: none
+	code       engineapi.Code
+	retryAfter time.Duration
+	failure    *Failure // with causeFinal
+}
+
+// crashed tells whether the endpoint may have died under the request.
+func (s *setback) crashed() bool { return s != nil && s.cause == causeBroken }
+
+// final is a setback that no retry can mend.
+func final(f *Failure) *setback { return &setback{cause: causeFinal, failure: f} }
+
+// fromError reads a failed call to an endpoint. parent is the request's
+// context and local the call's own, which may have a shorter deadline.
+//
+// Only a connection that broke after bytes had left counts as a crash: an
+// endpoint that answers with an error lives, and one that was given up on for
+// time may be slow. Blaming either would put innocent requests in quarantine.
+func fromError(parent context.Context, local context.Context, err error) *setback {
+	if cause, ok := placement.IsRefusal(err); ok {
+		return forbidden(cause)
+	}
+	s := &setback{cause: causeBroken}
+	var e *engine.Error
+	if errors.As(err, &e) {
+		s.endpoint, s.code = e.Target.ID, e.Code
+	}
+	switch {
+	case parent.Err() != nil:
+		s.cause = fromContext(parent)
+	case local.Err() != nil:
+		s.cause = causeStalled
+	case s.code != "":
+		s.cause = fromCode(s.code)
+	case e != nil && !e.Sent:
+		s.cause = causeRefused
+	}
+	return s
+}
+
+func forbidden(c placement.Cause) *setback {
+	if c == placement.CauseNotCurrent {
+		return final(refused(callerapi.CodeNotCurrent, "this entry can't confirm its settings now", 0))
+	}
+	return &setback{cause: causeForbidden}
+}
+
+func fromContext(ctx context.Context) cause {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return causeDeadline
+	}
+	return causeCallerGone
+}
+
+func fromCode(c engineapi.Code) cause {
+	switch c {
+	case engineapi.CodeGone:
+		return causeLost
+	case engineapi.CodeTransfer:
+		return causeStalled
+	case engineapi.CodeFull:
+		return causeFull
+	}
+	return causeRefused
+}
