--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -58,9 +58,8 @@
 	if errors.Is(err, ErrOversized) {
 		return nil, err
 	}
-	// A last line without its end may be half a chunk.
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		return nil, brokenBy(err)
 	}
 	if len(line) > r.maxLine {
 		return nil, fmt.Errorf("%w: line over %d bytes", ErrOversized, r.maxLine)
@@ -68,6 +67,19 @@
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
+// brokenBy makes the error of a stream that ends before its last chunk, be it
+// inside a line.
+//
+// Failure: the connection ends early with io.EOF, and a caller that looks for
+// io.EOF as the mark of a whole stream takes half an answer for a whole one.
+// io.EOF is therefore never in the chain of a failure.
+func brokenBy(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
 func (r *chunkReader) longLine(head []byte) ([]byte, error) {
 	r.long = append(r.long[:0], head...)
 	for {
--- /dev/null
+++ b/internal/engine/once_test.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"gotest.tools/v3/assert"
+)
+
+// A kept connection is closed by the endpoint just as a call arrives there: the
+// endpoint may have run it. net/http would send a call without a body, or one
+// with an Idempotency-Key, a second time, and a pickup slip would be written
+// twice. The caller must get one failure, and the endpoint one copy.
+func TestClosedConnectionIsNoSecondSend(t *testing.T) {
+	for _, test := range []struct{ method, body, key string }{
+		{http.MethodGet, "", ""},
+		{http.MethodHead, "", ""},
+		{http.MethodOptions, "", ""},
+		{http.MethodDelete, "", "slip-1"},
+		{http.MethodPost, "", "slip-1"},
+		{http.MethodPost, "slip", "slip-1"},
+	} {
+		t.Run(test.method+test.body, func(t *testing.T) {
+			target, seen := closingServer(t, "ok")
+			client := NewClient(Options{})
+			first, err := client.Call(t.Context(), target, open, testAttempt, callerRequest(t, "POST", "/warm", "x"))
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, first.Body)
+			assert.NilError(t, err)
+			first.Body.Close()
+
+			request := callerRequest(t, test.method, "/slips", test.body)
+			if test.key != "" {
+				request.Header.Set("Idempotency-Key", test.key)
+			}
+			response, err := client.Call(t.Context(), target, open, testAttempt, request)
+			if err == nil {
+				response.Body.Close()
+			}
+			var failure *Error
+			assert.Assert(t, errors.As(err, &failure))
+			assert.Assert(t, failure.Sent)
+			assert.Equal(t, seen.count(), 2)
+		})
+	}
+}
+
+func TestClosedConnectionIsNoSecondRead(t *testing.T) {
+	target, seen := closingServer(t, `{"incarnation":4}`)
+	client := NewClient(Options{})
+	_, err := client.Held(t.Context(), target)
+	assert.NilError(t, err)
+	_, err = client.Held(t.Context(), target)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, seen.count(), 2)
+}
+
+// The team's zones are narrowed, or the daemon loses its lease, between the
+// choice of an endpoint and the send. Nothing may reach the endpoint, and the
+// caller must be told that nothing was sent.
+func TestGateRefusesBeforeTheSend(t *testing.T) {
+	for name, allowed := range map[string]int{"before dialling": 0, "with the connection in hand": 1} {
+		t.Run(name, func(t *testing.T) {
+			seen := &tally{}
+			target := serve(t, func(_ http.ResponseWriter, r *http.Request) { seen.add(r.URL.Path) })
+			asked := 0
+			gate := func(Target) error {
+				asked++
+				if asked > allowed {
+					return errors.New("zone not permitted")
+				}
+				return nil
+			}
+			client := NewClient(Options{})
+			_, prefill := client.Prefill(t.Context(), target, gate, engineapi.PrefillRequest{Prompt: "secret"})
+			asked = 0
+			_, decode := client.Decode(t.Context(), target, gate, decodeRequest())
+			asked = 0
+			_, call := client.Call(t.Context(), target, gate, testAttempt, callerRequest(t, "POST", "/x", "secret"))
+			for _, err := range []error{prefill, decode, call} {
+				var failure *Error
+				assert.Assert(t, errors.As(err, &failure))
+				assert.ErrorIs(t, err, ErrGate)
+				assert.Assert(t, !failure.Sent)
+			}
+			assert.Equal(t, seen.count(), 0)
+		})
+	}
+}
+
+func TestUnreachableEndpointGotNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	target := targetAt(listener.Addr().String())
+	listener.Close()
+	_, err = NewClient(Options{}).Prefill(t.Context(), target, open, engineapi.PrefillRequest{})
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent)
+}
+
+// An endpoint has read the request and dies: it may have run it.
+func TestRequestThatLeftCountsAsSent(t *testing.T) {
+	target := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	_, err := NewClient(Options{}).Prefill(t.Context(), target, open, engineapi.PrefillRequest{})
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, failure.Sent)
+}
+
+// A context ends while net/http's writing goroutine has yet to write. Once the
+// request has been called unsent, that goroutine must find the connection
+// shut, or the request would run although it was reported as not sent.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &guardedConn{Conn: near}
+	mark := conn.mark()
+	assert.Assert(t, conn.seal(mark, errSealed))
+	_, err := conn.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+}
+
+func TestConnectionInUseIsNotSealed(t *testing.T) {
+	near, far := net.Pipe()
+	conn := &guardedConn{Conn: near}
+	mark := conn.mark()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	_, err := conn.Write([]byte("first"))
+	assert.NilError(t, err)
+	assert.Assert(t, !conn.seal(mark, errSealed))
+}
+
+// An endpoint accepts the connection and never answers.
+func TestHangingEndpointIsGivenUp(t *testing.T) {
+	target := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	client := NewClient(Options{HeaderTimeout: 1, ReadTimeout: 1, CallTimeout: 1})
+	_, err := client.Decode(t.Context(), target, open, decodeRequest())
+	assert.ErrorIs(t, err, ErrIdle)
+	_, err = client.Held(t.Context(), target)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = client.Call(t.Context(), target, open, testAttempt, callerRequest(t, "POST", "/x", "x"))
+	assert.ErrorIs(t, err, ErrIdle)
+}
