--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,314 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/operator"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// The keys of a test fleet.
+const (
+	operatorKey = "e2e-operator"
+	endpointKey = "e2e-endpoint"
+	teamKey     = "e2e-team"
+)
+
+// testFleet is a fleet of daemon processes with links that can be cut.
+type testFleet struct {
+	folder    string
+	prefix    string // of the loopback IP numbers
+	links     *links
+	instances []*instance
+	operator  *operator.Client
+}
+
+// plan is the shape of a test fleet.
+type plan struct {
+	zones    []string // one for each instance, in order
+	control  int      // the first so many are control instances too
+	timeouts string   // YAML lines below "timeouts:"
+}
+
+// startFleet starts daemons, makes the fleet and applies its settings.
+func startFleet(t *testing.T, p plan) *testFleet {
+	t.Helper()
+	f := newFleet(t, p)
+	for _, i := range f.instances {
+		i.start(t)
+	}
+	f.initialise(t, p)
+	f.awaitCurrent(t, f.instances...)
+	return f
+}
+
+func newFleet(t *testing.T, p plan) *testFleet {
+	t.Helper()
+	f := &testFleet{
+		folder: t.TempDir(),
+		prefix: fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250)),
+		links:  newLinks(),
+	}
+	for n, zone := range p.zones {
+		f.addInstance(t, n, zone, n < p.control)
+	}
+	f.writeKeys(t)
+	for _, i := range f.instances {
+		f.writeDaemon(t, i)
+	}
+	f.operator = f.newOperator(t)
+	return f
+}
+
+func (f *testFleet) addInstance(t *testing.T, n int, zone string, control bool) {
+	t.Helper()
+	roles := "entry"
+	if control {
+		roles = "entry, control"
+	}
+	i := &instance{
+		id:    fmt.Sprintf("i%d", n),
+		ip:    fmt.Sprintf("%s.%d", f.prefix, 1+n),
+		zone:  zone,
+		roles: roles,
+	}
+	i.folder = filepath.Join(f.folder, i.id)
+	assert.NilError(t, os.MkdirAll(i.folder, 0o755))
+	f.links.forward(t, f.advertised(i), i.at(rpcPort))
+	t.Cleanup(func() { i.cleanup(t) })
+	f.instances = append(f.instances, i)
+}
+
+// advertised is where other daemons reach i: its forwarder.
+func (f *testFleet) advertised(i *instance) string {
+	last := i.ip[strings.LastIndex(i.ip, ".")+1:]
+	return fmt.Sprintf("%s.1%02s:%d", f.prefix, last, rpcPort)
+}
+
+func (f *testFleet) writeKeys(t *testing.T) {
+	t.Helper()
+	arguments := []string{"certs", "--folder", filepath.Join(f.folder, "keys")}
+	for _, i := range f.instances {
+		arguments = append(arguments, i.id)
+	}
+	out, err := exec.Command(program("hyssopsail"), arguments...).CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+}
+
+func (f *testFleet) key(name string) string { return filepath.Join(f.folder, "keys", name) }
+
+func (f *testFleet) writeDaemon(t *testing.T, i *instance) {
+	t.Helper()
+	var control []string
+	for _, other := range f.instances {
+		if strings.Contains(other.roles, "control") {
+			control = append(control, fmt.Sprintf("%q", f.advertised(other)))
+		}
+	}
+	data := ""
+	if strings.Contains(i.roles, "control") {
+		data = "data_folder: " + filepath.Join(i.folder, "data")
+	}
+	text := fmt.Sprintf(`instance_id: %s
+availability_zone: %s
+roles: [%s]
+%s
+control_addresses: [%s]
+listeners:
+  rpc: {listen: %q, advertise: %q}
+  callers: {listen: %q}
+  endpoints: {listen: %q}
+  operators: {listen: %q}
+tls: {authority: %s, certificate: %s, key: %s}
+fleet_secret_file: %s
+log_level: debug
+`, i.id, i.zone, i.roles, data, strings.Join(control, ", "),
+		i.at(rpcPort), f.advertised(i), i.at(callersPort), i.at(endpointsPort), i.at(operatorsPort),
+		f.key("authority.pem"), f.key(i.id+".pem"), f.key(i.id+"-key.pem"), f.key("fleet-secret.hex"))
+	assert.NilError(t, os.WriteFile(filepath.Join(i.folder, "daemon.yaml"), []byte(text), 0o644))
+}
+
+func (f *testFleet) newOperator(t *testing.T) *operator.Client { return f.operatorAs(t, operatorKey) }
+
+func (f *testFleet) operatorAs(t *testing.T, key string, at ...*instance) *operator.Client {
+	t.Helper()
+	secure, err := operator.ClientTLS(f.key("authority.pem"))
+	assert.NilError(t, err)
+	if len(at) == 0 {
+		at = f.instances
+	}
+	var addresses []string
+	for _, i := range at {
+		addresses = append(addresses, i.at(operatorsPort))
+	}
+	return operator.NewClient(operator.ClientOptions{Addresses: addresses, Key: key, TLS: secure})
+}
+
+// callTime bounds one call of a test.
+const callTime = 20 * time.Second
+
+func callContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (f *testFleet) initialise(t *testing.T, p plan) {
+	t.Helper()
+	secret, err := os.ReadFile(f.key("fleet-secret.hex"))
+	assert.NilError(t, err)
+	bootstrap := f.operatorAs(t, strings.TrimSpace(string(secret)))
+	var members []*pb.Member
+	for _, i := range f.instances[:p.control] {
+		members = append(members, &pb.Member{InstanceId: i.id, RpcAddress: f.advertised(i)})
+	}
+	eventually(t, 10*time.Second, func() error {
+		_, err := bootstrap.Init(callContext(t), &pb.InitRequest{FleetId: "e2e", Members: members})
+		return err
+	})
+	eventually(t, 10*time.Second, func() error {
+		return f.change(t, bootstrap, settings.FleetSubtree, 0, "boot-fleet", fleetYAML(p))
+	})
+	eventually(t, 10*time.Second, func() error {
+		return f.change(t, f.operator, "teams/t", 0, "boot-team", teamYAML("t", teamKey, p.zoneList()...))
+	})
+}
+
+// change applies a subtree and waits until it is in force; anything but that
+// is an error.
+func (f *testFleet) change(t *testing.T, by *operator.Client, name string, expected uint64, id, yaml string) error {
+	t.Helper()
+	reply, err := by.Change(callContext(t), &pb.ChangeRequest{
+		Change:        &pb.ChangeSubtree{Name: name, ExpectedVersion: expected, ChangeId: id, Yaml: []byte(yaml)},
+		WaitInForceMs: 5000,
+	})
+	if err != nil {
+		return err
+	}
+	if reply.GetResult().GetStatus() != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		return fmt.Errorf("%s: %s %s", name, reply.GetResult().GetStatus(), reply.GetResult().GetDetail())
+	}
+	if !reply.GetInForce() {
+		return fmt.Errorf("%s: not in force at %v", name, reply.GetPendingInstances())
+	}
+	return nil
+}
+
+func (p plan) zoneList() []string {
+	var zones []string
+	seen := map[string]bool{}
+	for _, zone := range p.zones {
+		if !seen[zone] {
+			zones = append(zones, zone)
+		}
+		seen[zone] = true
+	}
+	return zones
+}
+
+func fleetYAML(p plan) string {
+	var b strings.Builder
+	b.WriteString("availability_zones:\n")
+	for _, zone := range p.zoneList() {
+		fmt.Fprintf(&b, "  - {name: %s, region: r}\n", zone)
+	}
+	b.WriteString("links:\n")
+	for _, from := range p.zoneList() {
+		for _, to := range p.zoneList() {
+			fmt.Fprintf(&b, "  - {from: %s, to: %s, rate: 10GB/s, delay: 200us}\n", from, to)
+		}
+	}
+	fmt.Fprintf(&b, `models:
+  - {name: m, versions: ["1"], kv_bytes_per_token: 1024B, max_tokens: 32768, load_time: 5s, weight_bytes: 1GB}
+services:
+  - name: s
+    timeout: 5s
+    routes:
+      - {method: POST, prefix: /once, idempotent: false}
+      - {method: "*", prefix: /, idempotent: true}
+endpoint_key_hashes: [%q]
+operators:
+  - {name: o, key_hash: %q, subtrees: ["*"]}
+weight_store: {rate: 1GB/s, concurrent_loads: 2}
+caller_kinds:
+  - {kind: any, patience: 10s, priority: 5}
+`, settings.HashKey(endpointKey), settings.HashKey(operatorKey))
+	if p.timeouts != "" {
+		b.WriteString("timeouts:\n" + p.timeouts)
+	}
+	return b.String()
+}
+
+func teamYAML(name, key string, zones ...string) string {
+	return fmt.Sprintf(`team: %s
+key_hashes: [%q]
+permitted_zones: [%s]
+models: [m]
+services: [s]
+targets: {first_token: 1600ms, token_gap: 38ms}
+`, name, settings.HashKey(key), strings.Join(zones, ", "))
+}
+
+// awaitCurrent waits until the instances serve.
+func (f *testFleet) awaitCurrent(t *testing.T, instances ...*instance) {
+	t.Helper()
+	for _, i := range instances {
+		eventually(t, 15*time.Second, func() error {
+			return ready(t, i)
+		})
+	}
+}
+
+// cut silences one way between two instances; heal undoes it.
+func (f *testFleet) cut(from, to *instance)  { f.links.set(direction{from.ip, to.ip}, true) }
+func (f *testFleet) heal(from, to *instance) { f.links.set(direction{from.ip, to.ip}, false) }
+
+// isolate silences both ways between i and all others.
+func (f *testFleet) isolate(i *instance, cut bool) {
+	for _, other := range f.instances {
+		if other != i {
+			f.links.set(direction{i.ip, other.ip}, cut)
+			f.links.set(direction{other.ip, i.ip}, cut)
+		}
+	}
+}
+
+// leader gives the instance that leads the control group.
+func (f *testFleet) leader(t *testing.T, among ...*instance) *instance {
+	t.Helper()
+	var found *instance
+	eventually(t, 15*time.Second, func() error {
+		for _, i := range among {
+			status, err := f.operatorAs(t, operatorKey, i).Status(callContext(t), nil)
+			if err != nil || status.GetLeaderInstance() != i.id {
+				continue
+			}
+			found = i
+			return nil
+		}
+		return fmt.Errorf("no leader among %d instances", len(among))
+	})
+	return found
+}
+
+func (f *testFleet) others(not *instance) []*instance {
+	var rest []*instance
+	for _, i := range f.instances {
+		if i != not {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/internal/e2e/request_test.go
@@ -0,0 +1,35 @@
+package e2e_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// oneZone is three entries that are control instances too.
+func oneZone() plan { return plan{zones: []string{"a", "a", "a"}, control: 3} }
+
+// A caller asks each entry, streamed and whole, and gets its own answer whole.
+func TestWholePath(t *testing.T) {
+	f := startFleet(t, oneZone())
+	e := &engines{fleet: f}
+	e.add(t, "p", "a", fleet.RolePrefill)
+	e.add(t, "d1", "a", fleet.RoleDecode)
+	e.add(t, "d2", "a", fleet.RoleDecode)
+	e.awaitServing(t)
+	for _, i := range f.instances {
+		for _, stream := range []bool{true, false} {
+			r := request{prompt: "bale of saris at " + i.id, maxTokens: 40, stream: stream}
+			a, err := ask(callContext(t), i, r)
+			assert.NilError(t, err)
+			assert.Assert(t, a.whole(), "%+v", a)
+			assert.Equal(t, a.outcome, callerapi.OutcomeCompleted)
+			assert.Equal(t, a.text, standin.ExpectedText(r.prompt, r.maxTokens))
+		}
+	}
+	e.awaitNothingHeld(t, callTime)
+}
