--- /dev/null
+++ b/internal/control/change_test.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func TestChangeTable(t *testing.T) {
+	good := teamYAML("clerks", "howrah")
+	change := func(edit func(*pb.ChangeSubtree)) *pb.ChangeSubtree {
+		c := &pb.ChangeSubtree{Name: "teams/clerks", ChangeId: "c1", Yaml: good, Author: "mina"}
+		edit(c)
+		return c
+	}
+	cases := []struct {
+		name    string
+		change  *pb.ChangeSubtree
+		status  pb.ChangeStatus
+		version uint64
+	}{
+		{"create", change(func(*pb.ChangeSubtree) {}), pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, 1},
+		{"create with a version", change(func(c *pb.ChangeSubtree) { c.ExpectedVersion = 1 }), pb.ChangeStatus_CHANGE_STATUS_CONFLICT, 0},
+		{"no change ID", change(func(c *pb.ChangeSubtree) { c.ChangeId = "" }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
+		{"no name", change(func(c *pb.ChangeSubtree) { c.Name = "" }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
+		{"unknown zone", change(func(c *pb.ChangeSubtree) { c.Yaml = teamYAML("clerks", "nowhere") }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
+		{"not YAML", change(func(c *pb.ChangeSubtree) { c.Yaml = []byte("{\xff") }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
+		{"too large", change(func(c *pb.ChangeSubtree) { c.Yaml = make([]byte, maxYAMLBytes+1) }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
+		{"existing, version 0", change(func(c *pb.ChangeSubtree) { c.Name = "teams/sorters"; c.Yaml = teamYAML("sorters", "howrah") }), pb.ChangeStatus_CHANGE_STATUS_CONFLICT, 1},
+		{"remove", change(func(c *pb.ChangeSubtree) { c.Name = "teams/sorters"; c.ExpectedVersion = 1; c.Yaml = nil }), pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, 2},
+		{"remove the fleet", change(func(c *pb.ChangeSubtree) { c.Name = "fleet"; c.ExpectedVersion = 1; c.Yaml = nil }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newFleet(t)
+			result := l.change(c.change)
+			assert.Equal(t, result.Status, c.status, result.Detail)
+			assert.Equal(t, result.Version, c.version)
+			if c.status == pb.ChangeStatus_CHANGE_STATUS_CONFLICT {
+				assert.Equal(t, result.Current.GetVersion(), c.version)
+			}
+		})
+	}
+}
+
+// An operator's change is committed, the leader dies before it answers, and
+// the operator resends it, also after others have changed the subtree and
+// after the next leader started from a snapshot. The first result comes back
+// each time and the change is applied once.
+func TestResentChangeGetsItsFirstResult(t *testing.T) {
+	l := newFleet(t)
+	change := &pb.ChangeSubtree{
+		Name: "teams/sorters", ExpectedVersion: 1, ChangeId: "mine", Yaml: teamYAML("sorters", "howrah"), Author: "mina",
+	}
+	first := l.change(change)
+	assert.Equal(t, first.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
+	lost := proto.Clone(change).(*pb.ChangeSubtree)
+	lost.ChangeId = "theirs"
+	conflict := l.change(lost)
+	assert.Equal(t, conflict.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+	for round := range 3 {
+		l.accept("teams/sorters", uint64(2+round), teamYAML("sorters", "barasat"))
+		l.restart()
+		change.ProposedUnixMs++ // another send
+		again := l.change(change)
+		assert.Assert(t, again.Repeated)
+		assert.Equal(t, again.Index, first.Index)
+		assert.Equal(t, again.Version, first.Version)
+		assert.Equal(t, l.machine.current["teams/sorters"].Version, uint64(3+round))
+		againLost := l.change(lost)
+		assert.Equal(t, againLost.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+		assert.Equal(t, againLost.Current.Version, uint64(2))
+	}
+	change.Yaml = teamYAML("sorters", "durgapur")
+	assert.Equal(t, l.change(change).Status, pb.ChangeStatus_CHANGE_STATUS_INVALID)
+}
+
+// Two operators read the same version and both change it, a thousand times.
+// Exactly one wins each round and the other is shown the winner's document.
+// Operators of different teams never meet.
+func TestOperatorsRace(t *testing.T) {
+	l := newFleet(t)
+	l.accept("teams/clerks", 0, teamYAML("clerks", "howrah"))
+	for round := range uint64(1000) {
+		a := &pb.ChangeSubtree{Name: "teams/sorters", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("a", round), Yaml: teamYAML("sorters", "howrah")}
+		b := &pb.ChangeSubtree{Name: "teams/sorters", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("b", round), Yaml: teamYAML("sorters", "barasat")}
+		other := &pb.ChangeSubtree{Name: "teams/clerks", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("c", round), Yaml: teamYAML("clerks", "howrah")}
+		if round%2 == 1 {
+			a, b = b, a
+		}
+		won := l.change(a)
+		assert.Equal(t, l.change(other).Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
+		lost := l.change(b)
+		assert.Equal(t, won.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
+		assert.Equal(t, lost.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+		assert.DeepEqual(t, lost.Current.Yaml, a.Yaml)
+		assert.Equal(t, lost.Current.ChangeId, a.ChangeId)
+	}
+}
+
+func TestHistoryIsKeptAndBounded(t *testing.T) {
+	l := newFleet(t)
+	const changes = historyVersions + 10
+	for n := range uint64(changes) {
+		l.accept("teams/sorters", n+1, teamYAML("sorters", "howrah"))
+	}
+	l.restart()
+	kept := l.machine.Documents(&pb.GetSettingsRequest{Name: "teams/sorters", History: true})
+	assert.Equal(t, len(kept), historyVersions+1)
+	assert.Equal(t, kept[len(kept)-1].Version, uint64(changes+1))
+	old := l.machine.Documents(&pb.GetSettingsRequest{Name: "teams/sorters", Version: changes - 5})
+	assert.Equal(t, old[0].Version, uint64(changes-5))
+	assert.Equal(t, len(l.machine.Documents(&pb.GetSettingsRequest{})), 2)
+}
+
+// A reader that 500 and more changes have passed by gets the whole state, one
+// just behind gets deltas, and both end with the same documents.
+func TestPullDeltasOrSnapshot(t *testing.T) {
+	l := newFleet(t)
+	for n := range uint64(recentDeltas + 10) {
+		l.accept("teams/sorters", n+1, teamYAML("sorters", "howrah"))
+	}
+	assert.Assert(t, l.machine.Pull(2).Snapshot != nil)
+	near := l.machine.Pull(l.index - 3)
+	assert.Equal(t, len(near.Deltas), 3)
+	assert.Equal(t, near.ThroughIndex, l.index)
+	assert.Assert(t, l.machine.Pull(l.index) == nil)
+	l.restart()
+	assert.Assert(t, l.machine.Pull(l.index-3).Snapshot != nil)
+	assert.Assert(t, l.machine.Pull(l.index) == nil)
+	l.accept("teams/sorters", recentDeltas+11, teamYAML("sorters", "barasat"))
+	assert.Equal(t, len(l.machine.Pull(l.index-1).Deltas), 1)
+}
--- /dev/null
+++ b/internal/control/fixture_test.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+const fleetYAML = `availability_zones:
+  - {name: howrah, region: bengal}
+  - {name: barasat, region: bengal}
+  - {name: durgapur, region: bengal}
+models:
+  - {name: fibre, versions: [v1], kv_bytes_per_token: 128KB, max_tokens: 32000, weight_bytes: 10GB, load_time: 60s}
+weight_store: {rate: 1GB/s, concurrent_loads: 2}
+operators:
+  - {name: root, key_hash: "sha256:0000000000000000000000000000000000000000000000000000000000000001", subtrees: ["*"]}
+`
+
+func teamYAML(name string, zones ...string) []byte {
+	text := "team: %s\nkey_hashes: [%q]\npermitted_zones: [%s]\nmodels: [fibre]\n"
+	return fmt.Appendf(nil, text, name, settings.HashKey(name), strings.Join(zones, ", "))
+}
+
+func testOptions() MachineOptions {
+	return MachineOptions{Check: settings.CheckChange, Build: settings.Build}
+}
+
+// log drives a Machine as the replicated log would.
+type log struct {
+	t       testing.TB
+	machine *Machine
+	index   uint64
+	clock   int64
+}
+
+func newLog(t testing.TB) *log {
+	return &log{t: t, machine: NewMachine(testOptions()), clock: 1_000_000}
+}
+
+func (l *log) apply(c *pb.Command) *pb.CommandResult {
+	l.t.Helper()
+	l.index++
+	c.UnixMs = l.clock
+	encoded, err := proto.Marshal(c)
+	assert.NilError(l.t, err)
+	var result pb.CommandResult
+	assert.NilError(l.t, proto.Unmarshal(l.machine.Apply(l.index, encoded), &result))
+	return &result
+}
+
+func (l *log) change(c *pb.ChangeSubtree) *pb.ChangeResult {
+	l.t.Helper()
+	return l.apply(&pb.Command{Body: &pb.Command_ChangeSubtree{ChangeSubtree: c}}).Change
+}
+
+func (l *log) accept(name string, version uint64, yaml []byte) *pb.ChangeResult {
+	l.t.Helper()
+	result := l.change(&pb.ChangeSubtree{
+		Name:            name,
+		ExpectedVersion: version,
+		ChangeId:        fmt.Sprintf("%s-%d-%d", name, version, l.index),
+		Yaml:            yaml,
+	})
+	assert.Equal(l.t, result.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, result.Detail)
+	return result
+}
+
+func (l *log) join(id string, incarnation uint64, zone string) string {
+	l.t.Helper()
+	i := &pb.InstanceRecord{Id: id, Incarnation: incarnation, AvailabilityZone: zone, Entry: true}
+	return l.apply(&pb.Command{Body: &pb.Command_JoinInstance{JoinInstance: &pb.JoinInstance{Instance: i}}}).Refusal
+}
+
+func (l *log) expire(id string, incarnation uint64) string {
+	l.t.Helper()
+	e := &pb.ExpireInstance{Id: id, Incarnation: incarnation, Reason: "lease"}
+	return l.apply(&pb.Command{Body: &pb.Command_ExpireInstance{ExpireInstance: e}}).Refusal
+}
+
+func (l *log) drain(id string) string {
+	l.t.Helper()
+	return l.apply(&pb.Command{Body: &pb.Command_DrainInstance{DrainInstance: &pb.DrainInstance{Id: id}}}).Refusal
+}
+
+func (l *log) ready(r *pb.LedgerReplica, g *pb.LedgerGroup) string {
+	l.t.Helper()
+	return l.apply(&pb.Command{Body: &pb.Command_LedgerReady{LedgerReady: &pb.LedgerReady{
+		InstanceId:  r.InstanceId,
+		Incarnation: r.Incarnation,
+		Shards:      []*pb.LedgerShardEpoch{{ZoneClass: g.ZoneClass, Shard: g.Shard, Epoch: g.Epoch}},
+	}}}).Refusal
+}
+
+func (l *log) order(o *pb.IssueOrder) *pb.CommandResult {
+	l.t.Helper()
+	return l.apply(&pb.Command{Body: &pb.Command_IssueOrder{IssueOrder: o}})
+}
+
+// restart replaces the machine by one restored from its snapshot.
+func (l *log) restart() {
+	l.t.Helper()
+	snapshot, err := l.machine.Snapshot()
+	assert.NilError(l.t, err)
+	l.machine = NewMachine(testOptions())
+	assert.NilError(l.t, l.machine.Restore(l.index, snapshot))
+}
+
+// newFleet gives a log with the fleet subtree and one team in all zones.
+func newFleet(t testing.TB) *log {
+	t.Helper()
+	l := newLog(t)
+	l.accept("fleet", 0, []byte(fleetYAML))
+	l.accept("teams/sorters", 0, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+	return l
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -48,7 +48,7 @@
 
 func (m *Machine) reset() {
 	m.applied, m.effect, m.clock, m.viewNumber = 0, 0, 0, 0
-	m.tree = &settings.Tree{}
+	m.tree = settings.EmptyTree()
 	m.current = make(map[string]*pb.SubtreeDocument)
 	m.treeBytes = 0
 	m.history = newHistory()
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -31,7 +31,7 @@
 		change:    o.Change,
 		documents: make(map[string]*pb.SubtreeDocument),
 		state: &State{
-			Tree:     &settings.Tree{Versions: map[string]uint64{}},
+			Tree:     settings.EmptyTree(),
 			View:     fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}},
 			Groups:   map[fleet.LedgerShard]fleet.LedgerGroup{},
 			Suspects: map[fleet.Fingerprint]fleet.Suspect{},
