--- a/internal/control/instances_test.go
+++ b/internal/control/instances_test.go
@@ -10,7 +10,9 @@
 
 func TestInstancesTable(t *testing.T) {
 	type step func(*log) string
-	join := func(incarnation uint64) step { return func(l *log) string { return l.join("a", incarnation, "howrah") } }
+	join := func(incarnation uint64) step {
+		return func(l *log) string { return l.join("a", incarnation, "howrah") }
+	}
 	expire := func(incarnation uint64) step { return func(l *log) string { return l.expire("a", incarnation) } }
 	restart := func(l *log) string { l.restart(); return "" }
 	cases := []struct {
--- /dev/null
+++ b/internal/control/suspects_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func (l *log) crash(endpoint string, incarnation uint64, on ...byte) string {
+	l.t.Helper()
+	r := &pb.ReportCrash{EndpointId: endpoint, EndpointIncarnation: incarnation}
+	for _, f := range on {
+		raw := fleet.Fingerprint{f}
+		r.Fingerprints = append(r.Fingerprints, raw[:])
+	}
+	return l.apply(&pb.Command{Body: &pb.Command_ReportCrash{ReportCrash: r}}).Refusal
+}
+
+func TestSuspectsTable(t *testing.T) {
+	type death struct {
+		endpoint    string
+		incarnation uint64
+		on          []byte
+	}
+	cases := []struct {
+		name        string
+		deaths      []death
+		quarantined []byte
+		suspects    int
+	}{
+		{"one death", []death{{"x", 1, []byte{1, 2, 3}}}, nil, 3},
+		{"alone at a second death", []death{{"x", 1, []byte{1, 2}}, {"y", 1, []byte{1}}}, []byte{1}, 2},
+		{"the intersection", []death{{"x", 1, []byte{1, 2}}, {"y", 1, []byte{1, 3}}}, []byte{1}, 3},
+		{"two in common", []death{{"x", 1, []byte{1, 2}}, {"y", 1, []byte{1, 2}}}, nil, 2},
+		{"three deaths in company", []death{{"x", 1, []byte{1, 2}}, {"y", 1, []byte{1, 2}}, {"x", 2, []byte{1, 2}}}, []byte{1, 2}, 2},
+		{"one death reported twice", []death{{"x", 1, []byte{1}}, {"x", 1, []byte{1}}}, nil, 1},
+		{"one death reported in parts", []death{{"x", 1, []byte{1}}, {"x", 1, []byte{1, 2}}}, nil, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newFleet(t)
+			for _, d := range c.deaths {
+				assert.Equal(t, l.crash(d.endpoint, d.incarnation, d.on...), "")
+				l.restart()
+			}
+			var quarantined []byte
+			for _, r := range l.machine.suspects.sorted() {
+				if r.Quarantined {
+					quarantined = append(quarantined, r.Fingerprint[0])
+				}
+			}
+			assert.DeepEqual(t, quarantined, c.quarantined)
+			assert.Equal(t, len(l.machine.suspects.records), c.suspects)
+		})
+	}
+}
+
+func TestSuspectsAgeAndAreBounded(t *testing.T) {
+	l := newFleet(t)
+	assert.Equal(t, l.crash("x", 1, 1), "")
+	l.clock += time.Hour.Milliseconds() + 1
+	l.drain("nobody")
+	assert.Equal(t, len(l.machine.suspects.records), 0)
+	assert.Equal(t, l.machine.recent.deltas[len(l.machine.recent.deltas)-1].Suspects[0].Crashes, uint32(0))
+	for n := range uint64(6) {
+		r := &pb.ReportCrash{EndpointId: "x", EndpointIncarnation: n + 2}
+		for f := range maxFingerprints {
+			raw := fleet.Fingerprint{byte(n + 1), byte(f >> 8), byte(f)}
+			r.Fingerprints = append(r.Fingerprints, raw[:])
+		}
+		l.apply(&pb.Command{Body: &pb.Command_ReportCrash{ReportCrash: r}})
+	}
+	assert.Equal(t, len(l.machine.suspects.records), maxSuspects)
+	short := &pb.ReportCrash{EndpointId: "x", Fingerprints: [][]byte{{1}}}
+	assert.Equal(t, l.apply(&pb.Command{Body: &pb.Command_ReportCrash{ReportCrash: short}}).Refusal, refusalMalformed)
+}
