--- a/cmd/hyssopsail/settings.go
+++ b/cmd/hyssopsail/settings.go
@@ -10,4 +10,5 @@
 	addSettingsDiff(a, group)
 	addSettingsHistory(a, group)
 	addSettingsRollback(a, group)
+	addSettingsRemove(a, group)
 }
--- a/cmd/hyssopsail/settings_apply.go
+++ b/cmd/hyssopsail/settings_apply.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
 	"github.com/hyssopsail/hyssopsail/internal/operator"
@@ -72,16 +73,22 @@
 	if err := checkSettings(files); err != nil {
 		return trace.Wrap(err)
 	}
-	var failed error
+	return errors.Join(c.applyAll(files), c.app.showApplied(c.results))
+}
+
+// applyAll stops at the first file that isn't accepted. One that is accepted
+// but not in force in time stops nothing: it can't be taken back.
+func (c *settingsApply) applyAll(files []settingsFile) error {
+	var late error
 	for _, file := range files {
 		result, err := c.applyFile(file)
-		if err != nil {
-			failed = err
-			break
+		if err != nil && result.Result == "" {
+			return err
 		}
 		c.results = append(c.results, result)
+		late = errors.Join(late, err)
 	}
-	return errors.Join(failed, c.app.showApplied(c.results))
+	return late
 }
 
 func (c *settingsApply) applyFile(file settingsFile) (applied, error) {
@@ -109,11 +116,7 @@
 
 // send asks for one change and turns each outcome but acceptance into an error.
 func (a *app) send(client *operator.Client, change *pb.ChangeSubtree, wait time.Duration) (applied, error) {
-	if change.ChangeId == "" {
-		change.ChangeId = changeID(change)
-	}
-	request := &pb.ChangeRequest{Change: change, WaitInForceMs: uint64(min(wait, operator.MaxWait).Milliseconds())}
-	reply, err := client.Change(a.ctx, request)
+	reply, err := a.sendOnce(client, change, wait)
 	if err != nil {
 		return applied{}, trace.Wrap(err)
 	}
@@ -129,6 +132,27 @@
 	return applied{}, trace.Errorf("%s: the daemon gave a status that this tool doesn't know: %v", change.Name, result.GetStatus())
 }
 
+// sendOnce sends a change under its own ID, or under one made of its content.
+//
+// The group keeps the first answer of an ID. When that was a refusal whose
+// cause is mended by now (the fleet has the missing zone), the same file would
+// be refused for ever: the repeated refusal shows that nothing was changed
+// under the first ID, so a fresh one can't apply the change twice.
+func (a *app) sendOnce(client *operator.Client, change *pb.ChangeSubtree, wait time.Duration) (*pb.ChangeReply, error) {
+	request := &pb.ChangeRequest{Change: change, WaitInForceMs: uint64(min(wait, operator.MaxWait).Milliseconds())}
+	if change.ChangeId != "" {
+		return client.Change(a.ctx, request)
+	}
+	change.ChangeId = changeID(client.KeyHash(), change)
+	reply, err := client.Change(a.ctx, request)
+	result := reply.GetResult()
+	if err != nil || !result.GetRepeated() || result.GetStatus() == pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		return reply, err
+	}
+	change.ChangeId += "-" + uuid.NewString()
+	return client.Change(a.ctx, request)
+}
+
 func acceptedResult(change *pb.ChangeSubtree, reply *pb.ChangeReply, wait time.Duration) (applied, error) {
 	out := applied{
 		Subtree:  change.Name,
@@ -159,11 +183,11 @@
 
 func moment(unixMs int64) string { return time.UnixMilli(unixMs).UTC().Format(time.RFC3339) }
 
-// changeID names a change by what it does, so that the same command run again
+// changeID names a change by who does what, so that the same command run again
 // after a lost reply is the same change, and any other is another.
-func changeID(change *pb.ChangeSubtree) string {
+func changeID(who settings.KeyHash, change *pb.ChangeSubtree) string {
 	hash := sha256.New()
-	_, _ = fmt.Fprintf(hash, "%s\x00%d\x00", change.Name, change.ExpectedVersion) // a hash takes any write
+	_, _ = fmt.Fprintf(hash, "%s\x00%s\x00%d\x00", who, change.Name, change.ExpectedVersion) // a hash takes any write
 	_, _ = hash.Write(change.Yaml)
 	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
--- /dev/null
+++ b/internal/certs/certs_test.go
@@ -0,0 +1,113 @@
+package certs
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/config"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+func write(t *testing.T, folder string, ids ...fleet.InstanceID) error {
+	t.Helper()
+	_, err := Write(Options{Folder: folder, Instances: ids, Now: time.Now()})
+	return err
+}
+
+func files(folder, id string) rpc.Files {
+	return rpc.Files{
+		Authority:   filepath.Join(folder, AuthorityFile),
+		Certificate: filepath.Join(folder, id+CertificateSuffix),
+		Key:         filepath.Join(folder, id+KeySuffix),
+	}
+}
+
+// handshake tells whether the two sides take each other.
+func handshake(t *testing.T, server, client rpc.Files) error {
+	t.Helper()
+	serverTLS, err := rpc.LoadTLS(server)
+	assert.NilError(t, err)
+	clientTLS, err := rpc.LoadTLS(client)
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan error, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			accepted <- err
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		accepted <- tls.Server(connection, serverTLS).HandshakeContext(context.Background())
+	}()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	clientErr := tls.Client(connection, clientTLS).HandshakeContext(context.Background())
+	if clientErr != nil {
+		_ = connection.Close()
+	}
+	return trace.NewAggregate(clientErr, <-accepted)
+}
+
+func TestWorkingSet(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "keys")
+	assert.NilError(t, write(t, folder, "a", "b"))
+	assert.NilError(t, handshake(t, files(folder, "a"), files(folder, "b")))
+	_, err := config.LoadSecret(filepath.Join(folder, SecretFile))
+	assert.NilError(t, err)
+	entries, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 7)
+	for _, entry := range entries {
+		info, err := entry.Info()
+		assert.NilError(t, err)
+		assert.Equal(t, info.Mode().Perm(), os.FileMode(fileMode), entry.Name())
+	}
+}
+
+// What a user sees: after "certs" was run a second time, no daemon can reach
+// another: a new authority has replaced the one that signed their keys.
+func TestNothingIsOverwritten(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, write(t, folder, "a"))
+	before, err := os.ReadFile(filepath.Join(folder, AuthorityFile))
+	assert.NilError(t, err)
+	err = write(t, folder, "b", "a")
+	assert.Assert(t, trace.IsAlreadyExists(err), "%v", err)
+	_, err = os.Stat(filepath.Join(folder, "b"+CertificateSuffix))
+	assert.Assert(t, os.IsNotExist(err))
+
+	assert.NilError(t, write(t, folder, "b"))
+	after, err := os.ReadFile(filepath.Join(folder, AuthorityFile))
+	assert.NilError(t, err)
+	assert.Equal(t, string(before), string(after))
+	assert.NilError(t, handshake(t, files(folder, "a"), files(folder, "b")))
+
+	assert.NilError(t, os.Remove(filepath.Join(folder, SecretFile)))
+	assert.ErrorContains(t, write(t, folder, "c"), "has some of")
+}
+
+func TestOtherFleetIsRefused(t *testing.T) {
+	one, other := t.TempDir(), t.TempDir()
+	assert.NilError(t, write(t, one, "a"))
+	assert.NilError(t, write(t, other, "a"))
+	assert.ErrorContains(t, handshake(t, files(one, "a"), files(other, "a")), "certificate")
+}
+
+func TestBadInstanceIDs(t *testing.T) {
+	for _, ids := range [][]fleet.InstanceID{nil, {""}, {"a", "a"}, {"../a"}, {"authority"}, {"authority-key"}, {"a", "a-key"}} {
+		assert.Assert(t, write(t, t.TempDir(), ids...) != nil, "%v", ids)
+	}
+}
--- a/internal/certs/write.go
+++ b/internal/certs/write.go
@@ -77,13 +77,17 @@
 	if len(o.Instances) == 0 {
 		return trace.BadParameter("name at least one instance")
 	}
-	seen := map[fleet.InstanceID]bool{}
+	// IDs such as "a" and "a-key" would share a file.
+	taken := map[string]bool{AuthorityFile: true, AuthorityKeyFile: true, SecretFile: true}
 	for _, id := range o.Instances {
-		if id == "" || filepath.Base(string(id)) != string(id) || id == "authority" || seen[id] {
-			return trace.BadParameter("%q is no instance ID that a file can have, or stands twice", string(id))
+		if id == "" || filepath.Base(string(id)) != string(id) {
+			return trace.BadParameter("%q is no instance ID that a file can have", string(id))
 		}
-		seen[id] = true
 		for _, name := range []string{string(id) + CertificateSuffix, string(id) + KeySuffix} {
+			if taken[name] {
+				return trace.BadParameter("instance %q would share the file %s", string(id), name)
+			}
+			taken[name] = true
 			if exists(filepath.Join(o.Folder, name)) {
 				return trace.AlreadyExists("%s exists and is not overwritten", filepath.Join(o.Folder, name))
 			}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 // ClientOptions say whom to ask and with which key.
@@ -45,6 +46,9 @@
 	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: callTimeout + MaxWait}}
 }
 
+// KeyHash names the key that the client shows.
+func (c *Client) KeyHash() settings.KeyHash { return settings.HashKey(c.options.Key) }
+
 // ReplyError is a refusal by a daemon.
 type ReplyError struct {
 	Status int // HTTP
