--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -104,6 +104,14 @@
 	}
 }
 
+func TestShortLineBound(t *testing.T) {
+	client := NewClient(Options{MaxLine: 50})
+	stream, err := client.Decode(t.Context(), streamOf(t, event(chunk(0, 2, ""))), open, decodeRequest())
+	assert.NilError(t, err)
+	_, err = stream.Next()
+	assert.ErrorIs(t, err, ErrOversized)
+}
+
 func TestStreamPassesOverOtherLines(t *testing.T) {
 	body := ": keepalive\n\nevent: chunk\nid: 1\nretry: 5\n" + event(chunk(0, 2, "")) + "\r\n" +
 		event(chunk(2, 1, engineapi.FinishLength)) + "data: nothing is read after the end\n"
--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -11,31 +11,34 @@
 )
 
 // A caller goes away at each stage of its request. Its memory must be free
-// after the cancel, and work of the same attempt that comes late must be
-// refused, or it would hold memory for nobody.
+// after the cancel, what still waits must end, and work of the same attempt
+// that comes late must be refused, or it would hold memory for nobody.
 func TestCancelAtEachStage(t *testing.T) {
 	slow := quick()
 	slow.PrefillBase = 1 << 40
 	long := "[[tokens=100000]]"
 	for _, test := range []struct {
 		stage engineapi.Stage
-		reach func(t *testing.T, f *flow, p, d *standin.Standin)
+		reach func(t *testing.T, f *flow, p, d *standin.Standin) <-chan error
 		pre   standin.Timing
 	}{
-		{engineapi.StagePrefill, func(t *testing.T, f *flow, p, _ *standin.Standin) {
-			f.inBackground((*flow).runPrefill)
+		{engineapi.StagePrefill, func(t *testing.T, f *flow, p, _ *standin.Standin) <-chan error {
+			done := f.inBackground((*flow).runPrefill)
 			eventually(t, "prefill runs", func() bool { return len(p.Held()) == 1 })
+			return done
 		}, slow},
-		{engineapi.StageExported, func(t *testing.T, f *flow, _, _ *standin.Standin) {
+		{engineapi.StageExported, func(t *testing.T, f *flow, _, _ *standin.Standin) <-chan error {
 			assert.NilError(t, f.runPrefill(t.Context()))
+			return nil
 		}, quick()},
-		{engineapi.StageImported, func(t *testing.T, f *flow, p, d *standin.Standin) {
+		{engineapi.StageImported, func(t *testing.T, f *flow, p, d *standin.Standin) <-chan error {
 			assert.NilError(t, f.runPrefill(t.Context()))
 			p.SetFaults(standin.Faults{StallTransfers: true})
-			f.inBackground((*flow).runImport)
+			done := f.inBackground((*flow).runImport)
 			eventually(t, "transfer runs", func() bool { return len(d.Held()) == 1 })
+			return done
 		}, quick()},
-		{engineapi.StageDecode, func(t *testing.T, f *flow, _, d *standin.Standin) {
+		{engineapi.StageDecode, func(t *testing.T, f *flow, _, d *standin.Standin) <-chan error {
 			f.most = 100_000
 			f.toDecode(t)
 			stream, err := f.open(t.Context(), 0)
@@ -43,17 +46,21 @@
 			_, err = stream.Next()
 			assert.NilError(t, err)
 			assert.NilError(t, stream.Close())
+			return nil
 		}, quick()},
 	} {
 		t.Run(string(test.stage), func(t *testing.T) {
 			p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill, Timing: test.pre})
 			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode})
 			f := newFlow(p, d, long+strings.Repeat("x", 4000))
-			test.reach(t, f, p, d)
+			waiting := test.reach(t, f, p, d)
 			f.client.Cancel(f.prefill, f.attempt)
 			f.client.Cancel(f.decode, f.attempt)
 			eventually(t, "prefill engine free", empty(p))
 			eventually(t, "decode engine free", empty(d))
+			if waiting != nil {
+				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
+			}
 			eventually(t, "late prefill refused", func() bool {
 				return codeOf(f.runPrefill(t.Context())) == engineapi.CodeStale
 			})
@@ -71,11 +78,14 @@
 	f := newFlow(p, d, "lost cancel [[tokens=100000]]")
 	f.most = 100_000
 	f.toDecode(t)
-	_, err := f.open(t.Context(), 0)
+	stream, err := f.open(t.Context(), 0)
 	assert.NilError(t, err)
 	d.SetFaults(standin.Faults{IgnoreCancels: 2})
 	f.client.Cancel(f.decode, f.attempt)
 	eventually(t, "decode engine free", empty(d))
+	_, finish, err := read(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, finish, engineapi.FinishCancelled)
 	assert.Equal(t, d.Faults().IgnoreCancels, 0)
 	assert.Equal(t, d.Audit().Cancelled, 1)
 }
--- a/internal/standin/harness_test.go
+++ b/internal/standin/harness_test.go
@@ -146,10 +146,12 @@
 	assert.NilError(t, f.runImport(t.Context()))
 }
 
-// inBackground runs one step on a copy of f.
-func (f *flow) inBackground(step func(*flow, context.Context) error) {
+// inBackground runs one step on a copy of f and gives its error.
+func (f *flow) inBackground(step func(*flow, context.Context) error) <-chan error {
 	copied := *f
-	go func() { _ = step(&copied, context.Background()) }()
+	done := make(chan error, 1)
+	go func() { done <- step(&copied, context.Background()) }()
+	return done
 }
 
 // read gives a stream's text and last finish.
