Callers' contract tests, at-most-once calls, joins and panics

TestContractFaults found that an encoded '..' reached a service: chi hands out the raw path. It is decoded once now, before the check. TestJoinBufferBounded found a run that waited for ever for a reader that had caught up: the reader now wakes it. A panic in a keyed run would have ended the process; it answers 500 with outcome unknown.

go test -race -count=3 ./internal/route passes.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"path"
 	"strings"
 	"time"
@@ -76,11 +77,16 @@
 	}, nil
 }
 
-// servicePath gives the path below the service. One with "." or ".." parts is
+// servicePath gives the path below the service, decoded once, so that the
+// settings' routes and the endpoint see the same. One with "." or ".." parts is
 // refused rather than cleaned: it would match another route's settings than
 // the endpoint serves, so that a call which may not repeat is repeated.
 func servicePath(rest string) (string, bool) {
-	below := "/" + rest
+	decoded, err := url.PathUnescape(rest)
+	if err != nil {
+		return "", false
+	}
+	below := "/" + decoded
 	cleaned := path.Clean(below)
 	if strings.HasSuffix(below, "/") && cleaned != "/" {
 		cleaned += "/"
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -34,13 +34,15 @@
 }
 
 // try makes one attempt and frees all that it held, however it ends.
-func (m *modelRun) try(ctx context.Context) *setback {
+func (m *modelRun) try(ctx context.Context) (s *setback) {
 	a := &attempt{run: m, id: newAttemptID()}
-	if s := a.begin(ctx); s != nil {
+	if s = a.begin(ctx); s != nil {
 		return s
 	}
-	s := a.stages(ctx)
-	a.close(s)
+	// Should a stage panic, its holds are freed all the same.
+	s = &setback{cause: causeRefused}
+	defer func() { a.close(s) }()
+	s = a.stages(ctx)
 	return s
 }
 
--- a/internal/route/broadcast.go
+++ b/internal/route/broadcast.go
@@ -18,6 +18,7 @@
 	chunks  []engineapi.Chunk
 	dropped int // chunks dropped from the front
 	bytes   int
+	full    bool // the run waits for a reader
 	readers map[*reader]struct{}
 	answer  *Answer       // set when the run has ended
 	changed chan struct{} // closed and replaced at each change
@@ -79,6 +80,7 @@
 		b.dropReadLocked()
 	}
 	if b.bytes+len(c.Text) > b.limit && len(b.chunks) > 0 {
+		b.full = true
 		return b.changed, false
 	}
 	b.chunks = append(b.chunks, c)
@@ -120,5 +122,9 @@
 	defer b.mu.Unlock()
 	fresh := b.chunks[r.next-b.dropped:]
 	r.next += len(fresh)
+	if b.full && len(fresh) > 0 {
+		b.full = false
+		b.wakeLocked()
+	}
 	return batch{chunks: fresh[:len(fresh):len(fresh)], answer: b.answer, changed: b.changed}
 }
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -35,6 +35,8 @@
 		return nil, failure
 	}
 	m := r.newCallRun(req, c)
+	// Only after a panic is a hold still there.
+	defer func() { r.free(m.held, nil, 0) }()
 	if c.idempotent {
 		return m.repeatable(ctx)
 	}
@@ -50,6 +52,7 @@
 	gate        engine.Gate
 	avoid       endpointSet
 	deadline    time.Time // for the endpoint to be chosen and free
+	held        *hold     // the newest
 }
 
 func (r *Router) newCallRun(req CallRequest, c callClass) *callRun {
@@ -165,5 +168,6 @@
 		return nil, &setback{cause: causeFull, retryAfter: refusal.RetryAfter}
 	}
 	m.event(timeline.KindGranted, id, c.ID)
-	return newHold(*grant, time.Now()), nil
+	m.held = newHold(*grant, time.Now())
+	return m.held, nil
 }
--- /dev/null
+++ b/internal/route/callers_test.go
@@ -0,0 +1,322 @@
+package route_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/admission"
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/entry"
+	"github.com/hyssopsail/hyssopsail/internal/route"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+const teamKey = "s3cret-team-key"
+
+// serve runs the callers' interface over a world on a loopback port.
+func serve(t testing.TB, w *world) *httptest.Server {
+	t.Helper()
+	handler := entry.NewCallers(entry.CallersOptions{
+		Router: w.router(route.Bounds{}), Source: w, Recorder: w,
+		TeamByKey: func(tree *settings.Tree, key string) (settings.Team, bool) {
+			return tree.Teams["sutokatha"], key == teamKey
+		},
+		Bounds: entry.Bounds{BodyBytes: 4096, KeyBytes: 32},
+	})
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
+type call struct {
+	method, path, body string
+	header             map[string]string
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (c call) do(t testing.TB, server *httptest.Server) reply {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), c.method, server.URL+c.path, strings.NewReader(c.body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body)}
+}
+
+const (
+	chatBody   = `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":10}`
+	chatStream = `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":10,"stream":true}`
+	textBody   = `{"model":"fibre@1","prompt":"Assess.","max_tokens":10}`
+)
+
+func TestJSONAnswers(t *testing.T) {
+	server := serve(t, newWorld())
+	for path, body := range map[string]string{"/v1/chat/completions": chatBody, "/v1/completions": textBody} {
+		got := call{method: "POST", path: path, body: body}.do(t, server)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "completed")
+		var answer callerapi.CompletionReply
+		assert.NilError(t, json.Unmarshal([]byte(got.body), &answer))
+		text := answer.Choices[0].Text
+		if answer.Choices[0].Message != nil {
+			text = answer.Choices[0].Message.Content
+		}
+		assert.Equal(t, text, tokens(10))
+		assert.Equal(t, answer.Usage.CompletionTokens, 10)
+		assert.Equal(t, *answer.Choices[0].FinishReason, "length")
+		assert.Equal(t, answer.ID, got.header.Get(callerapi.HeaderRequestID))
+	}
+}
+
+// events gives the data of each event of a stream.
+func events(body string) []string {
+	var out []string
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			out = append(out, data)
+		}
+	}
+	return out
+}
+
+func streamText(t *testing.T, list []string) string {
+	t.Helper()
+	var b strings.Builder
+	for _, data := range list {
+		var event callerapi.CompletionReply
+		assert.NilError(t, json.Unmarshal([]byte(data), &event), data)
+		assert.Equal(t, event.Object, "chat.completion.chunk")
+		b.WriteString(event.Choices[0].Delta.Content)
+	}
+	return b.String()
+}
+
+func TestStreamAnswers(t *testing.T) {
+	got := call{method: "POST", path: "/v1/chat/completions", body: chatStream}.do(t, serve(t, newWorld()))
+	assert.Equal(t, got.status, 200)
+	list := events(got.body)
+	assert.Equal(t, list[len(list)-1], callerapi.StreamDone)
+	assert.Equal(t, streamText(t, list[:len(list)-1]), tokens(10))
+}
+
+// Every decode engine dies after some tokens. A stream that just ended would
+// look whole, and half a dialect gloss would go into the record; the last
+// event says that it failed, and when to come back.
+func TestStreamEndsClearly(t *testing.T) {
+	w := newWorld()
+	w.set("decode", "d1", 9, fault{broken: true, after: 2})
+	w.set("decode", "d2", 9, fault{broken: true, after: 2})
+	got := call{method: "POST", path: "/v1/chat/completions", body: chatStream}.do(t, serve(t, w))
+	list := events(got.body)
+	assert.Equal(t, streamText(t, list[:len(list)-1]), tokens(4))
+	var last callerapi.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(list[len(list)-1]), &last))
+	assert.Equal(t, last.Error.Outcome, callerapi.OutcomeFailed)
+	assert.Assert(t, last.Error.RetryAfterMs > 0)
+	assert.Assert(t, last.Error.RequestID != "")
+	w.assertFree(t)
+}
+
+// The same failure without a stream: the caller gets no part of the answer.
+func TestJSONNeverPartial(t *testing.T) {
+	w := newWorld()
+	w.set("decode", "d1", 9, fault{broken: true, after: 2})
+	w.set("decode", "d2", 9, fault{broken: true, after: 2})
+	got := call{method: "POST", path: "/v1/chat/completions", body: chatBody}.do(t, serve(t, w))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "failed")
+	assert.Assert(t, !strings.Contains(got.body, token(0)+token(1)))
+}
+
+func TestContractFaults(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	chat := func(body string) call { return call{method: "POST", path: "/v1/chat/completions", body: body} }
+	with := func(c call, name, value string) call {
+		c.header = map[string]string{name: value}
+		return c
+	}
+	cases := map[string]struct {
+		call   call
+		status int
+		code   callerapi.Code
+	}{
+		"no key":            {with(chat(chatBody), "Authorization", ""), 401, callerapi.CodeUnauthorised},
+		"wrong key":         {with(chat(chatBody), "Authorization", "Bearer other"), 401, callerapi.CodeUnauthorised},
+		"no bearer":         {with(chat(chatBody), "Authorization", teamKey), 401, callerapi.CodeUnauthorised},
+		"malformed":         {chat(`{"model":`), 400, callerapi.CodeBadRequest},
+		"truncated":         {chat(chatBody[:len(chatBody)-9]), 400, callerapi.CodeBadRequest},
+		"wrong type":        {chat(`{"model":7,"messages":[]}`), 400, callerapi.CodeBadRequest},
+		"no model":          {chat(`{"messages":[{"role":"user","content":"a"}]}`), 400, callerapi.CodeBadRequest},
+		"no messages":       {chat(`{"model":"fibre"}`), 400, callerapi.CodeBadRequest},
+		"negative tokens":   {chat(`{"model":"fibre","max_tokens":-1,"messages":[{"content":"a"}]}`), 400, callerapi.CodeBadRequest},
+		"unknown model":     {chat(`{"model":"gloss","messages":[{"content":"a"}]}`), 404, callerapi.CodeNoModel},
+		"unknown version":   {chat(`{"model":"fibre@9","messages":[{"content":"a"}]}`), 404, callerapi.CodeNoModel},
+		"unknown adapter":   {chat(`{"model":"fibre@1/x","messages":[{"content":"a"}]}`), 404, callerapi.CodeNoModel},
+		"oversized body":    {chat(`{"model":"` + long + `"}`), 413, callerapi.CodeTooLarge},
+		"oversized tokens":  {chat(`{"model":"fibre","max_tokens":5000,"messages":[{"content":"a"}]}`), 413, callerapi.CodeTooLarge},
+		"oversized key":     {with(chat(chatBody), "Idempotency-Key", long[:33]), 400, callerapi.CodeBadRequest},
+		"bad deadline":      {with(chat(chatBody), "Hyssopsail-Deadline-Ms", "soon"), 400, callerapi.CodeBadRequest},
+		"negative deadline": {with(chat(chatBody), "Hyssopsail-Deadline-Ms", "-5"), 400, callerapi.CodeBadRequest},
+		"wrong method":      {call{method: "GET", path: "/v1/completions"}, 405, callerapi.CodeMethodRefused},
+		"no path":           {call{method: "GET", path: "/v2"}, 404, callerapi.CodeNotFound},
+		"unknown service":   {call{method: "GET", path: "/v1/services/other/a"}, 404, callerapi.CodeNoService},
+		"path above":        {call{method: "GET", path: "/v1/services/bank/a/../../b"}, 400, callerapi.CodeBadRequest},
+		"encoded above":     {call{method: "GET", path: "/v1/services/bank/%2e%2e/b"}, 400, callerapi.CodeBadRequest},
+		"unknown request":   {call{method: "GET", path: "/v1/requests/none"}, 404, callerapi.CodeNotFound},
+	}
+	w := newWorld()
+	server := serve(t, w)
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := tc.call.do(t, server)
+			assert.Equal(t, got.status, tc.status, got.body)
+			var body callerapi.ErrorBody
+			assert.NilError(t, json.Unmarshal([]byte(got.body), &body), got.body)
+			assert.Equal(t, body.Error.Code, tc.code)
+			assert.Equal(t, string(body.Error.Outcome), got.header.Get(callerapi.HeaderOutcome))
+			assert.Equal(t, body.Error.RequestID, got.header.Get(callerapi.HeaderRequestID))
+		})
+	}
+	assert.Equal(t, len(w.sends), 0)
+}
+
+// The refusal carries when to come back: whole seconds rounded up in the
+// header, so that nobody comes early, and milliseconds in the body.
+func TestRefusalForm(t *testing.T) {
+	w := newWorld()
+	w.denied = &admission.Decision{Code: callerapi.CodeOverloaded, RetryAfter: 1300 * time.Millisecond}
+	got := call{method: "POST", path: "/v1/completions", body: textBody}.do(t, serve(t, w))
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.header.Get("Retry-After"), "2")
+	var body callerapi.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(got.body), &body))
+	assert.Equal(t, body.Error.RetryAfterMs, int64(1300))
+	assert.DeepEqual(t, body.Error.Addresses, []string{"127.0.0.1:2"})
+}
+
+// An entry cut off from the control group may hold settings that are no
+// longer in force: it refuses, and says where else to go.
+func TestNotCurrent(t *testing.T) {
+	w := newWorld()
+	w.freeze(true)
+	server := serve(t, w)
+	got := call{method: "POST", path: "/v1/completions", body: textBody}.do(t, server)
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "not-run")
+	var body callerapi.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(got.body), &body))
+	assert.Equal(t, body.Error.Code, callerapi.CodeNotCurrent)
+	assert.DeepEqual(t, body.Error.Addresses, []string{"127.0.0.1:2"})
+	assert.Equal(t, call{method: "GET", path: "/readyz"}.do(t, server).status, 503)
+	assert.Equal(t, call{method: "GET", path: "/healthz"}.do(t, server).status, 200)
+}
+
+func TestAddresses(t *testing.T) {
+	server := serve(t, newWorld())
+	got := call{method: "GET", path: "/v1/addresses"}.do(t, server)
+	var body callerapi.AddressesReply
+	assert.NilError(t, json.Unmarshal([]byte(got.body), &body))
+	assert.Equal(t, body.KeepMs, int64(5000))
+	assert.DeepEqual(t, body.Addresses, []callerapi.Address{
+		{Address: "127.0.0.1:1", Zone: "howrah"}, {Address: "127.0.0.1:2", Zone: "kolkata-north"},
+	})
+}
+
+func TestServiceCall(t *testing.T) {
+	w := newWorld()
+	server := serve(t, w)
+	slip := call{method: "POST", path: "/v1/services/bank/slips/7", body: "slip", header: map[string]string{"Idempotency-Key": "slip-7"}}
+	got := slip.do(t, server)
+	assert.Equal(t, got.status, 201)
+	assert.Equal(t, got.body, "slip POST /slips/7")
+	assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "completed")
+	again := slip.do(t, server)
+	assert.Equal(t, again.status, 409)
+	assert.Equal(t, again.header.Get(callerapi.HeaderOutcome), "completed")
+	assert.Equal(t, w.sent("call"), 1)
+	known := call{method: "GET", path: "/v1/requests/slip-7"}.do(t, server)
+	assert.Assert(t, strings.Contains(known.body, `"outcome":"completed","status_code":201`), known.body)
+}
+
+// A caller closes its connection in the middle of a stream: the decode engine
+// is told, and the slot is free.
+func TestHangUp(t *testing.T) {
+	w := newWorld()
+	w.set("decode", "d1", 1, fault{stall: true, after: 3})
+	server := serve(t, w)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, "POST", server.URL+"/v1/chat/completions", strings.NewReader(chatStream))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	deadline := time.Now().Add(5 * time.Second)
+	for w.grantCount() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	w.assertFree(t)
+}
+
+// A fault in the code must not lose the caller's answer nor promise what isn't
+// known.
+func TestPanicAnswers(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		w := newWorld()
+		w.beforeSend = func(string) { panic("fault") }
+		server := serve(t, w)
+		for _, c := range []call{
+			{method: "POST", path: "/v1/completions", body: textBody, header: map[string]string{"Idempotency-Key": key}},
+			{method: "POST", path: "/v1/services/bank/slips", body: textBody, header: map[string]string{"Idempotency-Key": key + key}},
+		} {
+			got := c.do(t, server)
+			assert.Equal(t, got.status, 500)
+			assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "unknown")
+		}
+		w.assertFree(t)
+	}
+}
+
+// The time line is read by operators who may not see what callers send.
+func TestNoBodyInTimeline(t *testing.T) {
+	w := newWorld()
+	server := serve(t, w)
+	header := map[string]string{"Idempotency-Key": "k-911"}
+	body := `{"model":"fibre","prompt":"PRIVATE","max_tokens":3}`
+	call{method: "POST", path: "/v1/completions", body: body, header: header}.do(t, server)
+	header["Idempotency-Key"] = "k-911-slip"
+	call{method: "POST", path: "/v1/services/bank/slips", body: "PRIVATE", header: header}.do(t, server)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Assert(t, len(w.events) > 10)
+	for _, e := range w.events {
+		text, err := json.Marshal(e)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(text), "PRIVATE") && !strings.Contains(string(text), "k-911"), string(text))
+	}
+}
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -58,8 +58,10 @@
 		if err != nil {
 			return a.decodeFailed(ctx, local, err)
 		}
-		watch.Reset(streamStall)
+		// A caller that reads slowly is no fault of the engine.
+		watch.Stop()
 		ended, s := a.pass(c)
+		watch.Reset(streamStall)
 		if ended || s != nil {
 			return s
 		}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -21,6 +21,7 @@
 	local, cancel := context.WithTimeout(ctx, m.class.callTime)
 	defer cancel()
 	m.event(timeline.KindCallStart, id, h.target.ID)
+	h.touched = true
 	answer, err := m.roundTrip(local, h.target, id)
 	sent = !neverSent(err)
 	h.touched = sent
--- a/internal/route/fakes_test.go
+++ b/internal/route/fakes_test.go
@@ -214,12 +214,6 @@
 	return n
 }
 
-func (w *world) holds() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.held)
-}
-
 // Membership.
 
 func (w *world) State() *membership.State {
@@ -620,3 +614,19 @@
 		ID: "r-2", Team: "sutokatha", Service: "bank", Method: http.MethodPost, Path: "/slips/7", Body: []byte("slip"), Arrived: time.Now(),
 	}
 }
+
+// recorded is the outcome in the one record that the ledger has; 0: none.
+func (w *world) recorded() pb.OutcomeKind {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.records {
+		return r.Outcome
+	}
+	return 0
+}
+
+func (w *world) grantCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.grants)
+}
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -106,13 +106,29 @@
 	defer close(call.done)
 	defer r.calls.remove(name)
 	defer call.cancel()
-	a := r.claimAndRun(ctx, req, c, call)
+	// A panic here would end the process and all its requests, as no handler
+	// of the HTTP server stands above this goroutine.
+	a := Answer{Failure: panicked()}
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.opts.Part.Error("a keyed run panicked", "request", req.ID)
+		}
+		call.out.end(a)
+	}()
+	a = r.claimAndRun(ctx, req, c, call)
 	if a.Failure != nil && ctx.Err() == context.Canceled {
 		out := *a.Failure
 		out.Code = codeAbandoned
 		a.Failure = &out
 	}
-	call.out.end(a)
+}
+
+func panicked() *Failure {
+	return &Failure{
+		Code:    callerapi.CodeInternal,
+		Message: "the entry failed while it held the request",
+		Outcome: callerapi.OutcomeUnknown,
+	}
 }
 
 func (r *Router) claimAndRun(ctx context.Context, req ModelRequest, c class, call *modelCall) Answer {
