A repeat waits until the cancelled run is gone; running streams leave forbidden zones

Settings that narrow now also end a running stream at its next token and keep a KV cache from being moved out of a zone that was just forbidden. Errors that show a living endpoint no longer count as crashes. A call that an endpoint refuses by code did not run, so it may go to another one.

--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -7,17 +7,17 @@
 )
 
 // Check decides whether team's data may go to target from an entry in self,
-// by the given settings tree. Pure.
+// by the given settings tree; a nil tree permits nothing. Pure.
 func Check(tree *settings.Tree, team fleet.Team, self fleet.AvailabilityZone, target engine.Target) *Refusal {
 	if target.Zone == "" || target.Address == "" {
 		return &Refusal{Cause: CauseMisaddressed, Team: team, Zone: target.Zone}
 	}
-	if !Declared(tree, target.Zone) {
-		return &Refusal{Cause: CauseUndeclaredZone, Team: team, Zone: target.Zone}
-	}
 	if refusal := CheckEntry(tree, team, self); refusal != nil {
 		return refusal
 	}
+	if !Declared(tree, target.Zone) {
+		return &Refusal{Cause: CauseUndeclaredZone, Team: team, Zone: target.Zone}
+	}
 	owner := tree.Teams[team]
 	if !permits(owner, target.Zone) {
 		return &Refusal{Cause: CauseTargetZone, Team: team, Zone: target.Zone}
@@ -28,6 +28,9 @@
 // CheckEntry decides whether an entry in zone self may take team's requests.
 // Pure.
 func CheckEntry(tree *settings.Tree, team fleet.Team, self fleet.AvailabilityZone) *Refusal {
+	if tree == nil {
+		return &Refusal{Cause: CauseNotCurrent, Team: team, Zone: self}
+	}
 	owner, ok := tree.Teams[team]
 	if !ok {
 		return &Refusal{Cause: CauseNoTeam, Team: team, Zone: self}
@@ -40,6 +43,9 @@
 
 // Declared tells whether the settings know zone.
 func Declared(tree *settings.Tree, zone fleet.AvailabilityZone) bool {
+	if tree == nil {
+		return false
+	}
 	for _, z := range tree.Fleet.Zones {
 		if z.Name == zone {
 			return true
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
@@ -23,7 +24,8 @@
 	early   *earlyTake // a decode grant asked for while prefill runs
 	kv      kvCache
 	plan    schedule.StartPlan
-	tokens  int // output tokens of this attempt
+	tokens  int               // output tokens of this attempt
+	checked *membership.State // under which the decode engine's zone was last looked at
 }
 
 // kvCache is a prefill's result and how long it lives.
@@ -71,6 +73,8 @@
 func (a *attempt) close(s *setback) {
 	r := a.run.router
 	a.early.abandon(r)
+	a.run.noteLeftover(a.prefill)
+	a.run.noteLeftover(a.decode)
 	if s != nil && a.prefill != nil && a.prefill.touched && !a.kv.moved {
 		r.metrics.wasted.Add(float64(a.kv.reply.PromptTokens))
 	}
--- a/internal/route/broadcast.go
+++ b/internal/route/broadcast.go
@@ -110,6 +110,13 @@
 	b.wakeLocked()
 }
 
+// failed tells whether the run has ended without a whole answer.
+func (b *broadcast) failed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answer != nil && b.answer.Failure != nil
+}
+
 // batch is what a reader gets at once.
 type batch struct {
 	chunks  []engineapi.Chunk
--- a/internal/route/classify.go
+++ b/internal/route/classify.go
@@ -47,7 +47,7 @@
 		permitted: team.Permitted(),
 		model:     ref,
 		declared:  declared,
-		timeouts:  tree.Fleet.Timeouts,
+		timeouts:  filled(tree.Fleet.Timeouts),
 		patience:  patience(kind, r.Patience, b),
 		priority:  kind.Priority,
 		prompt:    estimateTokens(r.Prompt),
@@ -76,6 +76,16 @@
 	return c, nil
 }
 
+// filled puts the defaults for the times that a run can't do without.
+func filled(t settings.Timeouts) settings.Timeouts {
+	d := settings.DefaultTimeouts()
+	t.KVLife = orTime(t.KVLife, d.KVLife)
+	t.Transfer = orTime(t.Transfer, d.Transfer)
+	t.EndpointLease = orTime(t.EndpointLease, d.EndpointLease)
+	t.InstanceLease = orTime(t.InstanceLease, d.InstanceLease)
+	return t
+}
+
 func estimateTokens(prompt string) int {
 	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
 }
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -60,6 +60,9 @@
 		}
 		// A caller that reads slowly is no fault of the engine.
 		watch.Stop()
+		if s := a.placeHeld(); s != nil {
+			return s
+		}
 		ended, s := a.pass(c)
 		watch.Reset(streamStall)
 		if ended || s != nil {
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -16,14 +17,14 @@
 )
 
 // exchange sends the call under a hold and reads the whole answer. sent is
-// false only when the error proves that no byte left.
+// false only when the error proves that the call didn't run.
 func (m *callRun) exchange(ctx context.Context, h *hold, id fleet.AttemptID) (answer *CallAnswer, sent bool, s *setback) {
 	local, cancel := context.WithTimeout(ctx, m.class.callTime)
 	defer cancel()
 	m.event(timeline.KindCallStart, id, h.target.ID)
 	h.touched = true
 	answer, err := m.roundTrip(local, h.target, id)
-	sent = !neverSent(err)
+	sent = !neverRan(err)
 	h.touched = sent
 	if err != nil {
 		s = fromError(ctx, local, err)
@@ -37,6 +38,16 @@
 	return answer, true, nil
 }
 
+// neverRan tells whether err proves that the call didn't run and never will:
+// no byte left, or the endpoint said by a code that it refused it.
+func neverRan(err error) bool {
+	var e *engine.Error
+	if errors.As(err, &e) && e.Code != "" {
+		return true
+	}
+	return neverSent(err)
+}
+
 func (m *callRun) roundTrip(ctx context.Context, t engine.Target, id fleet.AttemptID) (*CallAnswer, error) {
 	request, err := m.httpRequest(ctx)
 	if err != nil {
--- a/internal/route/flight.go
+++ b/internal/route/flight.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 // flight counts the requests in flight and knows whether new ones are taken.
@@ -73,8 +75,7 @@
 // themselves: refusing at once would show as refusals during each planned
 // stop. New requests are therefore served until that time has passed.
 func (r *Router) Drain(ctx context.Context) error {
-	keep := r.opts.Source.State().Tree.Fleet.Timeouts.AddressKeep
-	closes := time.Now().Add(keep)
+	closes := time.Now().Add(r.addressKeep())
 	r.flight.drain(closes)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
@@ -90,5 +91,13 @@
 	}
 }
 
+func (r *Router) addressKeep() time.Duration {
+	tree := r.opts.Source.State().Tree
+	if tree == nil {
+		return settings.DefaultTimeouts().AddressKeep
+	}
+	return orTime(tree.Fleet.Timeouts.AddressKeep, settings.DefaultTimeouts().AddressKeep)
+}
+
 // Draining tells whether a planned stop has begun.
 func (r *Router) Draining() bool { return r.flight.isDraining() }
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -72,20 +72,23 @@
 	}
 }
 
-// join follows a call that runs already. joined is false when it was being
-// cancelled for want of callers and has now ended: the request runs anew.
+// join follows a call that runs already. joined is false when that had failed
+// or was cancelled for want of callers, and has now ended: the request runs
+// anew.
 func (r *Router) join(ctx context.Context, call *modelCall, f fleet.Fingerprint, sink Sink) (answer Answer, joined bool) {
 	if call.fingerprint != f {
 		return Answer{Failure: keyReused()}, true
 	}
-	place, ok := call.out.join()
-	if !ok {
-		return Answer{Failure: inFlight()}, true
-	}
-	answer = call.follow(ctx, place, sink)
-	abandoned := answer.Failure != nil && answer.Failure.Code == codeAbandoned
-	if !abandoned || ctx.Err() != nil {
-		return answer, true
+	if !call.out.failed() {
+		place, ok := call.out.join()
+		if !ok {
+			return Answer{Failure: inFlight()}, true
+		}
+		answer = call.follow(ctx, place, sink)
+		abandoned := answer.Failure != nil && answer.Failure.Code == codeAbandoned
+		if !abandoned || ctx.Err() != nil {
+			return answer, true
+		}
 	}
 	select {
 	case <-call.done:
@@ -108,19 +111,24 @@
 	defer call.cancel()
 	// A panic here would end the process and all its requests, as no handler
 	// of the HTTP server stands above this goroutine.
-	a := Answer{Failure: panicked()}
 	defer func() {
 		if cause := recover(); cause != nil {
 			r.opts.Part.Error("a keyed run panicked", "request", req.ID)
+			call.out.end(Answer{Failure: panicked()})
 		}
-		call.out.end(a)
 	}()
-	a = r.claimAndRun(ctx, req, c, call)
-	if a.Failure != nil && ctx.Err() == context.Canceled {
-		out := *a.Failure
-		out.Code = codeAbandoned
-		a.Failure = &out
+	r.claimAndRun(ctx, req, c, call)
+}
+
+// mark tells joiners of a run whose callers had all gone.
+func mark(ctx context.Context, a Answer) Answer {
+	if a.Failure == nil || ctx.Err() != context.Canceled {
+		return a
 	}
+	out := *a.Failure
+	out.Code = codeAbandoned
+	a.Failure = &out
+	return a
 }
 
 func panicked() *Failure {
@@ -131,17 +139,27 @@
 	}
 }
 
-func (r *Router) claimAndRun(ctx context.Context, req ModelRequest, c class, call *modelCall) Answer {
+// claimAndRun gives the callers their answer first and the ledger its record
+// after that: one that is lost in between lets a repeat run again, which is
+// harmless here.
+func (r *Router) claimAndRun(ctx context.Context, req ModelRequest, c class, call *modelCall) {
 	claim, failure := r.claimKey(ctx, req, c, call.fingerprint)
 	if failure != nil {
-		return Answer{Failure: failure}
+		call.out.end(mark(ctx, Answer{Failure: failure}))
+		return
 	}
-	a := r.admitted(ctx, req, c, call.fingerprint, callSink{ctx: ctx, out: call.out})
-	r.finish(claim.Claim, kindOf(a.Failure), 0)
+	m := r.newRun(req, c, call.fingerprint, callSink{ctx: ctx, out: call.out})
+	kind := pb.OutcomeKind_OUTCOME_KIND_UNKNOWN // should the run panic
+	defer func() {
+		m.awaitGone()
+		r.finish(claim.Claim, kind, 0)
+	}()
+	a := m.admitAndRun(ctx)
+	kind = kindOf(a.Failure)
 	if claim.ranBefore {
 		a.Failure = unsureOfKey(req.Key, a.Failure)
 	}
-	return a
+	call.out.end(mark(ctx, a))
 }
 
 func kindOf(f *Failure) pb.OutcomeKind {
--- a/internal/route/keyed_test.go
+++ b/internal/route/keyed_test.go
@@ -143,3 +143,23 @@
 		w.assertFree(t)
 	})
 }
+
+// The last caller hangs up; the cancel to the decode engine is lost and gets
+// through 300 ms later. The caller sends the request again to another entry.
+// Run at once, it would occupy two slots of the same engine: it is told "in
+// flight" until the first run is seen gone.
+func TestRepeatWaitsForTheCancel(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.cancelLag = 300 * time.Millisecond
+		one, two := w.router(route.Bounds{}), w.router(route.Bounds{})
+		ctx, cancel := context.WithCancel(t.Context())
+		_ = one.Model(ctx, keyedRequest(), &sink{after: func(engineapi.Chunk) { cancel() }})
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, two.Model(t.Context(), keyedRequest(), &sink{}).Failure.Code, callerapi.CodeInFlight)
+		assert.Equal(t, w.sent("decode"), 1)
+		time.Sleep(200 * time.Millisecond)
+		a := two.Model(t.Context(), keyedRequest(), &sink{})
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		w.assertFree(t)
+	})
+}
--- a/internal/route/life_test.go
+++ b/internal/route/life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -275,3 +276,106 @@
 		w.assertFree(t)
 	})
 }
+
+// Settings take a zone away while an answer is being decoded there. The team's
+// data would stay in a place that it has forbidden for as long as the answer
+// takes: the next token ends that run, and the answer goes on elsewhere.
+func TestZonesNarrowMidStream(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.moveTo("d1", "kolkata-north")
+		w.moveTo("d2", "howrah")
+		s := &sink{after: func(c engineapi.Chunk) {
+			if c.Offset == 3 {
+				w.permit("howrah")
+			}
+		}}
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		assert.Equal(t, s.got(), tokens(10))
+		assert.Equal(t, w.sent("decode d2"), 1)
+		w.assertFree(t)
+	})
+}
+
+// Settings take the prefill engine's zone away between prefill and transfer:
+// the KV cache, which is the prompt in another form, isn't moved on from there.
+func TestZonesNarrowBeforeTransfer(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.moveTo("p1", "kolkata-north")
+		w.moveTo("p2", "howrah")
+		w.plan = schedule.StartPlan{ReserveFirst: true}
+		w.afterSend = func(op string) {
+			if op == "prefill p1" {
+				w.permit("howrah")
+			}
+		}
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		assert.Equal(t, w.sent("prefill p2"), 1)
+		assert.Equal(t, w.sent("import"), 1)
+		w.assertFree(t)
+	})
+}
+
+// The engine stands still in the middle of a stream without closing it. The
+// caller would wait for ever: after 5 s the answer goes on elsewhere, and the
+// engine isn't taken for dead.
+func TestDecodeStandsStill(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.set("decode", "d1", 1, fault{stall: true, after: 4})
+		s := &sink{}
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		assert.Equal(t, s.got(), tokens(10))
+		assert.DeepEqual(t, w.ends, []guardEnd{{}, {completed: true}}, allowGuardEnd)
+		w.assertFree(t)
+	})
+}
+
+// The first token doesn't come within the caller's patience of 20 s: it gets
+// its final answer then, not after the engine's own limits.
+func TestPatienceEnds(t *testing.T) {
+	for _, stage := range []string{"prefill p1", "decode d1"} {
+		inWorld(t, func(t *testing.T, w *world) {
+			op, at, _ := strings.Cut(stage, " ")
+			w.set(op, fleet.EndpointID(at), 9, fault{stall: true})
+			began := time.Now()
+			a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+			assert.Equal(t, a.Failure.Code, callerapi.CodeDeadline)
+			assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
+			assert.Equal(t, time.Since(began), 20*time.Second)
+			w.assertFree(t)
+		})
+	}
+}
+
+// A daemon is stopped for good while a request runs and callers still keep its
+// address. Cut off, the request fails, and the next ones meet a closed door.
+func TestDrain(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		r := w.router(route.Bounds{})
+		ends := make(chan route.Answer, 1)
+		long := modelRequest()
+		long.MaxTokens = 4000
+		whole := &sink{}
+		go func() {
+			time.Sleep(3 * time.Second)
+			ends <- r.Model(t.Context(), long, whole)
+		}()
+		began := time.Now()
+		done := make(chan error, 1)
+		go func() { done <- r.Drain(t.Context()) }()
+		time.Sleep(4900 * time.Millisecond)
+		assert.Assert(t, r.Draining())
+		kept := r.Model(t.Context(), modelRequest(), &sink{})
+		assert.Assert(t, kept.Failure == nil, "%v", kept.Failure)
+		time.Sleep(200 * time.Millisecond)
+		late := r.Model(t.Context(), modelRequest(), &sink{})
+		assert.Equal(t, late.Failure.Code, callerapi.CodeDraining)
+		assert.Equal(t, late.Failure.Outcome, callerapi.OutcomeNotRun)
+		assert.NilError(t, <-done)
+		assert.Assert(t, (<-ends).Failure == nil)
+		assert.Equal(t, whole.got(), tokens(4000))
+		assert.Assert(t, time.Since(began) >= 7*time.Second)
+	})
+}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -42,16 +42,24 @@
 		m.settle(h, id, &setback{cause: causeRefused})
 		return nil, failure
 	}
+	end := callEnd{kind: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN} // should the send panic
+	defer func() { m.router.finish(claim, end.kind, end.statusCode) }()
 	answer, sent, s := m.sendOnce(ctx, h, id, alone)
 	if s != nil {
 		failure = onceFailure(s, sent)
-		m.router.finish(claim, kindOf(failure), 0)
+		end.kind = kindOf(failure)
 		return nil, failure
 	}
-	m.router.finish(claim, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, answer.StatusCode)
+	end = callEnd{kind: pb.OutcomeKind_OUTCOME_KIND_COMPLETED, statusCode: answer.StatusCode}
 	return answer, nil
 }
 
+// callEnd is what the ledger keeps of a call.
+type callEnd struct {
+	kind       pb.OutcomeKind
+	statusCode int
+}
+
 // claim decides the record for this attempt.
 func (m *callRun) claim(ctx context.Context, id fleet.AttemptID, h *hold) (outcome.Claim, *Failure) {
 	key := m.req.Key
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -57,6 +57,9 @@
 		return nil, refused(callerapi.CodeNotCurrent, "this entry can't confirm its settings now", 0)
 	}
 	refusal := placement.CheckEntry(r.opts.Source.State().Tree, team, r.opts.Source.Self().Zone)
+	if refusal != nil && refusal.Cause == placement.CauseNotCurrent {
+		return nil, refused(callerapi.CodeNotCurrent, "this entry has no settings yet", 0)
+	}
 	if refusal != nil {
 		return nil, notRun(callerapi.CodeNoZone, "this entry's availability zone is not permitted for the team", 0)
 	}
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -29,6 +29,8 @@
 	text         strings.Builder
 	promptTokens int
 	touched      bool // a byte may have reached an endpoint
+	resuming     bool // a stream has broken after its first token
+	cancelled    []leftover
 	finish       engineapi.Finish
 }
 
@@ -68,7 +70,9 @@
 func (m *modelRun) afterSetback(s *setback) *Failure {
 	now := time.Now()
 	m.avoid.add(s.endpoint)
-	if m.passed > 0 && m.attempts == 1 {
+	if m.passed > 0 && !m.resuming {
+		// Patience was for the first token; the same is granted to go on.
+		m.resuming = true
 		m.deadline = now.Add(m.class.patience)
 	}
 	in := retryInput{
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -65,12 +65,24 @@
 		s.cause = causeStalled
 	case s.code != "":
 		s.cause = fromCode(s.code)
-	case e != nil && !e.Sent:
+	case e != nil && !e.Sent, errors.Is(err, engine.ErrAttempt), spoiled(err):
 		s.cause = causeRefused
+	case errors.Is(err, engine.ErrIdle):
+		s.cause = causeStalled
 	}
 	return s
 }
 
+// spoiled tells whether the endpoint lives but sent what can't be used.
+func spoiled(err error) bool {
+	for _, bad := range []error{engine.ErrGap, engine.ErrRepeat, engine.ErrMalformed, engine.ErrOversized} {
+		if errors.Is(err, bad) {
+			return true
+		}
+	}
+	return false
+}
+
 func forbidden(c placement.Cause) *setback {
 	if c == placement.CauseNotCurrent {
 		return final(refused(callerapi.CodeNotCurrent, "this entry can't confirm its settings now", 0))
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -27,7 +27,10 @@
 // that stay occupied until the caller's patience ends. The bound holds as both
 // ends are cancelled when it passes, whatever the link does.
 func (a *attempt) moveKV(ctx context.Context) *setback {
-	var s *setback
+	s := a.sourceHeld()
+	if s != nil {
+		return s
+	}
 	for n := range transferTries {
 		if n > 0 && !a.nextDecode(ctx, s) {
 			return s
@@ -57,6 +60,7 @@
 	if left < a.run.class.timeouts.Transfer/secondChance || ctx.Err() != nil {
 		return false
 	}
+	a.run.noteLeftover(a.decode)
 	a.run.router.free(a.decode, s, 0)
 	a.run.avoid.add(a.decode.grant.Endpoint)
 	a.decode = nil
