--- /dev/null
+++ b/internal/endpoint/bench_test.go
@@ -0,0 +1,124 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// bigFleet follows some of 1,300 homes in 10 zones, which have 12,000 endpoints
+// of 5 models; this daemon has those of the followed homes.
+func bigFleet(b *testing.B) *HomeClient {
+	const daemons, endpoints, zones = 1300, 12000, 10
+	var list []fleet.Instance
+	for n := range daemons {
+		list = append(list, instance(fmt.Sprint("i", n), fleet.AvailabilityZone(fmt.Sprint("zone", n%zones))))
+	}
+	view := viewOf(1, list...)
+	f := NewFollower(FollowerOptions{Source: newFakeSource(list[0], view)})
+	byHome := map[fleet.Owner][]*pb.EndpointDigest{}
+	for n := range endpoints {
+		d := digestOf(fmt.Sprint("e", n), 1, 1)
+		d.AvailabilityZone = fmt.Sprint("zone", n%zones)
+		d.Models = []string{fmt.Sprintf("model%d@1", n%5)}
+		home := list[n%daemons].Owner()
+		byHome[home] = append(byHome[home], d)
+	}
+	for _, home := range followed(list[0], view, DefaultHomes) {
+		f.peers.take(time.Now().Add(time.Hour), home.Owner(), listOf(home.Owner(), 1, byHome[home.Owner()]...))
+	}
+	f.index.Store(newIndex(f.peers.rows()))
+	b.Logf("%d of %d endpoints followed", len(f.index.Load().byID), endpoints)
+	return f
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	f := bigFleet(b)
+	q := query("zone0", "zone1", "zone2")
+	q.Model = parseModel("model0@1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(f.Candidates(q)) == 0 {
+			b.Fatal("no candidate")
+		}
+	}
+}
+
+func BenchmarkCandidatesAnyZone(b *testing.B) {
+	f := bigFleet(b)
+	var zones []fleet.AvailabilityZone
+	for n := range 10 {
+		zones = append(zones, fleet.AvailabilityZone(fmt.Sprint("zone", n)))
+	}
+	q := query(zones...)
+	q.Model = parseModel("model0@1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(f.Candidates(q)) == 0 {
+			b.Fatal("no candidate")
+		}
+	}
+}
+
+func BenchmarkGrantAndRelease(b *testing.B) {
+	self := instance("a", zoneNear)
+	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), guards{})
+	beatCore(c, epoch, announcement("e1", 20), 1)
+	for n := range 19 {
+		c.grant(epoch, askFor(fmt.Sprint("y", n), epoch))
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		id := fmt.Sprint("x", n)
+		c.grant(epoch, askFor(id, epoch))
+		giveBack(c, epoch, id, pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+		clear(c.endpoints["e1"].released)
+		c.drain()
+	}
+}
+
+// TestControlBytes prints how large the messages between homes and followers
+// are; docs/design/endpoints.md works out the slopes from it. The bounds keep
+// a change from making them much larger unseen.
+func TestControlBytes(t *testing.T) {
+	self := instance("instance-0001", zoneNear)
+	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), guards{})
+	for n := range 9 {
+		a := announcement(fmt.Sprintf("engine-%05d", n), 20)
+		beatCore(c, epoch, a, 1)
+		for m := range 12 {
+			q := askFor(fmt.Sprintf("%032d", m), epoch)
+			q.endpoint = a.ID
+			c.grant(epoch, q)
+		}
+	}
+	whole := c.digests(epoch, 0, 0)
+	brief := c.digests(epoch, c.statics, c.caches)
+	request := &pb.DigestRequest{Owner: self.Owner().Proto(), StaticVersion: c.statics, CacheVersion: c.caches}
+	grant := &pb.GrantRequest{EndpointId: "engine-00001", AttemptId: fmt.Sprintf("%032d", 1), Owner: self.Owner().Proto(),
+		Team: "sorters", Kind: "decode", PromptTokens: 1000, ExpectedTokens: 300, WaitMs: 900, Share: 1,
+		Fingerprint: make([]byte, 16), ViewNumber: 900, Model: model.String()}
+	granted := &pb.GrantReply{Status: statusGranted, EndpointIncarnation: 1, ExpiresMs: 2000, Home: self.Owner().Proto(),
+		Digests: c.one(epoch, "engine-00001")}
+	for _, m := range []struct {
+		name string
+		m    proto.Message
+		most int
+	}{
+		{"digest request", request, 40},
+		{"digest reply, 9 endpoints, whole", whole, 1200},
+		{"digest reply, 9 endpoints, brief", brief, 300},
+		{"grant request", grant, 200},
+		{"grant reply", granted, 120},
+	} {
+		size := proto.Size(m.m)
+		t.Logf("%s: %d bytes", m.name, size)
+		assert.Assert(t, size <= m.most, "%s has %d bytes", m.name, size)
+	}
+}
--- a/internal/endpoint/core.go
+++ b/internal/endpoint/core.go
@@ -159,7 +159,11 @@
 	if !r.crashAt.IsZero() && !now.Before(r.crashAt) {
 		c.died(now, r)
 	}
-	c.lapse(now, r)
+	if !r.silent {
+		// While it is silent nothing is granted, and its death has still to be
+		// reported with all that ran.
+		c.lapse(now, r)
+	}
 	c.sweep(now, r)
 	c.pump(now, r)
 	c.shed(now, r)
--- a/internal/endpoint/core_beat.go
+++ b/internal/endpoint/core_beat.go
@@ -68,6 +68,9 @@
 	if !r.beat && b.Sequence == firstSequence {
 		r.quiet = now
 	}
+	if !r.beat {
+		c.statics++
+	}
 	r.beat = true
 	r.sequence = b.Sequence
 	r.load = b.Load
--- a/internal/endpoint/core_digest.go
+++ b/internal/endpoint/core_digest.go
@@ -9,27 +9,23 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// digests lists the endpoints that this home grants. Those of a follower that
-// has the same statics are brief; cache prefixes go only where they changed
-// since caches.
+// digests lists the endpoints that this home grants, by ID. For a follower
+// that has the same statics, which number the set and all that doesn't change
+// from moment to moment, the list is brief and the place tells the endpoint.
+// Cache prefixes go only where they changed since caches.
 func (c *core) digests(now time.Time, statics, caches uint64) *pb.DigestReply {
 	c.sequence++
-	reply := &pb.DigestReply{
-		Home:          c.self.Proto(),
-		StaticVersion: c.statics,
-		CacheVersion:  c.caches,
-		Sequence:      c.sequence,
-	}
+	reply := &pb.DigestReply{Home: c.self.Proto(), Sequence: c.sequence}
 	if !c.current {
 		return reply
 	}
-	for _, r := range c.endpoints {
-		if !c.isHome(r) || r.silent || !r.beat {
-			continue
-		}
-		d := c.brief(now, r)
+	reply.StaticVersion = c.statics
+	reply.CacheVersion = c.caches
+	for _, r := range c.listed() {
+		d := c.figures(now, r)
 		if statics != c.statics {
 			fillStatic(d, r)
+			d.Sequence = c.sequence
 		}
 		if r.cacheAt > caches {
 			d.CachedPrefixes = r.cache.newest(maxDigestPrefix)
@@ -37,10 +33,22 @@
 		}
 		reply.Digests = append(reply.Digests, d)
 	}
-	sort.Slice(reply.Digests, func(a, b int) bool { return reply.Digests[a].Id < reply.Digests[b].Id })
 	return reply
 }
 
+// listed gives the endpoints that digests tell of. Whatever changes the set
+// raises statics.
+func (c *core) listed() []*record {
+	list := make([]*record, 0, len(c.endpoints))
+	for _, r := range c.endpoints {
+		if c.isHome(r) && !r.silent && r.beat {
+			list = append(list, r)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].announced.ID < list[b].announced.ID })
+	return list
+}
+
 // one gives the brief digest of one endpoint, for a piggyback.
 func (c *core) one(now time.Time, id fleet.EndpointID) []*pb.EndpointDigest {
 	r, ok := c.endpoints[id]
@@ -48,20 +56,22 @@
 		return nil
 	}
 	c.sequence++
-	return []*pb.EndpointDigest{c.brief(now, r)}
+	d := c.figures(now, r)
+	d.Id = string(id)
+	d.Incarnation = uint64(r.announced.Incarnation)
+	d.Sequence = c.sequence
+	return []*pb.EndpointDigest{d}
 }
 
-func (c *core) brief(now time.Time, r *record) *pb.EndpointDigest {
+// figures is a brief digest.
+func (c *core) figures(now time.Time, r *record) *pb.EndpointDigest {
 	return &pb.EndpointDigest{
-		Id:           string(r.announced.ID),
-		Incarnation:  uint64(r.announced.Incarnation),
 		Granted:      uint32(r.used() + len(r.promised())),
 		Queued:       uint32(r.queue.size),
 		NextFreeMs:   uint64(r.freeIn(now, c.predictor, r.queue.size).Milliseconds()),
 		QueuedWorkMs: uint64(c.queuedWork(now, r).Milliseconds()),
 		Leaving:      r.leaving,
-		TokenTimeMs:  c.tokenTime(r),
-		Sequence:     c.sequence,
+		TokenTimeUs:  uint32(c.tokenTime(r).Microseconds()),
 		Brief:        true,
 	}
 }
@@ -69,6 +79,8 @@
 func fillStatic(d *pb.EndpointDigest, r *record) {
 	a := r.announced
 	d.Brief = false
+	d.Id = string(a.ID)
+	d.Incarnation = uint64(a.Incarnation)
 	d.AvailabilityZone = string(a.Zone)
 	d.Address = a.Address
 	d.Role = string(a.Role)
@@ -109,15 +121,14 @@
 }
 
 // tokenTime prefers the engine's own figure, which knows its batch.
-func (c *core) tokenTime(r *record) float64 {
+func (c *core) tokenTime(r *record) time.Duration {
 	if t := r.load.TokenTimeMs; t > 0 && t < 10_000 {
-		return t
+		return millis(t)
 	}
 	if len(r.announced.Models) == 0 {
 		return 0
 	}
-	learned := c.predictor.TokenTime(r.announced.Models[0].String())
-	return float64(learned) / float64(time.Millisecond)
+	return c.predictor.TokenTime(r.announced.Models[0].String())
 }
 
 // cacheEvents takes numbered events; it tells whether the endpoint's whole
--- a/internal/endpoint/fakes_test.go
+++ b/internal/endpoint/fakes_test.go
@@ -105,12 +105,6 @@
 	return e.cache, nil
 }
 
-func (e *fakeEngine) cancelled() []fleet.AttemptID {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]fleet.AttemptID(nil), e.cancels...)
-}
-
 // fakeNet carries drpc over in-memory pipes between the daemons of one test.
 type fakeNet struct {
 	ctx  context.Context
@@ -236,3 +230,7 @@
 func query(zones ...fleet.AvailabilityZone) Query {
 	return Query{Kind: fleet.RoleDecode, Model: model, Permitted: fleet.NewZoneSet(zones...)}
 }
+
+func newDeadline(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(t.Context(), d)
+}
--- a/internal/endpoint/follower.go
+++ b/internal/endpoint/follower.go
@@ -30,11 +30,12 @@
 }
 
 const (
-	pollEvery      = 500 * time.Millisecond
+	pollEvery      = 500 * time.Millisecond // each home, when there are few
+	pollLongest    = 1500 * time.Millisecond
+	pollEachHome   = 100 * time.Millisecond // ten polls a second at most
 	pollWorkers    = 8
 	giveWorkers    = 4
 	giveQueue      = 4096
-	refreshAfter   = 1200 * time.Millisecond // a home heard of since needs no poll
 	renewEvery     = 250 * time.Millisecond
 	maxRenewWorker = 4
 )
@@ -78,7 +79,7 @@
 func (f *HomeClient) pollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.pollAll(ctx)
-		timer := time.NewTimer(pollEvery)
+		timer := time.NewTimer(f.pollInterval())
 		select {
 		case <-ctx.Done():
 		case <-f.options.Source.Changed():
@@ -88,6 +89,14 @@
 	}
 }
 
+// pollInterval keeps polls under ten a second, whatever is followed, and
+// digests younger than digestLife.
+func (f *HomeClient) pollInterval() time.Duration {
+	entries := len(f.options.Source.State().View.Instances)
+	homes := min(entries, f.options.Homes)
+	return min(max(time.Duration(homes)*pollEachHome, pollEvery), pollLongest)
+}
+
 // pollAll asks the followed homes once, a few at a time.
 func (f *HomeClient) pollAll(ctx context.Context) {
 	homes := followed(f.options.Source.Self(), f.options.Source.State().View, f.options.Homes)
@@ -180,7 +189,7 @@
 	x := f.index.Load()
 	for _, d := range digests {
 		if r, ok := x.byID[fleet.EndpointID(d.GetId())]; ok {
-			r.update(at, d)
+			r.update(at, d, fleet.Incarnation(d.GetIncarnation()))
 		}
 	}
 }
--- a/internal/endpoint/follower_options.go
+++ b/internal/endpoint/follower_options.go
@@ -17,9 +17,10 @@
 	Recorder   timeline.Recorder
 	Part       logging.Part
 	Registerer prometheus.Registerer
-	Homes      int // how many homes to follow, default 64
+	Homes      int // how many homes to follow, default DefaultHomes
 	Seed       uint64
 }
 
-// DefaultHomes is how many homes a follower follows.
-const DefaultHomes = 64
+// DefaultHomes is how many homes a follower follows. Each costs a poll every
+// 1.5 s at most; docs/design/endpoints.md has the bytes.
+const DefaultHomes = 15
--- a/internal/endpoint/index.go
+++ b/internal/endpoint/index.go
@@ -10,7 +10,7 @@
 
 // maxCandidates bounds one answer: a choice looks at a random part of a large
 // subset, at all of a small one.
-const maxCandidates = 32
+const maxCandidates = 16
 
 // indexKey names a group of endpoints that can do the same work.
 type indexKey struct {
--- a/internal/endpoint/peers.go
+++ b/internal/endpoint/peers.go
@@ -14,8 +14,8 @@
 // a home's earlier process, and an endpoint that is dead, has left or has been
 // restarted is used again. The guards: a list is taken only when it is newer
 // in the order of the same home process, or from a later one; it is whole, so
-// what it lacks is gone; a brief digest changes figures of a known incarnation
-// and adds nothing.
+// what it lacks is gone; a brief list changes figures of the set that its
+// static version names, and adds nothing.
 type peers struct {
 	homes map[fleet.InstanceID]*peer
 }
@@ -28,6 +28,7 @@
 	caches   uint64
 	heard    time.Time
 	rows     map[fleet.EndpointID]*row
+	order    []*row // as in the last whole list
 }
 
 func newPeers() *peers { return &peers{homes: make(map[fleet.InstanceID]*peer)} }
@@ -61,51 +62,55 @@
 }
 
 func (h *peer) merge(now time.Time, reply *pb.DigestReply) (changed bool) {
+	h.sequence = reply.GetSequence()
+	if h.statics != 0 && reply.GetStaticVersion() == h.statics && len(reply.GetDigests()) == len(h.order) {
+		h.mergeBrief(now, reply)
+		return false
+	}
+	return h.mergeWhole(now, reply)
+}
+
+// mergeBrief takes figures by their places: the static version says that the
+// set of endpoints is as it was.
+func (h *peer) mergeBrief(now time.Time, reply *pb.DigestReply) {
+	for n, d := range reply.GetDigests() {
+		d.Sequence = reply.GetSequence()
+		h.order[n].update(now, d, h.order[n].fixed.Incarnation)
+	}
+	h.heard, h.caches = now, reply.GetCacheVersion()
+}
+
+func (h *peer) mergeWhole(now time.Time, reply *pb.DigestReply) (changed bool) {
 	rows := make(map[fleet.EndpointID]*row, len(reply.GetDigests()))
+	order := make([]*row, 0, len(reply.GetDigests()))
 	whole := true
 	for _, d := range reply.GetDigests() {
-		if len(rows) >= maxEndpoints {
-			break
-		}
-		r, fresh := h.rowFor(d)
-		if r == nil {
+		if d.GetBrief() || len(order) >= maxEndpoints {
 			whole = false
 			continue
 		}
-		r.update(now, d)
+		r := h.rowFor(d)
+		r.update(now, d, fleet.Incarnation(d.GetIncarnation()))
 		rows[r.fixed.ID] = r
-		changed = changed || fresh
+		order = append(order, r)
 	}
-	changed = changed || len(rows) != len(h.rows)
-	h.rows = rows
-	h.sequence = reply.GetSequence()
-	h.heard = now
+	h.rows, h.order, h.heard = rows, order, now
 	h.statics, h.caches = reply.GetStaticVersion(), reply.GetCacheVersion()
 	if !whole {
 		h.statics, h.caches = 0, 0 // ask for all next time
 	}
-	return changed
+	return true
 }
 
-// rowFor gives the row of a digest: the known one, a fresh one, or nil when a
-// brief digest is of an endpoint not known here.
-func (h *peer) rowFor(d *pb.EndpointDigest) (r *row, fresh bool) {
-	old, ok := h.rows[fleet.EndpointID(d.GetId())]
-	same := ok && old.fixed.Incarnation == fleet.Incarnation(d.GetIncarnation())
-	if d.GetBrief() {
-		if !same {
-			return nil, false
-		}
-		return old, false
-	}
+// rowFor makes the row of a digest; a known incarnation goes on counting.
+func (h *peer) rowFor(d *pb.EndpointDigest) *row {
 	next := newRow(d, h.owner)
-	if !same {
-		return next, true
+	old, ok := h.rows[next.fixed.ID]
+	if ok && old.fixed.Incarnation == next.fixed.Incarnation {
+		next.figures.Store(old.figures.Load())
+		next.underway.Store(old.underway.Load())
 	}
-	// The same incarnation with changed statics goes on counting.
-	next.figures.Store(old.figures.Load())
-	next.underway.Store(old.underway.Load())
-	return next, true
+	return next
 }
 
 // keep drops homes that are no longer followed; it tells whether any was.
--- /dev/null
+++ b/internal/endpoint/peers_test.go
@@ -0,0 +1,100 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func digestOf(id string, incarnation, sequence uint64) *pb.EndpointDigest {
+	return &pb.EndpointDigest{Id: id, Incarnation: incarnation, AvailabilityZone: string(zoneNear), Address: "127.0.0.1:9",
+		Role: "decode", Models: []string{model.String()}, Slots: 4, Sequence: sequence}
+}
+
+func listOf(home fleet.Owner, sequence uint64, digests ...*pb.EndpointDigest) *pb.DigestReply {
+	return &pb.DigestReply{Home: home.Proto(), Sequence: sequence, StaticVersion: 5, CacheVersion: 5, Digests: digests}
+}
+
+// A dead engine is used again, because an old digest came late, crossed with a
+// newer one, or from the home's process before its restart.
+func TestLateDigestsBringNothingBack(t *testing.T) {
+	home := fleet.Owner{Instance: "a", Incarnation: 2}
+	earlier := fleet.Owner{Instance: "a", Incarnation: 1}
+	for name, late := range map[string]func(p *peers){
+		"late list":                  func(p *peers) { p.take(epoch, home, listOf(home, 3, digestOf("e1", 1, 3))) },
+		"the same list again":        func(p *peers) { p.take(epoch, home, listOf(home, 10, digestOf("e1", 1, 10))) },
+		"list of an earlier process": func(p *peers) { p.take(epoch, earlier, listOf(earlier, 99, digestOf("e1", 1, 99))) },
+		"list of another than asked": func(p *peers) { p.take(epoch, home, listOf(earlier, 99, digestOf("e1", 1, 99))) },
+		"brief digest of a dead one": func(p *peers) {
+			brief := digestOf("e1", 1, 11)
+			brief.Brief = true
+			p.take(epoch, home, listOf(home, 11, brief))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeers()
+			p.take(epoch, home, listOf(home, 5, digestOf("e1", 1, 5)))
+			assert.Equal(t, len(p.rows()), 1)
+			p.take(epoch, home, listOf(home, 10))
+			late(p)
+			assert.Equal(t, len(p.rows()), 0)
+		})
+	}
+}
+
+func TestFiguresKeepTheirOrder(t *testing.T) {
+	r := newRow(digestOf("e1", 2, 0), fleet.Owner{})
+	with := func(incarnation, sequence uint64, granted uint32) *pb.EndpointDigest {
+		d := digestOf("e1", incarnation, sequence)
+		d.Granted = granted
+		return d
+	}
+	r.update(epoch, with(2, 7, 3), 2)
+	r.update(epoch, with(2, 6, 1), 2)
+	r.update(epoch, with(1, 9, 0), 1)
+	var c Candidate
+	assert.Assert(t, r.fill(epoch, &c))
+	assert.Equal(t, c.Granted, 3)
+	r.underway.Add(1)
+	r.fill(epoch, &c)
+	assert.Equal(t, c.Granted, 4)
+	assert.Assert(t, !r.fill(epoch.Add(digestLife+time.Millisecond), &c))
+}
+
+// A home that was restarted counts its versions anew; a brief list from it
+// must not be taken for one that leaves known things out.
+func TestRestartedHomeIsAskedForAll(t *testing.T) {
+	p := newPeers()
+	old, restarted := fleet.Owner{Instance: "a", Incarnation: 1}, fleet.Owner{Instance: "a", Incarnation: 2}
+	p.take(epoch, old, listOf(old, 5, digestOf("e1", 1, 5)))
+	statics, _ := p.versions(restarted)
+	assert.Equal(t, statics, uint64(0))
+	brief := digestOf("e1", 1, 6)
+	brief.Brief = true
+	p.take(epoch, restarted, listOf(restarted, 1, brief))
+	statics, _ = p.versions(restarted)
+	assert.Equal(t, statics, uint64(0), "a list that lacks rows is asked for again")
+}
+
+func TestFollowedHomes(t *testing.T) {
+	var list []fleet.Instance
+	for n := range 130 {
+		list = append(list, instance(fmt.Sprint("near", n), zoneNear), instance(fmt.Sprint("far", n), zoneFar))
+	}
+	self := instance("self", zoneNear)
+	homes := followed(self, viewOf(1, list...), 64)
+	near := 0
+	for _, h := range homes {
+		if h.Zone == zoneNear {
+			near++
+		}
+	}
+	assert.Equal(t, len(homes), 64)
+	assert.Assert(t, near >= 32 && near < 64, "%d of 64 near", near)
+	assert.Equal(t, len(followed(self, viewOf(1, list[:9]...), 64)), 9)
+}
--- a/internal/endpoint/row.go
+++ b/internal/endpoint/row.go
@@ -63,8 +63,8 @@
 
 // update takes a digest's figures unless it is late: of another incarnation,
 // or not newer in its home's order. Prefixes stay when the digest has none.
-func (r *row) update(now time.Time, d *pb.EndpointDigest) {
-	if fleet.Incarnation(d.GetIncarnation()) != r.fixed.Incarnation {
+func (r *row) update(now time.Time, d *pb.EndpointDigest, incarnation fleet.Incarnation) {
+	if incarnation != r.fixed.Incarnation {
 		return
 	}
 	fresh := newFigures(now, d)
@@ -93,9 +93,7 @@
 		leaving:    d.GetLeaving(),
 		cacheAt:    d.GetCacheSequence(),
 	}
-	if t := d.GetTokenTimeMs(); t > 0 && t < 60_000 {
-		f.tokenTime = millis(t)
-	}
+	f.tokenTime = time.Duration(d.GetTokenTimeUs()) * time.Microsecond
 	if n := len(d.GetCachedPrefixes()); n > 0 {
 		f.cached = make(map[uint64]struct{}, min(n, maxDigestPrefix))
 		for _, p := range d.GetCachedPrefixes()[:min(n, maxDigestPrefix)] {
