--- /dev/null
+++ b/internal/load/experiment.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.yaml.in/yaml/v3"
+)
+
+// Experiment is one run of load, as its YAML file describes it.
+type Experiment struct {
+	Name         string        `yaml:"name"`
+	Seed         uint64        `yaml:"seed"`     // of all random choices
+	Duration     time.Duration `yaml:"duration"` // of arrivals, default 30s
+	Warmup       time.Duration `yaml:"warmup"`   // arrivals at the start that aren't counted
+	Drain        time.Duration `yaml:"drain"`    // longest wait for answers after the last arrival, default 30s
+	MaxRequests  int           `yaml:"max_requests"`
+	MaxInFlight  int           `yaml:"max_in_flight"` // default 4000
+	Entries      []string      `yaml:"entries"`       // host:port
+	AskAddresses bool          `yaml:"ask_addresses"` // use GET /v1/addresses of the entries
+	Callers      int           `yaml:"callers"`       // processes that each keep an address answer, default 60
+	Audits       []string      `yaml:"audits"`        // host:port of emulated endpoints
+	Capacity     Capacity      `yaml:"capacity"`
+	Streams      []Stream      `yaml:"streams"`
+}
+
+// Stream is one sort of request with its arrivals. Model streams have Model
+// set, calls of plain services have Service.
+type Stream struct {
+	Name       string        `yaml:"name"`
+	Team       string        `yaml:"team"`
+	Key        string        `yaml:"key"` // the team's bearer key
+	CallerKind string        `yaml:"caller_kind"`
+	Patience   time.Duration `yaml:"patience"` // to the first token or the answer, default 10s
+	Targets    Targets       `yaml:"targets"`
+
+	Rate     float64  `yaml:"rate"` // requests a second, or
+	Load     float64  `yaml:"load"` // share of the computed capacity: 0.9
+	Arrivals Arrivals `yaml:"arrivals"`
+
+	Model        string   `yaml:"model"`
+	PromptTokens Mix      `yaml:"prompt_tokens"` // without the preamble
+	OutputTokens Mix      `yaml:"output_tokens"`
+	Preamble     Preamble `yaml:"preamble"`
+
+	Service   string `yaml:"service"`
+	Method    string `yaml:"method"`     // default POST
+	Path      string `yaml:"path"`       // default "/"
+	BodyBytes Mix    `yaml:"body_bytes"` // default 200
+
+	Keyed         bool   `yaml:"keyed"`          // sends an Idempotency-Key
+	NotIdempotent bool   `yaml:"not_idempotent"` // sends Hyssopsail-Idempotent: false
+	Resend        Resend `yaml:"resend"`
+	Cancel        Cancel `yaml:"cancel"`
+}
+
+// Targets are the latency targets that a good answer meets. TokenGap bounds
+// the mean time between the tokens of one answer.
+type Targets struct {
+	FirstToken time.Duration `yaml:"first_token"` // default 1600ms
+	TokenGap   time.Duration `yaml:"token_gap"`   // default 38ms
+}
+
+// Preamble is text that requests share at their start.
+type Preamble struct {
+	Count  int     `yaml:"count"`  // different ones
+	Tokens int     `yaml:"tokens"` // length of each
+	Share  float64 `yaml:"share"`  // of requests that begin with one
+}
+
+// Resend tells how a caller repeats a request under the same key.
+type Resend struct {
+	NoAnswer int           `yaml:"no_answer"` // times when no answer came
+	Refused  int           `yaml:"refused"`   // times after Retry-After
+	Wait     time.Duration `yaml:"wait"`      // before a repeat without Retry-After, default 100ms
+	Doubled  float64       `yaml:"doubled"`   // share of requests sent twice at once
+}
+
+// Cancel is callers that go away in the middle.
+type Cancel struct {
+	Share float64       `yaml:"share"`
+	After time.Duration `yaml:"after"` // from the arrival; half to one and a half of it
+}
+
+// ReadFile reads an experiment. Unknown fields are refused.
+func ReadFile(name string) (Experiment, error) {
+	body, err := os.ReadFile(name)
+	if err != nil {
+		return Experiment{}, trace.ConvertSystemError(err)
+	}
+	e, err := Parse(body)
+	return e, trace.Wrap(err, "experiment %s", name)
+}
+
+// Parse decodes and checks an experiment.
+func Parse(body []byte) (Experiment, error) {
+	var e Experiment
+	decoder := yaml.NewDecoder(bytes.NewReader(body))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&e); err != nil {
+		return Experiment{}, trace.BadParameter("experiment: %v", err)
+	}
+	e.setDefaults()
+	return e, e.check()
+}
+
+func (e *Experiment) setDefaults() {
+	orDefault(&e.Duration, 30*time.Second)
+	orDefault(&e.Drain, 30*time.Second)
+	orDefault(&e.MaxInFlight, 4000)
+	orDefault(&e.Callers, 60)
+	for n := range e.Streams {
+		e.Streams[n].setDefaults()
+	}
+}
+
+func (s *Stream) setDefaults() {
+	orDefault(&s.Patience, 10*time.Second)
+	orDefault(&s.Targets.FirstToken, 1600*time.Millisecond)
+	orDefault(&s.Targets.TokenGap, 38*time.Millisecond)
+	orDefault(&s.Resend.Wait, 100*time.Millisecond)
+	orDefault(&s.Method, "POST")
+	orDefault(&s.Path, "/")
+	orDefault(&s.Arrivals.Pattern, PatternPoisson)
+	if len(s.BodyBytes) == 0 {
+		s.BodyBytes = Mix{{Weight: 1, From: 200, To: 200}}
+	}
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
