Schedule: one hash for the blocks of a prompt, the engines' own

schedule.Prefixes hashed 256-byte blocks without the model, while engineapi.PrefixHashes, which the emulated engines use, hashes 512-byte blocks with it: no lookup could ever have hit. Prefixes now takes the model and gives the engines' hashes, bounded to 128 blocks; the daemon passes it on as it is.

--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -11,7 +11,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/admission"
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
 	"github.com/hyssopsail/hyssopsail/internal/engine"
-	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
@@ -37,17 +36,15 @@
 	e.newHomes(b, client)
 	e.newOutcomes(b)
 	e.router = route.New(route.Options{
-		Source:    b.agent,
-		Follower:  e.follower,
-		Engine:    client,
-		Ledger:    e.ledger,
-		Guard:     e.guard,
-		Admission: admission.New(admission.Options{Random: newRandom(b)}),
-		Policies:  newPolicies(b).choose,
-		Recorder:  b.ring,
-		Prefixes: func(_ engineapi.ModelRef, prompt string) []uint64 {
-			return schedule.Prefixes(prompt)
-		},
+		Source:     b.agent,
+		Follower:   e.follower,
+		Engine:     client,
+		Ledger:     e.ledger,
+		Guard:      e.guard,
+		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
+		Policies:   newPolicies(b).choose,
+		Recorder:   b.ring,
+		Prefixes:   schedule.Prefixes,
 		Secret:     b.secret[:],
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "route"),
--- a/internal/schedule/choice_test.go
+++ b/internal/schedule/choice_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
@@ -27,7 +28,7 @@
 
 func TestChoices(t *testing.T) {
 	prompt := strings.Repeat("spin", 2000)
-	prefixes := Prefixes(prompt)
+	prefixes := Prefixes(fibre, prompt)
 	request := Request{EntryZone: "howrah", PromptTokens: Tokens(prompt), Prefixes: prefixes, KVBytes: 50e6}
 	busy := endpoint.Candidate{ID: "busy", Zone: "howrah", Slots: 20, Granted: 20, NextFree: 400 * ms}
 	idle := endpoint.Candidate{ID: "idle", Zone: "howrah", Slots: 20}
@@ -109,12 +110,13 @@
 
 func TestPrefixes(t *testing.T) {
 	shared := strings.Repeat("dialect preamble ", 100)
-	a, b := Prefixes(shared+"verse one"), Prefixes(shared+"verse two")
+	a, b := Prefixes(fibre, shared+"verse one"), Prefixes(fibre, shared+"verse two")
 	assert.DeepEqual(t, a, b)
-	other := Prefixes("x" + shared)
+	other := Prefixes(fibre, "x" + shared)
 	assert.Assert(t, other[0] != a[0])
-	assert.Equal(t, len(Prefixes("short")), 0)
-	assert.Equal(t, len(Prefixes(strings.Repeat("x", 10*MaxPrefixBlocks*PrefixBlockBytes))), MaxPrefixBlocks)
+	assert.Equal(t, len(Prefixes(fibre, "short")), 0)
+	assert.Assert(t, Prefixes(lyric, shared)[0] != a[0])
+	assert.Equal(t, len(Prefixes(fibre, strings.Repeat("x", 10*MaxPrefixBlocks*engineapi.PrefixBlockBytes))), MaxPrefixBlocks)
 	for n := range a {
 		assert.Equal(t, CachedTokens(a, cacheOf(a[:n])), n*PrefixBlockTokens)
 		for guess := range len(a) + 2 {
@@ -139,7 +141,7 @@
 
 func benchmarkRequest() (Request, []endpoint.Candidate) {
 	prompt := strings.Repeat("sari", 4000)
-	r := Request{EntryZone: "howrah", PromptTokens: 4000, Prefixes: Prefixes(prompt), KVBytes: 50e6}
+	r := Request{EntryZone: "howrah", PromptTokens: 4000, Prefixes: Prefixes(fibre, prompt), KVBytes: 50e6}
 	candidates := subset(576, r.Prefixes)
 	random := seeded()
 	for n := range candidates {
--- a/internal/schedule/prefix.go
+++ b/internal/schedule/prefix.go
@@ -1,49 +1,24 @@
 package schedule
 
-import (
-	"encoding/binary"
+import "github.com/hyssopsail/hyssopsail/internal/engineapi"
 
-	"github.com/cespare/xxhash/v2"
-)
-
-// A prompt is cut into blocks of PrefixBlockBytes; only whole blocks count,
-// and no more than MaxPrefixBlocks of them. TokenBytes is the mean length of a
-// token by which lengths in bytes and in tokens are converted.
+// TokenBytes is the mean length of a token by which lengths in bytes and in
+// tokens are converted. MaxPrefixBlocks bounds the blocks of a prompt that are
+// looked at.
 const (
-	TokenBytes       = 4
-	PrefixBlockBytes = 64 * TokenBytes
-	MaxPrefixBlocks  = 128
+	TokenBytes      = 4
+	MaxPrefixBlocks = 128
 )
 
 // PrefixBlockTokens is the length of a block in tokens.
-const PrefixBlockTokens = PrefixBlockBytes / TokenBytes
-
-// Prefixes gives the chained hashes of the prompt's blocks, shortest prefix
-// first: two prompts share element n just when their first n+1 blocks are
-// equal. Engines and daemons must compute the same hashes.
-func Prefixes(prompt string) []uint64 {
-	blocks := min(len(prompt)/PrefixBlockBytes, MaxPrefixBlocks)
-	if blocks == 0 {
-		return nil
-	}
-	hashes := make([]uint64, blocks)
-	var previous uint64
-	for n := range hashes {
-		block := prompt[n*PrefixBlockBytes : (n+1)*PrefixBlockBytes]
-		previous = chain(previous, block)
-		hashes[n] = previous
-	}
-	return hashes
-}
+const PrefixBlockTokens = engineapi.PrefixBlockBytes / TokenBytes
 
-func chain(previous uint64, block string) uint64 {
-	var head [8]byte
-	binary.LittleEndian.PutUint64(head[:], previous)
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.Write(head[:])
-	_, _ = d.WriteString(block)
-	return d.Sum64()
+// Prefixes gives the hashes by which engines name the first blocks of a
+// prompt, shortest prefix first. Two prompts for one model share element n
+// just when their first n+1 blocks are equal.
+func Prefixes(model engineapi.ModelRef, prompt string) []uint64 {
+	most := MaxPrefixBlocks * engineapi.PrefixBlockBytes
+	return engineapi.PrefixHashes(model, prompt[:min(len(prompt), most)])
 }
 
 // Tokens estimates the length in tokens of a text.
