--- a/internal/schedule/choice_test.go
+++ b/internal/schedule/choice_test.go
@@ -112,7 +112,7 @@
 	shared := strings.Repeat("dialect preamble ", 100)
 	a, b := Prefixes(fibre, shared+"verse one"), Prefixes(fibre, shared+"verse two")
 	assert.DeepEqual(t, a, b)
-	other := Prefixes(fibre, "x" + shared)
+	other := Prefixes(fibre, "x"+shared)
 	assert.Assert(t, other[0] != a[0])
 	assert.Equal(t, len(Prefixes(fibre, "short")), 0)
 	assert.Assert(t, Prefixes(lyric, shared)[0] != a[0])
