outcome: a seeded model check of proposers and replicas

One shard, up to six live processes, zombies, two keys, steps at random from a seed.

Also: replies to lookups of an earlier epoch no longer count.

--- /dev/null
+++ b/internal/outcome/model_audit_test.go
@@ -0,0 +1,71 @@
+package outcome
+
+import (
+	"fmt"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// knowledge is what has been answered on a key.
+type knowledge struct {
+	run      fleet.AttemptID
+	notRun   bool
+	recorded pb.OutcomeKind
+}
+
+// audit checks each answer against those before.
+type audit struct {
+	keys    map[Key]knowledge
+	answers map[Verdict]int
+	broken  error
+}
+
+func newAudit() *audit {
+	return &audit{keys: make(map[Key]knowledge), answers: make(map[Verdict]int)}
+}
+
+func (a *audit) known(k Key) knowledge { return a.keys[k] }
+
+func (a *audit) answer(m *modelProposer, v Verdict, r Record) {
+	a.answers[v]++
+	k := a.keys[m.claim.Key]
+	switch v {
+	case VerdictRun:
+		if k.run != "" {
+			a.fail("attempts %s and %s of one key may both run", k.run, m.claim.Attempt)
+		}
+		if k.notRun {
+			a.fail("attempt %s may run after its key was answered not run", m.claim.Attempt)
+		}
+		k.run = m.claim.Attempt
+	case VerdictNotRun:
+		if k.run != "" {
+			a.fail("key answered not run while attempt %s may run", k.run)
+		}
+		k.notRun = true
+	case VerdictRecorded:
+		if k.run != r.Attempt {
+			a.fail("outcome of attempt %s recorded, attempt %s may run", r.Attempt, k.run)
+		}
+		if k.recorded != 0 && k.recorded != r.Outcome {
+			a.fail("outcomes %s and %s of one key", k.recorded, r.Outcome)
+		}
+		k.recorded = r.Outcome
+	case VerdictUnset:
+		if m.after.run != "" || m.after.notRun {
+			a.fail("a decided key was looked up as new")
+		}
+	}
+	lossy := m.group.HistoryLostMs != 0
+	if m.after.recorded != 0 && v != VerdictRecorded && !lossy {
+		a.fail("verdict %s after the outcome was answered", v)
+	}
+	a.keys[m.claim.Key] = k
+}
+
+func (a *audit) fail(format string, args ...any) {
+	if a.broken == nil {
+		a.broken = fmt.Errorf(format, args...)
+	}
+}
--- /dev/null
+++ b/internal/outcome/model_control_test.go
@@ -0,0 +1,221 @@
+package outcome
+
+import (
+	"fmt"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// join adds a process: a new instance, or a later incarnation of a crashed
+// one with its records lost.
+func (w *world) join() {
+	if len(w.state.view.Instances) >= 6 {
+		return
+	}
+	id := fleet.InstanceID(fmt.Sprint("entry-", w.random.IntN(7)))
+	if _, live := w.state.view.Instances[id]; live {
+		return
+	}
+	incarnation := fleet.Incarnation(1)
+	for _, n := range w.nodes {
+		if n.self.Instance == id {
+			n.crashed = true
+			incarnation = max(incarnation, n.self.Incarnation+1)
+		}
+	}
+	self := fleet.Owner{Instance: id, Incarnation: incarnation}
+	n := &modelNode{self: self, replica: NewReplica(self, DefaultLimits), state: &modelState{}}
+	w.nodes = append(w.nodes, n)
+	w.publish(func(s *modelState) {
+		s.view.Instances[id] = fleet.Instance{ID: id, Incarnation: incarnation, Entry: true}
+	})
+	if w.state.group.Epoch != 0 && len(w.state.group.Replicas) < fleet.LedgerReplicas {
+		w.regroup()
+	}
+}
+
+func (w *world) publish(edit func(*modelState)) {
+	next := &modelState{index: w.state.index + 1, group: w.state.group}
+	next.view = fleet.View{Number: next.index, Instances: make(map[fleet.InstanceID]fleet.Instance)}
+	for id, i := range w.state.view.Instances {
+		next.view.Instances[id] = i
+	}
+	edit(next)
+	w.state = next
+}
+
+// lose takes a process out of the view: it crashed, or it is cut off and goes
+// on with stale state, perhaps after a freeze.
+func (w *world) lose() {
+	n := w.pick()
+	if n.zombie || n.crashed || !w.state.view.Holds(n.self) || len(w.state.view.Instances) <= 3 {
+		return
+	}
+	n.zombie = true
+	switch w.random.IntN(3) {
+	case 0:
+		n.crashed = true
+	case 1:
+		n.frozen = true
+	}
+	w.publish(func(s *modelState) { delete(s.view.Instances, n.self.Instance) })
+	for _, r := range w.state.group.Replicas {
+		if r.Owner == n.self {
+			w.regroup()
+			return
+		}
+	}
+}
+
+// regroup gives the shard its next epoch, as the control group does: live
+// replicas stay, others fill up, and all must copy anew.
+func (w *world) regroup() {
+	w.publish(func(s *modelState) {
+		old := s.group
+		next := fleet.LedgerGroup{Shard: modelShard, Epoch: old.Epoch + 1, HistoryLostMs: old.HistoryLostMs}
+		for _, r := range old.Replicas {
+			if s.view.Holds(r.Owner) {
+				next.Replicas = append(next.Replicas, fleet.LedgerReplica{
+					Owner: r.Owner,
+					Ready: r.Ready && w.fault == faultReadyKeptOverEpochs,
+				})
+			}
+		}
+		for _, n := range w.nodes {
+			if len(next.Replicas) < fleet.LedgerReplicas && s.view.Holds(n.self) && !holds(next.Replicas, n.self) {
+				next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: n.self})
+			}
+		}
+		next.Sources = w.sources
+		left := 0
+		for _, r := range w.sources {
+			if s.view.Holds(r.Owner) {
+				left++
+			}
+		}
+		if len(w.sources) > 0 && left <= len(w.sources)/2 {
+			next.HistoryLostMs = w.now.UnixMilli()
+		}
+		s.group = next
+		w.settle(s)
+	})
+}
+
+func holds(replicas []fleet.LedgerReplica, o fleet.Owner) bool {
+	for _, r := range replicas {
+		if r.Owner == o {
+			return true
+		}
+	}
+	return false
+}
+
+// settle makes the group the source of the next one when a majority is ready.
+func (w *world) settle(s *modelState) {
+	ready := 0
+	for _, r := range s.group.Replicas {
+		if r.Ready {
+			ready++
+		}
+	}
+	if ready > len(s.group.Replicas)/2 {
+		w.sources = s.group.Replicas
+	}
+}
+
+func (w *world) markReady(o fleet.Owner, epoch uint64) {
+	if w.state.group.Epoch != epoch || !w.state.view.Holds(o) {
+		return
+	}
+	w.publish(func(s *modelState) {
+		replicas := append([]fleet.LedgerReplica(nil), s.group.Replicas...)
+		for n := range replicas {
+			replicas[n].Ready = replicas[n].Ready || replicas[n].Owner == o
+		}
+		s.group.Replicas = replicas
+		w.settle(s)
+	})
+}
+
+// push tells a process of the newest state; one out of the view hears nothing.
+func (w *world) push() {
+	n := w.pick()
+	state := w.state
+	if n.zombie || n.stuck() || state.index <= n.state.index {
+		return
+	}
+	n.state = state
+	n.replica.ApplyGroup(state.group)
+	for _, m := range n.active {
+		if !m.done && m.epoch != state.group.Epoch && w.random.IntN(2) == 0 {
+			w.restart(m)
+		}
+	}
+}
+
+func (w *world) freeze() {
+	n := w.pick()
+	if !n.crashed {
+		n.frozen = !n.frozen
+	}
+}
+
+// repair moves a copy on, or reports a whole shard.
+func (w *world) repair() {
+	n := w.pick()
+	if n.stuck() {
+		return
+	}
+	for _, g := range n.replica.Whole() {
+		w.send(func() { w.markReady(n.self, g.Epoch) })
+	}
+	for _, task := range n.replica.Tasks() {
+		gone := func(o fleet.Owner) bool { return !n.state.view.Holds(o) }
+		n.replica.TryWhole(task.Shard, gone)
+		if len(task.Sources) == 0 {
+			continue
+		}
+		source := task.Sources[w.random.IntN(len(task.Sources))]
+		w.copyFrom(n, CopyQuery{Shard: task.Shard, Epoch: task.Epoch, Source: source, Limit: 1})
+	}
+}
+
+func (w *world) copyFrom(n *modelNode, q CopyQuery) {
+	w.send(func() {
+		source := w.at(q.Source.Instance)
+		if source == nil || source.stuck() {
+			return
+		}
+		page := w.source(source, q)
+		w.send(func() {
+			if n.stuck() || !n.replica.Merge(w.now, q, page) {
+				return
+			}
+			if !page.Done {
+				last := page.Records[len(page.Records)-1].Key
+				next := q
+				next.After = &last
+				w.copyFrom(n, next)
+				return
+			}
+			s := n.replica.shards[q.Shard]
+			if w.fault == faultOneSource && s.member {
+				s.whole = s.epoch
+			}
+			n.replica.TryWhole(q.Shard, func(o fleet.Owner) bool { return !n.state.view.Holds(o) })
+		})
+	})
+}
+
+func (w *world) source(n *modelNode, q CopyQuery) CopyPage {
+	var before uint64
+	s := n.replica.shards[q.Shard]
+	if s != nil {
+		before = s.epoch
+	}
+	page := n.replica.Source(w.now, q)
+	if s != nil && w.fault == faultNoSeal {
+		s.epoch = before
+	}
+	return page
+}
--- a/internal/outcome/proposer.go
+++ b/internal/outcome/proposer.go
@@ -111,7 +111,10 @@
 // Reply takes the reply of the replica at index from to request q.
 func (p *Proposer) Reply(from int, q Request, r Reply) Step {
 	p.highest = max(p.highest, p.ofEpoch(r.Promised))
-	if q.Ballot != p.ballot || q.Action != p.action() || p.answered[from] {
+	// Lookups have no ballot, so the epoch is compared too: a reply of an
+	// earlier epoch comes from another set of replicas.
+	current := q.Epoch == p.circumstances.Epoch && q.Ballot == p.ballot && q.Action == p.action()
+	if !current || p.answered[from] {
 		return Step{}
 	}
 	p.answered[from] = true
