A cut-off leader no longer hangs daemons and operators

Cause 1: the agent called its client with its lock held; the client asks for the control addresses, which reads the agent's state under the same lock. The daemon hung for good once its poll lagged a renewal. Ruled out: the election itself (new leader's log), the replica's status (never in the dump).

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -34,7 +34,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	leader string // last known; empty when not
+	leader string        // last known; empty when not
+	moved  chan struct{} // closed when a leader becomes known
 	next   int    // of addresses, when there is no leader known
 	reader string // where pulls go
 }
@@ -47,6 +48,7 @@
 		addresses: addresses,
 		part:      part,
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		moved:     make(chan struct{}),
 	}
 }
 
@@ -95,9 +97,38 @@
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
+	go c.cancelWhenMoved(ctx, cancel, address)
 	return try(ctx, client)
 }
 
+// cancelWhenMoved ends a try once another member is known to lead.
+//
+// Failure: the leader is cut off silently while a change waits there for its
+// answer. It shows as an operator's command that hangs for the whole time of a
+// try, long after the others have a new leader. The lease renewals of this
+// process find the new leader within a second, and since all calls are
+// idempotent the try may be given up and made there.
+func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) {
+	for {
+		leader, moved := c.known()
+		if leader != "" && leader != address {
+			cancel()
+			return
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) known() (leader string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.moved
+}
+
 func (c *Client) at(ctx context.Context, address string) (pb.DRPCControlClient, error) {
 	if address == "" {
 		return nil, trace.BadParameter("no address of a control instance is known")
@@ -130,6 +161,10 @@
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if address != "" && address != c.leader {
+		close(c.moved)
+		c.moved = make(chan struct{})
+	}
 	c.leader = address
 }
 
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -290,15 +290,17 @@
 	t.Helper()
 	var found *instance
 	eventually(t, 15*time.Second, func() error {
+		var seen []string
 		for _, i := range among {
 			status, err := f.operatorAs(t, operatorKey, i).Status(callContext(t), nil)
+			seen = append(seen, fmt.Sprintf("%s says %q (%v)", i.id, status.GetLeaderInstance(), err))
 			if err != nil || status.GetLeaderInstance() != i.id {
 				continue
 			}
 			found = i
 			return nil
 		}
-		return fmt.Errorf("no leader among %d instances", len(among))
+		return fmt.Errorf("no leader: %s", strings.Join(seen, ", "))
 	})
 	return found
 }
--- a/internal/membership/renew.go
+++ b/internal/membership/renew.go
@@ -93,20 +93,34 @@
 		return nil
 	}
 	a.metrics.renewals.WithLabelValues("granted").Inc()
-	now := a.now()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.lease.grant(sent, now, time.Duration(reply.LeaseMs)*time.Millisecond, reply.CommitIndex)
-	if a.lease.lagging(now) && a.cancelPull != nil {
+	cancelPull := a.granted(sent, reply)
+	if cancelPull != nil {
 		// The member that answers pulls is cut off from the leader: it would
 		// hold the poll open while this daemon falls behind.
-		a.lease.behindSince = now
+		//
+		// The client is called without the lock: it asks for the control
+		// addresses, which are read from State. Called with it, the daemon hung
+		// for good in the moment that its poll fell behind.
 		a.client.Elsewhere()
-		a.cancelPull()
+		cancelPull()
 	}
 	return nil
 }
 
+// granted takes a granted renewal and gives the pull to cancel when the state
+// lags behind it.
+func (a *Agent) granted(sent time.Time, reply *pb.RenewLeaseReply) context.CancelFunc {
+	now := a.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lease.grant(sent, now, time.Duration(reply.LeaseMs)*time.Millisecond, reply.CommitIndex)
+	if !a.lease.lagging(now) || a.cancelPull == nil {
+		return nil
+	}
+	a.lease.behindSince = now
+	return a.cancelPull
+}
+
 func (a *Agent) fence() {
 	a.mu.Lock()
 	a.lease.fenced = true
