Tests that a missing guard fails: lost reply behind another change, help, files written at once

Trials on a scratch copy with one guard taken out each. Seen to fail: change ID not of the content: TestLostReply 'teams/sorting is at version 3 ... not at 1'; O_EXCL out: TestNothingIsOverwritten 'expression is false: trace.IsAlreadyExists(err): <nil>'; help guard out: TestHelpRunsNothing 'howrah-1 (f.group.drained string) != (string)'. The first forms of TestLostReply and TestHelpRunsNothing passed without their guards (an unchanged file is noticed earlier; the drain had no operator yet), so both now reach the guard.

--- a/cmd/hyssopsail/tool_test.go
+++ b/cmd/hyssopsail/tool_test.go
@@ -35,8 +35,9 @@
 }
 
 // What a user sees: a change is sent, the leader commits it and dies before it
-// answers. The operator runs the command again; it must neither conflict with
-// itself nor be applied a second time.
+// answers. Meanwhile another operator changes the subtree. The first runs the
+// command again and is told of a conflict, although the change had been
+// accepted; or it is applied a second time, over the other's.
 func TestLostReply(t *testing.T) {
 	f := newFixture(t)
 	f.ok("settings", "apply", example)
@@ -45,8 +46,16 @@
 	code, _, errOut := f.run("settings", "apply", edited, "--expect", "1")
 	assert.Equal(t, code, exitNotReached, errOut)
 	assert.Equal(t, f.group.machine.Tree().Versions["teams/sorting"], uint64(2))
-	f.ok("settings", "apply", edited, "--expect", "1")
-	assert.Equal(t, f.group.machine.Tree().Versions["teams/sorting"], uint64(2))
+	out := f.ok("settings", "apply", edited, "--expect", "1")
+	assert.Assert(t, cmp.Contains(out, resultUnchanged))
+
+	later := f.replaced("teams/sorting.yaml", "share: 4", "share: 6")
+	f.ok("settings", "apply", later, "--expect", "2")
+	edited = f.replaced("teams/sorting.yaml", "share: 4", "share: 5")
+	out = f.ok("settings", "apply", edited, "--expect", "1")
+	assert.Assert(t, cmp.Contains(out, resultRepeated))
+	assert.Equal(t, f.group.machine.Tree().Versions["teams/sorting"], uint64(3))
+	assert.Equal(t, f.group.machine.Tree().Teams["sorting"].Share, 6.0)
 }
 
 // What a user sees: two operators edit version 1 of one subtree. The second
@@ -193,6 +202,7 @@
 
 func TestHelpRunsNothing(t *testing.T) {
 	f := newFixture(t)
+	f.ok("settings", "apply", example)
 	f.ok("drain", "howrah-1", "--help")
 	assert.Equal(t, f.group.drained, "")
 }
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -95,6 +95,10 @@
 	assert.Equal(t, string(before), string(after))
 	assert.NilError(t, handshake(t, files(folder, "a"), files(folder, "b")))
 
+	// Two runs at once: the other one writes after this one has looked.
+	err = writeNew(filepath.Join(folder, AuthorityFile), []byte("other"))
+	assert.Assert(t, trace.IsAlreadyExists(err), "%v", err)
+
 	assert.NilError(t, os.Remove(filepath.Join(folder, SecretFile)))
 	assert.ErrorContains(t, write(t, folder, "c"), "has some of")
 }
