--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
@@ -23,7 +24,8 @@
 	early   *earlyTake // a decode grant asked for while prefill runs
 	kv      kvCache
 	plan    schedule.StartPlan
-	tokens  int // output tokens of this attempt
+	tokens  int               // output tokens of this attempt
+	checked *membership.State // under which the decode engine's zone was last looked at
 }
 
 // kvCache is a prefill's result and how long it lives.
@@ -34,13 +36,15 @@
 }
 
 // try makes one attempt and frees all that it held, however it ends.
-func (m *modelRun) try(ctx context.Context) *setback {
+func (m *modelRun) try(ctx context.Context) (s *setback) {
 	a := &attempt{run: m, id: newAttemptID()}
-	if s := a.begin(ctx); s != nil {
+	if s = a.begin(ctx); s != nil {
 		return s
 	}
-	s := a.stages(ctx)
-	a.close(s)
+	// Should a stage panic, its holds are freed all the same.
+	s = &setback{cause: causeRefused}
+	defer func() { a.close(s) }()
+	s = a.stages(ctx)
 	return s
 }
 
@@ -69,6 +73,8 @@
 func (a *attempt) close(s *setback) {
 	r := a.run.router
 	a.early.abandon(r)
+	a.run.noteLeftover(a.prefill)
+	a.run.noteLeftover(a.decode)
 	if s != nil && a.prefill != nil && a.prefill.touched && !a.kv.moved {
 		r.metrics.wasted.Add(float64(a.kv.reply.PromptTokens))
 	}
