Tool: load and report, one bound for each address, help that runs nothing

A try at one address now ends after the handler's own limit plus a second (and the wait asked for); before, the client's 75 s held the tool at an instance behind a silent partition. Trial without the bound: TestClientLeavesASilentInstance fails on the test's own deadline, '... context deadline exceeded'.

--- a/cmd/hyssopsail/app.go
+++ b/cmd/hyssopsail/app.go
@@ -41,6 +41,8 @@
 	addControl,
 	addTimeline,
 	addHashKey,
+	addLoad,
+	addReport,
 	addVersion,
 }
 
@@ -55,10 +57,9 @@
 	if err == nil {
 		return exitOK
 	}
-	var broken *commandError
-	if errors.As(err, &broken) {
-		a.report(broken.err)
-		return codeOf(broken.err)
+	if isCommands(err) {
+		a.report(err)
+		return codeOf(err)
 	}
 	_, _ = fmt.Fprintf(errOut, "hyssopsail: %v; see hyssopsail --help\n", err)
 	return exitUsage
@@ -72,6 +73,7 @@
 		a.terminated = &status
 		parser.UsageWriter(io.Discard) // parsing goes on and may print the help again
 	})
+	parser.Validate(a.stopAfterHelp)
 	parser.HelpFlag.Short('h')
 	parser.Flag("output", "Form of the answer.").Short('o').Default(formatTable).EnumVar(&a.format, formatTable, formatJSON, formatYAML)
 	a.connection.addFlags(parser)
@@ -81,19 +83,39 @@
 	return parser
 }
 
+// errTerminated ends a run after help, version or completion was printed.
+var errTerminated = errors.New("terminated")
+
+// stopAfterHelp keeps commands from running after "--help": kingpin goes on to
+// the command's action when it may not end the process, and "drain X --help"
+// would drain.
+func (a *app) stopAfterHelp(*kingpin.Application) error {
+	if a.terminated != nil {
+		return errTerminated
+	}
+	return nil
+}
+
 // commandError tells a command's own error from one of usage.
 type commandError struct{ err error }
 
 // Error implements error.
 func (e *commandError) Error() string { return e.err.Error() }
 
-// do makes a kingpin action of a command. After help was printed nothing may
-// run any more: kingpin goes on when it isn't allowed to end the process.
+// Unwrap gives the cause.
+func (e *commandError) Unwrap() error { return e.err }
+
+// isCommands tells whether err came from a command. Commands of other packages
+// give traced errors, the parser never does.
+func isCommands(err error) bool {
+	var own *commandError
+	var traced trace.Error
+	return errors.As(err, &own) || errors.As(err, &traced)
+}
+
+// do makes a kingpin action of a command.
 func (a *app) do(command func() error) kingpin.Action {
 	return func(*kingpin.ParseContext) error {
-		if a.terminated != nil {
-			return nil
-		}
 		if err := command(); err != nil {
 			return &commandError{err}
 		}
--- a/cmd/hyssopsail/settings_apply.go
+++ b/cmd/hyssopsail/settings_apply.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -39,6 +40,17 @@
 	Pending  []string `json:"pending_instances,omitempty"`
 }
 
+// inForce says what is known: without --wait nothing was asked.
+func (a applied) inForce() string {
+	switch {
+	case a.InForce:
+		return "yes"
+	case len(a.Pending) > 0:
+		return "not on " + strings.Join(a.Pending, ",")
+	}
+	return "not asked"
+}
+
 // Results of one file.
 const (
 	resultAccepted  = "accepted"
@@ -268,7 +280,7 @@
 	}
 	t := &table{header: []string{"SUBTREE", "RESULT", "VERSION", "IN FORCE", "CHANGE"}}
 	for _, r := range results {
-		t.add(r.Subtree, r.Result, r.Version, r.InForce, orDash(r.ChangeID))
+		t.add(r.Subtree, r.Result, r.Version, r.inForce(), orDash(r.ChangeID))
 	}
 	return trace.Wrap(a.show(results, t))
 }
--- a/cmd/hyssopsail/tool_test.go
+++ b/cmd/hyssopsail/tool_test.go
@@ -187,6 +187,9 @@
 		{"bad settings", []string{"settings", "check", bad}, exitRefused, bad + ":51: weight_store.rate:"},
 		{"bad settings aren't sent", append(f.args, "settings", "apply", bad), exitRefused, bad + ":51: weight_store.rate:"},
 		{"no such file", []string{"settings", "check", "nowhere.yaml"}, exitFailed, "no such file"},
+		{"no experiment", []string{"load", "nowhere.yaml"}, exitFailed, "no such file"},
+		{"no result", []string{"report", "nowhere.json"}, exitFailed, "no such file"},
+		{"load by no file", []string{"load"}, exitUsage, "required argument 'file'"},
 		{"help", []string{"status", "--help"}, exitOK, ""},
 		{"version", []string{"version"}, exitOK, ""},
 		{"completion", []string{"--completion-script-bash"}, exitOK, ""},
@@ -204,6 +207,7 @@
 	f := newFixture(t)
 	f.ok("settings", "apply", example)
 	f.ok("drain", "howrah-1", "--help")
+	f.ok("load", "nowhere.yaml", "--help")
 	assert.Equal(t, f.group.drained, "")
 }
 
--- a/cmd/hyssopsail/version.go
+++ b/cmd/hyssopsail/version.go
@@ -4,6 +4,8 @@
 	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hyssopsail/hyssopsail/internal/version"
 )
 
 // buildInfo is where the program came from.
@@ -28,9 +30,9 @@
 func readBuildInfo() buildInfo {
 	build, ok := debug.ReadBuildInfo()
 	if !ok {
-		return buildInfo{Version: "unknown"}
+		return buildInfo{Version: version.Version}
 	}
-	info := buildInfo{Version: build.Main.Version, Go: build.GoVersion}
+	info := buildInfo{Version: version.Version, Go: build.GoVersion}
 	for _, s := range build.Settings {
 		switch s.Key {
 		case "vcs.revision":
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -28,22 +29,27 @@
 
 // Client asks the daemons. It may be used from several goroutines.
 type Client struct {
-	options ClientOptions
-	http    *http.Client
+	options  ClientOptions
+	http     *http.Client
+	patience time.Duration // for one address, without the wait for a change in force
 }
 
 const (
 	dialTimeout = 3 * time.Second
 	maxReply    = 64 << 20
+	// replyMargin is how much longer than the handler's own limit a reply may
+	// take on its way.
+	replyMargin = time.Second
 )
 
 // NewClient makes a client; it dials at the first call.
 func NewClient(options ClientOptions) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	transport.TLSClientConfig = options.TLS
 	transport.TLSHandshakeTimeout = dialTimeout
-	return &Client{options: options, http: &http.Client{Transport: transport, Timeout: callTimeout + MaxWait}}
+	return &Client{options: options, http: &http.Client{Transport: transport}, patience: callTimeout + replyMargin}
 }
 
 // KeyHash names the key that the client shows.
@@ -68,7 +74,8 @@
 // results, not errors.
 func (c *Client) Change(ctx context.Context, in *pb.ChangeRequest) (*pb.ChangeReply, error) {
 	out := &pb.ChangeReply{}
-	return out, c.post(ctx, "/v1/settings", in, out)
+	wait := time.Duration(in.GetWaitInForceMs()) * time.Millisecond
+	return out, c.postWaiting(ctx, "/v1/settings", in, out, wait)
 }
 
 // GetSettings reads subtrees within the operator's scope.
@@ -105,7 +112,7 @@
 // Endpoints lists the endpoints.
 func (c *Client) Endpoints(ctx context.Context) (EndpointsReply, error) {
 	var out EndpointsReply
-	data, err := c.ask(ctx, http.MethodGet, "/v1/endpoints", nil)
+	data, err := c.ask(ctx, http.MethodGet, "/v1/endpoints", nil, 0)
 	if err != nil {
 		return out, trace.Wrap(err)
 	}
@@ -119,7 +126,7 @@
 		"since_ns": {fmt.Sprint(in.SinceNs)}, "after": {fmt.Sprint(in.AfterSequence)}, "limit": {fmt.Sprint(in.Limit)},
 	}
 	var out TimelineReply
-	data, err := c.ask(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil)
+	data, err := c.ask(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil, 0)
 	if err != nil {
 		return out, trace.Wrap(err)
 	}
@@ -130,7 +137,7 @@
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	data, err := c.ask(ctx, http.MethodGet, path, nil)
+	data, err := c.ask(ctx, http.MethodGet, path, nil, 0)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -138,11 +145,15 @@
 }
 
 func (c *Client) post(ctx context.Context, path string, in, out proto.Message) error {
+	return c.postWaiting(ctx, path, in, out, 0)
+}
+
+func (c *Client) postWaiting(ctx context.Context, path string, in, out proto.Message, wait time.Duration) error {
 	body, err := marshal.Marshal(in)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	data, err := c.ask(ctx, http.MethodPost, path, body)
+	data, err := c.ask(ctx, http.MethodPost, path, body, wait)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -152,13 +163,13 @@
 // ask tries each address until one answers for good. Every request here may
 // be sent twice: changes carry a change ID, init refuses a second time, and
 // members and drains name their end state.
-func (c *Client) ask(ctx context.Context, method, path string, body []byte) (data []byte, err error) {
+func (c *Client) ask(ctx context.Context, method, path string, body []byte, wait time.Duration) (data []byte, err error) {
 	if len(c.options.Addresses) == 0 {
 		return nil, trace.BadParameter("no address of a daemon is given")
 	}
 	var failures []error
 	for _, address := range c.options.Addresses {
-		data, err = c.askOne(ctx, address, method, path, body)
+		data, err = c.askWithin(ctx, c.patience+wait, address, method, path, body)
 		if err == nil || !elsewhere(err) || ctx.Err() != nil {
 			return data, err
 		}
@@ -170,7 +181,16 @@
 // elsewhere tells whether another instance may do better.
 func elsewhere(err error) bool {
 	var refused *ReplyError
-	return !errors.As(err, &refused) || refused.Status == http.StatusServiceUnavailable
+	return !errors.As(err, &refused) || refused.Status == http.StatusServiceUnavailable || refused.Status == http.StatusTooManyRequests
+}
+
+// askWithin bounds the try at one address. An instance behind a silent
+// partition takes the connection, or nothing at all, and never answers: without
+// a bound for each address the tool would hang there and never ask the next.
+func (c *Client) askWithin(ctx context.Context, limit time.Duration, address, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.askOne(ctx, address, method, path, body)
 }
 
 func (c *Client) askOne(ctx context.Context, address, method, path string, body []byte) ([]byte, error) {
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -204,6 +205,26 @@
 	assert.Equal(t, refused.Detail.Code, CodeUnauthorised)
 }
 
+// What a user sees: the tool hangs for good. The first instance asked is behind
+// a silent partition: it takes the connection and never answers.
+func TestClientLeavesASilentInstance(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = silent.Close() }()
+	well := httptest.NewServer(newHandlerFor(&stub{}, bootstrapped()))
+	defer well.Close()
+	client := NewClient(ClientOptions{
+		Addresses: []string{silent.Addr().String(), strings.TrimPrefix(well.URL, "http://")},
+		Key:       "lead-key",
+	})
+	client.patience = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	reply, err := client.Status(ctx, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.FleetId, "f1")
+}
+
 // FuzzBodies: no body makes the handler panic or lets a lead reach a subtree
 // beyond its scope.
 func FuzzBodies(f *testing.F) {
