--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"regexp"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/logging"
@@ -22,10 +21,6 @@
 	maxStream                        = 24 * time.Hour
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
-const nameRule = `write lower-case letters, digits, ".", "_" and "-", at most 63, a letter or digit first`
-
 type checker struct {
 	daemon   *Daemon
 	document *strictyaml.Document
@@ -52,8 +47,8 @@
 }
 
 func (c checker) name(path, name string) {
-	if !namePattern.MatchString(name) {
-		c.document.Fault(path, nameRule, "%q is not a name", name)
+	if !settings.ValidName(name) {
+		c.document.Fault(path, "write "+settings.NameRule, "%q is not a name", name)
 	}
 }
 
--- a/internal/operator/fleet_actions.go
+++ b/internal/operator/fleet_actions.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"regexp"
 	"strconv"
 
 	"github.com/gravitational/trace"
@@ -12,8 +11,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
-var fleetIDPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
 func (h *handler) init(w http.ResponseWriter, r *http.Request, who identity) error {
 	if !who.bootstrap {
 		if err := who.ownsFleet(); err != nil {
@@ -24,7 +21,7 @@
 	if err := read(w, r, &request); err != nil {
 		return err
 	}
-	if !fleetIDPattern.MatchString(request.FleetId) || len(request.Members) == 0 {
+	if !settings.ValidName(request.FleetId) || len(request.Members) == 0 {
 		return trace.BadParameter("init takes a fleet_id and at least one member")
 	}
 	reply, err := h.options.Control.Init(r.Context(), &request)
--- a/internal/settings/check_fleet.go
+++ b/internal/settings/check_fleet.go
@@ -167,7 +167,7 @@
 func (c checker) subtreePattern(path, pattern string) {
 	team, isTeam := strings.CutPrefix(pattern, TeamPrefix)
 	known := pattern == allSubtrees || pattern == FleetSubtree || pattern == allTeams
-	if !known && !(isTeam && validName(team)) {
+	if !known && !(isTeam && ValidName(team)) {
 		c.fault(path, `write "*", "fleet", "teams/*" or a full name such as "teams/sorters"`, "%q matches no subtree", pattern)
 	}
 }
--- a/internal/settings/check_team.go
+++ b/internal/settings/check_team.go
@@ -20,6 +20,7 @@
 
 func checkTeam(t *Team, name fleet.Team, document *strictyaml.Document) {
 	c := checker{document}
+	c.name("team", string(t.Name))
 	if t.Name != name {
 		c.fault("team", "write "+string(name)+", or apply the file to "+TeamSubtree(t.Name),
 			"%q is not the team of subtree %s", t.Name, TeamSubtree(name))
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -10,14 +10,15 @@
 	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
 )
 
-// nameRule tells what a name may be. It leaves out "+", which joins zones in a
+// NameRule tells what a name may be. It leaves out "+", which joins zones in a
 // zone class, "/" and "@", which part model references and subtree names, and
 // all that would need quoting in a path, a metric label or a log line.
-const nameRule = `lower-case letters, digits, ".", "_" and "-", at most 63, a letter or digit first`
+const NameRule = `lower-case letters, digits, ".", "_" and "-", at most 63, a letter or digit first`
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-func validName(name string) bool { return namePattern.MatchString(name) }
+// ValidName tells whether a name follows NameRule.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
 
 // checker notes the faults of one decoded document.
 type checker struct {
@@ -37,8 +38,8 @@
 
 // name checks one name.
 func (c checker) name(path, name string) {
-	if !validName(name) {
-		c.fault(path, "write "+nameRule, "%q is not a name", name)
+	if !ValidName(name) {
+		c.fault(path, "write "+NameRule, "%q is not a name", name)
 	}
 }
 
--- a/internal/settings/fixture_test.go
+++ b/internal/settings/fixture_test.go
@@ -71,11 +71,16 @@
 	tree := goodTree(t)
 	for i := range n {
 		name := fmt.Sprintf("team-%d", i)
-		text := fmt.Sprintf("team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah]\nmodels: [fibre]\n", name, HashKey(name))
-		next, err := ParseSubtree("teams/"+name, []byte(text))
+		next, err := ParseSubtree("teams/"+name, teamText(name))
 		assert.NilError(t, err)
 		tree.setTeam(*next.Team)
 		tree.Versions["teams/"+name] = 1
 	}
 	return tree
 }
+
+// teamText is a small team's subtree; its key is its name.
+func teamText(name string) []byte {
+	return fmt.Appendf(nil, "team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah, barasat]\nmodels: [fibre]\n"+
+		"services: [bank]\ntargets: {first_token: 1600ms, token_gap: 38ms}\nlimits: {concurrent: 40, prompt_tokens: 20000}\n", name, HashKey(name))
+}
--- a/internal/settings/lookup_test.go
+++ b/internal/settings/lookup_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -147,10 +148,15 @@
 	assert.ErrorContains(t, err, "can't be removed")
 	_, err = CheckChange(EmptyTree(), "teams/sorters", fill(goodTeam))
 	assert.ErrorContains(t, err, "no fleet subtree yet; apply fleet.yaml first")
-	for _, name := range []string{"", "teams/", "teams/a/b", "teams/A", "team", "fleet/x"} {
+	for _, name := range []string{"", "team", "fleet/x"} {
 		_, err = CheckChange(tree, name, fill(goodTeam))
 		assert.ErrorContains(t, err, "no subtree is called", name)
 	}
+	for _, team := range []string{"", "a/b", "A", "..", "a+b"} {
+		text := strings.Replace(goodTeam, "team: sorters", "team: '"+team+"'", 1)
+		_, err = CheckChange(tree, "teams/"+team, fill(text))
+		assert.ErrorContains(t, err, ".yaml:1: team: \""+team+"\" is not a name")
+	}
 }
 
 func TestBuildEqualsChanges(t *testing.T) {
--- a/internal/settings/scale_test.go
+++ b/internal/settings/scale_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
 // The size of the target: 2,100 teams.
@@ -30,6 +34,36 @@
 	}
 }
 
+// BenchmarkBuild is what an entry does with a snapshot. tree-bytes is the heap
+// that the tree keeps.
+func BenchmarkBuild(b *testing.B) {
+	documents := []*pb.SubtreeDocument{{Name: FleetSubtree, Version: 1, Yaml: fill(goodFleet)}}
+	for i := range targetTeams {
+		text := teamText(fmt.Sprintf("team-%d", i))
+		documents = append(documents, &pb.SubtreeDocument{Name: TeamSubtree(fleet.Team(fmt.Sprintf("team-%d", i))), Version: 1, Yaml: text})
+	}
+	before := heap()
+	tree, err := Build(documents, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := float64(heap() - before)
+	for b.Loop() {
+		if tree, err = Build(documents, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(size, "tree-bytes")
+	runtime.KeepAlive(tree)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func BenchmarkTeamByKey(b *testing.B) {
 	tree := manyTeams(b, targetTeams)
 	key := fmt.Sprintf("team-%d", targetTeams/2)
--- a/internal/settings/subtree.go
+++ b/internal/settings/subtree.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -30,15 +31,17 @@
 
 // ParseSubtreeFile is ParseSubtree for YAML whose faults are to name file.
 func ParseSubtreeFile(file, name string, yaml []byte) (Subtree, error) {
-	team, isTeam := strings.CutPrefix(name, TeamPrefix)
-	switch {
-	case name == FleetSubtree:
+	if name == FleetSubtree {
 		return parseFleet(file, yaml)
-	case isTeam && validName(team):
+	}
+	if team, isTeam := strings.CutPrefix(name, TeamPrefix); isTeam {
 		return parseTeam(file, fleet.Team(team), yaml)
 	}
-	return Subtree{}, trace.BadParameter("no subtree is called %q; there are %q and %q with a team's name (%s)",
-		name, FleetSubtree, TeamPrefix, nameRule)
+	return Subtree{}, trace.Wrap(strictyaml.Faults{{
+		File:    file,
+		Problem: fmt.Sprintf("no subtree is called %q", name),
+		Want:    fmt.Sprintf("there are %q and %q with a team's name", FleetSubtree, TeamPrefix),
+	}})
 }
 
 func parseFleet(file string, yaml []byte) (Subtree, error) {
