--- a/cmd/hyssopsail/settings_check.go
+++ b/cmd/hyssopsail/settings_check.go
@@ -30,8 +30,9 @@
 			return trace.Wrap(err)
 		}
 		for _, file := range files {
-			t.add(file.path, file.subtree, "ok")
-			checked = append(checked, checkedFile{file.path, file.subtree})
+			one := checkedFile{file.path, file.subtree, isWhole(files)}
+			t.add(one.File, one.Subtree, one.text())
+			checked = append(checked, one)
 		}
 	}
 	return c.app.show(checked, t)
@@ -39,6 +40,14 @@
 
 // checkedFile is one file without faults.
 type checkedFile struct {
-	File    string `json:"file"`
-	Subtree string `json:"subtree"`
+	File      string `json:"file"`
+	Subtree   string `json:"subtree"`
+	WithFleet bool   `json:"with_fleet"` // checked against the fleet's file too
+}
+
+func (c checkedFile) text() string {
+	if c.WithFleet {
+		return "ok"
+	}
+	return "ok by itself; zones, models and services weren't checked without fleet.yaml"
 }
--- a/cmd/hyssopsail/settings_files.go
+++ b/cmd/hyssopsail/settings_files.go
@@ -109,7 +109,7 @@
 // against each other. The error holds the faults of all files.
 func checkSettings(files []settingsFile) error {
 	tree := settings.EmptyTree()
-	whole := len(files) > 0 && files[0].subtree == settings.FleetSubtree
+	whole := isWhole(files)
 	var faults strictyaml.Faults
 	for _, file := range files {
 		next, err := checkOne(tree, file, whole)
@@ -131,6 +131,11 @@
 	return nil
 }
 
+// isWhole tells whether the fleet's file is among files; it comes first.
+func isWhole(files []settingsFile) bool {
+	return len(files) > 0 && files[0].subtree == settings.FleetSubtree
+}
+
 func checkOne(tree *settings.Tree, file settingsFile, whole bool) (*settings.Tree, error) {
 	if whole {
 		return settings.CheckChangeFile(tree, file.path, file.subtree, file.yaml)
--- a/cmd/hyssopsail/tool_test.go
+++ b/cmd/hyssopsail/tool_test.go
@@ -203,6 +203,13 @@
 	}
 }
 
+func TestCheckSaysWhatItCouldNotCheck(t *testing.T) {
+	_, out, _ := runTool("settings", "check", filepath.Join(example, "teams", "sorting.yaml"))
+	assert.Assert(t, cmp.Contains(out, "ok by itself"))
+	_, out, _ = runTool("settings", "check", example)
+	assert.Assert(t, !strings.Contains(out, "by itself"))
+}
+
 func TestHelpRunsNothing(t *testing.T) {
 	f := newFixture(t)
 	f.ok("settings", "apply", example)
