Operators: nothing is changed through an instance that can't confirm its settings

An operator's key that was withdrawn could still send changes through an instance cut off from settings updates but not from the leader; the group itself doesn't know keys. Trial with the guard out: TestWithdrawnKeyAtAnInstanceThatLags '200 ... != 503 ... /v1/settings'. The daemon has to pass Options.Current; without it all is as before.

--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
+	"github.com/gravitational/trace"
 
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -34,9 +35,9 @@
 		r.Get("/status", h.serve(h.status, callTimeout))
 		r.Get("/disk", h.serve(h.disk, callTimeout))
 		r.Get("/settings", h.serve(h.getSettings, callTimeout))
-		r.Post("/settings", h.serve(h.change, callTimeout+MaxWait))
-		r.Post("/members", h.serve(h.changeMember, callTimeout))
-		r.Post("/drain", h.serve(h.drain, callTimeout))
+		r.Post("/settings", h.serve(h.current(h.change), callTimeout+MaxWait))
+		r.Post("/members", h.serve(h.current(h.changeMember), callTimeout))
+		r.Post("/drain", h.serve(h.current(h.drain), callTimeout))
 		if options.Endpoints != nil {
 			r.Get("/endpoints", h.serve(h.endpoints, callTimeout))
 		}
@@ -59,6 +60,20 @@
 // action answers one request of a known sender; its error becomes a refusal.
 type action func(w http.ResponseWriter, r *http.Request, who identity) error
 
+// current refuses what changes the fleet while this instance can't confirm its
+// settings. An operator whose key was withdrawn would otherwise still be taken
+// here, by an instance that hasn't heard of it but still reaches the leader.
+// The client goes on to another instance. Before bootstrap nothing can be
+// confirmed, and the secret's own limits hold.
+func (h *handler) current(do action) action {
+	return func(w http.ResponseWriter, r *http.Request, who identity) error {
+		if !who.bootstrap && h.options.Current != nil && !h.options.Current() {
+			return trace.ConnectionProblem(nil, "this instance can't confirm that its settings are in force; ask another")
+		}
+		return do(w, r, who)
+	}
+}
+
 func (h *handler) serve(do action, limit time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		who, err := h.identify(r)
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// What a user sees: an operator's key is withdrawn, and a change by it is still
+// accepted minutes later, through an instance that is cut off from the updates
+// of the settings but not from the leader.
+func TestWithdrawnKeyAtAnInstanceThatLags(t *testing.T) {
+	accepted := &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 4}}
+	s := &stub{reply: accepted}
+	lagging := NewHandler(Options{Control: s, Tree: bootstrapped, Secret: secret, Now: time.Now, Current: func() bool { return false }})
+	for _, path := range []string{"/v1/settings", "/v1/members", "/v1/drain"} {
+		assert.Equal(t, ask(lagging, "root-key", "POST", path, changeA).Code, http.StatusServiceUnavailable, path)
+	}
+	assert.Assert(t, s.change == nil)
+	assert.Equal(t, ask(lagging, "root-key", "GET", "/v1/status", "").Code, http.StatusOK)
+	fresh := NewHandler(Options{Control: s, Tree: settings.EmptyTree, Secret: secret, Now: time.Now, Current: func() bool { return false }})
+	first := `{"change":{"name":"fleet","change_id":"c1","yaml":"eA=="}}`
+	assert.Equal(t, ask(fresh, secret.Hex(), "POST", "/v1/settings", first).Code, http.StatusOK)
+}
+
 func TestListShowsOwnScopeOnly(t *testing.T) {
 	for key, want := range map[string]int{"root-key": 3, "lead-key": 1} {
 		got := ask(newHandlerFor(&stub{}, bootstrapped()), key, "GET", "/v1/settings", "")
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -11,12 +11,13 @@
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
-// Options are what a handler needs. Endpoints, Timeline, Health, Ready and
-// Metrics may be nil: their paths are then not found.
+// Options are what a handler needs. Current, Endpoints, Timeline, Health, Ready
+// and Metrics may be nil: paths of the missing ones are then not found.
 type Options struct {
 	Control   Control
 	Tree      func() *settings.Tree // newest applied settings; nil or without a fleet before bootstrap
 	Secret    config.Secret         // the fleet's
+	Current   func() bool           // whether Tree is confirmed to be in force; nil: always
 	Now       func() time.Time
 	Log       logging.Part
 	Endpoints func(ctx context.Context) ([]*pb.EndpointDigest, error)
