--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -57,6 +57,15 @@
 	}
 }
 
+func TestEveryFolderLoads(t *testing.T) {
+	fleets, err := filepath.Glob("*/fleet.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(fleets) >= 2)
+	for _, path := range fleets {
+		load(t, filepath.Dir(path))
+	}
+}
+
 func checkDaemons(t *testing.T, name string, tree *settings.Tree) {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join(name, "daemons", "*.yaml"))
