--- a/internal/control/server_members.go
+++ b/internal/control/server_members.go
@@ -23,9 +23,9 @@
 }
 
 // Init implements pb.DRPCControlServer: it learns the members' disk
-// identities and starts the fleet on each of them with the same membership. A
-// repeated init of the same fleet succeeds, so one that broke off half way can
-// be sent again.
+// identities and starts the fleet here; the others join when they hear from
+// this member. A repeated init of the same fleet succeeds, so one whose answer
+// was lost can be sent again.
 func (s *Server) Init(ctx context.Context, r *pb.InitRequest) (*pb.InitReply, error) {
 	if !validName(r.GetFleetId()) || len(r.GetMembers()) == 0 || len(r.Members) > maxMembers {
 		return nil, trace.BadParameter("init needs a fleet ID and 1 to %d members", maxMembers)
@@ -33,53 +33,26 @@
 	if !slices.ContainsFunc(r.Members, s.isSelf) {
 		return nil, trace.BadParameter("this instance is none of the members")
 	}
-	complete := !slices.ContainsFunc(r.Members, func(m *pb.Member) bool { return m.DiskId == "" })
-	if complete {
-		return s.initSelf(r)
+	status := s.group.Status()
+	if status.Initialised && status.FleetID == r.FleetId {
+		return &pb.InitReply{FleetId: r.FleetId}, nil
 	}
-	request := &pb.InitRequest{FleetId: r.FleetId}
+	var members []*pb.Member
 	for _, m := range r.Members {
 		identified, err := s.identify(ctx, m)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		request.Members = append(request.Members, identified)
+		members = append(members, identified)
 	}
-	if err := s.initOthers(ctx, request); err != nil {
+	if err := s.group.Init(r.FleetId, members); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return s.initSelf(request)
-}
-
-func (s *Server) isSelf(m *pb.Member) bool { return m.GetInstanceId() == string(s.self.ID) }
-
-func (s *Server) initSelf(r *pb.InitRequest) (*pb.InitReply, error) {
-	status := s.group.Status()
-	if status.Initialised && status.FleetID == r.FleetId {
-		return &pb.InitReply{FleetId: r.FleetId}, nil
-	}
-	if err := s.group.Init(r.FleetId, r.Members); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	s.part.Info("Fleet initialised.", "fleet", r.FleetId, "members", len(r.Members))
+	s.part.Info("Fleet initialised.", "fleet", r.FleetId, "members", len(members))
 	return &pb.InitReply{FleetId: r.FleetId}, nil
 }
 
-func (s *Server) initOthers(ctx context.Context, r *pb.InitRequest) error {
-	for _, m := range r.Members {
-		if s.isSelf(m) {
-			continue
-		}
-		peer, err := s.peer(ctx, m.RpcAddress)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		if _, err := peer.Init(ctx, r); err != nil {
-			return trace.Wrap(err, "init of member %s", m.InstanceId)
-		}
-	}
-	return nil
-}
+func (s *Server) isSelf(m *pb.Member) bool { return m.GetInstanceId() == string(s.self.ID) }
 
 // identify fills in a member's disk identity by asking the member itself.
 func (s *Server) identify(ctx context.Context, m *pb.Member) (*pb.Member, error) {
