--- a/internal/control/client_members.go
+++ b/internal/control/client_members.go
@@ -32,10 +32,14 @@
 	return client.Pull(ctx, r)
 }
 
-// Elsewhere makes the next Pull go to another member: this one lags.
+// Elsewhere makes the next Pull go to another member, because this one lags:
+// to the leader when it is known, since any other one may lag too.
 func (c *Client) Elsewhere() {
 	c.mu.Lock()
 	address := c.reader
+	if c.leader != "" && c.leader != address {
+		c.reader = c.leader
+	}
 	c.mu.Unlock()
 	c.leaveReader(address)
 }
--- /dev/null
+++ b/internal/control/daemons_test.go
@@ -0,0 +1,370 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// The leases of fleetYAML are the defaults.
+const (
+	instanceLease = 2 * time.Second
+	settingsLease = 3 * time.Second
+)
+
+// bench is a control group with daemons, inside a synctest bubble.
+type bench struct {
+	t       testing.TB
+	ctx     context.Context
+	cluster *cluster
+	admin   *Client
+}
+
+// daemon is one agent with its own client.
+type daemon struct {
+	agent  *membership.Agent
+	ended  chan error
+	stop   context.CancelFunc
+	client *Client
+}
+
+func inBubble(t *testing.T, members int, f func(*bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(t, members)
+		c.run(ctx)
+		b := &bench{t: t, ctx: ctx, cluster: c}
+		b.admin = NewClient(c.net.from("admin"), c.addresses, logging.Part{})
+		b.apply("fleet", 0, []byte(fleetYAML))
+		b.apply("teams/sorters", 0, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+		f(b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (b *bench) apply(name string, version uint64, yaml []byte) *pb.ChangeReply {
+	b.t.Helper()
+	return b.change(name, version, yaml, 0)
+}
+
+func (b *bench) change(name string, version uint64, yaml []byte, wait time.Duration) *pb.ChangeReply {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.ctx, 30*time.Second)
+	defer cancel()
+	reply, err := b.admin.Change(ctx, &pb.ChangeRequest{
+		Change:        &pb.ChangeSubtree{Name: name, ExpectedVersion: version, ChangeId: fmt.Sprint(name, version), Yaml: yaml},
+		WaitInForceMs: uint64(wait.Milliseconds()),
+	})
+	assert.NilError(b.t, err)
+	assert.Equal(b.t, reply.Result.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, reply.Result.Detail)
+	return reply
+}
+
+func (b *bench) start(id string, incarnation fleet.Incarnation) *daemon {
+	ctx, stop := context.WithCancel(b.ctx)
+	d := &daemon{ended: make(chan error, 1), stop: stop}
+	d.client = NewClient(b.cluster.net.from(id), b.cluster.addresses, logging.Part{})
+	d.agent = membership.NewAgent(membership.Options{
+		Client: d.client,
+		Self:   fleet.Instance{ID: fleet.InstanceID(id), Incarnation: incarnation, Zone: "howrah", Entry: true},
+		Build:  settings.Build,
+		Change: settings.CheckChange,
+	})
+	go func() { d.ended <- d.agent.Run(ctx) }()
+	return d
+}
+
+func (d *daemon) current() bool { return d.agent.Current(time.Now()) }
+
+func (b *bench) view() map[string]uint64 {
+	b.cluster.mu.Lock()
+	leader := b.cluster.members[max(b.cluster.leader, 0)]
+	b.cluster.mu.Unlock()
+	_, instances := leader.machine.Instances()
+	view := map[string]uint64{}
+	for _, i := range instances {
+		view[i.Id] = i.Incarnation
+	}
+	return view
+}
+
+func (b *bench) cutOff(id string, cut bool) {
+	b.cluster.net.setCut(cut, id, b.cluster.addresses()...)
+	for _, a := range b.cluster.addresses() {
+		b.cluster.net.setCut(cut, a, id)
+	}
+}
+
+func TestDaemonJoinsFollowsAndLeaves(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		assert.Assert(t, !d.current())
+		time.Sleep(time.Second)
+		assert.Assert(t, d.current())
+		assert.Equal(t, d.agent.State().FleetID, "trust")
+		b.apply("teams/sorters", 1, teamYAML("sorters", "howrah"))
+		time.Sleep(100 * time.Millisecond)
+		state := d.agent.State()
+		assert.Equal(t, state.Tree.Versions["teams/sorters"], uint64(2))
+		assert.DeepEqual(t, state.Tree.Teams["sorters"].PermittedZones, []fleet.AvailabilityZone{"howrah"})
+		assert.Assert(t, state.View.Holds(d.agent.Self().Owner()))
+		assert.NilError(t, d.agent.Leave(b.ctx))
+		assert.Assert(t, !d.current())
+		assert.Equal(t, len(b.view()), 0)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(b.view()), 0)
+	})
+}
+
+// An entry is cut off from the control group without a word. It stops taking
+// requests before its lease ends at the leader, and before the settings lease
+// has passed; the view drops it only after that. When the link heals, it
+// learns that its place is lost.
+func TestCutOffEntryStopsBeforeTheViewDropsIt(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		other := b.start("e1", 1)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, d.current())
+		b.cutOff("e0", true)
+		cut := time.Now()
+		for b.view()["e0"] != 0 {
+			time.Sleep(10 * time.Millisecond)
+			if b.view()["e0"] == 0 {
+				assert.Assert(t, !d.current())
+			}
+		}
+		assert.Assert(t, time.Since(cut) <= settingsLease)
+		assert.Assert(t, other.current())
+		b.cutOff("e0", false)
+		assert.Assert(t, errors.Is(<-d.ended, membership.ErrFenced))
+		assert.Assert(t, !d.current())
+	})
+}
+
+func TestShortCutCostsNothing(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		b.cutOff("e0", true)
+		time.Sleep(instanceLease / 2)
+		b.cutOff("e0", false)
+		time.Sleep(instanceLease)
+		assert.Assert(t, d.current())
+		assert.Equal(t, b.view()["e0"], uint64(1))
+	})
+}
+
+// Only answers get lost on the way to the entry. The leader sees renewals and
+// keeps the entry in the view, but the entry can't know: it stops.
+func TestOneWayCutStopsTheEntry(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		for _, a := range b.cluster.addresses() {
+			b.cluster.net.setCut(true, a, "e0")
+		}
+		time.Sleep(instanceLease)
+		assert.Assert(t, !d.current())
+		assert.Equal(t, b.view()["e0"], uint64(1))
+	})
+}
+
+// A control member that is cut off from the others still answers pulls, with
+// nothing new. Renewals at the leader tell the entry that it lags: it asks
+// another member and stays current, with the newest settings.
+func TestEntryLeavesALaggingMember(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		for n := 1; n < 3; n++ {
+			b.cluster.setCut(n, true)
+		}
+		version := uint64(1)
+		for range 10 {
+			b.apply("teams/sorters", version, teamYAML("sorters", "howrah"))
+			version++
+			time.Sleep(settingsLease)
+			assert.Assert(t, d.current())
+			assert.Equal(t, d.agent.State().Tree.Versions["teams/sorters"], version)
+		}
+	})
+}
+
+// All members that answer pulls are cut off from the leader while settings
+// change. The entry renews its instance lease all the while, but can't get the
+// change: it must stop within the settings lease, not serve on old settings.
+func TestEntryOnOldSettingsStops(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		for _, m := range b.cluster.members {
+			b.cluster.net.add(m.address(), noPulls{m.server})
+		}
+		time.Sleep(25 * time.Second) // open polls end
+		assert.Assert(t, d.current())
+		b.apply("teams/sorters", 1, teamYAML("sorters", "howrah"))
+		time.Sleep(settingsLease)
+		assert.Assert(t, !d.current())
+		assert.Equal(t, b.view()["e0"], uint64(1))
+	})
+}
+
+type noPulls struct{ pb.DRPCControlServer }
+
+func (noPulls) Pull(ctx context.Context, _ *pb.PullRequest) (*pb.PullReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A daemon is restarted while the process before still runs, such as one that
+// was frozen. The new incarnation takes the place; the old one's next renewal
+// tells it so, and it is not current from then on.
+func TestRestartFencesTheOldProcess(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		old := b.start("e0", 1)
+		time.Sleep(time.Second)
+		assert.Assert(t, old.current())
+		b.start("e0", 2)
+		assert.Assert(t, errors.Is(<-old.ended, membership.ErrFenced))
+		assert.Assert(t, !old.current())
+		assert.Equal(t, b.view()["e0"], uint64(2))
+	})
+}
+
+// The leader changes right after an entry has died. The new leader knows no
+// renewals: it expires nobody before a full lease, and the dead one after it.
+func TestNewLeaderWaitsAFullLease(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		alive := b.start("e0", 1)
+		b.start("e1", 1)
+		time.Sleep(5 * time.Second)
+		b.cutOff("e1", true)
+		time.Sleep(instanceLease / 2)
+		b.cluster.elect(1)
+		elected := time.Now()
+		for b.view()["e1"] != 0 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, alive.current())
+		}
+		assert.Assert(t, time.Since(elected) >= instanceLease)
+		assert.Assert(t, time.Since(elected) < 2*instanceLease)
+		assert.Equal(t, b.view()["e0"], uint64(1))
+	})
+}
+
+// No leader for long: all entries stop, none is expired, and all go on with
+// their incarnations once there is a leader.
+func TestTimeWithoutLeaderExpiresNobody(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		b.cluster.elect(-1)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !d.current())
+		b.cluster.elect(2)
+		time.Sleep(instanceLease)
+		assert.Assert(t, d.current())
+		assert.Equal(t, b.view()["e0"], uint64(1))
+	})
+}
+
+// The leader dies after the change is synced and before it answers. The
+// operator's tool resends to the next leader and gets the first result.
+func TestChangeResentToTheNextLeader(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		b.cluster.mu.Lock()
+		b.cluster.loseReply = true
+		b.cluster.mu.Unlock()
+		reply := b.apply("teams/sorters", 1, teamYAML("sorters", "howrah"))
+		assert.Assert(t, reply.Result.Repeated)
+		assert.Equal(t, reply.Result.Version, uint64(2))
+		now, err := b.admin.GetSettings(b.ctx, &pb.GetSettingsRequest{Name: "teams/sorters"})
+		assert.NilError(t, err)
+		assert.Equal(t, now.Documents[0].Version, uint64(2))
+	})
+}
+
+// A change is applied with a wait while one entry is cut off. The answer comes
+// only when that entry has stopped: at no time is the older version in force
+// anywhere after it.
+func TestWaitEndsWhenNobodyServesTheOldVersion(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		cut := b.start("e1", 1)
+		time.Sleep(5 * time.Second)
+		quick := b.change("teams/sorters", 1, teamYAML("sorters", "barasat"), 20*time.Second)
+		assert.Assert(t, quick.InForce)
+		b.cutOff("e1", true)
+		asked := time.Now()
+		reply := b.change("teams/sorters", 2, teamYAML("sorters", "howrah"), 20*time.Second)
+		assert.Assert(t, reply.InForce)
+		assert.Assert(t, !cut.current())
+		assert.Assert(t, time.Since(asked) < settingsLease)
+		assert.Equal(t, d.agent.State().Tree.Versions["teams/sorters"], uint64(3))
+		b.cutOff("e0", true)
+		short := b.change("teams/sorters", 3, teamYAML("sorters", "howrah"), 100*time.Millisecond)
+		assert.Assert(t, !short.InForce)
+		assert.DeepEqual(t, short.PendingInstances, []string{"e0"})
+	})
+}
+
+// An operator drains an entry: it learns of it, its ledger shards move, and
+// it may leave with nothing lost.
+func TestDrainHandsOver(t *testing.T) {
+	inBubble(t, 3, func(b *bench) {
+		d := b.start("e0", 1)
+		for n := 1; n < 4; n++ {
+			b.start(fmt.Sprint("e", n), 1)
+		}
+		time.Sleep(time.Second)
+		copyShards(b)
+		_, err := b.admin.Drain(b.ctx, &pb.DrainRequest{InstanceId: "e0"})
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, d.agent.Self().Draining)
+		assert.Assert(t, !d.agent.HandedOver())
+		copyShards(b)
+		assert.NilError(t, d.agent.AwaitHandover(b.ctx))
+		assert.Assert(t, d.current())
+		assert.NilError(t, d.agent.Leave(b.ctx))
+		for _, g := range b.groups() {
+			assert.Equal(t, g.HistoryLostUnixMs, int64(0))
+		}
+	})
+}
+
+func (b *bench) groups() []*pb.LedgerGroup {
+	return b.cluster.members[0].machine.machineState().State.LedgerGroups
+}
+
+// copyShards reports all pending copies as done until there are none.
+func copyShards(b *bench) {
+	for range 4 {
+		for _, g := range b.groups() {
+			for _, r := range g.Replicas {
+				if r.Ready {
+					continue
+				}
+				_, err := b.admin.Ready(b.ctx, &pb.LedgerReady{
+					InstanceId: r.InstanceId, Incarnation: r.Incarnation,
+					Shards: []*pb.LedgerShardEpoch{{ZoneClass: g.ZoneClass, Shard: g.Shard, Epoch: g.Epoch}},
+				})
+				assert.NilError(b.t, err)
+			}
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+}
--- /dev/null
+++ b/internal/control/leases_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a1    = fleet.Owner{Instance: "a", Incarnation: 1}
+	a2    = fleet.Owner{Instance: "a", Incarnation: 2}
+	live  = []fleet.Owner{a1}
+)
+
+const tickEvery = 100 * time.Millisecond
+
+// ticks runs ticks up to at, and gives when a1 was first due; -1: never.
+func ticks(l *leases, from, to time.Duration, lease time.Duration) time.Duration {
+	for d := from; d <= to; d += tickEvery {
+		if len(l.tick(epoch.Add(d), 1, lease, live)) > 0 {
+			return d
+		}
+	}
+	return -1
+}
+
+func TestLeaseEndsAfterItsLastRenewal(t *testing.T) {
+	l := newLeases()
+	assert.Equal(t, ticks(l, 0, time.Second, instanceLease), time.Duration(-1))
+	_, ok := l.renew(a1, 1, 0, epoch.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, ticks(l, time.Second, time.Minute, instanceLease), time.Second+instanceLease)
+}
+
+// The leader's process is stopped for longer than a lease and goes on as
+// leader. All renewals of that time were missed by its fault; expiring on its
+// old notes would throw out every healthy instance.
+func TestFrozenLeaderExpiresNobodyAtOnce(t *testing.T) {
+	l := newLeases()
+	ticks(l, 0, time.Second, instanceLease)
+	woken := 10 * time.Second
+	assert.Equal(t, ticks(l, woken, time.Minute, instanceLease), woken+instanceLease)
+}
+
+// A renewal arrives while the expiry is on its way to the log. Granted, the
+// instance would believe in a lease that the view no longer holds.
+func TestCondemnedIsNotRenewed(t *testing.T) {
+	l := newLeases()
+	due := ticks(l, 0, time.Minute, instanceLease)
+	now := epoch.Add(due)
+	assert.Assert(t, l.condemn(a1, now))
+	assert.Assert(t, !l.condemn(a1, now))
+	_, ok := l.renew(a1, 1, 0, now)
+	assert.Assert(t, !ok)
+	l.proposed(a1) // failed: it stays condemned and is proposed again
+	_, ok = l.renew(a1, 1, 0, now)
+	assert.Assert(t, !ok)
+	assert.Assert(t, l.condemn(a1, now))
+}
+
+// A renewal arrives between the tick that found a lease ended and its
+// condemnation: it wins.
+func TestRenewalBeforeCondemnationWins(t *testing.T) {
+	l := newLeases()
+	now := epoch.Add(ticks(l, 0, time.Minute, instanceLease))
+	_, ok := l.renew(a1, 1, 0, now)
+	assert.Assert(t, ok)
+	assert.Assert(t, !l.condemn(a1, now))
+}
+
+// The operators shorten the instance lease. Instances still hold the longer
+// one that they were granted, so nobody may be expired before it has run out.
+func TestShortenedLeaseWaitsForTheLongerOne(t *testing.T) {
+	l := newLeases()
+	ticks(l, 0, time.Second, 10*time.Second)
+	l.renew(a1, 1, 0, epoch.Add(time.Second))
+	assert.Equal(t, ticks(l, time.Second, time.Minute, instanceLease), 11*time.Second)
+}
+
+func TestRenewNeedsTheSameTerm(t *testing.T) {
+	l := newLeases()
+	l.tick(epoch, 2, instanceLease, live)
+	_, ok := l.renew(a1, 1, 0, epoch)
+	assert.Assert(t, !ok)
+	l.resign()
+	_, ok = l.renew(a1, 2, 0, epoch)
+	assert.Assert(t, !ok)
+}
+
+func TestBehindCountsTheLiveProcessOnly(t *testing.T) {
+	l := newLeases()
+	l.tick(epoch, 1, instanceLease, live)
+	l.renew(a1, 1, 7, epoch)
+	assert.Equal(t, len(l.behind(7, live)), 0)
+	assert.Equal(t, len(l.behind(8, live)), 1)
+	assert.Equal(t, len(l.behind(7, []fleet.Owner{a2})), 1)
+}
--- /dev/null
+++ b/internal/membership/follow_test.go
@@ -0,0 +1,140 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// fakeBuild puts the documents' versions into the tree's Versions alone.
+func fakeBuild(_ []*pb.SubtreeDocument, index uint64) (*settings.Tree, error) {
+	return &settings.Tree{Index: index}, nil
+}
+
+func newTestFollower() *follower { return newFollower(Options{Build: fakeBuild}) }
+
+// history makes n deltas: at index i the subtree has version i.
+func history(n int) []*pb.Delta {
+	var all []*pb.Delta
+	for i := 1; i <= n; i++ {
+		d := &pb.Delta{Index: uint64(i), ViewNumber: uint64(i / 10), Subtrees: []*pb.SubtreeDocument{document(i)}}
+		if i%10 == 0 {
+			d.Joined = []*pb.InstanceRecord{{Id: fmt.Sprint("e", i), Incarnation: 1}}
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+func document(version int) *pb.SubtreeDocument {
+	return &pb.SubtreeDocument{Name: "teams/a", Version: uint64(version), Yaml: []byte("x")}
+}
+
+func snapshotAt(index int) *pb.PullReply {
+	s := &pb.FleetState{Index: uint64(index), ViewNumber: uint64(index / 10), FleetId: "trust", Subtrees: []*pb.SubtreeDocument{document(index)}}
+	for i := 10; i <= index; i += 10 {
+		s.Instances = append(s.Instances, &pb.InstanceRecord{Id: fmt.Sprint("e", i), Incarnation: 1})
+	}
+	return &pb.PullReply{Snapshot: s, ThroughIndex: uint64(index)}
+}
+
+// Answers to pulls arrive late, twice and in any order: old deltas and old
+// snapshots from members that lag. The entry's settings must never go back,
+// whatever comes, and end at the newest.
+func TestAcceptedSettingsNeverRevert(t *testing.T) {
+	const length = 200
+	deltas := history(length)
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		f := newTestFollower()
+		highest := uint64(0)
+		for range 400 {
+			after := random.IntN(length)
+			reply := snapshotAt(after + 1)
+			if random.IntN(4) > 0 {
+				through := min(length, after+1+random.IntN(20))
+				reply = &pb.PullReply{Deltas: deltas[after:through], ThroughIndex: uint64(through)}
+			}
+			_, err := f.take(uint64(after), reply)
+			assert.Assert(t, err == nil || errors.Is(err, errGap))
+			version := f.state.Tree.Versions["teams/a"]
+			assert.Assert(t, version >= highest, "seed %d: version %d after %d", seed, version, highest)
+			assert.Equal(t, version, f.state.Index)
+			assert.Equal(t, len(f.state.View.Instances), int(f.state.Index/10))
+			highest = version
+		}
+		_, err := f.take(0, snapshotAt(length))
+		assert.NilError(t, err)
+		assert.Equal(t, f.state.Tree.Versions["teams/a"], uint64(length))
+	}
+}
+
+func TestTakeTable(t *testing.T) {
+	base := func() *follower {
+		f := newTestFollower()
+		_, err := f.take(0, snapshotAt(20))
+		assert.NilError(t, err)
+		return f
+	}
+	delta := func(d *pb.Delta) *pb.PullReply {
+		return &pb.PullReply{Deltas: []*pb.Delta{d}, ThroughIndex: d.Index}
+	}
+	other := snapshotAt(30)
+	other.Snapshot.FleetId = "another"
+	cases := []struct {
+		name  string
+		after uint64
+		reply *pb.PullReply
+		gap   bool
+		fails bool
+		index uint64
+	}{
+		{"next", 20, delta(&pb.Delta{Index: 21, Subtrees: []*pb.SubtreeDocument{document(21)}}), false, false, 21},
+		{"nothing new", 20, &pb.PullReply{ThroughIndex: 20}, false, false, 20},
+		{"entries without effect", 20, &pb.PullReply{ThroughIndex: 25}, false, false, 25},
+		{"starts after the state", 22, delta(&pb.Delta{Index: 23}), true, true, 20},
+		{"subtree version skipped", 20, delta(&pb.Delta{Index: 22, Subtrees: []*pb.SubtreeDocument{document(22)}}), true, true, 20},
+		{"view skipped", 20, delta(&pb.Delta{Index: 22, ViewNumber: 4, Joined: []*pb.InstanceRecord{{Id: "x"}}}), true, true, 20},
+		{"another fleet", 0, other, false, true, 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := base()
+			_, err := f.take(c.after, c.reply)
+			assert.Equal(t, err != nil, c.fails)
+			assert.Equal(t, errors.Is(err, errGap), c.gap)
+			assert.Equal(t, f.state.Index, c.index)
+		})
+	}
+}
+
+func TestStatesNeverChangeOnceGiven(t *testing.T) {
+	f := newTestFollower()
+	_, err := f.take(0, snapshotAt(9))
+	assert.NilError(t, err)
+	given := f.state
+	fingerprint := fleet.Fingerprint{1}
+	_, err = f.take(9, &pb.PullReply{ThroughIndex: 10, Deltas: []*pb.Delta{{
+		Index: 10, ViewNumber: 1, Joined: []*pb.InstanceRecord{{Id: "x", Incarnation: 1}},
+		Subtrees:     []*pb.SubtreeDocument{document(10)},
+		LedgerGroups: []*pb.LedgerGroup{{ZoneClass: "z", Epoch: 1}},
+		Suspects:     []*pb.SuspectRecord{{Fingerprint: fingerprint[:], Crashes: 1}},
+	}}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(given.View.Instances)+len(given.Groups)+len(given.Suspects), 0)
+	assert.Equal(t, given.Tree.Versions["teams/a"], uint64(9))
+	assert.Equal(t, len(f.state.View.Instances)+len(f.state.Groups)+len(f.state.Suspects), 3)
+	_, err = f.take(10, &pb.PullReply{ThroughIndex: 11, Deltas: []*pb.Delta{{
+		Index: 11, LedgerGroups: []*pb.LedgerGroup{{ZoneClass: "z", Removed: true}},
+		Suspects: []*pb.SuspectRecord{{Fingerprint: fingerprint[:]}},
+	}}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.state.Groups)+len(f.state.Suspects), 0)
+}
--- /dev/null
+++ b/internal/membership/lease_test.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestLeaseTable(t *testing.T) {
+	const second = time.Second
+	fresh := func() *lease { return &lease{settingsLease: 3 * second} }
+	cases := []struct {
+		name    string
+		lease   func(*lease)
+		at      time.Duration
+		current bool
+	}{
+		{"nothing granted", func(*lease) {}, 0, false},
+		{"granted, state not there yet", func(l *lease) { l.grant(at(0), at(0), 2*second, 5) }, 0, false},
+		{"granted and applied", func(l *lease) { l.grant(at(0), at(0), 2*second, 5); l.apply(at(0), 5) }, second, true},
+		{"instance lease over", func(l *lease) { l.grant(at(0), at(0), 2*second, 5); l.apply(at(0), 5) }, 2 * second, false},
+		{"answer came late: counts from the send", func(l *lease) { l.apply(at(0), 5); l.grant(at(0), at(1900*time.Millisecond), 2*second, 5) }, 2100 * time.Millisecond, false},
+		{"older answer after a newer one", func(l *lease) {
+			l.apply(at(0), 5)
+			l.grant(at(second), at(second), 2*second, 5)
+			l.grant(at(0), at(second), 2*second, 5)
+		}, 2500 * time.Millisecond, true},
+		{"renewed, but the state lags", func(l *lease) {
+			l.apply(at(0), 5)
+			l.grant(at(0), at(0), 2*second, 5)
+			for n := range 4 {
+				l.grant(at(time.Duration(n)*second), at(time.Duration(n)*second), 2*second, 6)
+			}
+		}, 3 * second, false},
+		{"the state caught up", func(l *lease) {
+			l.grant(at(0), at(0), 2*second, 5)
+			l.grant(at(2*second), at(2*second), 2*second, 6)
+			l.apply(at(3*second), 6)
+		}, 3500 * time.Millisecond, true},
+		{"fenced", func(l *lease) { l.grant(at(0), at(0), 2*second, 0); l.fenced = true }, 0, false},
+		{"leaving", func(l *lease) { l.grant(at(0), at(0), 2*second, 0); l.leaving = true }, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := fresh()
+			c.lease(l)
+			assert.Equal(t, l.current(at(c.at)), c.current)
+		})
+	}
+}
+
+func TestUnconfirmedIsBounded(t *testing.T) {
+	l := &lease{settingsLease: time.Hour}
+	for n := range 10 * maxUnconfirmed {
+		l.grant(at(time.Duration(n)), at(0), time.Second, uint64(n+1))
+	}
+	assert.Equal(t, len(l.unconfirmed), maxUnconfirmed)
+	assert.Assert(t, l.lagging(at(2*time.Hour)))
+	l.apply(at(0), 1<<40)
+	assert.Equal(t, len(l.unconfirmed), 0)
+	assert.Assert(t, !l.lagging(at(2*time.Hour)))
+}
+
+// A process is stopped by SIGSTOP, or its machine suspended, for longer than
+// its lease, between two renewals. Whatever it asks first when it wakes, it is
+// told that it is not current, though the caller read the clock before.
+func TestFrozenAgentWakesNotCurrent(t *testing.T) {
+	now := at(0)
+	a := NewAgent(Options{Now: func() time.Time { return now }})
+	a.lease.grant(now, now, 2*time.Second, 0)
+	asked := now
+	assert.Assert(t, a.Current(asked))
+	now = at(10 * time.Second)
+	assert.Assert(t, !a.Current(asked))
+	assert.Assert(t, !a.Current(now))
+}
