--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -47,7 +47,7 @@
 		if !proto.Equal(first.Order, o) {
 			return refused(refusalOrderID)
 		}
-		return &pb.CommandResult{Order: first}
+		return &pb.CommandResult{Order: first, NewestOrder: m.orders.byEndpoint[o.EndpointId]}
 	}
 	issuer := m.instances[o.IssuerInstance]
 	if issuer == nil || issuer.Incarnation != o.IssuerIncarnation {
@@ -68,7 +68,7 @@
 		record.DelayMs = delay
 	}
 	m.orders.add(record)
-	return &pb.CommandResult{Order: record}
+	return &pb.CommandResult{Order: record, NewestOrder: record}
 }
 
 func validOrder(o *pb.IssueOrder) bool {
--- a/internal/control/server_commands.go
+++ b/internal/control/server_commands.go
@@ -29,7 +29,12 @@
 			Detail:   o.GetOrderId(),
 		})
 	}
-	return &pb.OrderReply{Record: result.GetOrder(), LeaderAddress: leader, Refusal: result.GetRefusal()}, err
+	return &pb.OrderReply{
+		Record:        result.GetOrder(),
+		Newest:        result.GetNewestOrder(),
+		LeaderAddress: leader,
+		Refusal:       result.GetRefusal(),
+	}, err
 }
 
 // Crash implements pb.DRPCControlServer.
