orders: guards seen to fail when taken out

Each was removed on a scratch copy and its test failed; all pass as committed: - send only on a fresh confirmation: TestOldConfirmationIsNotUsed, 'p.MaySend(later) is true' - issue the newer order again after slipping in: TestFrozenIssuerWakesAfterANewerOrder, 'both != decode' - read back: TestOrderSlipsInBeforeTheReadBack, 'both != decode' - wait out earlier orders: TestNewerOrderWaitsOutTheOlderOne - token from the log index: TestOrderTokensRiseAndRepeat The wait's test passed without its guard at first, since the newer order took as long as the older one; the older one alone is slow now.

--- a/internal/orders/issuer_test.go
+++ b/internal/orders/issuer_test.go
@@ -27,7 +27,6 @@
 	index   uint64
 	state   engineapi.Announcement
 	taken   []string // orders in the order that the endpoint took them
-	load    time.Duration
 	// atEndpoint is called when an order arrives, before it is taken.
 	atEndpoint func(o engineapi.Order)
 	// afterOrder is called when an order was taken, before it is answered.
@@ -83,7 +82,6 @@
 	if e.atEndpoint != nil {
 		e.atEndpoint(o)
 	}
-	time.Sleep(e.load)
 	if err := e.take(t, o); err != nil {
 		return engineapi.OrderReply{}, err
 	}
@@ -209,7 +207,11 @@
 func TestNewerOrderWaitsOutTheOlderOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(false)
-		w.load = shortestLongest - time.Second
+		w.atEndpoint = func(o engineapi.Order) {
+			if o.ID == "old" {
+				time.Sleep(shortestLongest - time.Second)
+			}
+		}
 		old := make(chan Outcome)
 		go func() { old <- run(t, w.issuer("a"), role("old", fleet.RoleBoth)) }()
 		time.Sleep(time.Second)
