--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// sums gives the bytes and messages carried so far.
+func (n *network) sums() (bytes, messages int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes, n.calls
+}
+
 func (n *network) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -55,6 +55,7 @@
 	renewalsPerLease    = 4
 	retriesPerLease     = 20 // pace after a failed renewal
 	pullWait            = 20 * time.Second
+	pullSpacing         = 200 * time.Millisecond // after news, so that a burst comes in one answer
 	shortestPullBackoff = 50 * time.Millisecond
 	longestPullBackoff  = 2 * time.Second
 	shortestRenewal     = 500 * time.Millisecond // least time given to one renewal
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -14,10 +14,14 @@
 	after := uint64(0)
 	backoff := shortestPullBackoff
 	for ctx.Err() == nil {
+		before := a.follower.state
 		err := a.pull(ctx, after)
 		after = a.follower.state.Index
 		if err == nil {
 			backoff = shortestPullBackoff
+			if a.follower.state != before {
+				a.pause(ctx, pullSpacing)
+			}
 			continue
 		}
 		if errors.Is(err, errGap) {
