--- a/internal/control/classes.go
+++ b/internal/control/classes.go
@@ -136,7 +136,11 @@
 		life = defaultRecordLife
 	}
 	for _, class := range sortedKeys(m.classes.retired) {
-		if m.clock-m.classes.retired[class] <= life.Milliseconds() {
+		age := m.clock - m.classes.retired[class]
+		if age < -life.Milliseconds() {
+			m.classes.retired[class] = m.clock // retired by a clock that was ahead
+		}
+		if age <= life.Milliseconds() {
 			continue
 		}
 		delete(m.classes.retired, class)
--- /dev/null
+++ b/internal/control/clock_test.go
@@ -0,0 +1,29 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// One leader's clock is years ahead. While it leads and after it, classes
+// retire, suspects age and loads wait for their turns by the clocks that are
+// right: nothing waits for years.
+func TestLeaderWithAClockFarAhead(t *testing.T) {
+	const years = 10 * 365 * 24 * time.Hour
+	l := grown(t, 3)
+	l.clock += years.Milliseconds()
+	for _, id := range []string{"1", "2", "3"} {
+		assert.Equal(t, l.order(load(id, id)).Refusal, "")
+	}
+	l.crash("x", 1, 1)
+	l.accept("teams/sorters", 1, teamYAML("sorters", "howrah"))
+	l.clock -= years.Milliseconds()
+	assert.Equal(t, l.order(load("4", "4")).Order.DelayMs, uint64(0))
+	assert.Equal(t, len(l.machine.suspects.records), 0)
+	assert.Assert(t, l.group(0) != nil)
+	l.clock += defaultRecordLife.Milliseconds() + 1
+	l.drain("nobody")
+	assert.Assert(t, l.group(0) == nil)
+}
--- a/internal/control/loadslots.go
+++ b/internal/control/loadslots.go
@@ -62,7 +62,10 @@
 	}
 	first := 0
 	for n, free := range *s {
-		if free < (*s)[first] {
+		if free-now > (longestLoadWait + longestLoad).Milliseconds() {
+			(*s)[n] = now // reserved by a clock that was ahead
+		}
+		if (*s)[n] < (*s)[first] {
 			first = n
 		}
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -20,7 +20,7 @@
 	mu         sync.RWMutex
 	applied    uint64 // last applied index
 	effect     uint64 // index of the last delta
-	clock      int64  // highest proposer's clock seen, unix ms
+	clock      int64  // the last proposer's clock, unix ms
 	viewNumber uint64
 	tree       *settings.Tree
 	current    map[string]*pb.SubtreeDocument
@@ -84,7 +84,7 @@
 	if err := proto.Unmarshal(command, &c); err != nil {
 		return &pb.CommandResult{Refusal: refusalMalformed}
 	}
-	m.clock = max(m.clock, c.GetUnixMs())
+	m.setClock(c.GetUnixMs())
 	m.delta = &pb.Delta{}
 	result := m.dispatch(index, &c)
 	m.expireOld(index)
@@ -92,6 +92,18 @@
 	return result
 }
 
+// setClock takes the proposer's clock as it is, also when it goes back.
+//
+// Failure guarded: one leader's clock is set years ahead. Were the highest
+// clock kept, ages would stand still until the world has caught up: the weight
+// store's turns would never come. So the next leader's clock heals the state,
+// and ages that no right clock can give are cut where they are used.
+func (m *Machine) setClock(unixMs int64) {
+	if unixMs > 0 {
+		m.clock = unixMs
+	}
+}
+
 func (m *Machine) dispatch(index uint64, c *pb.Command) *pb.CommandResult {
 	switch body := c.GetBody().(type) {
 	case *pb.Command_ChangeSubtree:
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -130,12 +130,16 @@
 	}
 }
 
-// expire drops suspects not reported for life; life 0 keeps them.
+// expire drops suspects not reported for life, and those reported under a
+// clock that was further ahead than that; life 0 keeps them.
 func (s *suspects) expire(clock, life int64) []*pb.SuspectRecord {
 	if life <= 0 {
 		return nil
 	}
-	return s.drop(func(r *pb.SuspectRecord) bool { return clock-r.UpdatedUnixMs > life })
+	return s.drop(func(r *pb.SuspectRecord) bool {
+		age := clock - r.UpdatedUnixMs
+		return age > life || age < -life
+	})
 }
 
 // bound drops the longest unreported suspects above the limit.
