--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -7,10 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
@@ -137,34 +135,12 @@
 
 // targetURL makes the URL of path at t, whose address must be host:port.
 func (c *HTTPClient) targetURL(t Target, path string) (*url.URL, error) {
-	host, port, err := net.SplitHostPort(t.Address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrAddress, err)
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
-	if err != nil || number == 0 || !plainHost(host) {
+	if !engineapi.AddressOK(t.Address) {
 		return nil, fmt.Errorf("%w: %q", ErrAddress, t.Address)
 	}
 	return &url.URL{Scheme: c.scheme, Host: t.Address, Path: path}, nil
 }
 
-// plainHost tells whether host is made of the characters of names and IP
-// numbers only.
-func plainHost(host string) bool {
-	if host == "" {
-		return false
-	}
-	for _, r := range host {
-		switch {
-		case r >= '0' && r <= '9', r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z':
-		case r == '.', r == '-', r == ':':
-		default:
-			return false
-		}
-	}
-	return true
-}
-
 func readReply(t Target, x exchange, response *http.Response, out any) error {
 	defer response.Body.Close()
 	body, err := readBounded(response.Body, x.limit)
--- /dev/null
+++ b/internal/engineapi/check.go
@@ -0,0 +1,94 @@
+package engineapi
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// The bounds of an announcement.
+const (
+	maxNameBytes = 256
+	maxModels    = 256
+	maxSlots     = 1 << 16
+)
+
+// Check tells whether an announcement can be taken: names and lists are
+// bounded, the address is host:port, and role and service fit.
+func (a Announcement) Check() error {
+	if !nameOK(string(a.ID)) || !nameOK(string(a.Zone)) {
+		return trace.BadParameter("endpoint ID or availability zone is empty or too long")
+	}
+	if a.Incarnation == 0 {
+		return trace.BadParameter("endpoint %q has no incarnation", a.ID)
+	}
+	if err := checkAddress(a.Address); err != nil {
+		return trace.Wrap(err, "endpoint %q", a.ID)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots || a.KVBytes < 0 {
+		return trace.BadParameter("endpoint %q has %d slots and %d bytes", a.ID, a.Slots, a.KVBytes)
+	}
+	return a.checkWork()
+}
+
+// checkWork checks what the endpoint works on.
+func (a Announcement) checkWork() error {
+	switch a.Role {
+	case fleet.RolePlain:
+		if !nameOK(a.Service) {
+			return trace.BadParameter("plain endpoint %q names no service", a.ID)
+		}
+		return nil
+	case fleet.RolePrefill, fleet.RoleDecode, fleet.RoleBoth:
+		return a.checkModels()
+	}
+	return trace.BadParameter("endpoint %q has an unknown role", a.ID)
+}
+
+func (a Announcement) checkModels() error {
+	if len(a.Models) > maxModels {
+		return trace.BadParameter("endpoint %q has %d models", a.ID, len(a.Models))
+	}
+	for _, m := range a.Models {
+		if !nameOK(m.Model) || !nameOK(m.Version) || len(m.Adapter) > maxNameBytes {
+			return trace.BadParameter("endpoint %q has a model without name or version", a.ID)
+		}
+	}
+	return nil
+}
+
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return trace.BadParameter("address is not host:port")
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 || !hostOK(host) {
+		return trace.BadParameter("address %q can't be called", address)
+	}
+	return nil
+}
+
+func nameOK(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
+// hostOK tells whether host is made of the characters of names and IP numbers
+// only, so that it can't change the meaning of a URL that it stands in.
+func hostOK(host string) bool {
+	if host == "" || len(host) > maxNameBytes {
+		return false
+	}
+	for _, r := range host {
+		switch {
+		case r >= '0' && r <= '9', r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z':
+		case r == '.', r == '-', r == ':':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// AddressOK tells whether address is host:port and can be called.
+func AddressOK(address string) bool { return checkAddress(address) == nil }
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -20,7 +20,9 @@
 func (s *Standin) runBatch(ctx context.Context) {
 	at := time.Now()
 	for ctx.Err() == nil {
-		s.waitThaw(ctx.Done())
+		if s.waitThaw(ctx.Done()) {
+			at = time.Now()
+		}
 		plan := s.planStep()
 		if plan.length == 0 {
 			select {
--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -54,10 +54,12 @@
 			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode})
 			f := newFlow(p, d, long+strings.Repeat("x", 4000))
 			waiting := test.reach(t, f, p, d)
-			f.client.Cancel(f.prefill, f.attempt)
+			// The decode engine first: otherwise its transfer may break at the
+			// other end before its own cancel comes.
 			f.client.Cancel(f.decode, f.attempt)
-			eventually(t, "prefill engine free", empty(p))
 			eventually(t, "decode engine free", empty(d))
+			f.client.Cancel(f.prefill, f.attempt)
+			eventually(t, "prefill engine free", empty(p))
 			if waiting != nil {
 				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
 			}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -73,19 +73,20 @@
 	reply(w, f)
 }
 
-// waitThaw returns when the endpoint isn't frozen, or done is closed.
-func (s *Standin) waitThaw(done <-chan struct{}) {
-	for {
+// waitThaw returns when the endpoint isn't frozen, or done is closed; waited
+// tells whether it was frozen.
+func (s *Standin) waitThaw(done <-chan struct{}) (waited bool) {
+	for ; ; waited = true {
 		s.mu.Lock()
 		frozen, thawed := s.faults.Freeze, s.thawed
 		s.mu.Unlock()
 		if !frozen {
-			return
+			return waited
 		}
 		select {
 		case <-thawed:
 		case <-done:
-			return
+			return true
 		}
 	}
 }
--- a/internal/standin/request_test.go
+++ b/internal/standin/request_test.go
@@ -115,6 +115,9 @@
 	f.toDecode(t)
 	stop()
 	fresh := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Incarnation: 2, Listen: f.decode.Address})
+	// The old client may still hold a connection to the dead process, and then
+	// only learns that it broke.
+	f.client = engine.NewClient(engine.Options{})
 	_, err := f.open(t.Context(), 0)
 	assert.Equal(t, codeOf(err), engineapi.CodeStale)
 	_, err = f.client.Held(t.Context(), f.decode)
--- a/internal/standin/staleset.go
+++ b/internal/standin/staleset.go
@@ -7,13 +7,14 @@
 
 // staleSet remembers the last cancelled attempts.
 type staleSet struct {
+	most    int
 	members map[fleet.AttemptID]struct{}
-	ring    []fleet.AttemptID
+	ring    []fleet.AttemptID // full: the oldest is at next
 	next    int
 }
 
 func newStaleSet(most int) *staleSet {
-	return &staleSet{members: map[fleet.AttemptID]struct{}{}, ring: make([]fleet.AttemptID, 0, min(most, 64)), next: 0}
+	return &staleSet{most: most, members: map[fleet.AttemptID]struct{}{}}
 }
 
 func (s *staleSet) has(a fleet.AttemptID) bool {
@@ -26,11 +27,11 @@
 		return
 	}
 	s.members[a] = struct{}{}
-	if len(s.ring) < mostStale {
+	if len(s.ring) < s.most {
 		s.ring = append(s.ring, a)
 		return
 	}
 	delete(s.members, s.ring[s.next])
 	s.ring[s.next] = a
-	s.next = (s.next + 1) % len(s.ring)
+	s.next = (s.next + 1) % s.most
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -49,10 +49,10 @@
 
 // New makes an endpoint; Run brings it to life.
 func New(o Options) (*Standin, error) {
+	o = o.withDefaults()
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	o = o.withDefaults()
 	s := &Standin{
 		options:   o,
 		timing:    o.Timing,
