--- a/internal/engineapi/check.go
+++ b/internal/engineapi/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"net/netip"
 	"strconv"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -65,7 +67,7 @@
 		return trace.BadParameter("address is not host:port")
 	}
 	number, err := strconv.ParseUint(port, 10, 16)
-	if err != nil || number == 0 || !hostOK(host) {
+	if err != nil || number == 0 || !hostOK(host) || net.JoinHostPort(host, port) != address {
 		return trace.BadParameter("address %q can't be called", address)
 	}
 	return nil
@@ -79,10 +81,14 @@
 	if host == "" || len(host) > maxNameBytes {
 		return false
 	}
+	if strings.Contains(host, ":") {
+		number, err := netip.ParseAddr(host)
+		return err == nil && number.Zone() == ""
+	}
 	for _, r := range host {
 		switch {
 		case r >= '0' && r <= '9', r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z':
-		case r == '.', r == '-', r == ':':
+		case r == '.', r == '-':
 		default:
 			return false
 		}
