engine: whole streams keep their connection; cancels in a heap

A stream that ended whole left its connection closed, since nobody read the body's end: each decode paid a new connection. The end is now read beside the caller, for at most 100 ms and 1 KiB.

--- a/internal/engine/cancelplan.go
+++ b/internal/engine/cancelplan.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -25,7 +26,6 @@
 	due     time.Time
 	until   time.Time
 	wait    time.Duration
-	trying  bool
 }
 
 func (p *pendingCancel) key() cancelKey {
@@ -33,9 +33,11 @@
 }
 
 // cancelPlan decides which cancel is tried when. It is not safe for
-// concurrent use.
+// concurrent use. Each step costs the logarithm of the pending cancels, so
+// that an endpoint that dies with thousands of them doesn't stop the daemon.
 type cancelPlan struct {
 	pending map[cancelKey]*pendingCancel
+	waiting dueHeap // those not being tried
 	bound   time.Duration
 	most    int
 }
@@ -54,44 +56,37 @@
 		return false
 	}
 	p.pending[next.key()] = next
+	heap.Push(&p.waiting, next)
 	return true
 }
 
-// take gives a cancel that is due, marked as being tried. Without one, wait
-// tells when to ask again; 0 means that nothing waits.
+// take gives a cancel that is due; it belongs to the taker until confirmed or
+// failed. Without one, wait tells when to ask again; 0 means that nothing
+// waits.
 func (p *cancelPlan) take(now time.Time) (due *pendingCancel, wait time.Duration) {
-	var first *pendingCancel
-	for _, c := range p.pending {
-		if c.trying {
-			continue
-		}
-		if first == nil || c.due.Before(first.due) {
-			first = c
-		}
-	}
-	if first == nil {
+	if len(p.waiting) == 0 {
 		return nil, 0
 	}
-	if first.due.After(now) {
+	if first := p.waiting[0]; first.due.After(now) {
 		return nil, first.due.Sub(now)
 	}
-	first.trying = true
-	return first, 0
+	return heap.Pop(&p.waiting).(*pendingCancel), 0
 }
 
-// confirmed drops a cancel that needs no more tries.
+// confirmed drops a taken cancel that needs no more tries.
 func (p *cancelPlan) confirmed(c *pendingCancel) {
 	delete(p.pending, c.key())
 }
 
-// failed plans the next try; ok is false when the bound has passed.
+// failed plans the next try of a taken cancel; ok is false when the bound has
+// passed.
 func (p *cancelPlan) failed(now time.Time, c *pendingCancel) (ok bool) {
-	c.trying = false
 	c.due = now.Add(c.wait)
 	c.wait = min(2*c.wait, longestCancelWait)
 	if c.due.After(c.until) {
 		delete(p.pending, c.key())
 		return false
 	}
+	heap.Push(&p.waiting, c)
 	return true
 }
--- a/internal/engine/harness_test.go
+++ b/internal/engine/harness_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	dto "github.com/prometheus/client_model/go"
 	"gotest.tools/v3/assert"
 )
 
@@ -106,3 +107,12 @@
 	}
 	return request
 }
+
+// openStreams gives the gauge's value.
+func (c *HTTPClient) openStreams() float64 {
+	var m dto.Metric
+	if err := c.metrics.streams.Write(&m); err != nil {
+		panic(err)
+	}
+	return m.GetGauge().GetValue()
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -21,11 +21,14 @@
 	if err != nil {
 		return nil, c.finish(opDecode, &Error{Target: t, Op: opDecode, Err: err})
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	follow := context.AfterFunc(caller, func() { cancel(context.Cause(caller)) })
 	silence := time.AfterFunc(c.options.HeaderTimeout, func() { cancel(ErrIdle) })
 	x := exchange{op: opDecode, method: http.MethodPost, path: "/v1/decode"}
 	response, failure := c.open(ctx, t, gate, x, body)
 	if failure != nil {
+		follow()
 		silence.Stop()
 		cancel(failure)
 		return nil, c.finish(opDecode, failure)
@@ -36,6 +39,7 @@
 		client:   c,
 		ctx:      ctx,
 		cancel:   cancel,
+		unfollow: follow,
 		silence:  silence,
 		body:     response.Body,
 		chunks:   newChunkReader(response.Body, c.options.MaxLine),
@@ -71,8 +75,9 @@
 // decodeStream is a Stream for one goroutine; Close may come from another.
 type decodeStream struct {
 	client   *HTTPClient
-	ctx      context.Context
+	ctx      context.Context // of the HTTP request
 	cancel   context.CancelCauseFunc
+	unfollow func() bool // ctx no longer ends with the caller's
 	silence  *time.Timer // ends ctx when no chunk comes
 	body     io.ReadCloser
 	chunks   *chunkReader
@@ -97,7 +102,7 @@
 	if chunk.Finish != engineapi.FinishNone {
 		s.err = io.EOF
 		_ = s.client.finish(opDecode, nil)
-		s.release()
+		s.once.Do(s.startDrain)
 		return chunk, nil
 	}
 	s.silence.Reset(s.client.options.IdleTimeout)
@@ -123,13 +128,37 @@
 	return nil
 }
 
-// release ends the connection: what an endpoint sends after the last chunk, or
-// after a bad one, is never read.
-func (s *decodeStream) release() {
-	s.once.Do(func() {
-		s.silence.Stop()
-		s.cancel(context.Canceled)
-		s.body.Close()
-		s.client.metrics.streams.Dec()
-	})
+// After its last chunk a stream may take so long, and send so many bytes, to
+// end its body; then its connection can be used again.
+const (
+	drainTimeout = 100 * time.Millisecond
+	drainBytes   = 1024
+)
+
+// startDrain leaves the caller's context before Next returns: the caller
+// usually ends it at once, which would close the connection.
+func (s *decodeStream) startDrain() {
+	s.unfollow()
+	s.silence.Reset(drainTimeout)
+	go s.drain()
+}
+
+// drain reads the end of the body, which comes after the last chunk, beside
+// the caller: the next stream to this endpoint then needs no new connection.
+// What is read is dropped.
+func (s *decodeStream) drain() {
+	_, _ = io.CopyN(io.Discard, s.chunks.buffer, drainBytes)
+	s.end()
+}
+
+// release ends the connection of a stream that isn't whole: what an endpoint
+// sends after a bad chunk is never read.
+func (s *decodeStream) release() { s.once.Do(s.end) }
+
+func (s *decodeStream) end() {
+	s.unfollow()
+	s.silence.Stop()
+	s.cancel(context.Canceled)
+	s.body.Close()
+	s.client.metrics.streams.Dec()
 }
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -122,6 +122,34 @@
 	assert.Equal(t, text, "aaa")
 }
 
+// Each stream that ended whole leaves its connection to the next one, though
+// its caller is gone at once.
+func TestWholeStreamsShareAConnection(t *testing.T) {
+	addresses := &tally{}
+	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		addresses.add(r.RemoteAddr)
+		w.Header().Set("Content-Type", engineapi.MediaEvents)
+		_, _ = io.WriteString(w, event(chunk(0, 1, engineapi.FinishStop)))
+		_ = http.NewResponseController(w).Flush()
+	})
+	client := NewClient(Options{})
+	for range 3 {
+		ctx, stop := context.WithCancel(t.Context())
+		stream, err := client.Decode(ctx, target, open, decodeRequest())
+		assert.NilError(t, err)
+		_, err = readAll(stream)
+		assert.NilError(t, err)
+		stream.Close()
+		stop()
+		for deadline := time.Now().Add(5 * time.Second); client.openStreams() > 0; {
+			assert.Assert(t, time.Now().Before(deadline))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	assert.Equal(t, addresses.lines[0], addresses.lines[1])
+	assert.Equal(t, addresses.lines[0], addresses.lines[2])
+}
+
 func TestStreamGoesOnAtItsOffset(t *testing.T) {
 	r := decodeRequest()
 	r.Offset = 4
