engine, standin: three proofs sharpened until each fails without its guard

On a scratch copy the tests of the drained connection, of the leave and of the cancelled transfer still passed with the guard's lines taken out; now they fail (addresses differ; "1 (heldAtEnd int) != 0 (int)"; the transfer hangs until the test's timeout) and pass with the guards, -race -count=3.

--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -126,11 +126,13 @@
 // its caller is gone at once.
 func TestWholeStreamsShareAConnection(t *testing.T) {
 	addresses := &tally{}
+	last := make(chan struct{})
 	target := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		addresses.add(r.RemoteAddr)
 		w.Header().Set("Content-Type", engineapi.MediaEvents)
 		_, _ = io.WriteString(w, event(chunk(0, 1, engineapi.FinishStop)))
 		_ = http.NewResponseController(w).Flush()
+		<-last // the body ends after the last chunk has been read
 	})
 	client := NewClient(Options{})
 	for range 3 {
@@ -141,6 +143,7 @@
 		assert.NilError(t, err)
 		stream.Close()
 		stop()
+		last <- struct{}{}
 		for deadline := time.Now().Add(5 * time.Second); client.openStreams() > 0; {
 			assert.Assert(t, time.Now().Before(deadline))
 			time.Sleep(time.Millisecond)
--- a/internal/standin/announce_test.go
+++ b/internal/standin/announce_test.go
@@ -139,7 +139,12 @@
 	stream, err := f.open(t.Context(), 0)
 	assert.NilError(t, err)
 	done := make(chan error, 1)
-	go func() { done <- d.Leave(context.Background()) }()
+	heldAtEnd := 0
+	go func() {
+		err := d.Leave(context.Background())
+		heldAtEnd = len(d.Held())
+		done <- err
+	}()
 	eventually(t, "leave announced", home.locked(func() bool { return len(home.leaves) == 1 }))
 	assert.NilError(t, late.runPrefill(t.Context()))
 	assert.Equal(t, codeOf(late.runImport(t.Context())), engineapi.CodeLeaving)
@@ -147,6 +152,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, text, standin.ExpectedText(f.prompt, f.most))
 	assert.NilError(t, <-done)
+	assert.Equal(t, heldAtEnd, 0)
 }
 
 // Cache events of one batch are lost on the way: the home sees a gap in the
--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -16,6 +17,8 @@
 func TestCancelAtEachStage(t *testing.T) {
 	slow := quick()
 	slow.PrefillBase = 1 << 40
+	patient := quick()
+	patient.TransferBound = time.Hour
 	long := "[[tokens=100000]]"
 	for _, test := range []struct {
 		stage engineapi.Stage
@@ -51,16 +54,19 @@
 	} {
 		t.Run(string(test.stage), func(t *testing.T) {
 			p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill, Timing: test.pre})
-			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode})
+			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Timing: patient})
 			f := newFlow(p, d, long+strings.Repeat("x", 4000))
 			waiting := test.reach(t, f, p, d)
 			// The decode engine first: otherwise its transfer may break at the
 			// other end before its own cancel comes.
 			f.client.Cancel(f.decode, f.attempt)
 			eventually(t, "decode engine free", empty(d))
+			if test.stage == engineapi.StageImported {
+				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
+			}
 			f.client.Cancel(f.prefill, f.attempt)
 			eventually(t, "prefill engine free", empty(p))
-			if waiting != nil {
+			if test.stage == engineapi.StagePrefill {
 				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
 			}
 			eventually(t, "late prefill refused", func() bool {
