standin: a dead process holds nothing, a crashing request goes no further

An in-process endpoint whose Exit returned went on with the request that had ended it, and handlers of an ended endpoint waited for ever for a batch that no longer ran. go test -race -count=3 ./internal/standin passes.

--- a/internal/standin/hold.go
+++ b/internal/standin/hold.go
@@ -9,7 +9,10 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
-var errCancelled = errors.New("attempt cancelled")
+var (
+	errCancelled = errors.New("attempt cancelled")
+	errGone      = errors.New("process ended")
+)
 
 // hold is one request in the engine's memory. Standin.mu guards it.
 type hold struct {
--- a/internal/standin/request_test.go
+++ b/internal/standin/request_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -172,11 +171,27 @@
 	codes := make(chan int, 1)
 	p := start(t, standin.Options{
 		ID: "prefill", Role: fleet.RolePrefill, CrashMarker: "poison", CrashAt: engineapi.StagePrefill,
-		Exit: func(code int) { codes <- code; panic(http.ErrAbortHandler) },
+		Exit: func(code int) { codes <- code },
 	})
 	f := newFlow(p, p, "some poison")
 	err := f.runPrefill(t.Context())
 	assert.Assert(t, err != nil)
 	assert.Equal(t, codeOf(err), engineapi.Code(""))
 	assert.Equal(t, <-codes, 3)
+	assert.Equal(t, len(p.Audit().Attempts), 0)
+}
+
+// An engine process is killed in the middle of a prefill. The client learns at
+// once, and the dead process's record has no memory held.
+func TestKilledProcessHoldsNothing(t *testing.T) {
+	timing := quick()
+	timing.PrefillBase = time.Hour
+	p, stop := startStoppable(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill, Timing: timing})
+	f := newFlow(p, p, "killed")
+	done := f.inBackground((*flow).runPrefill)
+	eventually(t, "prefill runs", func() bool { return len(p.Held()) == 1 })
+	stop()
+	assert.Assert(t, <-done != nil)
+	assert.Equal(t, p.Audit().Held, 0)
+	assert.Equal(t, p.Audit().PrefillUsedMs, 0.0)
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -45,8 +45,8 @@
 	})
 }
 
-// Run serves until ctx ends, then drops all connections: a planned stop calls
-// Leave before.
+// Run serves until ctx ends, then drops all connections and frees all memory:
+// a planned stop calls Leave before. Audit can still be asked after it.
 func (s *Standin) Run(ctx context.Context) error {
 	listener, err := s.listen()
 	if err != nil {
@@ -66,6 +66,7 @@
 		stop()
 	}
 	parts.Wait()
+	s.freeAll()
 	return trace.Wrap(err)
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -166,6 +166,8 @@
 	return nil
 }
 
+// crash ends the process when text has the crash marker. Where Exit returns,
+// as in tests, the request still goes no further.
 func (s *Standin) crash(stage engineapi.Stage, text string) {
 	marker := s.options.CrashMarker
 	if marker == "" || s.options.CrashAt != stage || !contains(text, marker) {
@@ -173,4 +175,14 @@
 	}
 	s.options.Part.Error("a request ends this process", "stage", stage)
 	s.options.Exit(crashCode)
+	panic(http.ErrAbortHandler)
+}
+
+// freeAll ends what waits for this process, which is gone.
+func (s *Standin) freeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holds {
+		s.free(h, errGone)
+	}
 }
