--- a/internal/engine/once_test.go
+++ b/internal/engine/once_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
@@ -150,3 +151,31 @@
 	_, err = client.Call(t.Context(), target, open, testAttempt, callerRequest(t, "POST", "/x", "x"))
 	assert.ErrorIs(t, err, ErrIdle)
 }
+
+// Over TLS the transport's connection is not the guarded one itself; the gate
+// must still be able to shut it.
+func TestGateShutsTLSConnections(t *testing.T) {
+	seen := &tally{}
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.add(r.URL.Path)
+		_, _ = io.WriteString(w, `{"incarnation":4}`)
+	}))
+	t.Cleanup(server.Close)
+	target := targetAt(server.Listener.Addr().String())
+	client := NewClient(Options{TLS: server.Client().Transport.(*http.Transport).TLSClientConfig})
+	_, err := client.Held(t.Context(), target)
+	assert.NilError(t, err)
+	asked := 0
+	gate := func(Target) error {
+		if asked++; asked > 1 {
+			return errors.New("zone not permitted")
+		}
+		return nil
+	}
+	_, err = client.Prefill(t.Context(), target, gate, engineapi.PrefillRequest{Prompt: "secret"})
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.ErrorIs(t, err, ErrGate)
+	assert.Assert(t, !failure.Sent)
+	assert.Equal(t, seen.count(), 1)
+}
--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -97,3 +97,29 @@
 	assert.Equal(t, d.Faults().IgnoreCancels, 0)
 	assert.Equal(t, d.Audit().Cancelled, 1)
 }
+
+// Some engines free a request by themselves when its connection ends, others
+// compute on for nobody.
+func TestDisconnectFreesOnlyIfAsked(t *testing.T) {
+	for name, frees := range map[string]bool{"frees": true, "goes on": false} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill})
+			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, FreeOnDisconnect: frees})
+			f := newFlow(p, d, "gone [[tokens=100000]]")
+			f.most = 100_000
+			f.toDecode(t)
+			stream, err := f.open(t.Context(), 0)
+			assert.NilError(t, err)
+			_, err = stream.Next()
+			assert.NilError(t, err)
+			assert.NilError(t, stream.Close())
+			if frees {
+				eventually(t, "memory free", empty(d))
+				return
+			}
+			before := d.Audit().Tokens
+			eventually(t, "tokens go on", func() bool { return d.Audit().Tokens > before+50 })
+			assert.Equal(t, len(d.Held()), 1)
+		})
+	}
+}
