--- a/internal/route/early.go
+++ b/internal/route/early.go
@@ -6,7 +6,7 @@
 // cache's short life isn't spent on asking.
 type earlyTake struct {
 	cancel context.CancelFunc
-	result chan takeResult // buffered: the goroutine never blocks on it
+	result <-chan takeResult // buffered: the goroutine never blocks on it; nil once taken
 }
 
 type takeResult struct {
@@ -16,13 +16,13 @@
 
 func (a *attempt) startEarly(ctx context.Context, w want) *earlyTake {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &earlyTake{cancel: cancel, result: make(chan takeResult, 1)}
+	result := make(chan takeResult, 1)
 	frozen := a.copyForTake()
 	go func() {
 		h, s := frozen.take(ctx, w)
-		e.result <- takeResult{hold: h, fail: s}
+		result <- takeResult{hold: h, fail: s}
 	}()
-	return e
+	return &earlyTake{cancel: cancel, result: result}
 }
 
 // copyForTake gives the goroutine its own copy of what the run changes
--- a/internal/route/fakes_test.go
+++ b/internal/route/fakes_test.go
@@ -52,6 +52,9 @@
 	events   []timeline.Event
 	// cancelLag is the time that a cancel takes until it is confirmed.
 	cancelLag time.Duration
+	// takeLag is the time that a home takes to grant a decode slot, whether or
+	// not the caller still waits.
+	takeLag time.Duration
 	// beforeSend runs after the choice and before the last check.
 	beforeSend func(next string)
 	afterSend  func(sent string)
@@ -256,6 +259,9 @@
 		<-ctx.Done()
 		return nil, nil, ctx.Err()
 	}
+	if r.Kind == fleet.RoleDecode {
+		time.Sleep(w.takeLag)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.refuse.Status != 0 {
@@ -330,6 +336,9 @@
 	if op == "decode" {
 		return f, nil
 	}
+	if op == "prefill" {
+		time.Sleep(time.Millisecond)
+	}
 	switch {
 	case f.stall:
 		<-ctx.Done()
@@ -464,6 +473,9 @@
 		return nil, err
 	}
 	w.hold(t.ID, a, "")
+	if ctx.Err() != nil {
+		return nil, &engine.Error{Target: t, Op: "call", Sent: true, Err: ctx.Err()}
+	}
 	return &http.Response{
 		StatusCode: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}},
 		Body: io.NopCloser(strings.NewReader("slip " + r.Method + " " + r.URL.Path)),
--- a/internal/route/life_test.go
+++ b/internal/route/life_test.go
@@ -119,18 +119,22 @@
 		"source is gone":  {"import", "d1", fault{code: engineapi.CodeTransfer}},
 	}
 	for name, tc := range faults {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.set(tc.op, tc.at, 1, tc.f)
-				s := &sink{}
-				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-				assert.Equal(t, s.got(), tokens(10))
-				assert.Assert(t, w.sent("prefill p1") <= 1)
-				assert.Equal(t, w.sent("prefill p2"), 1)
-				w.assertFree(t)
+		for _, plan := range []schedule.StartPlan{{ReserveFirst: true}, {}} {
+			t.Run(name, func(t *testing.T) {
+				inWorld(t, func(t *testing.T, w *world) {
+					w.plan = plan
+					w.set(tc.op, tc.at, 1, tc.f)
+					s := &sink{}
+					a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+					assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+					assert.Equal(t, s.got(), tokens(10))
+					assert.Assert(t, w.sent("prefill p1") <= 1)
+					assert.Equal(t, w.sent("prefill p2"), 1)
+					synctest.Wait()
+					w.assertFree(t)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -146,7 +150,7 @@
 		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
 		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
 		assert.Equal(t, s.got(), tokens(10))
-		assert.Equal(t, time.Since(began), 310*time.Millisecond)
+		assert.Equal(t, time.Since(began), 311*time.Millisecond)
 		assert.Equal(t, w.sent("prefill"), 1)
 		w.assertFree(t)
 	})
@@ -159,9 +163,14 @@
 	bends := map[string]func(engineapi.Chunk) engineapi.Chunk{
 		"other attempt":     func(c engineapi.Chunk) engineapi.Chunk { c.Attempt, c.Text = "other", "secret"; return c },
 		"other incarnation": func(c engineapi.Chunk) engineapi.Chunk { c.Incarnation, c.Text = 6, "secret"; return c },
-		"gap":               func(c engineapi.Chunk) engineapi.Chunk { c.Offset += 2; return c },
-		"overlap":           func(c engineapi.Chunk) engineapi.Chunk { c.Offset--; c.Tokens += 1; return c },
-		"negative":          func(c engineapi.Chunk) engineapi.Chunk { c.Tokens = -1; return c },
+		"gap":               func(c engineapi.Chunk) engineapi.Chunk { c.Offset += 2; c.Text = token(c.Offset); return c },
+		"overlap": func(c engineapi.Chunk) engineapi.Chunk {
+			c.Offset--
+			c.Tokens++
+			c.Text = token(c.Offset) + token(c.Offset+1)
+			return c
+		},
+		"negative": func(c engineapi.Chunk) engineapi.Chunk { c.Tokens = -1; return c },
 	}
 	for name, bend := range bends {
 		t.Run(name, func(t *testing.T) {
@@ -216,6 +225,7 @@
 		}
 		began := time.Now()
 		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+		assert.Assert(t, a.Failure != nil)
 		assert.Equal(t, a.Failure.Code, callerapi.CodeNoZone)
 		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
 		assert.Assert(t, a.Failure.RetryAfter > 0)
@@ -251,11 +261,14 @@
 				tc.prepare(w)
 				began := time.Now()
 				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+				assert.Assert(t, a.Failure != nil)
 				assert.Equal(t, a.Failure.Code, tc.code)
 				assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
+				assert.Assert(t, a.Failure != nil)
 				assert.Equal(t, a.Failure.RetryAfter, tc.after)
 				assert.Equal(t, time.Since(began), time.Duration(0))
 				assert.Equal(t, len(w.sends), 0)
+				assert.Equal(t, len(w.releases), 0)
 				w.assertFree(t)
 			})
 		})
@@ -270,6 +283,7 @@
 		w.set("decode", "d2", 9, fault{broken: true, after: 2})
 		s := &sink{}
 		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Assert(t, a.Failure != nil)
 		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
 		assert.Assert(t, a.Failure.RetryAfter > 0)
 		assert.Equal(t, s.got(), tokens(4))
@@ -341,6 +355,7 @@
 			w.set(op, fleet.EndpointID(at), 9, fault{stall: true})
 			began := time.Now()
 			a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+			assert.Assert(t, a.Failure != nil)
 			assert.Equal(t, a.Failure.Code, callerapi.CodeDeadline)
 			assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
 			assert.Equal(t, time.Since(began), 20*time.Second)
@@ -374,8 +389,39 @@
 		assert.Equal(t, late.Failure.Code, callerapi.CodeDraining)
 		assert.Equal(t, late.Failure.Outcome, callerapi.OutcomeNotRun)
 		assert.NilError(t, <-done)
-		assert.Assert(t, (<-ends).Failure == nil)
 		assert.Equal(t, whole.got(), tokens(4000))
+		assert.Assert(t, (<-ends).Failure == nil)
 		assert.Assert(t, time.Since(began) >= 7*time.Second)
 	})
 }
+
+// The decode slot was asked for while prefill ran; the caller hangs up before
+// the home answers, and the grant comes afterwards. Nobody would use it, and
+// the slot would stand empty until the grant's life ends.
+func TestEarlyGrantComesTooLate(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.plan = schedule.StartPlan{}
+		w.takeLag = 200 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		w.afterSend = func(string) { cancel() }
+		a := w.router(route.Bounds{}).Model(ctx, modelRequest(), &sink{})
+		assert.Assert(t, a.Failure != nil)
+		time.Sleep(time.Second)
+		w.assertFree(t)
+	})
+}
+
+// A caller takes 8 s to read one chunk. The engine, which waits for no one,
+// isn't at fault: it must not be given up on for standing still.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		s := &sink{after: func(c engineapi.Chunk) {
+			if c.Offset == 3 {
+				time.Sleep(8 * time.Second)
+			}
+		}}
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
+		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		assert.Equal(t, w.sent("decode"), 1)
+	})
+}
--- a/internal/route/once_test.go
+++ b/internal/route/once_test.go
@@ -81,6 +81,7 @@
 					assert.Equal(t, string(answer.Body), "slip POST /slips/7")
 					return
 				}
+				assert.Assert(t, failure != nil)
 				assert.Equal(t, failure.Outcome, tc.outcome)
 			})
 		})
@@ -98,13 +99,16 @@
 		go func() { _, _ = one.Call(t.Context(), request) }()
 		synctest.Wait()
 		_, failure := two.Call(t.Context(), request)
+		assert.Assert(t, failure != nil)
 		assert.Equal(t, failure.Code, callerapi.CodeInFlight)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeInFlight)
 		time.Sleep(3 * time.Second)
 		_, failure = two.Call(t.Context(), request)
+		assert.Assert(t, failure != nil)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeUnknown)
 		request.Body = []byte("another slip")
 		_, failure = two.Call(t.Context(), request)
+		assert.Assert(t, failure != nil)
 		assert.Equal(t, failure.Code, callerapi.CodeKeyReused)
 		assert.Equal(t, w.sent("call"), 1)
 		w.assertFree(t)
@@ -155,7 +159,27 @@
 		request := callRequest()
 		request.Method, request.Once = "GET", true
 		_, failure := w.router(route.Bounds{}).Call(t.Context(), request)
+		assert.Assert(t, failure != nil)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeUnknown)
 		assert.Equal(t, w.sent("call"), 1)
 	})
 }
+
+// A slip is on its way at one entry when its repeat meets another one that has
+// no slot. "Not run" would be false: the answer must say that it is in flight.
+func TestOnceRefusedRepeat(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.set("call", "s1", 1, fault{stall: true})
+		one, two := w.router(route.Bounds{}), w.router(route.Bounds{})
+		request := callRequest()
+		request.Key = "slip-7"
+		go func() { _, _ = one.Call(t.Context(), request) }()
+		synctest.Wait()
+		w.denied = &admission.Decision{Code: callerapi.CodeOverloaded}
+		_, failure := two.Call(t.Context(), request)
+		assert.Assert(t, failure != nil)
+		assert.Equal(t, failure.Code, callerapi.CodeOverloaded)
+		assert.Equal(t, failure.Outcome, callerapi.OutcomeInFlight)
+		time.Sleep(3 * time.Second)
+	})
+}
