--- /dev/null
+++ b/internal/route/bench_test.go
@@ -0,0 +1,111 @@
+package route_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/route"
+)
+
+// fast decodes without waiting and holds nothing, so that the benchmark sees
+// the relay alone.
+type fast struct{ engines }
+
+func (f fast) Decode(_ context.Context, t engine.Target, gate engine.Gate, r engineapi.DecodeRequest) (engine.Stream, error) {
+	if err := gate(t); err != nil {
+		return nil, err
+	}
+	return &fastStream{attempt: r, at: r.Offset, incarnation: t}, nil
+}
+
+type fastStream struct {
+	attempt     engineapi.DecodeRequest
+	incarnation engine.Target
+	at          int
+}
+
+func (s *fastStream) Next() (engineapi.Chunk, error) {
+	c := engineapi.Chunk{Attempt: s.attempt.Attempt, Incarnation: s.incarnation.Incarnation, Offset: s.at, Tokens: 1, Text: "cotton "}
+	s.at++
+	if s.at == s.attempt.MaxTokens {
+		c.Finish = engineapi.FinishLength
+	}
+	return c, nil
+}
+
+func (s *fastStream) Close() error { return nil }
+
+type discard struct{}
+
+func (discard) Pass(engineapi.Chunk) error { return nil }
+
+const benchTokens = 2000
+
+// BenchmarkRelay is the router's own cost of one token, without HTTP.
+func BenchmarkRelay(b *testing.B) {
+	w := newWorld()
+	r := w.routerWith(fast{engines{w}}, route.Bounds{})
+	request := modelRequest()
+	request.MaxTokens = benchTokens
+	b.ReportAllocs()
+	for b.Loop() {
+		request.Arrived = time.Now()
+		if a := r.Model(b.Context(), request, discard{}); a.Failure != nil {
+			b.Fatal(a.Failure)
+		}
+		w.forget()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchTokens), "ns/token")
+}
+
+// BenchmarkRequest is the router's own cost of a request of one token.
+func BenchmarkRequest(b *testing.B) {
+	for _, key := range []string{"", "k"} {
+		b.Run("key="+key, func(b *testing.B) {
+			w := newWorld()
+			r := w.routerWith(fast{engines{w}}, route.Bounds{})
+			request := modelRequest()
+			request.MaxTokens, request.Key = 1, key
+			b.ReportAllocs()
+			for b.Loop() {
+				request.Arrived = time.Now()
+				if a := r.Model(b.Context(), request, discard{}); a.Failure != nil {
+					b.Fatal(a.Failure)
+				}
+				w.forget()
+			}
+		})
+	}
+}
+
+// BenchmarkStreamHTTP is the cost of one token from the fake engine to a
+// caller over loopback, the caller's side included.
+func BenchmarkStreamHTTP(b *testing.B) {
+	w := newWorld()
+	server := serveRouter(b, w, w.routerWith(fast{engines{w}}, route.Bounds{}))
+	body := `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":2000,"stream":true}`
+	b.ReportAllocs()
+	for b.Loop() {
+		request, err := http.NewRequestWithContext(b.Context(), "POST", server.URL+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+teamKey)
+		response, err := server.Client().Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n, _ := io.Copy(io.Discard, response.Body); n < benchTokens {
+			b.Fatal("short stream")
+		}
+		_ = response.Body.Close()
+		w.forget()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*benchTokens), "ns/token")
+}
--- a/internal/route/callers_test.go
+++ b/internal/route/callers_test.go
@@ -24,9 +24,14 @@
 
 // serve runs the callers' interface over a world on a loopback port.
 func serve(t testing.TB, w *world) *httptest.Server {
+	t.Helper()
+	return serveRouter(t, w, w.router(route.Bounds{}))
+}
+
+func serveRouter(t testing.TB, w *world, r *route.Router) *httptest.Server {
 	t.Helper()
 	handler := entry.NewCallers(entry.CallersOptions{
-		Router: w.router(route.Bounds{}), Source: w, Recorder: w,
+		Router: r, Source: w, Recorder: w,
 		TeamByKey: func(tree *settings.Tree, key string) (settings.Team, bool) {
 			return tree.Teams["sutokatha"], key == teamKey
 		},
--- a/internal/route/fakes_test.go
+++ b/internal/route/fakes_test.go
@@ -134,9 +134,11 @@
 }
 
 // router makes a Router in this world.
-func (w *world) router(bounds route.Bounds) *route.Router {
+func (w *world) router(bounds route.Bounds) *route.Router { return w.routerWith(engines{w}, bounds) }
+
+func (w *world) routerWith(client engine.Client, bounds route.Bounds) *route.Router {
 	return route.New(route.Options{
-		Source: w, Follower: w, Engine: engines{w}, Ledger: w, Guard: w, Admission: w, Recorder: w,
+		Source: w, Follower: w, Engine: client, Ledger: w, Guard: w, Admission: w, Recorder: w,
 		Policies: func(settings.Decisions) (route.Policies, error) {
 			return route.Policies{Prefill: first{}, Decode: first{}, Plain: first{}, Start: w}, nil
 		},
@@ -666,3 +668,12 @@
 	defer w.mu.Unlock()
 	return len(w.grants)
 }
+
+// forget drops what benchmarks would pile up.
+func (w *world) forget() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events, w.sends, w.releases, w.ends = w.events[:0], w.sends[:0], w.releases[:0], w.ends[:0]
+	clear(w.records)
+	clear(w.held)
+}
