--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -11,7 +11,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/admission"
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
 	"github.com/hyssopsail/hyssopsail/internal/engine"
-	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
@@ -24,7 +23,7 @@
 	home     *endpoint.Home
 	follower *endpoint.HomeClient
 	ledger   *outcome.Service
-	guard    *quarantine.Service
+	guard    quarantine.Guard
 	router   *route.Router
 }
 
@@ -37,17 +36,15 @@
 	e.newHomes(b, client)
 	e.newOutcomes(b)
 	e.router = route.New(route.Options{
-		Source:    b.agent,
-		Follower:  e.follower,
-		Engine:    client,
-		Ledger:    e.ledger,
-		Guard:     e.guard,
-		Admission: admission.New(admission.Options{Random: newRandom(b)}),
-		Policies:  newPolicies(b).choose,
-		Recorder:  b.ring,
-		Prefixes: func(_ engineapi.ModelRef, prompt string) []uint64 {
-			return schedule.Prefixes(prompt)
-		},
+		Source:     b.agent,
+		Follower:   e.follower,
+		Engine:     client,
+		Ledger:     e.ledger,
+		Guard:      e.guard,
+		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
+		Policies:   newPolicies(b).choose,
+		Recorder:   b.ring,
+		Prefixes:   schedule.Prefixes,
 		Secret:     b.secret[:],
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "route"),
@@ -88,13 +85,7 @@
 }
 
 func (e *entryRole) newOutcomes(b *base) {
-	e.guard = quarantine.NewService(quarantine.Options{
-		Source:     b.agent,
-		Dialer:     b.pool,
-		Seed:       uint64(b.self.Incarnation),
-		Part:       newPart(b.logger, "quarantine"),
-		Registerer: b.registry,
-	})
+	e.guard = noGuard{}
 	e.ledger = outcome.NewService(outcome.Options{
 		Source: b.agent,
 		Dialer: b.pool,
@@ -102,7 +93,6 @@
 			_, err := b.client.Ready(ctx, ready)
 			return err
 		},
-		Runs:       e.guard,
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "ledger"),
 		Recorder:   b.ring,
