--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,10 @@
 	return &fastStream{attempt: r, at: r.Offset, incarnation: t}, nil
 }
 
+func (f fast) Prefill(_ context.Context, t engine.Target, gate engine.Gate, r engineapi.PrefillRequest) (engineapi.PrefillReply, error) {
+	return engineapi.PrefillReply{Attempt: r.Attempt, Incarnation: t.Incarnation, PromptTokens: 5, ExpiresMs: 800}, gate(t)
+}
+
 type fastStream struct {
 	attempt     engineapi.DecodeRequest
 	incarnation engine.Target
@@ -71,10 +76,13 @@
 			w := newWorld()
 			r := w.routerWith(fast{engines{w}}, route.Bounds{})
 			request := modelRequest()
-			request.MaxTokens, request.Key = 1, key
+			request.MaxTokens = 1
 			b.ReportAllocs()
-			for b.Loop() {
+			for n := 0; b.Loop(); n++ {
 				request.Arrived = time.Now()
+				if key != "" {
+					request.Key = strconv.Itoa(n)
+				}
 				if a := r.Model(b.Context(), request, discard{}); a.Failure != nil {
 					b.Fatal(a.Failure)
 				}
