The first retry after an endpoint's death is free

Each request now has one free retry after a broken connection; the second costs budget. TestDeathOfAFullEngine fails without it (a.Failure is not nil).

--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -116,15 +116,17 @@
 		return nil, final(noPolicy())
 	}
 	avoid := m.avoid.with()
-	last := &setback{cause: causeNoEndpoint}
+	var last *setback
 	for range grantTries {
-		left := time.Until(m.deadline)
-		candidates := allowed(m.router.opts.Follower.Candidates(m.query()), avoid)
-		chosen, ok := m.router.choose(policies.Plain, m.scheduleRequest(avoid), candidates)
-		if !ok || left <= 0 {
+		candidates := m.router.opts.Follower.Candidates(m.query())
+		chosen, ok := m.router.choose(policies.Plain, m.scheduleRequest(avoid), allowed(candidates, avoid))
+		if !ok && last == nil {
+			return nil, noCandidate(candidates)
+		}
+		if !ok {
 			return nil, last
 		}
-		h, s := m.askHome(ctx, chosen, id, alone, left)
+		h, s := m.askHome(ctx, chosen, id, alone, max(time.Until(m.deadline), 0))
 		if s == nil {
 			return h, nil
 		}
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -26,16 +26,16 @@
 func (a *attempt) take(ctx context.Context, w want) (*hold, *setback) {
 	began := time.Now()
 	avoid := a.run.avoid.with()
-	last := &setback{cause: causeNoEndpoint}
+	var last *setback
 	for range grantTries {
-		chosen, ok := a.pick(w, avoid)
-		if !ok {
-			return nil, last
+		chosen, s := a.pick(w, avoid)
+		if s != nil && last == nil {
+			return nil, s
 		}
-		left := w.wait - time.Since(began)
-		if left < 0 {
+		if s != nil {
 			return nil, last
 		}
+		left := max(w.wait-time.Since(began), 0)
 		h, s := a.askHome(ctx, w, chosen, left)
 		if s == nil {
 			return h, nil
@@ -51,15 +51,27 @@
 
 // worse keeps the refusal that says when to come back soonest.
 func worse(a, b *setback) *setback {
-	if a.cause == causeFull && a.retryAfter > 0 && (b.retryAfter == 0 || a.retryAfter < b.retryAfter) {
+	if a != nil && a.retryAfter > 0 && (b.retryAfter == 0 || a.retryAfter < b.retryAfter) {
 		return a
 	}
 	return b
 }
 
-func (a *attempt) pick(w want, avoid endpointSet) (endpoint.Candidate, bool) {
+func (a *attempt) pick(w want, avoid endpointSet) (endpoint.Candidate, *setback) {
 	candidates := a.run.router.opts.Follower.Candidates(a.query(w.kind))
-	return a.run.router.choose(w.choice, a.scheduleRequest(avoid), allowed(candidates, avoid))
+	chosen, ok := a.run.router.choose(w.choice, a.scheduleRequest(avoid), allowed(candidates, avoid))
+	if !ok {
+		return endpoint.Candidate{}, noCandidate(candidates)
+	}
+	return chosen, nil
+}
+
+// noCandidate tells an empty place from one whose endpoints are all avoided.
+func noCandidate(candidates []endpoint.Candidate) *setback {
+	if len(candidates) == 0 {
+		return &setback{cause: causeNoEndpoint}
+	}
+	return &setback{cause: causeExhausted}
 }
 
 // allowed drops the endpoints to avoid: a retry never goes to an endpoint
--- a/internal/route/life_test.go
+++ b/internal/route/life_test.go
@@ -425,3 +425,41 @@
 		assert.Equal(t, w.sent("decode"), 1)
 	})
 }
+
+// A full decode engine dies with twenty answers in progress, more than the
+// retry budget has saved up. Some would go on and the rest fail for no fault of
+// their own: each has one free retry after a death. The second costs budget.
+func TestDeathOfAFullEngine(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.noBudget = true
+		w.set("decode", "d1", 20, fault{broken: true, after: 5})
+		r := w.router(route.Bounds{})
+		ends := make(chan route.Answer, 20)
+		for range 20 {
+			go func() { ends <- r.Model(t.Context(), modelRequest(), &sink{}) }()
+		}
+		for range 20 {
+			a := <-ends
+			assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		}
+		w.set("decode", "d1", 1, fault{broken: true, after: 5})
+		w.set("decode", "d2", 1, fault{broken: true, after: 2})
+		a := r.Model(t.Context(), modelRequest(), &sink{})
+		assert.Assert(t, a.Failure != nil)
+		assert.Equal(t, a.Failure.Code, callerapi.CodeEngineFailed)
+		w.assertFree(t)
+	})
+}
+
+// Each decode engine has failed the request, though there are some: this isn't
+// a place without endpoints, and the caller is told so.
+func TestExhausted(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.set("decode", "d1", 9, fault{broken: true})
+		w.set("decode", "d2", 9, fault{broken: true})
+		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
+		assert.Assert(t, a.Failure != nil)
+		assert.Equal(t, a.Failure.Code, callerapi.CodeEngineFailed)
+		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
+	})
+}
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -16,7 +16,7 @@
 	m := a.run
 	decode := m.router.opts.Follower.Candidates(a.query(fleet.RoleDecode))
 	if len(allowed(decode, m.avoid)) == 0 {
-		return &setback{cause: causeNoEndpoint}
+		return noCandidate(decode)
 	}
 	soonest := predictWaits(nil, allowed(decode, m.avoid), m.class.output).decode
 	a.plan = m.policies.Start.Plan(a.startInput(soonest))
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -75,6 +75,8 @@
 		return f
 	case causeNoEndpoint:
 		return notRun(callerapi.CodeNoZone, "no endpoint in the permitted availability zones can take it", after)
+	case causeExhausted:
+		return notRun(callerapi.CodeEngineFailed, "each endpoint that could take it has failed it", after)
 	case causeFull:
 		return notRun(callerapi.CodeOverloaded, "no slot comes free in time", after)
 	case causeForbidden:
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -29,6 +29,7 @@
 	text         strings.Builder
 	promptTokens int
 	touched      bool // a byte may have reached an endpoint
+	freeRetry    bool // the free retry is used up
 	resuming     bool // a stream has broken after its first token
 	cancelled    []leftover
 	finish       engineapi.Finish
@@ -88,7 +89,7 @@
 	if !d.again {
 		return d.failure
 	}
-	if !m.router.mayRetry(m.req.Team, s.endpoint) {
+	if !m.granted(s) {
 		return finalFailure(in)
 	}
 	m.router.metrics.retries.Inc()
@@ -96,6 +97,20 @@
 	return nil
 }
 
+// granted spends a retry.
+//
+// The first retry after an endpoint's death is free. A death throws out all
+// that ran there at once, twenty requests of a full decode engine: a budget
+// that is earned by successes would resume some and fail the rest. It can't
+// become a storm, since each request has one such retry in its life.
+func (m *modelRun) granted(s *setback) bool {
+	if s.crashed() && !m.freeRetry {
+		m.freeRetry = true
+		return true
+	}
+	return m.router.mayRetry(m.req.Team, s.endpoint)
+}
+
 func (m *modelRun) event(k timeline.Kind, a fleet.AttemptID, at fleet.EndpointID) {
 	m.router.record(timeline.Event{Kind: k, Request: m.req.ID, Attempt: a, Team: m.req.Team, Endpoint: at})
 }
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -19,7 +19,8 @@
 	causeCallerGone cause = iota + 1
 	causeDeadline         // the caller's patience or the stream's time is over
 	causeForbidden        // the last check refused the send
-	causeNoEndpoint       // no candidate will do
+	causeNoEndpoint       // there is no candidate
+	causeExhausted        // each candidate has failed the request already
 	causeFull             // no slot in time
 	causeRefused          // the endpoint answered that it won't
 	causeBroken           // the connection broke: the endpoint may have died
