endpoint: handover to the next home, and doubt after a missed view

Cause: after a view change the new home waits up to 5 s (settings lease and grant life) before it grants; when the old home lives that is needless. It now tells what it granted, and the endpoint's heartbeat numbers show that nobody else granted between.

Contract: home.proto has Handover.

--- a/internal/endpoint/core.go
+++ b/internal/endpoint/core.go
@@ -18,6 +18,7 @@
 	view      fleet.View
 	current   bool // this instance's leases hold
 	tenure    *tenure
+	handed    map[fleet.EndpointID]handedAt
 	predictor *Predictor
 	endpoints map[fleet.EndpointID]*record
 	crashed   map[fleet.EndpointID]fleet.Incarnation // reported
@@ -34,7 +35,7 @@
 
 // guards switches protections off in proofs that need to fail without them.
 type guards struct {
-	noQuiet, noSweep, noReleasedNote, noStallGuard bool
+	noQuiet, noSweep, noReleasedNote, noStallGuard, anyHandover, noDoubt bool
 }
 
 func newCore(now time.Time, self fleet.Owner, limits Limits, seed uint64) *core {
@@ -48,6 +49,7 @@
 		left:      make(map[fleet.EndpointID]fleet.Incarnation),
 		lastTick:  now,
 		awake:     now,
+		handed:    make(map[fleet.EndpointID]handedAt),
 		statics:   1,
 		caches:    1,
 	}
@@ -68,7 +70,8 @@
 		c.awake = now
 	}
 	c.current = current
-	if !c.tenure.observe(now, view) {
+	fresh, missed := c.tenure.observe(now, view)
+	if !fresh {
 		return
 	}
 	was := make(map[*record]bool, len(c.endpoints))
@@ -77,6 +80,10 @@
 	}
 	c.view = view
 	for _, r := range c.endpoints {
+		// The failure: this instance slept through a view in which another was
+		// home, and goes on granting beside what that one granted. The guard:
+		// nothing is granted until the next heartbeat tells; see resolveDoubt.
+		r.doubt = (r.doubt || missed) && !c.guards.noDoubt
 		c.moved(now, r, was[r], c.isHome(r))
 	}
 }
@@ -90,10 +97,18 @@
 	c.statics++
 	if was {
 		c.refuseAll(r, c.notHome(r))
+		c.handOver(now, r)
 		return
 	}
+	c.rebuild(r)
+}
+
+// rebuild treats r like an endpoint that has just come.
+func (c *core) rebuild(r *record) {
 	r.beat = false
+	r.complete = false
 	r.quiet = later(r.quiet, c.tenure.quiet(r.announced.ID, r.announced.Zone))
+	c.statics++
 }
 
 // homeOf gives the home of r by the present view.
@@ -140,6 +155,7 @@
 		c.awake = now
 	}
 	c.lastTick = now
+	c.dropHanded(now)
 	for id, r := range c.endpoints {
 		c.tickRecord(now, id, r)
 	}
@@ -203,7 +219,7 @@
 
 // ready tells whether r may be granted at now.
 func (c *core) ready(now time.Time, r *record) bool {
-	if !c.current || !c.isHome(r) || r.leaving || r.silent || !r.beat {
+	if !c.current || !c.isHome(r) || r.leaving || r.silent || r.doubt || !r.beat {
 		return false
 	}
 	if now.Before(r.quiet) && !c.guards.noQuiet {
--- a/internal/endpoint/core_beat.go
+++ b/internal/endpoint/core_beat.go
@@ -68,21 +68,46 @@
 	if !r.beat && b.Sequence == firstSequence {
 		r.quiet = now
 	}
-	if !r.beat {
-		c.statics++
-	}
+	c.resolveDoubt(r, b.Sequence)
+	first := !r.beat
 	r.beat = true
 	r.sequence = b.Sequence
 	r.load = b.Load
 	r.loadAt = now.Add(-boundedMs(uint64(max(b.Load.AgeMs, 0)), maxWait))
 	c.clearFailed(now, r)
 	c.takeHeld(now, r, b.Held)
+	if first {
+		c.firstBeat(now, r)
+	}
 	c.sweep(now, r)
 	c.lapse(now, r)
 	c.pump(now, r)
 	return r.cancelled(), true
 }
 
+// resolveDoubt decides, after a view was missed, whether another home may have
+// granted meanwhile. If this heartbeat is the next after the last one here, no
+// other home has had one, and so none has granted.
+func (c *core) resolveDoubt(r *record, sequence uint64) {
+	if !r.doubt {
+		return
+	}
+	r.doubt = false
+	if sequence != r.sequence+1 {
+		c.rebuild(r)
+	}
+}
+
+// firstBeat uses a handover that came before the endpoint did.
+func (c *core) firstBeat(now time.Time, r *record) {
+	c.statics++
+	r.first = r.sequence
+	if h, ok := c.handed[r.announced.ID]; ok {
+		r.take(now, h.message, c.guards.anyHandover)
+		delete(c.handed, r.announced.ID)
+	}
+}
+
 // clearFailed forgets failed runs of an endpoint that is alive after all.
 func (c *core) clearFailed(now time.Time, r *record) {
 	for f, at := range r.failed {
--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -174,6 +174,7 @@
 	if !c.ready(now, r) {
 		return
 	}
+	r.complete = true
 	for {
 		c.settlePromises(now, r)
 		w := r.queue.next(func(w *waiting) bool { return !w.ask.alone || !r.aloneTaken() })
--- a/internal/endpoint/core_release.go
+++ b/internal/endpoint/core_release.go
@@ -128,6 +128,7 @@
 	// If it lives after all, grants that were forgotten here end before new
 	// ones are given.
 	r.beat = false
+	r.complete = false
 	r.quiet = later(r.quiet, now.Add(c.limits.GrantLife))
 	if len(prints) == 0 {
 		return
--- a/internal/endpoint/effects.go
+++ b/internal/endpoint/effects.go
@@ -9,13 +9,14 @@
 
 // effects is what the shell has to do after a step of the core.
 type effects struct {
-	answers []answered
-	cancels []cancelOrder
-	probes  []engine.Target
-	crashes []*pb.ReportCrash
-	resyncs []engine.Target
-	disowns []disownAsk
-	events  []timeline.Event
+	answers   []answered
+	cancels   []cancelOrder
+	probes    []engine.Target
+	crashes   []*pb.ReportCrash
+	resyncs   []engine.Target
+	disowns   []disownAsk
+	handovers []handover
+	events    []timeline.Event
 }
 
 // answered ends a queued ask.
--- a/internal/endpoint/home.go
+++ b/internal/endpoint/home.go
@@ -127,6 +127,9 @@
 	for _, t := range out.resyncs {
 		h.enqueue(func(ctx context.Context) { h.resync(ctx, t) })
 	}
+	for _, m := range out.handovers {
+		h.enqueue(func(ctx context.Context) { h.handOver(ctx, m) })
+	}
 	h.askOwners(out.disowns)
 }
 
--- /dev/null
+++ b/internal/endpoint/home_handover.go
@@ -0,0 +1,37 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// A handover is tried again while the next home may not have the view yet;
+// without it the next home only waits longer.
+const (
+	handoverTries = 5
+	handoverCall  = 300 * time.Millisecond
+	handoverPause = 100 * time.Millisecond
+)
+
+func (h *Home) handOver(ctx context.Context, m handover) {
+	for range handoverTries {
+		if h.handOverOnce(ctx, m) || ctx.Err() != nil {
+			return
+		}
+		wait(ctx, handoverPause)
+	}
+	h.options.Part.Debug("Handover not taken.", "endpoint", m.message.GetEndpointId(), "address", m.address)
+}
+
+func (h *Home) handOverOnce(ctx context.Context, m handover) bool {
+	ctx, cancel := context.WithTimeout(ctx, handoverCall)
+	defer cancel()
+	conn, err := h.options.Dialer.Conn(ctx, m.address)
+	if err != nil {
+		return false
+	}
+	reply, err := pb.NewDRPCHomeClient(conn).Handover(ctx, m.message)
+	return err == nil && reply.GetAccepted()
+}
--- a/internal/endpoint/home_http.go
+++ b/internal/endpoint/home_http.go
@@ -79,6 +79,8 @@
 		if c.homeHere(b.Announcement) {
 			reply.Cancel, ok = c.heartbeat(now, b)
 			reply.CacheAfter = c.endpoints[b.Announcement.ID].cacheAfter()
+		} else {
+			c.redirected(now, b)
 		}
 	})
 	h.answerAnnounce(w, reply, found, ok)
--- a/internal/endpoint/home_rpc.go
+++ b/internal/endpoint/home_rpc.go
@@ -136,3 +136,13 @@
 	})
 	return reply, nil
 }
+
+// Handover takes what the last home of an endpoint has granted.
+func (h *Home) Handover(_ context.Context, in *pb.HandoverRequest) (*pb.HandoverReply, error) {
+	if in.GetEndpointId() == "" || len(in.GetEndpointId()) > maxNameLen || len(in.GetHolds()) > maxHeld {
+		return nil, trace.BadParameter("malformed handover")
+	}
+	reply := &pb.HandoverReply{}
+	h.step(func(c *core, now time.Time) { reply.Accepted = c.takeHandover(now, in) })
+	return reply, nil
+}
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -15,6 +15,9 @@
 	heard     time.Time // arrival of the last announcement or heartbeat
 	beat      bool      // a held list has come
 	sequence  uint64    // of the last heartbeat
+	first     uint64    // sequence of the first heartbeat since this is its home
+	doubt     bool      // a view was missed: another home may have granted
+	complete  bool      // this home has granted, or may, with full knowledge
 	quiet     time.Time // nothing is granted before: see tenure
 	leaving   bool
 	silent    bool // the lease ran out
--- a/internal/endpoint/tenure.go
+++ b/internal/endpoint/tenure.go
@@ -31,16 +31,18 @@
 	return &tenure{self: self, limits: limits, blind: now.Add(limits.SettingsLease + limits.GrantLife)}
 }
 
-// observe notes a view; it tells whether the view is new.
-func (t *tenure) observe(now time.Time, view fleet.View) bool {
+// observe notes a view; it tells whether the view is new, and whether one
+// between it and the last was missed.
+func (t *tenure) observe(now time.Time, view fleet.View) (fresh, missed bool) {
 	last := len(t.seen) - 1
 	if last >= 0 && view.Number <= t.seen[last].view.Number {
-		return false
+		return false, false
 	}
 	horizon := t.limits.SettingsLease + t.limits.GrantLife
 	if last >= 0 && view.Number != t.seen[last].view.Number+1 {
 		t.blind = now.Add(horizon)
 		t.seen = t.seen[:0]
+		missed = true
 	}
 	t.seen = append(t.seen, seenView{view: view, at: now})
 	for len(t.seen) > 1 && now.Sub(t.seen[1].at) > horizon {
@@ -50,7 +52,7 @@
 		t.blind = now.Add(horizon)
 		t.seen = t.seen[len(t.seen)-1:]
 	}
-	return true
+	return true, missed
 }
 
 // quiet gives the time from which no other instance's grants for the endpoint
