--- a/internal/endpoint/core.go
+++ b/internal/endpoint/core.go
@@ -35,7 +35,7 @@
 
 // guards switches protections off in proofs that need to fail without them.
 type guards struct {
-	noQuiet, noSweep, noReleasedNote, noStallGuard, anyHandover, noDoubt bool
+	noQuiet, noSweep, noReleasedNote, noStallGuard, anyHandover, noDoubt, earlyLapse bool
 }
 
 func newCore(now time.Time, self fleet.Owner, limits Limits, seed uint64) *core {
@@ -84,6 +84,9 @@
 		// home, and goes on granting beside what that one granted. The guard:
 		// nothing is granted until the next heartbeat tells; see resolveDoubt.
 		r.doubt = (r.doubt || missed) && !c.guards.noDoubt
+		if r.doubt && c.skippedLately(now, r) {
+			r.complete = false
+		}
 		c.moved(now, r, was[r], c.isHome(r))
 	}
 }
@@ -175,9 +178,7 @@
 	if !r.crashAt.IsZero() && !now.Before(r.crashAt) {
 		c.died(now, r)
 	}
-	if !r.silent {
-		// While it is silent nothing is granted, and its death has still to be
-		// reported with all that ran.
+	if c.guards.earlyLapse {
 		c.lapse(now, r)
 	}
 	c.sweep(now, r)
@@ -222,8 +223,8 @@
 	if !c.current || !c.isHome(r) || r.leaving || r.silent || r.doubt || !r.beat {
 		return false
 	}
-	if now.Before(r.quiet) && !c.guards.noQuiet {
-		return false
+	if r.beatAt.Before(r.quiet) && !c.guards.noQuiet {
+		return false // what began last isn't in the held list yet
 	}
 	return now.Sub(r.heard) < c.limits.EndpointLease
 }
--- a/internal/endpoint/core_beat.go
+++ b/internal/endpoint/core_beat.go
@@ -68,9 +68,18 @@
 	if !r.beat && b.Sequence == firstSequence {
 		r.quiet = now
 	}
-	c.resolveDoubt(r, b.Sequence)
+	if !c.current && !c.guards.noDoubt {
+		// What comes while this instance may be out of the view doesn't count
+		// as heard: another home may have had the numbers between.
+		return r.cancelled(), true
+	}
+	if r.beat && b.Sequence != r.sequence+1 {
+		r.skipped = now
+	}
+	c.resolveDoubt(now, r, b.Sequence)
 	first := !r.beat
 	r.beat = true
+	r.beatAt = now
 	r.sequence = b.Sequence
 	r.load = b.Load
 	r.loadAt = now.Add(-boundedMs(uint64(max(b.Load.AgeMs, 0)), maxWait))
@@ -88,16 +97,22 @@
 // resolveDoubt decides, after a view was missed, whether another home may have
 // granted meanwhile. If this heartbeat is the next after the last one here, no
 // other home has had one, and so none has granted.
-func (c *core) resolveDoubt(r *record, sequence uint64) {
+func (c *core) resolveDoubt(now time.Time, r *record, sequence uint64) {
 	if !r.doubt {
 		return
 	}
 	r.doubt = false
-	if sequence != r.sequence+1 {
+	if sequence != r.sequence+1 || c.skippedLately(now, r) {
 		c.rebuild(r)
 	}
 }
 
+// skippedLately tells whether heartbeats may have gone to a home that this
+// instance has not heard of yet: its view is no older than SettingsLease.
+func (c *core) skippedLately(now time.Time, r *record) bool {
+	return !r.skipped.IsZero() && now.Sub(r.skipped) <= c.limits.SettingsLease+c.limits.Heartbeat
+}
+
 // firstBeat uses a handover that came before the endpoint did.
 func (c *core) firstBeat(now time.Time, r *record) {
 	c.statics++
--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -248,11 +248,21 @@
 	r.drain.released(now)
 }
 
-// lapse frees grants that nobody has confirmed for their life.
+// heartbeatDelay is how long a held list may have been on its way.
+const heartbeatDelay = 100 * time.Millisecond
+
+// lapse frees grants whose life has ended and that a held list of a later time
+// doesn't show.
+//
+// The failure: work begins at the end of a grant's life; the slot is given
+// again before a heartbeat could tell, and the engine refuses one of the two as
+// full. The guard: only the arrival of a held list frees, and not one that may
+// be older than the grant's end.
 func (c *core) lapse(now time.Time, r *record) {
 	for _, h := range r.holds {
-		if !now.Before(h.lapse) && h.state != holdReleased {
-			c.free(now, r, h)
+		if now.Before(h.lapse.Add(heartbeatDelay)) || h.state == holdReleased {
+			continue
 		}
+		c.free(now, r, h)
 	}
 }
--- a/internal/endpoint/core_handover.go
+++ b/internal/endpoint/core_handover.go
@@ -71,6 +71,11 @@
 	if !ok || c.isHome(r) || b.Sequence <= r.sequence {
 		return
 	}
+	if b.Sequence != r.sequence+1 && !c.guards.anyHandover {
+		// The endpoint has been elsewhere meanwhile: what is known here is no
+		// longer the last word.
+		r.complete = false
+	}
 	r.sequence = b.Sequence
 	r.heard = now
 	c.handOver(now, r)
@@ -123,7 +128,7 @@
 
 // take ends the wait of r when p shows that all grants are known.
 func (r *record) take(now time.Time, p *pb.HandoverRequest, anySequence bool) {
-	if !r.beat || !now.Before(r.quiet) || r.complete {
+	if !r.beat || !r.beatAt.Before(r.quiet) || r.complete {
 		return
 	}
 	if fleet.Incarnation(p.GetEndpointIncarnation()) != r.announced.Incarnation {
@@ -135,7 +140,7 @@
 	for _, h := range p.GetHolds() {
 		r.takeHold(now, h)
 	}
-	r.quiet = now
+	r.quiet = r.beatAt
 }
 
 // takeHold adds what the held list doesn't show and fills in what it doesn't
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -14,8 +14,10 @@
 	announced engineapi.Announcement
 	heard     time.Time // arrival of the last announcement or heartbeat
 	beat      bool      // a held list has come
+	beatAt    time.Time // when the last held list came
 	sequence  uint64    // of the last heartbeat
 	first     uint64    // sequence of the first heartbeat since this is its home
+	skipped   time.Time // when a heartbeat last came whose number wasn't the next
 	doubt     bool      // a view was missed: another home may have granted
 	complete  bool      // this home has granted, or may, with full knowledge
 	quiet     time.Time // nothing is granted before: see tenure
