--- a/cmd/hyssopsail/app.go
+++ b/cmd/hyssopsail/app.go
@@ -41,6 +41,8 @@
 	addControl,
 	addTimeline,
 	addHashKey,
+	addLoad,
+	addReport,
 	addVersion,
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -180,7 +180,8 @@
 }
 
 // shares works out how much of the capacity was asked for and used well. The
-// scarcer of prefill and decode counts.
+// scarcer of prefill and decode counts. Requests whose callers went away by plan
+// aren't counted as offered.
 func shares(r *Result, e *Experiment) {
 	if !e.Capacity.known() || r.Seconds <= 0 {
 		return
@@ -191,8 +192,9 @@
 			continue
 		}
 		measured := r.Streams[n]
-		offeredPrefill += measured.OfferedPerSec / e.Capacity.prefillPerSec(s)
-		offeredDecode += measured.OfferedPerSec / e.Capacity.decodePerSec(s)
+		wanted := float64(measured.Offered-measured.Verdicts[VerdictCancelled]) / r.Seconds
+		offeredPrefill += wanted / e.Capacity.prefillPerSec(s)
+		offeredDecode += wanted / e.Capacity.decodePerSec(s)
 		goodPrefill += measured.GoodPerSec / e.Capacity.prefillPerSec(s)
 		goodDecode += measured.GoodPerSec / e.Capacity.decodePerSec(s)
 	}
