--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -90,7 +90,7 @@
 	for n in "${!DAEMONS[@]}"; do entries+=(--entry "127.0.0.1:$(port "$n" 2)"); done
 	rm -f "$FLEET/$id/address"
 	# shellcheck disable=SC2086 # the arguments hold no spaces of their own
-	"$BIN/hyssopsail-standin" --id "$id" --leave-grace 500ms --address-file "$FLEET/$id/address" \
+	"$BIN/hyssopsail-standin" --id "$id" --leave-grace 500ms --link-rate 5000000000 --address-file "$FLEET/$id/address" \
 		"${entries[@]}" ${STANDIN_ARGS[$id]} 2>>"$FLEET/$id/log" &
 	PIDS+=($!)
 	STANDIN_PID[$id]=$!
