outcome: replicas trust the shared state's readiness; lower ballots count

Cause: the control group keeps the ready mark of replicas that stay, gives only ready replicas as sources, and declares history lost when no majority of the ready ones is left.

Replicas that stay no longer copy at a repair, so that a shard goes on answering while a new replica copies.

--- a/internal/outcome/choice.go
+++ b/internal/outcome/choice.go
@@ -2,31 +2,50 @@
 
 // choice is what the replies of a majority allow a proposer to propose.
 type choice struct {
-	bound bool // Held.Decision may be decided and must be proposed
-	held  Held // the highest accepted; not found: nothing was
+	bound bool // held.Decision may be decided and must be proposed
+	held  Held // what was found; not found: nothing was accepted
 }
 
 // choose applies the rule of the consensus to the prepare replies of a
-// majority. The value of the highest ballot may be decided and binds. The fast
-// ballot is the exception: its value is decided by all replicas alone, so when
-// one of this majority has another value, or none, it isn't decided and can't
-// be any more, since the majority has promised a higher ballot.
+// majority. The value of the highest ballot may be decided and binds.
+//
+// A fast ballot is the exception. All replicas decide its value, so when one of
+// this majority has another value, or none, it isn't decided, and can't be any
+// more, since the majority has promised a higher ballot. Then the next lower
+// ballot counts: a replica that missed a value decided at an earlier epoch may
+// have taken the fast value since.
 func choose(replies []Held) choice {
+	var found Held
+	below := replies
+	for {
+		best := highest(below)
+		if !best.Found() {
+			return choice{held: found}
+		}
+		if best.Ended() || !best.Accepted.Fast() || unanimous(replies, best) {
+			return choice{bound: true, held: best}
+		}
+		if !found.Found() {
+			found = best
+		}
+		below = without(below, best.Accepted)
+	}
+}
+
+// highest gives what tells most, with the age of the oldest copy.
+func highest(replies []Held) Held {
 	var best Held
 	for _, h := range replies {
 		if h.supersedes(best) {
 			best = h
 		}
 	}
-	if !best.Found() {
-		return choice{}
-	}
 	for _, h := range replies {
 		if h.Decision == best.Decision {
 			best.Age = max(best.Age, h.Age)
 		}
 	}
-	return choice{bound: best.Ended() || !best.Accepted.Fast() || unanimous(replies, best), held: best}
+	return best
 }
 
 func unanimous(replies []Held, best Held) bool {
@@ -37,3 +56,13 @@
 	}
 	return true
 }
+
+func without(replies []Held, b Ballot) []Held {
+	var rest []Held
+	for _, h := range replies {
+		if h.Accepted != b {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
--- a/internal/outcome/copy.go
+++ b/internal/outcome/copy.go
@@ -41,10 +41,9 @@
 }
 
 func (s *Service) tryWhole(name fleet.LedgerShard) bool {
-	view := s.options.Source.State().View
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replica.TryWhole(name, func(o fleet.Owner) bool { return !view.Holds(o) })
+	return s.replica.TryWhole(name)
 }
 
 func (s *Service) copyFrom(ctx context.Context, task CopyTask, source fleet.Owner) error {
--- a/internal/outcome/replica.go
+++ b/internal/outcome/replica.go
@@ -64,6 +64,15 @@
 	s.copied = make(map[fleet.Owner]bool)
 }
 
+// Retain leaves the groups that the shared state has dropped.
+func (r *Replica) Retain(groups map[fleet.LedgerShard]fleet.LedgerGroup) {
+	for name, s := range r.shards {
+		if _, ok := groups[name]; !ok {
+			s.member = false
+		}
+	}
+}
+
 // Handle answers a request, or ReplyWrongEpoch.
 func (r *Replica) Handle(now time.Time, q Request) Reply {
 	s, ok := r.shards[q.Shard]
@@ -103,13 +112,13 @@
 }
 
 // Expire drops records that have outlived their life, at most limit of each
-// shard, and whole tables of groups that this replica left so long ago.
+// shard, and the empty tables of groups that this replica has left.
 func (r *Replica) Expire(now time.Time, limit int) int {
 	dropped := 0
-	for _, s := range r.shards {
+	for name, s := range r.shards {
 		dropped += s.table.Expire(now, limit)
-		if s.table.Len() == 0 {
-			s.keys = nil
+		if !s.member && s.table.Len() == 0 {
+			delete(r.shards, name)
 		}
 	}
 	return dropped
--- a/internal/outcome/replica_copy.go
+++ b/internal/outcome/replica_copy.go
@@ -61,7 +61,7 @@
 func (r *Replica) Tasks() []CopyTask {
 	var tasks []CopyTask
 	for name, s := range r.shards {
-		if !s.member || s.group.Epoch != s.epoch || s.whole == s.epoch {
+		if !s.member || s.group.Epoch != s.epoch || s.whole == s.epoch || s.ready == s.epoch {
 			continue
 		}
 		task := CopyTask{Shard: name, Epoch: s.epoch}
@@ -94,45 +94,30 @@
 	return true
 }
 
-// TryWhole marks the shard whole when enough sources are copied. gone tells
-// which processes have left the view.
-func (r *Replica) TryWhole(name fleet.LedgerShard, gone func(fleet.Owner) bool) bool {
+// TryWhole marks the shard whole when enough sources are copied.
+func (r *Replica) TryWhole(name fleet.LedgerShard) bool {
 	s, ok := r.shards[name]
 	if !ok || !s.member || s.group.Epoch != s.epoch {
 		return false
 	}
-	if s.whole != s.epoch && s.enoughCopied(gone) {
+	if s.whole != s.epoch && s.enoughCopied() {
 		s.whole = s.epoch
 	}
 	return s.whole == s.epoch
 }
 
-// enoughCopied needs a majority of the sources, one of them ready at their
-// epoch. The majority meets each majority that decided a record at that
-// epoch, and each ready source holds what was decided before it. Copying from
-// one source alone would miss intents that the two others decided.
-//
-// When the control group has recorded that a majority was lost, what is left
-// is taken; claims then treat absent records as unknown for a record's life.
-func (s *shard) enoughCopied(gone func(fleet.Owner) bool) bool {
-	if len(s.group.Sources) == 0 {
-		return true
-	}
-	copied, left, ready := 0, 0, false
+// enoughCopied needs a majority of the sources. The sources are the replicas
+// that were ready at the epoch before, and each majority of these holds each
+// decided record. One source alone may have missed an intent that the others
+// decided.
+func (s *shard) enoughCopied() bool {
+	copied := 0
 	for _, source := range s.group.Sources {
-		if !gone(source.Owner) {
-			left++
-		}
 		if s.copied[source.Owner] {
 			copied++
-			ready = ready || source.Ready
 		}
 	}
-	majority := len(s.group.Sources)/2 + 1
-	if copied >= majority && ready {
-		return true
-	}
-	return s.group.HistoryLostMs != 0 && left < majority && copied >= left
+	return len(s.group.Sources) == 0 || copied > len(s.group.Sources)/2
 }
 
 // Whole gives the shards that are whole and not yet called ready.
--- a/internal/outcome/shard.go
+++ b/internal/outcome/shard.go
@@ -14,13 +14,15 @@
 	group  fleet.LedgerGroup // at epoch; empty when only sealed
 }
 
-// serves tells whether the replica may answer at an epoch.
+// serves tells whether the replica may answer at an epoch: the shared state
+// must call it ready there.
 //
-// Two failures are guarded against. A replica that answered before it had
+// Two failures are guarded against. A new replica that answered before it had
 // copied a majority of its sources would let a claim miss a decided intent:
-// the request would run twice. One that answered before the shared state calls
-// it ready could help to decide a record at an epoch that the control group
-// doesn't count as a source: the next repair would lose the record.
+// the request would run twice. One that answered when it had copied but the
+// control group didn't know yet could help to decide a record at an epoch
+// whose sources the control group counts without it: the next repair would
+// lose the record.
 func (s *shard) serves(epoch uint64) bool {
-	return s.member && s.epoch == epoch && s.whole == epoch && s.ready == epoch
+	return s.member && s.epoch == epoch && s.ready == epoch
 }
