quarantine: one unproven run at a time, by simulation

Cause: a crashing request must be contained after two deaths over the fleet, though two entries get it at once, and its nineteen neighbours be served.

So the limit is 1; the price is that equal requests wait for the first.

--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -13,13 +13,14 @@
 	RetryAfter   time.Duration // a waiting run asks again after this long
 }
 
-// DefaultLimits is what the fleet runs with; SuspectLife follows the settings'
-// quarantine life.
+// DefaultLimits allow one run of an unproven fingerprint: with two, a request
+// sent by two entries at once takes down two endpoints before either death is
+// known, and the neighbours of both can't be told from it. SuspectLife follows the settings' quarantine life.
 var DefaultLimits = Limits{
 	SuspectLife:  time.Hour,
 	ProvenLife:   10 * time.Minute,
 	RunLife:      10 * time.Minute,
-	UnprovenRuns: 2,
+	UnprovenRuns: 1,
 	MaxSuspects:  4096,
 	MaxTracked:   65536,
 	RetryAfter:   50 * time.Millisecond,
--- /dev/null
+++ b/internal/quarantine/sim_test.go
@@ -0,0 +1,223 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+const simTick = 10 * time.Millisecond
+
+// simRequest is a caller's request; the crashing one is sent again, with a new
+// key and to another entry, each time it fails.
+type simRequest struct {
+	fingerprint fleet.Fingerprint
+	crashes     bool
+	begun       bool
+	attempt     fleet.AttemptID
+	alone       bool
+	again       time.Time // not before
+	endpoint    *simEndpoint
+	ends        time.Time
+	served      bool
+	refused     bool
+}
+
+// simEndpoint runs requests until one of them crashes it.
+type simEndpoint struct {
+	id          int
+	incarnation uint64
+	down        time.Time // until then
+	running     []*simRequest
+}
+
+// sim is a fleet with a real Register as guard and the real rule for crashes,
+// whose result reaches the guard late.
+type sim struct {
+	random    *rand.Rand
+	now       time.Time
+	register  *Register
+	truth     map[fleet.Fingerprint]fleet.Suspect // at the control group
+	seen      map[fleet.Fingerprint]fleet.Suspect // at the guard
+	endpoints []*simEndpoint
+	requests  []*simRequest
+	later     []simEvent
+	crashes   int
+	attempts  int
+	crowded   bool // suspects share endpoints: a guard is off
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+func newSim(seed uint64, limits Limits) *sim {
+	s := &sim{
+		random:   rand.New(rand.NewPCG(seed, 3)),
+		now:      time.Unix(1_000_000, 0),
+		register: NewRegister(limits),
+		truth:    make(map[fleet.Fingerprint]fleet.Suspect),
+		seen:     make(map[fleet.Fingerprint]fleet.Suspect),
+	}
+	for n := range 4 {
+		s.endpoints = append(s.endpoints, &simEndpoint{id: n, incarnation: 1})
+	}
+	for n := range 19 {
+		s.requests = append(s.requests, &simRequest{fingerprint: fleet.Fingerprint{byte(n + 1)}, again: s.soon(300)})
+	}
+	for range 2 {
+		s.requests = append(s.requests, &simRequest{fingerprint: fleet.Fingerprint{255}, crashes: true, again: s.soon(300)})
+	}
+	return s
+}
+
+func (s *sim) soon(mostMs int) time.Time {
+	return s.now.Add(time.Duration(s.random.IntN(mostMs)) * time.Millisecond)
+}
+
+func (s *sim) shared() Shared {
+	return Shared{Suspects: s.seen, Alive: func(fleet.Owner) bool { return true }}
+}
+
+// run goes on until all is answered, or for a simulated minute.
+func (s *sim) run() {
+	for range 6000 {
+		s.now = s.now.Add(simTick)
+		s.events()
+		for _, r := range s.requests {
+			s.step(r)
+		}
+		if s.settled() {
+			return
+		}
+	}
+}
+
+func (s *sim) settled() bool {
+	for _, r := range s.requests {
+		if !r.served && !r.refused {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) events() {
+	due := s.later
+	s.later = nil
+	for _, e := range due {
+		if e.at.After(s.now) {
+			s.later = append(s.later, e)
+			continue
+		}
+		e.do()
+	}
+}
+
+func (s *sim) step(r *simRequest) {
+	switch {
+	case r.served, r.refused, r.again.After(s.now):
+	case r.endpoint != nil:
+		s.progress(r)
+	case r.begun:
+		s.place(r)
+	default:
+		s.begin(r)
+	}
+}
+
+func (s *sim) begin(r *simRequest) {
+	s.attempts++
+	r.attempt = fleet.AttemptID(fmt.Sprint(s.attempts))
+	answer := s.register.Begin(s.now, Run{Fingerprint: r.fingerprint, Attempt: r.attempt}, s.shared())
+	switch answer.Verdict {
+	case pb.RunVerdict_RUN_VERDICT_QUARANTINED:
+		r.refused = true
+	case pb.RunVerdict_RUN_VERDICT_WAIT:
+		r.again = s.now.Add(answer.RetryAfter)
+	default:
+		r.begun = true
+		r.alone = answer.Verdict == pb.RunVerdict_RUN_VERDICT_ALONE
+		s.place(r)
+	}
+}
+
+// place follows the homes' rule: at most one run that must be alone on an
+// endpoint.
+func (s *sim) place(r *simRequest) {
+	for _, n := range s.random.Perm(len(s.endpoints)) {
+		e := s.endpoints[n]
+		if e.down.After(s.now) || len(e.running) >= 20 || (r.alone && e.hasAlone() && !s.crowded) {
+			continue
+		}
+		e.running = append(e.running, r)
+		r.endpoint = e
+		r.ends = s.soon(600).Add(100 * time.Millisecond)
+		return
+	}
+}
+
+func (e *simEndpoint) hasAlone() bool {
+	for _, r := range e.running {
+		if r.alone {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) progress(r *simRequest) {
+	if r.ends.After(s.now) {
+		return
+	}
+	if r.crashes {
+		s.crash(r.endpoint)
+		return
+	}
+	e := r.endpoint
+	for n, o := range e.running {
+		if o == r {
+			e.running = append(e.running[:n:n], e.running[n+1:]...)
+			break
+		}
+	}
+	r.served = true
+	s.register.End(s.now, r.fingerprint, r.attempt, true, false, s.shared())
+}
+
+// crash ends an endpoint: entries see it at once, the home reports it later,
+// and the guard learns of the suspects later still.
+func (s *sim) crash(e *simEndpoint) {
+	s.crashes++
+	report := &pb.ReportCrash{EndpointId: fmt.Sprint(e.id), EndpointIncarnation: e.incarnation}
+	for _, r := range e.running {
+		report.Fingerprints = append(report.Fingerprints, r.fingerprint[:])
+		s.register.End(s.now, r.fingerprint, r.attempt, false, true, s.shared())
+		r.endpoint, r.begun, r.alone = nil, false, false
+		r.again = s.soon(200)
+	}
+	e.running = nil
+	e.incarnation++
+	e.down = s.now.Add(500 * time.Millisecond)
+	s.later = append(s.later, simEvent{at: s.soon(400), do: func() { s.reported(report) }})
+}
+
+func (s *sim) reported(report *pb.ReportCrash) {
+	changed := ApplyCrash(s.truth, report, s.now)
+	put(s.truth, changed)
+	s.later = append(s.later, simEvent{at: s.soon(100), do: func() { put(s.seen, changed) }})
+}
+
+func put(suspects map[fleet.Fingerprint]fleet.Suspect, changed []fleet.Suspect) {
+	for _, c := range changed {
+		if c.Crashes == 0 {
+			delete(suspects, c.Fingerprint)
+			continue
+		}
+		suspects[c.Fingerprint] = c
+	}
+}
