--- a/internal/outcome/fleet_test.go
+++ b/internal/outcome/fleet_test.go
@@ -25,11 +25,12 @@
 	groups map[fleet.LedgerShard]*testGroup
 	nodes  map[fleet.InstanceID]*testNode
 	cut    map[[2]fleet.InstanceID]bool // requests or replies from one to the other are lost
-	calls  int                          // over the network
+	calls  map[fleet.InstanceID]int     // over the network, by receiver
+	// hold, if set, may stop a call on its way in or its reply on its way out.
+	hold func(from, to fleet.InstanceID, rpc string, reply bool)
 }
 
 type testGroup struct {
-	whole   *fleet.LedgerGroup // of the last epoch with a ready majority
 	current fleet.LedgerGroup
 }
 
@@ -44,7 +45,6 @@
 	state   *membership.State
 	changed chan struct{}
 	stale   bool // no longer told of changes
-	frozen  chan struct{}
 }
 
 func (n *testNode) State() *membership.State {
@@ -83,6 +83,7 @@
 		groups: make(map[fleet.LedgerShard]*testGroup),
 		nodes:  make(map[fleet.InstanceID]*testNode),
 		cut:    make(map[[2]fleet.InstanceID]bool),
+		calls:  make(map[fleet.InstanceID]int),
 	}
 	for n, name := range names {
 		f.start(t, name, fleet.Incarnation(n+1), options)
@@ -148,7 +149,9 @@
 	}
 }
 
-// setGroup gives a shard new replicas at the next epoch.
+// setGroup gives a shard new replicas at the next epoch, by the control group's
+// rule: those that stay keep their ready mark, those that were ready are the
+// sources, and without a majority of these the history is lost.
 func (f *testFleet) setGroup(shard fleet.LedgerShard, names ...fleet.InstanceID) {
 	f.change(func(s *membership.State) {
 		g := f.groups[shard]
@@ -156,12 +159,32 @@
 			g = &testGroup{}
 			f.groups[shard] = g
 		}
-		next := fleet.LedgerGroup{Shard: shard, Epoch: g.current.Epoch + 1}
-		if g.whole != nil {
-			next.Sources = g.whole.Replicas
+		next := fleet.LedgerGroup{Shard: shard, Epoch: g.current.Epoch + 1, HistoryLostMs: g.current.HistoryLostMs}
+		ready := make(map[fleet.Owner]bool)
+		left := 0
+		for _, r := range g.current.Replicas {
+			if r.Ready {
+				ready[r.Owner] = true
+				next.Sources = append(next.Sources, r)
+			}
+			if r.Ready && s.View.Holds(r.Owner) {
+				left++
+			}
 		}
 		for _, name := range names {
-			next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: s.View.Instances[name].Owner()})
+			o := s.View.Instances[name].Owner()
+			next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: o, Ready: ready[o]})
+		}
+		fresh := len(g.current.Replicas) == 0
+		if !fresh && left <= len(next.Sources)/2 {
+			next.HistoryLostMs = time.Now().UnixMilli()
+			fresh = true
+		}
+		if fresh {
+			next.Sources = nil
+			for n := range next.Replicas {
+				next.Replicas[n].Ready = true
+			}
 		}
 		g.current = next
 	})
@@ -173,8 +196,23 @@
 	}
 }
 
-// lose takes a process out of the view.
+// kill stops a process and takes it out of the view.
+func (f *testFleet) kill(name fleet.InstanceID) {
+	f.mu.Lock()
+	f.nodes[name].stop()
+	delete(f.nodes, name)
+	f.mu.Unlock()
+	f.lose(name)
+}
+
+// lose takes a process out of the view. It hears of no change any more, and
+// may go on.
 func (f *testFleet) lose(name fleet.InstanceID) {
+	f.mu.Lock()
+	if n := f.nodes[name]; n != nil {
+		n.setStale()
+	}
+	f.mu.Unlock()
 	f.change(func(s *membership.State) { delete(s.View.Instances, name) })
 }
 
@@ -193,19 +231,11 @@
 
 func (g *testGroup) markReady(who fleet.Owner) {
 	replicas := make([]fleet.LedgerReplica, len(g.current.Replicas))
-	ready := 0
 	for n, m := range g.current.Replicas {
 		m.Ready = m.Ready || m.Owner == who
-		if m.Ready {
-			ready++
-		}
 		replicas[n] = m
 	}
 	g.current.Replicas = replicas
-	if ready > len(replicas)/2 {
-		whole := g.current
-		g.whole = &whole
-	}
 }
 
 // awaitReady waits until all groups have the given number of ready replicas.
@@ -249,6 +279,12 @@
 	f.cut[[2]fleet.InstanceID{from, to}] = cut
 }
 
+func (f *testFleet) setHold(hold func(from, to fleet.InstanceID, rpc string, reply bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hold = hold
+}
+
 func (f *testFleet) isCut(from, to fleet.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -271,17 +307,23 @@
 func (c *testConn) Invoke(ctx context.Context, name string, _ drpc.Encoding, in, out drpc.Message) error {
 	f := c.from.fleet
 	f.mu.Lock()
-	f.calls++
+	f.calls[c.to]++
 	target := f.nodes[c.to]
+	hold := f.hold
 	f.mu.Unlock()
+	if hold == nil {
+		hold = func(fleet.InstanceID, fleet.InstanceID, string, bool) {}
+	}
 	if target == nil {
 		return errors.New("no such process")
 	}
+	hold(c.from.self.ID, c.to, name, false)
 	if f.isCut(c.from.self.ID, c.to) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	reply, err := dispatch(ctx, target.service.Server(), name, proto.Clone(in.(proto.Message)))
+	hold(c.from.self.ID, c.to, name, true)
 	if f.isCut(c.to, c.from.self.ID) {
 		<-ctx.Done()
 		return ctx.Err()
