--- a/internal/daemon/base.go
+++ b/internal/daemon/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
@@ -18,8 +19,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 	"github.com/hyssopsail/hyssopsail/internal/version"
-
-	"time"
 )
 
 // base is what every daemon has, whatever its roles.
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -23,7 +23,7 @@
 	home     *endpoint.Home
 	follower *endpoint.HomeClient
 	ledger   *outcome.Service
-	guard    quarantine.Guard
+	guard    *quarantine.Service
 	router   *route.Router
 }
 
@@ -85,7 +85,13 @@
 }
 
 func (e *entryRole) newOutcomes(b *base) {
-	e.guard = noGuard{}
+	e.guard = quarantine.NewService(quarantine.Options{
+		Source:     b.agent,
+		Dialer:     b.pool,
+		Seed:       uint64(b.self.Incarnation),
+		Part:       newPart(b.logger, "quarantine"),
+		Registerer: b.registry,
+	})
 	e.ledger = outcome.NewService(outcome.Options{
 		Source: b.agent,
 		Dialer: b.pool,
@@ -93,6 +99,7 @@
 			_, err := b.client.Ready(ctx, ready)
 			return err
 		},
+		Runs:       e.guard,
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "ledger"),
 		Recorder:   b.ring,
@@ -111,4 +118,5 @@
 	group.Go(func() error { return e.home.Run(work) })
 	group.Go(func() error { return e.follower.Run(work) })
 	group.Go(func() error { return e.ledger.Run(work) })
+	group.Go(func() error { return e.guard.Run(work) })
 }
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/control"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -20,9 +21,25 @@
 	return operations{Client: b.client, base: b, own: own}
 }
 
+// leaderTimeout bounds how long a status waits for what only the leader knows.
+const leaderTimeout = time.Second
+
 // Status asks this instance when it has the control role, else any member.
+// Contact and renewal times come from the leader where it answers in time.
 func (o operations) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusReply, error) {
-	return o.Client.Status(ctx, o.ownAddress())
+	status, err := o.Client.Status(ctx, o.ownAddress())
+	if err != nil || status.GetLeaderAddress() == "" || status.GetLeaderInstance() == status.GetInstanceId() {
+		return status, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	leader, err := o.Client.Status(ctx, status.GetLeaderAddress())
+	if err != nil || leader.GetLeaderInstance() != leader.GetInstanceId() {
+		return status, nil
+	}
+	status.Members = leader.GetMembers()
+	status.Instances = leader.GetInstances()
+	return status, nil
 }
 
 // Init makes a new fleet from this instance.
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -67,6 +67,7 @@
 	return operator.NewHandler(operator.Options{
 		Control:   newOperations(b, c),
 		Tree:      func() *settings.Tree { return b.agent.State().Tree },
+		Current:   func() bool { return b.agent.Current(time.Now()) },
 		Secret:    b.secret,
 		Now:       time.Now,
 		Log:       newPart(b.logger, "operator"),
--- /dev/null
+++ b/internal/e2e/once_test.go
@@ -0,0 +1,218 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// pickups is a fleet of four entries with two processes of the plain service.
+func pickups(t *testing.T) (*testFleet, *engines) {
+	t.Helper()
+	f := startFleet(t, plan{zones: []string{"a", "a", "a", "a"}, control: 3})
+	e := &engines{fleet: f}
+	e.add(t, "s1", "a", fleet.RolePlain)
+	e.add(t, "s2", "a", fleet.RolePlain)
+	e.awaitService(t)
+	return f, e
+}
+
+func body(marker string) string { return "[[id=" + marker + "]]" }
+
+// A volunteer's pickup slip is sent again with the same key at every other
+// entry. It runs once; the repeats get the recorded outcome.
+func TestNonIdempotentCallRunsOnceOverAllEntries(t *testing.T) {
+	f, e := pickups(t)
+	a, err := call(callContext(t), f.instances[0], "/once", "key-1", body("slip-1"))
+	assert.NilError(t, err)
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, a.outcome, callerapi.OutcomeCompleted)
+	for _, i := range f.instances {
+		again, err := call(callContext(t), i, "/once", "key-1", body("slip-1"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.refused.Code, callerapi.CodeRecorded)
+		assert.Equal(t, again.outcome, callerapi.OutcomeCompleted)
+	}
+	assert.Equal(t, e.runsOf(t, "slip-1"), 1)
+}
+
+// The entry dies while the slip's call runs, and the volunteer's app sends the
+// slip again at another entry. It must not run a second time, and the caller
+// must not be told that it was not run.
+func TestEntryKilledDuringTheRun(t *testing.T) {
+	f, e := pickups(t)
+	for _, m := range e.all {
+		m.faults(t, standin.Faults{CallDelayMs: 1500})
+	}
+	victim := f.instances[3] // no control instance: the group stays whole
+	sent := make(chan error, 1)
+	go func() {
+		_, err := call(callContext(t), victim, "/once", "key-2", body("slip-2"))
+		sent <- err
+	}()
+	eventually(t, callTime, func() error {
+		if e.runsOf(t, "slip-2") == 0 {
+			return fmt.Errorf("not begun")
+		}
+		return nil
+	})
+	victim.kill(t)
+	assert.Assert(t, <-sent != nil)
+	deadline := time.Now().Add(6 * time.Second)
+	for n := 0; time.Now().Before(deadline); n++ {
+		again, err := call(callContext(t), f.instances[n%3], "/once", "key-2", body("slip-2"))
+		assert.NilError(t, err)
+		assert.Assert(t, again.status != http.StatusOK, "%+v", again)
+		assert.Assert(t, again.outcome != callerapi.OutcomeNotRun || again.refused.Code == callerapi.CodeNotCurrent, "%+v", again)
+		<-time.After(200 * time.Millisecond)
+	}
+	assert.Equal(t, e.runsOf(t, "slip-2"), 1)
+}
+
+// The entry freezes as the slip arrives, for longer than its lease. The
+// volunteer's app sends the slip again at another entry. Then the frozen entry
+// wakes with the first copy in hand. Over both it runs at most once, and when
+// the repeat was told "not run" it truly did not run by either.
+func TestEntryFrozenWhileTheCallerRepeatsElsewhere(t *testing.T) {
+	f, e := pickups(t)
+	victim := f.instances[3]
+	for round := range 6 {
+		key := fmt.Sprintf("key-frozen-%d", round)
+		marker := fmt.Sprintf("slip-frozen-%d", round)
+		first := make(chan answer, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), callTime)
+		go func() {
+			a, err := call(ctx, victim, "/once", key, body(marker))
+			if err != nil {
+				a.outcome = callerapi.OutcomeUnknown
+			}
+			first <- a
+		}()
+		// Each round freezes at another point of the first copy's way.
+		<-time.After(time.Duration(round) * 500 * time.Microsecond)
+		victim.freeze(t)
+		var last answer
+		eventually(t, callTime, func() error {
+			again, err := call(callContext(t), f.instances[round%3], "/once", key, body(marker))
+			if err != nil {
+				return err
+			}
+			last = again
+			if again.outcome == callerapi.OutcomeInFlight {
+				return fmt.Errorf("still in flight: %+v", again)
+			}
+			return nil
+		})
+		victim.thaw(t)
+		a := <-first
+		cancel()
+		runs := e.runsOf(t, marker)
+		assert.Assert(t, runs <= 1, "round %d: %d runs", round, runs)
+		if last.outcome == callerapi.OutcomeNotRun || a.outcome == callerapi.OutcomeNotRun {
+			completed := last.outcome == callerapi.OutcomeCompleted || a.outcome == callerapi.OutcomeCompleted
+			assert.Assert(t, runs == 0 || completed, "round %d: told not run, ran %d times: %+v %+v", round, runs, a, last)
+		}
+		if last.outcome == callerapi.OutcomeCompleted && last.status == http.StatusOK {
+			assert.Equal(t, runs, 1)
+		}
+		f.awaitCurrent(t, victim)
+	}
+}
+
+// A ledger replica dies, the group is repaired, and right after that a second
+// one dies. A repeat of a slip that ran before both must still be refused.
+func TestLedgerReplicaLostRepairedAndASecondOneLost(t *testing.T) {
+	f := startFleet(t, plan{zones: []string{"a", "a", "a", "a", "a", "a"}, control: 3})
+	e := &engines{fleet: f}
+	e.add(t, "s1", "a", fleet.RolePlain)
+	e.awaitService(t)
+	const slips = 24
+	for n := range slips {
+		a, err := call(callContext(t), f.instances[n%len(f.instances)], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, http.StatusOK, "%+v", a)
+	}
+	f.instances[4].kill(t)
+	f.awaitWholeLedger(t, f.instances[4])
+	f.instances[5].kill(t)
+	for n := range slips {
+		marker := fmt.Sprintf("slip-%d", n)
+		eventually(t, callTime, func() error {
+			again, err := call(callContext(t), f.instances[n%4], "/once", fmt.Sprintf("key-%d", n), body(marker))
+			if err != nil {
+				return err
+			}
+			if again.outcome != callerapi.OutcomeCompleted {
+				return fmt.Errorf("%s: %+v", marker, again)
+			}
+			return nil
+		})
+		assert.Equal(t, e.runsOf(t, marker), 1)
+	}
+}
+
+// awaitWholeLedger waits until the view is without gone and each remaining
+// entry has logged its last shard copy. It polls a key of each shard: a claim
+// is answered only by whole groups.
+func (f *testFleet) awaitWholeLedger(t *testing.T, gone *instance) {
+	t.Helper()
+	eventually(t, callTime, func() error {
+		status, err := f.operatorAs(t, operatorKey, f.instances[0]).Status(callContext(t), nil)
+		if err != nil {
+			return err
+		}
+		for _, i := range status.GetInstances() {
+			if i.GetInstance().GetId() == gone.id {
+				return fmt.Errorf("%s is still in the view", gone.id)
+			}
+		}
+		return nil
+	})
+	for _, i := range f.others(gone) {
+		eventually(t, callTime, func() error {
+			shards, err := metricOf(t, i, "hyssopsail_ledger_shards_copying")
+			if err != nil {
+				return err
+			}
+			if shards > 0 {
+				return fmt.Errorf("%s still copies %v shards", i.id, shards)
+			}
+			return nil
+		})
+	}
+}
+
+// The entry can't reach any ledger replica, both ways. It must not run the
+// slip, and says so truthfully; at another entry the slip then runs once.
+func TestEntryCutOffFromTheLedger(t *testing.T) {
+	f, e := pickups(t)
+	victim := f.instances[3]
+	f.isolate(victim, true)
+	a, err := call(callContext(t), victim, "/once", "key-cut", body("slip-cut"))
+	assert.NilError(t, err)
+	assert.Assert(t, a.status != http.StatusOK, "%+v", a)
+	eventually(t, callTime, func() error {
+		again, err := call(callContext(t), f.instances[0], "/once", "key-cut", body("slip-cut"))
+		if err != nil {
+			return err
+		}
+		if again.outcome == callerapi.OutcomeCompleted || again.outcome == callerapi.OutcomeUnknown {
+			return nil
+		}
+		return fmt.Errorf("%+v", again)
+	})
+	f.isolate(victim, false)
+	f.awaitCurrent(t, victim)
+	if a.outcome == callerapi.OutcomeNotRun {
+		assert.Equal(t, e.runsOf(t, "slip-cut"), 1)
+	}
+	assert.Assert(t, e.runsOf(t, "slip-cut") <= 1)
+}
--- /dev/null
+++ b/internal/e2e/stream_test.go
@@ -0,0 +1,220 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// models is a fleet with two prefill and three decode engines.
+func models(t *testing.T, entries int) (*testFleet, *engines) {
+	t.Helper()
+	zones := make([]string, entries)
+	for n := range zones {
+		zones[n] = "a"
+	}
+	f := startFleet(t, plan{zones: zones, control: 3})
+	e := &engines{fleet: f}
+	e.add(t, "p1", "a", fleet.RolePrefill)
+	e.add(t, "p2", "a", fleet.RolePrefill)
+	for n := range 3 {
+		e.add(t, fmt.Sprintf("d%d", n), "a", fleet.RoleDecode)
+	}
+	e.awaitServing(t)
+	return f, e
+}
+
+// outcomeOf sends a request until its final answer and gives it.
+func wanted(r request) string { return standin.ExpectedText(r.prompt, r.maxTokens) }
+
+// decodingAt waits until some decode engine holds an attempt in decode.
+func (e *engines) decodingAt(t *testing.T) *emulated {
+	t.Helper()
+	var found *emulated
+	eventually(t, callTime, func() error {
+		for _, m := range e.all {
+			for _, fact := range m.audit(t).Attempts {
+				if fact.Decodes > 0 && fact.EndedMs == 0 && fact.Tokens > 3 {
+					found = m
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("nothing decodes")
+	})
+	return found
+}
+
+// A decode engine dies in the middle of a scholar's stream. The stream goes on
+// at the next token from another engine: the answer is whole, without a gap or
+// a repeated token.
+func TestDecodeEngineKilledMidStream(t *testing.T) {
+	f, e := models(t, 3)
+	r := request{prompt: "a long gloss [[tokens=400]]", maxTokens: 400, stream: true}
+	got := make(chan answer, 1)
+	go func() {
+		a, err := ask(callContext(t), f.instances[0], r)
+		if err != nil {
+			a.refused.Message = err.Error()
+		}
+		got <- a
+	}()
+	e.decodingAt(t).kill()
+	a := <-got
+	assert.Assert(t, a.whole(), "%+v", a)
+	assert.Equal(t, a.text, wanted(r))
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+// A prefill engine dies while it computes; the request is computed elsewhere.
+func TestPrefillEngineKilled(t *testing.T) {
+	f, e := models(t, 3)
+	r := request{prompt: strings.Repeat("bale photographs ", 4000), maxTokens: 20, stream: true}
+	got := make(chan answer, 1)
+	go func() {
+		a, _ := ask(callContext(t), f.instances[1], r)
+		got <- a
+	}()
+	var busy *emulated
+	eventually(t, callTime, func() error {
+		for _, m := range e.all {
+			if m.audit(t).Held > 0 {
+				busy = m
+				return nil
+			}
+		}
+		return fmt.Errorf("nothing runs")
+	})
+	busy.kill()
+	a := <-got
+	assert.Assert(t, a.whole(), "%+v", a)
+	assert.Equal(t, a.text, wanted(r))
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+// Callers go away at random moments: in the queue, during prefill, transfer
+// and decode. No engine memory stays held.
+func TestCallersGoneAtEachStage(t *testing.T) {
+	f, e := models(t, 3)
+	for _, m := range e.all {
+		m.faults(t, standin.Faults{IgnoreCancels: 2})
+	}
+	var group sync.WaitGroup
+	for n := range 40 {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n*4)*time.Millisecond)
+			defer cancel()
+			_, _ = ask(ctx, f.instances[n%3], request{prompt: fmt.Sprintf("gone %d [[tokens=500]]", n), maxTokens: 500, stream: true})
+		})
+	}
+	group.Wait()
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+// An entry dies with many streams in flight. The engines' memory that they
+// held is freed within seconds, though nobody is left to cancel them.
+func TestEntryKilledFreesItsEngineMemory(t *testing.T) {
+	f, e := models(t, 4)
+	victim := f.instances[3]
+	var group sync.WaitGroup
+	for n := range 12 {
+		group.Go(func() {
+			_, _ = ask(callContext(t), victim, request{prompt: fmt.Sprintf("orphan %d [[tokens=20000]]", n), maxTokens: 20000, stream: true})
+		})
+	}
+	eventually(t, callTime, func() error {
+		held := 0
+		for _, m := range e.all {
+			held += m.audit(t).Held
+		}
+		if held < 12 {
+			return fmt.Errorf("%d held", held)
+		}
+		return nil
+	})
+	victim.kill(t)
+	began := time.Now()
+	group.Wait()
+	e.awaitNothingHeld(t, 10*time.Second)
+	t.Logf("all freed %s after the kill", time.Since(began).Round(time.Millisecond))
+}
+
+// Two hundred callers ask all entries at once; each gets the answer to its own
+// prompt.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	f, e := models(t, 3)
+	var group sync.WaitGroup
+	wrong := make(chan string, 200)
+	for n := range 200 {
+		group.Go(func() {
+			r := request{prompt: fmt.Sprintf("verse %d [[tokens=%d]]", n, 5+n%30), maxTokens: 60, stream: n%2 == 0}
+			a, err := ask(callContext(t), f.instances[n%3], r)
+			switch {
+			case err != nil:
+				wrong <- err.Error()
+			case a.whole() && a.text != wanted(r):
+				wrong <- fmt.Sprintf("verse %d: another answer", n)
+			case !a.whole() && a.refused.Code != callerapi.CodeOverloaded:
+				wrong <- fmt.Sprintf("verse %d: %+v", n, a)
+			}
+		})
+	}
+	group.Wait()
+	close(wrong)
+	for w := range wrong {
+		t.Error(w)
+	}
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+// Every daemon is stopped in turn under load, each started again after. No
+// caller that asked an address that it was given loses its answer.
+func TestGracefulStopOfEachDaemonUnderLoad(t *testing.T) {
+	f, e := models(t, 4)
+	stop := make(chan struct{})
+	lost := make(chan string, 1000)
+	var group sync.WaitGroup
+	for n := range 8 {
+		group.Go(func() { loadUntil(t, f, n, stop, lost) })
+	}
+	for _, i := range f.instances {
+		assert.NilError(t, i.stop(t, 60*time.Second), "%s", i.tail())
+		i.start(t)
+		f.awaitCurrent(t, i)
+	}
+	close(stop)
+	group.Wait()
+	close(lost)
+	for l := range lost {
+		t.Error(l)
+	}
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+func loadUntil(t *testing.T, f *testFleet, worker int, stop <-chan struct{}, lost chan<- string) {
+	addresses := newAddressBook(f)
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		r := request{prompt: fmt.Sprintf("load %d %d [[tokens=60]]", worker, n), maxTokens: 60, stream: true}
+		entry := addresses.pick(t, worker+n)
+		a, err := ask(callContext(t), entry, r)
+		if err != nil {
+			lost <- fmt.Sprintf("%s: no answer: %v", entry.id, err)
+		} else if !a.whole() || a.text != wanted(r) {
+			lost <- fmt.Sprintf("%s: %+v", entry.id, a)
+		}
+	}
+}
