--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -25,6 +25,7 @@
 
 	members      map[string]*progress // as leader
 	heartbeatDue time.Time
+	pending      int // bytes of the own proposals that await commit
 	lease        lease
 	reads        []read
 	receiving    *pb.Snapshot // parts of a snapshot that came so far
@@ -59,7 +60,7 @@
 		c.tickLeader(now)
 		return
 	}
-	if now.Before(c.electionDue) || !isVoter(c.log.membership(), c.config.ID) {
+	if now.Before(c.electionDue) || !c.mayStand() {
 		return
 	}
 	c.standPre(now)
@@ -97,7 +98,7 @@
 		c.becomeFollower(now, m.Term, "")
 		return false
 	case pb.MessageKind_MESSAGE_KIND_VOTE:
-		if c.followsLeader(now) {
+		if c.followsLeader(now) && !m.Handover {
 			return false
 		}
 		c.becomeFollower(now, m.Term, "")
@@ -141,6 +142,8 @@
 		c.handleAppendReply(now, m)
 	case pb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
 		c.handleHeartbeatReply(now, m)
+	case pb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW:
+		c.handleTimeoutNow(now, m)
 	case pb.MessageKind_MESSAGE_KIND_SNAPSHOT_REPLY:
 		c.handleSnapshotReply(now, m)
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -31,6 +31,15 @@
 	return c.role == Leader || now.Sub(c.lastLeader) < c.config.ElectionTimeout
 }
 
+// mayStand: voters stand, and so does a member whose removal is in its log but
+// not known to be committed. It may be the only one with that entry; the
+// others then lack its vote, which it can't give to their shorter logs, and
+// without its candidacy no leader would ever be elected.
+func (c *Core) mayStand() bool {
+	return isVoter(c.log.membership(), c.config.ID) ||
+		isVoter(c.log.membershipBefore(c.log.commit), c.config.ID)
+}
+
 // standPre asks whether an election could be won, without a new term. A
 // member that can't reach a quorum thus never raises its term, and on its
 // return disturbs nobody.
@@ -40,13 +49,13 @@
 	c.receiving = nil
 	c.resetElection(now)
 	if c.won() {
-		c.stand(now)
+		c.stand(now, false)
 		return
 	}
-	c.askVotes(pb.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1)
+	c.askVotes(pb.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1, false)
 }
 
-func (c *Core) stand(now time.Time) {
+func (c *Core) stand(now time.Time, handover bool) {
 	c.role, c.leader = Candidate, ""
 	c.term++
 	c.vote = c.config.ID
@@ -56,17 +65,17 @@
 		c.becomeLeader(now)
 		return
 	}
-	c.askVotes(pb.MessageKind_MESSAGE_KIND_VOTE, c.term)
+	c.askVotes(pb.MessageKind_MESSAGE_KIND_VOTE, c.term, handover)
 }
 
-func (c *Core) askVotes(kind pb.MessageKind, term uint64) {
+func (c *Core) askVotes(kind pb.MessageKind, term uint64, handover bool) {
 	for _, member := range c.log.membership().Members {
 		if member.Learner || member.DiskId == c.config.ID {
 			continue
 		}
 		c.send(&pb.ConsensusMessage{
 			Kind: kind, To: member.DiskId, Term: term,
-			PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(),
+			PrevIndex: c.log.last(), PrevTerm: c.log.lastTerm(), Handover: handover,
 		})
 	}
 }
@@ -103,12 +112,12 @@
 	}
 	c.votes[m.From] = true
 	if c.won() {
-		c.stand(now)
+		c.stand(now, false)
 	}
 }
 
 func (c *Core) answerVote(now time.Time, m *pb.ConsensusMessage) {
-	if c.followsLeader(now) {
+	if c.followsLeader(now) && !m.Handover {
 		return
 	}
 	free := c.vote == m.From || c.vote == "" && c.leader == ""
@@ -133,6 +142,7 @@
 func (c *Core) becomeLeader(now time.Time) {
 	c.role, c.leader = Leader, c.config.ID
 	c.votes = nil
+	c.pending = 0
 	c.members = map[string]*progress{}
 	c.lease = lease{}
 	c.syncProgress(now)
