--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -36,8 +36,8 @@
 	random *rand.Rand
 	leader string        // last known; empty when not
 	moved  chan struct{} // closed when a leader becomes known
-	next   int    // of addresses, when there is no leader known
-	reader string // where pulls go
+	next   int           // of addresses, when there is no leader known
+	reader string        // where pulls go
 }
 
 // NewClient makes a client of the control instances at addresses, which is
--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -34,6 +34,13 @@
 	n.servers[address] = s
 }
 
+// remove makes a server's process dead: its port refuses.
+func (n *network) remove(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.servers, address)
+}
+
 func (n *network) server(address string) pb.DRPCControlServer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -116,18 +123,21 @@
 		return err
 	}
 	l.net.mu.Lock()
-	l.net.bytes += len(encoded)
-	l.net.calls++
+	if _, consensus := in.(*pb.ConsensusMessage); !consensus {
+		l.net.bytes += len(encoded)
+		l.net.calls++
+	}
 	l.net.mu.Unlock()
 	return enc.Unmarshal(encoded, out)
 }
 
 func receiver(name string) drpc.Receiver {
-	var d pb.DRPCControlDescription
-	for n := range d.NumMethods() {
-		method, _, receive, _, _ := d.Method(n)
-		if method == name {
-			return receive
+	for _, d := range []drpc.Description{pb.DRPCControlDescription{}, pb.DRPCConsensusDescription{}} {
+		for n := range d.NumMethods() {
+			method, _, receive, _, _ := d.Method(n)
+			if method == name {
+				return receive
+			}
 		}
 	}
 	return nil
