--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/replica"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
@@ -39,6 +40,8 @@
 	changed    chan struct{}
 }
 
+var _ replica.StateMachine = (*Machine)(nil)
+
 // NewMachine makes an empty state.
 func NewMachine(o MachineOptions) *Machine {
 	m := &Machine{check: o.Check, build: o.Build, changed: make(chan struct{})}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -57,8 +57,14 @@
 	leases   *leases
 	expiring chan struct{} // one token for each expiry under way
 	pulls    chan struct{} // one token for each open pull
+	ledTerm  uint64        // term in which this member leads, 0: none; of Run alone
 }
 
+var (
+	_ pb.DRPCControlServer   = (*Server)(nil)
+	_ pb.DRPCConsensusServer = (*Server)(nil)
+)
+
 // NewServer makes the service; Run must be running for leases to end.
 func NewServer(o ServerOptions) *Server {
 	now := o.Now
--- a/internal/control/server_run.go
+++ b/internal/control/server_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -26,8 +27,14 @@
 func (s *Server) endLeases(ctx context.Context) {
 	term, leading := s.observe()
 	if !leading {
+		s.ledTerm = 0
 		return
 	}
+	if term != s.ledTerm {
+		s.ledTerm = term
+		s.part.Info("Leading.", "term", term)
+		s.record(timeline.Event{Kind: timeline.KindLeader, Detail: fmt.Sprintf("%s term %d", s.self.ID, term)})
+	}
 	ended := s.leases.tick(s.now(), term, s.instanceLease(), s.machine.Owners())
 	for _, o := range ended {
 		select {
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -34,6 +34,8 @@
 	wasCurrent bool
 }
 
+var _ Source = (*Agent)(nil)
+
 // NewAgent makes an agent; nothing is current before Run.
 func NewAgent(o Options) *Agent {
 	now := o.Now
