--- a/internal/control/daemons_test.go
+++ b/internal/control/daemons_test.go
@@ -80,6 +80,29 @@
 	})
 }
 
+// An entry is cut off for a moment in which 600, or more than all kept deltas,
+// changes are accepted. It catches up, by deltas or by the whole state, under
+// the incarnation that it had, and its settings and view are the newest.
+func TestFarBehindEntryCatchesUp(t *testing.T) {
+	for _, changes := range []uint64{600, recentDeltas + 100} {
+		inBubble(t, 3, func(b *bench) {
+			d := b.start("e0", 1)
+			time.Sleep(5 * time.Second)
+			b.cutOff("e0", true)
+			for n := range changes {
+				b.apply("teams/sorters", n+1, teamYAML("sorters", "barasat"))
+			}
+			time.Sleep(instanceLease / 2)
+			assert.Equal(t, d.agent.State().Tree.Versions["teams/sorters"], uint64(1))
+			b.cutOff("e0", false)
+			time.Sleep(settingsLease)
+			assert.Assert(t, d.current())
+			assert.Equal(t, d.agent.State().Tree.Versions["teams/sorters"], changes+1)
+			assert.Equal(t, b.view()["e0"], uint64(1))
+		})
+	}
+}
+
 // Only answers get lost on the way to the entry. The leader sees renewals and
 // keeps the entry in the view, but the entry can't know: it stops.
 func TestOneWayCutStopsTheEntry(t *testing.T) {
