--- /dev/null
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"gotest.tools/v3/assert"
+)
+
+// asCommand makes the test binary run the command instead of the tests.
+const asCommand = "HYSSOPSAIL_STANDIN_TEST_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// command runs the command as a process of its own, until the test ends.
+func command(t *testing.T, args ...string) (process *exec.Cmd, addresses []string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "addresses")
+	args = append(args, "--id", "e", "--zone", "howrah", "--model", "m@1", "--leave-grace", "1ms",
+		"--incarnation", "5", "--log-level", "error", "--address-file", file)
+	process = exec.Command(os.Args[0], args...)
+	process.Env = append(os.Environ(), asCommand+"=1")
+	process.Stderr = os.Stderr
+	assert.NilError(t, process.Start())
+	t.Cleanup(func() { _ = process.Process.Kill() })
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		text, err := os.ReadFile(file)
+		if err == nil {
+			return process, strings.Split(strings.TrimSpace(string(text)), "\n")
+		}
+		assert.Assert(t, time.Now().Before(deadline), "no address file")
+	}
+}
+
+func target(line string) engine.Target {
+	id, address, _ := strings.Cut(line, " ")
+	return engine.Target{ID: fleet.EndpointID(id), Incarnation: 5, Zone: "howrah", Address: address}
+}
+
+func prefill(t *testing.T, at engine.Target, prompt string) error {
+	t.Helper()
+	_, err := engine.NewClient(engine.Options{PrefillTimeout: 10 * time.Second}).Prefill(t.Context(), at, nil, engineapi.PrefillRequest{
+		Work:   engineapi.Work{Attempt: "1", Endpoint: at.ID, Incarnation: 5, Model: engineapi.ModelRef{Model: "m", Version: "1"}},
+		Prompt: prompt,
+	})
+	return err
+}
+
+func TestStopIsGraceful(t *testing.T) {
+	process, addresses := command(t, "--count", "3")
+	assert.Equal(t, len(addresses), 3)
+	for _, line := range addresses {
+		assert.NilError(t, prefill(t, target(line), "x"))
+	}
+	assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, process.Wait())
+}
+
+// A marked request ends each process that runs it, and its client sees the
+// connection break.
+func TestMarkedRequestEndsTheProcess(t *testing.T) {
+	process, addresses := command(t, "--crash-marker", "poison")
+	err := prefill(t, target(addresses[0]), "poison")
+	var failure *engine.Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, failure.Sent)
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(process.Wait(), &exit))
+	assert.Equal(t, exit.ExitCode(), 3)
+}
+
+// An engine process is stopped by SIGSTOP in the middle of a prefill, and goes
+// on after SIGCONT; its answer then still counts.
+func TestStoppedProcessGoesOn(t *testing.T) {
+	process, addresses := command(t, "--prefill-base", "300ms")
+	done := make(chan error, 1)
+	go func() { done <- prefill(t, target(addresses[0]), "x") }()
+	client := engine.NewClient(engine.Options{ReadTimeout: 100 * time.Millisecond})
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		held, err := client.Held(t.Context(), target(addresses[0]))
+		if err == nil && len(held.Held) == 1 {
+			break
+		}
+		assert.Assert(t, time.Now().Before(deadline))
+	}
+	assert.NilError(t, process.Process.Signal(syscall.SIGSTOP))
+	_, err := client.Held(t.Context(), target(addresses[0]))
+	assert.Assert(t, err != nil)
+	assert.NilError(t, process.Process.Signal(syscall.SIGCONT))
+	assert.NilError(t, <-done)
+}
+
+func TestBadCommandLines(t *testing.T) {
+	for name, args := range map[string][]string{
+		"no ID":        {"--zone", "z"},
+		"no zone":      {"--id", "e"},
+		"unknown role": {"--id", "e", "--zone", "z", "--role", "cook"},
+		"bad model":    {"--id", "e", "--zone", "z", "--model", "m"},
+		"no version":   {"--id", "e", "--zone", "z", "--model", "m@/a"},
+		"no endpoints": {"--id", "e", "--zone", "z", "--count", "0"},
+		"bad faults":   {"--id", "e", "--zone", "z", "--faults", "{"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parse(args)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	c, err := parse([]string{
+		"--id", "e", "--zone", "z", "--role", "prefill", "--model", "m@1/a", "--model", "n@2",
+		"--faults", `{"slow":2}`, "--crash-at", "decode", "--kv-life", "1s",
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, c.options.Models, []engineapi.ModelRef{
+		{Model: "m", Version: "1", Adapter: "a"}, {Model: "n", Version: "2"},
+	})
+	assert.Equal(t, c.options.Faults.Slow, 2.0)
+	assert.Equal(t, c.options.CrashAt, engineapi.StageDecode)
+	assert.Equal(t, c.options.Timing.KVLife, time.Second)
+}
