engine: plain calls name the process that sends them

A plain service's held list gave calls without an owner. A home that adopts one after a change of homes finds no such owner in the view and, once the call is older than the settings lease, cancels it in the middle. Options.Owner sets Hyssopsail-Owner on each call; TestHeldCallNamesItsOwner fails without it ("/0 != entry-1/7"). The daemon must still pass its owner. The command is proved to stop gracefully with a stream in flight (fails without the leave: "stream ended early: unexpected EOF").

--- a/cmd/hyssopsail-standin/main_test.go
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
 	"gotest.tools/v3/assert"
 )
 
@@ -52,16 +54,21 @@
 	return engine.Target{ID: fleet.EndpointID(id), Incarnation: 5, Zone: "howrah", Address: address}
 }
 
+func work(at engine.Target) engineapi.Work {
+	model := engineapi.ModelRef{Model: "m", Version: "1"}
+	return engineapi.Work{Attempt: "1", Endpoint: at.ID, Incarnation: at.Incarnation, Model: model}
+}
+
 func prefill(t *testing.T, at engine.Target, prompt string) error {
 	t.Helper()
 	_, err := engine.NewClient(engine.Options{PrefillTimeout: 10 * time.Second}).Prefill(t.Context(), at, nil, engineapi.PrefillRequest{
-		Work:   engineapi.Work{Attempt: "1", Endpoint: at.ID, Incarnation: 5, Model: engineapi.ModelRef{Model: "m", Version: "1"}},
+		Work:   work(at),
 		Prompt: prompt,
 	})
 	return err
 }
 
-func TestStopIsGraceful(t *testing.T) {
+func TestManyEndpointsInOneProcess(t *testing.T) {
 	process, addresses := command(t, "--count", "3")
 	assert.Equal(t, len(addresses), 3)
 	for _, line := range addresses {
@@ -71,6 +78,36 @@
 	assert.NilError(t, process.Wait())
 }
 
+// An engine process gets SIGTERM with a stream in flight. The stream must end
+// whole, and the process with code 0.
+func TestStopIsGraceful(t *testing.T) {
+	const prompt = "stop [[tokens=50]]"
+	process, addresses := command(t)
+	at := target(addresses[0])
+	client := engine.NewClient(engine.Options{})
+	w := work(at)
+	kv, err := client.Prefill(t.Context(), at, nil, engineapi.PrefillRequest{Work: w, Prompt: prompt})
+	assert.NilError(t, err)
+	_, err = client.Import(t.Context(), at, nil, engineapi.ImportRequest{Work: w, Source: at.Address, Handle: kv.Handle})
+	assert.NilError(t, err)
+	stream, err := client.Decode(t.Context(), at, nil, engineapi.DecodeRequest{Work: w, Prompt: prompt})
+	assert.NilError(t, err)
+	text := ""
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		assert.NilError(t, err)
+		if text == "" {
+			assert.NilError(t, process.Process.Signal(syscall.SIGTERM))
+		}
+		text += chunk.Text
+	}
+	assert.Equal(t, text, standin.ExpectedText(prompt, 0))
+	assert.NilError(t, process.Wait())
+}
+
 // A marked request ends each process that runs it, and its client sees the
 // connection break.
 func TestMarkedRequestEndsTheProcess(t *testing.T) {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -70,6 +70,9 @@
 	}
 	header := forwardedHeader(r.Header)
 	header.Set(engineapi.HeaderAttempt, string(attempt))
+	if c.options.Owner != (fleet.Owner{}) {
+		header.Set(engineapi.HeaderOwner, c.options.Owner.String())
+	}
 	return &http.Request{
 		Method:        r.Method,
 		URL:           target,
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -14,7 +15,10 @@
 type Options struct {
 	Part       logging.Part
 	Registerer prometheus.Registerer // nil: no metrics
-	TLS        *tls.Config           // nil: plain HTTP
+	// Owner is this process. Plain calls name it; without it an endpoint's home
+	// takes a long call for one that nobody waits for, and cancels it.
+	Owner fleet.Owner
+	TLS   *tls.Config // nil: plain HTTP
 	// Dial opens connections to endpoints; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/standin/plain_test.go
+++ b/internal/standin/plain_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -75,3 +76,25 @@
 	assert.Assert(t, failure.Sent)
 	assert.Equal(t, len(s.Audit().CallRuns), 2)
 }
+
+// The home of a plain service changes while a long call runs. The new home
+// learns of the call from the endpoint alone: a call without its owner would
+// be taken for an orphan and cancelled in the middle.
+func TestHeldCallNamesItsOwner(t *testing.T) {
+	s := start(t, standin.Options{Role: fleet.RolePlain, Service: "bank"})
+	s.SetFaults(standin.Faults{HangCalls: true})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://caller/slips", strings.NewReader("x"))
+		if err == nil {
+			_, err = engine.NewClient(engine.Options{Owner: owner}).Call(ctx, target(s), open, newAttempt(), request)
+		}
+		done <- err
+	}()
+	eventually(t, "call runs", func() bool { return len(s.Held()) == 1 })
+	assert.Equal(t, s.Held()[0].Owner, owner)
+	stop()
+	assert.ErrorIs(t, <-done, context.Canceled)
+	eventually(t, "call given up", empty(s))
+}
