standin: a seeded mix of faults over 200 callers

Crossed, stale, missing, repeated and cut chunks, lost cancels, stalled transfers, freezes and callers who leave, two at a time. The emulator's wrong chunks now carry wrong text and its gap leaves a token out: with only the numbers wrong, the test passed without the client's checks.

--- a/internal/standin/decode.go
+++ b/internal/standin/decode.go
@@ -123,22 +123,27 @@
 		Text:        textOf(seed, from, to),
 		Finish:      finish,
 	}
-	if c.written >= faultAfter {
-		chunk = c.spoil(chunk, seed)
-	}
 	c.written++
-	return c.put(chunk)
+	if c.written <= faultAfter {
+		return c.put(chunk)
+	}
+	if c.fault == ChunkGap {
+		c.fault = ""
+		return true // this chunk never leaves
+	}
+	return c.put(c.spoil(chunk, seed))
 }
 
-// spoil makes the next chunk wrong, once.
+// spoil makes the next chunk wrong, once. A chunk of another attempt or
+// process has another answer's text.
 func (c *chunkWriter) spoil(chunk engineapi.Chunk, seed uint64) engineapi.Chunk {
 	switch c.fault {
 	case ChunkCrossed:
 		chunk.Attempt = "ffffffffffffffffffffffffffffffff"
+		chunk.Text = textOf(seed+1, chunk.Offset, chunk.Offset+chunk.Tokens)
 	case ChunkStale:
 		chunk.Incarnation--
-	case ChunkGap:
-		chunk.Offset++
+		chunk.Text = textOf(seed+1, chunk.Offset, chunk.Offset+chunk.Tokens)
 	case ChunkRepeat:
 		chunk.Offset--
 		chunk.Text = textOf(seed, chunk.Offset, chunk.Offset+chunk.Tokens)
--- a/internal/standin/harness_test.go
+++ b/internal/standin/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -158,7 +159,7 @@
 func read(s engine.Stream) (text string, finish engineapi.Finish, err error) {
 	for {
 		chunk, err := s.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return text, finish, nil
 		}
 		if err != nil {
