--- a/internal/endpoint/crash_test.go
+++ b/internal/endpoint/crash_test.go
@@ -1,7 +1,9 @@
 package endpoint
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -75,6 +77,23 @@
 	}
 }
 
+// An engine that was taken for dead by mistake lives on, runs the same requests
+// and goes silent again. One incarnation dies once: a second report would make
+// two crashes of it.
+func TestSecondSilenceOfAnIncarnation(t *testing.T) {
+	c := running(t, guards{})
+	assert.Equal(t, len(crashes(c, 0)), 1)
+	// A request under way to it has the home keep a record; it speaks again.
+	back := at(11 * time.Second)
+	beatCore(c, back, announcement("e1", 4), 40)
+	beatCore(c, back.Add(6*time.Second), announcement("e1", 4), 41)
+	a := askFor("x3", back.Add(6*time.Second))
+	a.fingerprint = bad
+	got, _ := c.grant(back.Add(6*time.Second), a)
+	assert.Equal(t, got.status, statusGranted)
+	assert.Equal(t, len(crashes(c, 17*time.Second)), 0)
+}
+
 // A connection breaks though the engine lives: the probe is answered, the next
 // heartbeat comes, nothing is a suspect.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
@@ -124,3 +143,40 @@
 	got, _ = c.grant(back.Add(2*time.Second), askFor("x9", back))
 	assert.Equal(t, got.status, statusGranted)
 }
+
+// An engine's heartbeats stop reaching its home. While it answers the home's
+// probe it isn't taken for dead; when it doesn't, the control group hears of
+// it once, though its first two answers are lost.
+func TestProbeDecides(t *testing.T) {
+	for name, dead := range map[string]bool{"alive": false, "dead": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				self := instance("a", zoneNear)
+				d := start(t, newFakeNet(t), self, viewOf(1, self))
+				defer d.stop()
+				lost := 2
+				reports := 0
+				d.home.options.Crash = func(context.Context, *pb.ReportCrash) error {
+					if lost--; lost >= 0 {
+						return errReplyLost
+					}
+					reports++
+					return nil
+				}
+				a := announcement("e1", 4)
+				d.engine.state, d.engine.dead = a, dead
+				d.beat(a, 1)
+				time.Sleep(2 * pollEvery)
+				d.beat(a, 2)
+				r := take("e1", "x", 0)
+				r.Fingerprint = bad
+				grant, _, err := d.client.Take(t.Context(), r)
+				assert.NilError(t, err)
+				assert.Assert(t, grant != nil)
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				assert.Equal(t, reports == 1, dead, "%d reports", reports)
+			})
+		})
+	}
+}
--- a/internal/endpoint/peers_test.go
+++ b/internal/endpoint/peers_test.go
@@ -29,7 +29,10 @@
 		"late list":                  func(p *peers) { p.take(epoch, home, listOf(home, 3, digestOf("e1", 1, 3))) },
 		"the same list again":        func(p *peers) { p.take(epoch, home, listOf(home, 10, digestOf("e1", 1, 10))) },
 		"list of an earlier process": func(p *peers) { p.take(epoch, earlier, listOf(earlier, 99, digestOf("e1", 1, 99))) },
-		"list of another than asked": func(p *peers) { p.take(epoch, home, listOf(earlier, 99, digestOf("e1", 1, 99))) },
+		"list of another than asked": func(p *peers) {
+			other := fleet.Owner{Instance: "b", Incarnation: 1}
+			p.take(epoch, home, listOf(other, 99, digestOf("e1", 1, 99)))
+		},
 		"brief digest of a dead one": func(p *peers) {
 			brief := digestOf("e1", 1, 11)
 			brief.Brief = true
