endpoint: heartbeats no longer rank the whole view

Cause: each heartbeat sorted all entries twice, for the reply and for whether this is the home. Replies are kept while the shared state is the same pointer.

--- a/internal/endpoint/bench_test.go
+++ b/internal/endpoint/bench_test.go
@@ -10,7 +10,9 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -192,3 +194,25 @@
 		})
 	}
 }
+
+// BenchmarkHeartbeat is one heartbeat with 20 holds, through the HTTP handler,
+// in a fleet of 1,300 daemons.
+func BenchmarkHeartbeat(b *testing.B) {
+	d := lone()
+	list := []fleet.Instance{d.source.self}
+	for n := range 1299 {
+		list = append(list, instance(fmt.Sprint("i", n), zoneFar))
+	}
+	d.source.state = &membership.State{View: viewOf(1, list...)}
+	beat := engineapi.Heartbeat{Announcement: announcement("e1", 20)}
+	for n := range 20 {
+		beat.Held = append(beat.Held, heldBy(fmt.Sprintf("%032d", n), list[n].Owner()))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		beat.Sequence++
+		if code := d.post("/v1/endpoints/heartbeat", beat, nil); code != 200 {
+			b.Fatal(code)
+		}
+	}
+}
--- a/internal/endpoint/home.go
+++ b/internal/endpoint/home.go
@@ -21,6 +21,7 @@
 	metrics *homeMetrics
 	jobs    chan job
 	crashes chan *pb.ReportCrash
+	replies announceReplies
 
 	mu    sync.Mutex
 	core  *core
--- a/internal/endpoint/home_http.go
+++ b/internal/endpoint/home_http.go
@@ -88,6 +88,9 @@
 
 // homeHere tells whether this instance is home of what a names.
 func (c *core) homeHere(a engineapi.Announcement) bool {
+	if r, ok := c.endpoints[a.ID]; ok && r.announced.Zone == a.Zone {
+		return c.isHome(r)
+	}
 	home, ok := fleet.HomeOf(a.ID, a.Zone, c.view)
 	return ok && home.Owner() == c.self
 }
@@ -111,33 +114,6 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-// maxAddresses bounds the other entries named in a reply.
-const maxAddresses = 5
-
-func (h *Home) announceReply(a engineapi.Announcement) (engineapi.AnnounceReply, bool) {
-	state := h.options.Source.State()
-	limits := limitsFrom(state.Tree)
-	reply := engineapi.AnnounceReply{
-		HeartbeatMs: limits.Heartbeat.Milliseconds(),
-		LeaseMs:     limits.EndpointLease.Milliseconds(),
-	}
-	entries := make([]fleet.Instance, 0, len(state.View.Instances))
-	for _, i := range state.View.Instances {
-		if i.Entry && !i.Draining {
-			entries = append(entries, i)
-		}
-	}
-	ranked := fleet.RankInstances(string(a.ID), a.Zone, entries)
-	if len(ranked) == 0 {
-		return reply, false
-	}
-	reply.Home = ranked[0].EndpointAddress
-	for _, i := range ranked[1:min(len(ranked), maxAddresses+1)] {
-		reply.Addresses = append(reply.Addresses, i.EndpointAddress)
-	}
-	return reply, true
-}
-
 func (h *Home) serveLeave(w http.ResponseWriter, r *http.Request) {
 	var l engineapi.Leave
 	if !readBody(w, r, &l) {
