endpoint: forty callers at once; a stopping daemon's last releases share one bound

A daemon that stops with releases waiting and a home out of reach would have waited half a second for each, up to 4,096; now half a second for each worker.

--- /dev/null
+++ b/internal/endpoint/concurrent_test.go
@@ -0,0 +1,78 @@
+package endpoint
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Forty callers at two entries take, wait for, renew and give back the three
+// slots of one engine at the same time. At no moment do more than three have
+// one, nobody waits beyond its patience, and in the end all are free.
+func TestManyCallersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home, other := pair(t, newFakeNet(t), "e1")
+		defer home.stop()
+		defer other.stop()
+		home.beat(announcement("e1", 3), 1)
+		time.Sleep(pollEvery + 10*time.Millisecond)
+		var inUse, most, served, overdue atomic.Int32
+		var callers sync.WaitGroup
+		for n := range 40 {
+			client := []*daemon{home, other}[n%2].client
+			random := rand.New(rand.NewPCG(uint64(n), 5))
+			callers.Go(func() {
+				for m := range 20 {
+					r := take("e1", fmt.Sprint("x", n, "-", m), time.Duration(random.IntN(3000))*time.Millisecond)
+					r.Team = []fleet.Team{"sorters", "archive"}[n%2]
+					began := time.Now()
+					grant, _, err := client.Take(t.Context(), r)
+					if time.Since(began) > r.Wait+100*time.Millisecond {
+						overdue.Add(1)
+					}
+					if err != nil || grant == nil {
+						time.Sleep(50 * time.Millisecond)
+						continue
+					}
+					now := inUse.Add(1)
+					for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+					}
+					served.Add(1)
+					time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
+					inUse.Add(-1)
+					client.Give(Release{Grant: *grant, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED, OutputTokens: 50, Busy: time.Second})
+				}
+			})
+		}
+		stop := make(chan struct{})
+		var beating sync.WaitGroup
+		beating.Go(func() {
+			for sequence := uint64(2); ; sequence++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(300 * time.Millisecond):
+					home.beat(announcement("e1", 3), sequence)
+				}
+			}
+		})
+		callers.Wait()
+		time.Sleep(500 * time.Millisecond)
+		close(stop)
+		beating.Wait()
+		t.Logf("%d served, at most %d at once", served.Load(), most.Load())
+		assert.Equal(t, most.Load(), int32(3))
+		assert.Equal(t, overdue.Load(), int32(0))
+		assert.Equal(t, home.used("e1"), 0)
+		assert.Assert(t, served.Load() > 40)
+	})
+}
--- a/internal/endpoint/follower_give.go
+++ b/internal/endpoint/follower_give.go
@@ -82,14 +82,14 @@
 }
 
 // giveRest sends what still waits once, when the daemon stops: its calls no
-// longer end with the loop's context.
+// longer end with the loop's context, but all of them together within giveCall.
 func (f *HomeClient) giveRest() {
+	ctx, cancel := context.WithTimeout(context.Background(), giveCall)
+	defer cancel()
 	for {
 		select {
 		case g := <-f.gives:
-			ctx, cancel := context.WithTimeout(context.Background(), giveCall)
 			f.giveOnce(ctx, &g)
-			cancel()
 			g.settle()
 		default:
 			return
