Route: a request that would miss its team's first-token target isn't admitted

Admission compared the predicted wait with the caller's patience alone, 10 s for sorters, so that at 150% of capacity nearly all answers came after the 1.6 s target.

--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -98,7 +98,7 @@
 		Limits:        m.class.team.Limits,
 		Share:         m.class.team.Share,
 		Work:          float64(prefill.Milliseconds()) + float64(w.tokenTime.Milliseconds())*float64(m.class.output),
-		Patience:      m.remaining(),
+		Patience:      m.admissionPatience(),
 		PredictedWait: w.firstToken(prefill, transfer),
 		DrainPerSec:   w.drainPerSec,
 		Queued:        w.queued,
@@ -107,6 +107,17 @@
 	}
 }
 
+// admissionPatience is the longest wait with which a request is taken. One that
+// would miss its team's target is refused at once: taken, it would be late and
+// make those behind it late too, until all answers of an overloaded fleet are.
+func (m *modelRun) admissionPatience() time.Duration {
+	target := m.class.team.Targets.FirstToken
+	if target <= 0 {
+		return m.remaining()
+	}
+	return min(m.remaining(), target)
+}
+
 func (r *Router) recordEnd(id fleet.RequestID, team fleet.Team, f *Failure) {
 	e := timeline.Event{Kind: timeline.KindCompleted, Request: id, Team: team}
 	if f != nil {
