--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -16,6 +17,8 @@
 func TestCancelAtEachStage(t *testing.T) {
 	slow := quick()
 	slow.PrefillBase = 1 << 40
+	patient := quick()
+	patient.TransferBound = time.Hour
 	long := "[[tokens=100000]]"
 	for _, test := range []struct {
 		stage engineapi.Stage
@@ -51,14 +54,19 @@
 	} {
 		t.Run(string(test.stage), func(t *testing.T) {
 			p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill, Timing: test.pre})
-			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode})
+			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Timing: patient})
 			f := newFlow(p, d, long+strings.Repeat("x", 4000))
 			waiting := test.reach(t, f, p, d)
-			f.client.Cancel(f.prefill, f.attempt)
+			// The decode engine first: otherwise its transfer may break at the
+			// other end before its own cancel comes.
 			f.client.Cancel(f.decode, f.attempt)
-			eventually(t, "prefill engine free", empty(p))
 			eventually(t, "decode engine free", empty(d))
-			if waiting != nil {
+			if test.stage == engineapi.StageImported {
+				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
+			}
+			f.client.Cancel(f.prefill, f.attempt)
+			eventually(t, "prefill engine free", empty(p))
+			if test.stage == engineapi.StagePrefill {
 				assert.Equal(t, codeOf(<-waiting), engineapi.CodeStale)
 			}
 			eventually(t, "late prefill refused", func() bool {
@@ -89,3 +97,29 @@
 	assert.Equal(t, d.Faults().IgnoreCancels, 0)
 	assert.Equal(t, d.Audit().Cancelled, 1)
 }
+
+// Some engines free a request by themselves when its connection ends, others
+// compute on for nobody.
+func TestDisconnectFreesOnlyIfAsked(t *testing.T) {
+	for name, frees := range map[string]bool{"frees": true, "goes on": false} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill})
+			d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, FreeOnDisconnect: frees})
+			f := newFlow(p, d, "gone [[tokens=100000]]")
+			f.most = 100_000
+			f.toDecode(t)
+			stream, err := f.open(t.Context(), 0)
+			assert.NilError(t, err)
+			_, err = stream.Next()
+			assert.NilError(t, err)
+			assert.NilError(t, stream.Close())
+			if frees {
+				eventually(t, "memory free", empty(d))
+				return
+			}
+			before := d.Audit().Tokens
+			eventually(t, "tokens go on", func() bool { return d.Audit().Tokens > before+50 })
+			assert.Equal(t, len(d.Held()), 1)
+		})
+	}
+}
