Schedule: sampled-wait, the least wait of three candidates, to be measured

Entries learn a prefill engine's queue only each 500 to 900 ms, so that taking the least of all may send what comes meanwhile to one engine. Settings take the name, and a test ties the names of settings to the policies.

--- a/internal/schedule/choice_test.go
+++ b/internal/schedule/choice_test.go
@@ -47,6 +47,8 @@
 		{"a cached prefix is not worth a long queue", fleet.RolePrefill, NameLeastWait, "", []endpoint.Candidate{swamped, idle}, "idle"},
 		{"the near zone wins", fleet.RolePrefill, NameLeastWait, "", []endpoint.Candidate{far, idle}, "idle"},
 		{"one that just failed is passed over", fleet.RolePrefill, NameLeastWait, "warm", []endpoint.Candidate{warm, busy}, "busy"},
+		{"a sample takes the least wait of its own", fleet.RolePrefill, NameSampledWait, "", []endpoint.Candidate{idle, warm, busy}, "warm"},
+		{"a sample isn't filled by those to avoid", fleet.RolePrefill, NameSampledWait, "busy", []endpoint.Candidate{busy, busy, busy, busy, idle}, "idle"},
 		{"two choices take the free one", fleet.RoleDecode, NameTwoChoices, "", []endpoint.Candidate{busy, idle}, "idle"},
 		{"two choices stay near", fleet.RoleDecode, NameTwoChoices, "", []endpoint.Candidate{far, idle}, "idle"},
 		{"two choices avoid", fleet.RoleDecode, NameTwoChoices, "idle", []endpoint.Candidate{busy, idle}, "busy"},
@@ -73,7 +75,7 @@
 func TestChoiceOfNone(t *testing.T) {
 	only := []endpoint.Candidate{{ID: "a", Slots: 1}}
 	avoid := Request{Avoid: map[fleet.EndpointID]struct{}{"a": {}}}
-	for _, name := range []string{NameLeastWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
+	for _, name := range []string{NameLeastWait, NameSampledWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
 		policy, err := ChoiceByName(fleet.RolePrefill, name)
 		assert.NilError(t, err)
 		_, ok := policy.Choose(Request{}, nil, seeded())
@@ -154,7 +156,7 @@
 func TestChoiceAllocatesNothing(t *testing.T) {
 	r, candidates := benchmarkRequest()
 	random := seeded()
-	for _, name := range []string{NameLeastWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
+	for _, name := range []string{NameLeastWait, NameSampledWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
 		policy, err := ChoiceByName(fleet.RolePrefill, name)
 		assert.NilError(t, err)
 		got := testing.AllocsPerRun(100, func() { policy.Choose(r, candidates, random) })
@@ -163,7 +165,7 @@
 }
 
 func BenchmarkChoice576(b *testing.B) {
-	for _, name := range []string{NameLeastWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
+	for _, name := range []string{NameLeastWait, NameSampledWait, NameTwoChoices, NameRoundRobin, NameLeastReportedLoad} {
 		r, candidates := benchmarkRequest()
 		policy, _ := ChoiceByName(fleet.RolePrefill, name)
 		b.Run(name, func(b *testing.B) { run(b, policy, r, candidates) })
--- a/internal/schedule/leastwait.go
+++ b/internal/schedule/leastwait.go
@@ -17,6 +17,11 @@
 	maxCacheProbes = 64
 )
 
+// sampledWalk is how many candidates the sampled policy looks at. The entries'
+// digests are some hundred milliseconds old; were each entry to take the best
+// of all, they would send what comes meanwhile to the same endpoint.
+const sampledWalk = 3
+
 // tieWindow is the difference in predicted wait below which two endpoints are
 // taken as equal, so that entries with the same view don't all pick one.
 const tieWindow = 500 * time.Microsecond
@@ -26,12 +31,13 @@
 // prefix cache saves.
 type leastWait struct {
 	kind    fleet.EndpointRole
+	walk    int // candidates looked at
 	prefill *PrefillPredictor
 	links   LinkCost
 }
 
-func newLeastWait(kind fleet.EndpointRole, o ChoiceOptions) leastWait {
-	return leastWait{kind: kind, prefill: o.Prefill, links: o.Links}
+func newLeastWait(kind fleet.EndpointRole, walk int, o ChoiceOptions) leastWait {
+	return leastWait{kind: kind, walk: walk, prefill: o.Prefill, links: o.Links}
 }
 
 // Choose implements Choice. It walks the candidates from a random place, and
@@ -44,14 +50,21 @@
 	s := search{best: -1, score: math.MaxInt64 - tieWindow, state: random.Uint64() | 1}
 	links := zoneCosts{from: r.EntryZone, bytes: r.KVBytes, links: p.links}
 	start := random.IntN(len(candidates))
-	for n := range min(len(candidates), maxWalk) {
+	for n := range len(candidates) {
+		if s.seen >= p.walk {
+			break
+		}
 		at := start + n
 		if at >= len(candidates) {
 			at -= len(candidates)
 		}
 		c := &candidates[at]
+		if avoided(&r, c) {
+			continue
+		}
+		s.seen++
 		wait := c.NextFree + c.QueuedWork
-		if wait > s.score+tieWindow || avoided(&r, c) {
+		if wait > s.score+tieWindow {
 			continue
 		}
 		wait += links.cost(c.Zone)
@@ -92,7 +105,8 @@
 	best   int // -1: none yet
 	score  time.Duration
 	ties   uint64 // candidates taken as equal to the best so far
-	probes int
+	seen   int    // candidates that may be chosen
+	probes int    // cache lookups
 	blocks int    // cached at the last candidate that had any
 	state  uint64 // of the generator that breaks ties
 }
--- a/internal/schedule/names.go
+++ b/internal/schedule/names.go
@@ -11,6 +11,7 @@
 const (
 	NameDefault           = ""
 	NameLeastWait         = "least-wait"
+	NameSampledWait       = "sampled-wait"
 	NameTwoChoices        = "two-choices"
 	NameRoundRobin        = "round-robin"
 	NameLeastReportedLoad = "least-reported-load"
@@ -51,7 +52,9 @@
 	}
 	switch name {
 	case NameLeastWait:
-		return newLeastWait(kind, options), nil
+		return newLeastWait(kind, maxWalk, options), nil
+	case NameSampledWait:
+		return newLeastWait(kind, sampledWalk, options), nil
 	case NameTwoChoices:
 		return twoChoices{kind: kind, links: options.Links}, nil
 	case NameRoundRobin:
--- a/internal/settings/policies.go
+++ b/internal/settings/policies.go
@@ -5,10 +5,10 @@
 // The policy names that each decision takes. Package schedule has one type for
 // each; a name without a type would be accepted and then ignored.
 var (
-	prefillPolicies = []string{"least-wait", "two-choices", "round-robin", "least-reported-load"}
-	decodePolicies  = []string{"two-choices", "least-wait", "round-robin", "least-reported-load"}
+	prefillPolicies = []string{"least-wait", "sampled-wait", "two-choices", "round-robin", "least-reported-load"}
+	decodePolicies  = []string{"two-choices", "least-wait", "sampled-wait", "round-robin", "least-reported-load"}
 	startPolicies   = []string{"predicted-room", "prefill-first", "reserve-first"}
-	plainPolicies   = []string{"two-choices", "least-wait", "round-robin", "least-reported-load"}
+	plainPolicies   = []string{"two-choices", "least-wait", "sampled-wait", "round-robin", "least-reported-load"}
 )
 
 // Policies gives the names that each decision takes, the default first.
