--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -9,6 +9,7 @@
 type caller struct {
 	sender *sender
 	books  []*addressBook
+	direct []string
 }
 
 // run gives the last answer of the job.
@@ -26,6 +27,9 @@
 }
 
 func (c *caller) once(ctx context.Context, j *job) answer {
+	if j.stream.Direct {
+		return c.sender.send(ctx, j, c.direct[j.number%len(c.direct)])
+	}
 	book := c.books[j.caller]
 	address, err := book.use(ctx, j.stream.Key)
 	if err != nil {
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -40,6 +40,9 @@
 	if s.Load > 0 && (s.Model == "" || !c.known()) {
 		return trace.BadParameter("load needs a model and the experiment's capacity")
 	}
+	if s.Direct && s.Service == "" {
+		return trace.BadParameter("only calls of plain services can go to endpoints directly")
+	}
 	if s.Path[0] != '/' {
 		return trace.BadParameter("path must begin with /")
 	}
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -22,6 +22,7 @@
 	AskAddresses bool          `yaml:"ask_addresses"` // use GET /v1/addresses of the entries
 	Callers      int           `yaml:"callers"`       // processes that each keep an address answer, default 60
 	Audits       []string      `yaml:"audits"`        // host:port of emulated endpoints
+	Direct       []string      `yaml:"direct"`        // host:port of plain services, for direct streams
 	Capacity     Capacity      `yaml:"capacity"`
 	Streams      []Stream      `yaml:"streams"`
 }
@@ -50,6 +51,7 @@
 	Path      string `yaml:"path"`       // default "/"
 	BodyBytes Mix    `yaml:"body_bytes"` // default 200
 
+	Direct        bool   `yaml:"direct"`         // calls the endpoints themselves, to compare
 	Keyed         bool   `yaml:"keyed"`          // sends an Idempotency-Key
 	NotIdempotent bool   `yaml:"not_idempotent"` // sends Hyssopsail-Idempotent: false
 	Resend        Resend `yaml:"resend"`
--- a/internal/load/register.go
+++ b/internal/load/register.go
@@ -22,6 +22,7 @@
 	file     string
 	entries  []string
 	audits   []string
+	direct   []string
 	keys     map[string]string
 	jsonFile string
 	noCheck  bool
@@ -35,6 +36,7 @@
 	cmd.Arg("file", "Experiment in YAML.").Required().StringVar(&c.file)
 	cmd.Flag("entry", "host:port of an entry, instead of the file's; repeatable.").StringsVar(&c.entries)
 	cmd.Flag("audit", "host:port of an emulated endpoint, besides the file's; repeatable.").StringsVar(&c.audits)
+	cmd.Flag("direct", "host:port of a plain service, for direct streams; repeatable.").StringsVar(&c.direct)
 	cmd.Flag("team-key", "team=key, instead of the file's; repeatable.").StringMapVar(&c.keys)
 	cmd.Flag("variant", "Name of what is measured, for comparisons.").StringVar(&c.options.Variant)
 	cmd.Flag("pair", "Number of the interleaved pair.").IntVar(&c.options.Pair)
@@ -66,6 +68,7 @@
 		e.Entries = splitLists(c.entries)
 	}
 	e.Audits = append(e.Audits, splitLists(c.audits)...)
+	e.Direct = append(e.Direct, splitLists(c.direct)...)
 	for n := range e.Streams {
 		if key, ok := c.keys[e.Streams[n].Team]; ok {
 			e.Streams[n].Key = key
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 	if len(e.Entries) == 0 {
 		return Result{}, trace.BadParameter("no entries are given")
 	}
+	if len(e.Direct) == 0 && slices.ContainsFunc(e.Streams, func(s Stream) bool { return s.Direct }) {
+		return Result{}, trace.BadParameter("a stream is direct but no endpoints are given")
+	}
 	client := &http.Client{Transport: o.Transport}
 	if o.Transport == nil {
 		transport := newTransport(e.MaxInFlight)
@@ -77,7 +81,7 @@
 }
 
 func newRunner(e *Experiment, client *http.Client, o Options) *runner {
-	c := &caller{sender: &sender{client: client, expect: o.Expect}}
+	c := &caller{sender: &sender{client: client, expect: o.Expect}, direct: e.Direct}
 	for n := range e.Callers {
 		c.books = append(c.books, newAddressBook(client, e, n))
 	}
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -62,6 +62,9 @@
 
 func (s *sender) request(ctx context.Context, j *job, address string) (*http.Request, error) {
 	method, path, body := j.stream.Method, "/v1/services/"+j.stream.Service+j.stream.Path, []byte(j.body)
+	if j.stream.Direct {
+		path = "/call" + j.stream.Path
+	}
 	if j.stream.Model != "" {
 		method, path = http.MethodPost, "/v1/completions"
 		encoded, err := json.Marshal(callerapi.CompletionRequest{
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -104,6 +104,11 @@
 	for id in "${STANDINS[@]}"; do printf '%s,' "$(address_of "$id")"; done
 }
 
+plain_list() {
+	local id
+	for id in "${STANDINS[@]}"; do [[ $id != plain-* ]] || printf '%s,' "$(address_of "$id")"; done
+}
+
 callers_list() {
 	local n
 	for n in "${!DAEMONS[@]}"; do printf '127.0.0.1:%s,' "$(port "$n" 1)"; done
