--- a/internal/admission/contract.go
+++ b/internal/admission/contract.go
@@ -37,6 +37,8 @@
 	Admit(now time.Time, r Request) Decision
 	// Done gives back what Admit counted.
 	Done(now time.Time, r Request)
+	// FirstToken tells how long an admitted request really waited.
+	FirstToken(now time.Time, r Request, waited time.Duration)
 	// MayRetry spends from the retry budgets of team and endpoint.
 	MayRetry(now time.Time, team fleet.Team, endpoint fleet.EndpointID) bool
 	// Succeeded refills the retry budgets.
--- a/internal/admission/control.go
+++ b/internal/admission/control.go
@@ -48,6 +48,7 @@
 	if refusal, refused := c.checkLimits(now, r, t); refused {
 		return refusal
 	}
+	r.PredictedWait += t.bias.correction(now, r.Patience)
 	if r.PredictedWait > r.Patience {
 		return c.refuse(now, r, callerapi.CodeOverloaded, r.PredictedWait-r.Patience)
 	}
@@ -65,6 +66,13 @@
 	}
 }
 
+// FirstToken implements Controller.
+func (c *Control) FirstToken(now time.Time, r Request, waited time.Duration) {
+	if t, ok := c.teams[r.Team]; ok {
+		t.bias.learn(now, r.PredictedWait, waited)
+	}
+}
+
 // MayRetry implements Controller. Nothing is spent unless both have it.
 func (c *Control) MayRetry(now time.Time, team fleet.Team, endpoint fleet.EndpointID) bool {
 	ofTeam := c.byTeam.get(now, team)
--- a/internal/admission/team.go
+++ b/internal/admission/team.go
@@ -11,4 +11,5 @@
 	offered  decaying      // work asked for
 	admitted decaying      // work taken
 	seen     time.Time
+	bias     bias
 }
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -116,7 +116,9 @@
 		return
 	}
 	a.run.event(timeline.KindFirstToken, a.id, a.decode.target.ID)
-	a.run.router.metrics.sawFirstToken(time.Since(a.run.req.Arrived))
+	waited := time.Since(a.run.req.Arrived)
+	a.run.router.metrics.sawFirstToken(waited)
+	a.run.router.admissionSaw(a.run.admitted, waited)
 }
 
 func (a *attempt) ended(c engineapi.Chunk) {
--- a/internal/route/fakes_test.go
+++ b/internal/route/fakes_test.go
@@ -588,6 +588,8 @@
 
 func (w *world) Done(time.Time, admission.Request) {}
 
+func (w *world) FirstToken(time.Time, admission.Request, time.Duration) {}
+
 func (w *world) MayRetry(time.Time, fleet.Team, fleet.EndpointID) bool { return !w.noBudget }
 
 func (w *world) Succeeded(time.Time, fleet.Team, fleet.EndpointID) {}
--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -72,6 +72,7 @@
 	if !d.Admitted {
 		return nil, admissionRefusal(d)
 	}
+	m.admitted = q
 	return func() { m.router.admissionDone(q) }, nil
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -85,6 +85,12 @@
 	r.opts.Admission.Done(time.Now(), a)
 }
 
+func (r *Router) admissionSaw(a admission.Request, waited time.Duration) {
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	r.opts.Admission.FirstToken(time.Now(), a, waited)
+}
+
 func (r *Router) mayRetry(team fleet.Team, failed fleet.EndpointID) bool {
 	r.admissionMu.Lock()
 	defer r.admissionMu.Unlock()
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/admission"
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -22,6 +23,7 @@
 	sink        Sink
 
 	policies     Policies
+	admitted     admission.Request
 	avoid        endpointSet
 	deadline     time.Time // for the next token
 	attempts     int
