--- a/internal/admission/bias_test.go
+++ b/internal/admission/bias_test.go
@@ -42,6 +42,7 @@
 func TestLongPredictionsArentShortened(t *testing.T) {
 	c := New(Options{})
 	r := plain()
+	r.PredictedWait = 1000 * ms
 	assert.Assert(t, c.Admit(start, r).Admitted)
 	for range 200 {
 		c.FirstToken(start, r, 0)
