outcome: benchmarks, shared names, slow replicas get the record

Cause: figures for the cost of a claim, and two findings on the way. A claim that had its majority cancelled the call to the third replica, which then lacked the record and counted as unhealthy; the call now goes on for its own timeout.

The contract now says what an error of Claim doesn't tell: whether an earlier attempt with the key ran.

--- /dev/null
+++ b/internal/outcome/bench_test.go
@@ -0,0 +1,212 @@
+package outcome
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"math/big"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// benchTLS makes a certificate that is its own authority.
+func benchTLS(b *testing.B) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(b, err)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		DNSNames:              []string{rpc.ServerName},
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(b, err)
+	leaf, err := x509.ParseCertificate(der)
+	assert.NilError(b, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return rpc.MutualTLS(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool)
+}
+
+// directDialer calls services of this process.
+type directDialer map[string]*Service
+
+func (d directDialer) Conn(_ context.Context, address string) (drpc.Conn, error) {
+	return &directConn{service: d[address]}, nil
+}
+
+type directConn struct {
+	drpc.Conn
+	service *Service
+}
+
+func (c *directConn) Invoke(ctx context.Context, name string, _ drpc.Encoding, in, out drpc.Message) error {
+	reply, err := dispatch(ctx, c.service.Server(), name, in)
+	if err != nil {
+		return err
+	}
+	out.(*pb.LedgerVerdict).Record = reply.(*pb.LedgerVerdict).Record
+	out.(*pb.LedgerVerdict).Ok = reply.(*pb.LedgerVerdict).Ok
+	return nil
+}
+
+// benchEntry gives an entry that isn't a replica itself, the usual case, and
+// its three replicas, over loopback TCP with TLS or by direct calls.
+func benchEntry(b *testing.B, overNetwork, fast bool, registry prometheus.Registerer) *Service {
+	group := make(map[fleet.LedgerShard]fleet.LedgerGroup)
+	view := fleet.View{Instances: make(map[fleet.InstanceID]fleet.Instance)}
+	state := &membership.State{View: view, Groups: group}
+	direct := directDialer{}
+	var dialer rpc.Dialer = direct
+	config := benchTLS(b)
+	if overNetwork {
+		pool := rpc.NewPool(config)
+		b.Cleanup(func() { _ = pool.Close() })
+		dialer = pool
+	}
+	var replicas []fleet.LedgerReplica
+	var services []*Service
+	for n, zone := range append(testZones.Zones(), "howrah") {
+		self := fleet.Instance{ID: fleet.InstanceID(fmt.Sprint("entry-", n)), Incarnation: 1, Zone: zone, Entry: true}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		self.RPCAddress = listener.Addr().String()
+		view.Instances[self.ID] = self
+		o := Options{Source: staticSource{state: state, self: self}, Dialer: dialer, NoFast: !fast, Limits: Limits{MaxRecords: 10_000_000}}
+		if n == 3 {
+			o.Registerer = registry
+		} else {
+			replicas = append(replicas, fleet.LedgerReplica{Owner: self.Owner(), Ready: true})
+		}
+		s := NewService(o)
+		services = append(services, s)
+		direct[self.RPCAddress] = s
+		server := rpc.NewServer(config, logging.Part{})
+		assert.NilError(b, pb.DRPCRegisterLedger(server.Mux, s.Server()))
+		go func() { _ = server.Serve(b.Context(), listener) }()
+	}
+	for n := range uint32(fleet.LedgerShards) {
+		shard := fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}
+		group[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: replicas}
+	}
+	for _, s := range services {
+		s.apply()
+	}
+	return services[3]
+}
+
+func benchmarkClaim(b *testing.B, overNetwork, fast bool) {
+	registry := prometheus.NewRegistry()
+	entry := benchEntry(b, overNetwork, fast, registry)
+	run := func(n int) {
+		c := Claim{Key: KeyFor([]byte("s"), "sutokatha", fmt.Sprint(n)), Permitted: testZones, Attempt: fleet.AttemptID(fmt.Sprintf("%032x", n)), Endpoint: "bank-1"}
+		verdict, _, err := entry.Claim(b.Context(), c)
+		if err != nil || verdict != VerdictRun {
+			b.Fatalf("claim %d: %v %v", n, verdict, err)
+		}
+		if err := entry.Finish(b.Context(), c, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for n := range 100 {
+		run(-n - 1)
+	}
+	before := requests(b, registry)
+	b.ResetTimer()
+	for n := range b.N {
+		run(n)
+	}
+	b.StopTimer()
+	b.ReportMetric((requests(b, registry)-before)/float64(b.N), "requests/op")
+}
+
+func requests(b *testing.B, registry *prometheus.Registry) float64 {
+	families, err := registry.Gather()
+	assert.NilError(b, err)
+	total := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "hyssopsail_ledger_requests_total" {
+				total += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return total
+}
+
+func BenchmarkClaimFinish(b *testing.B) {
+	b.Run("direct/fast", func(b *testing.B) { benchmarkClaim(b, false, true) })
+	b.Run("direct/two-phases", func(b *testing.B) { benchmarkClaim(b, false, false) })
+	b.Run("loopback-tls/fast", func(b *testing.B) { benchmarkClaim(b, true, true) })
+	b.Run("loopback-tls/two-phases", func(b *testing.B) { benchmarkClaim(b, true, false) })
+}
+
+// BenchmarkClaimOnly is what a request waits for before its first byte may go.
+func BenchmarkClaimOnly(b *testing.B) {
+	for _, fast := range []bool{true, false} {
+		b.Run(map[bool]string{true: "fast", false: "two-phases"}[fast], func(b *testing.B) {
+			entry := benchEntry(b, true, fast, nil)
+			for n := range b.N {
+				c := Claim{Key: KeyFor([]byte("s"), "sutokatha", fmt.Sprint(n)), Permitted: testZones, Attempt: fleet.AttemptID(fmt.Sprintf("%032x", n)), Endpoint: "bank-1"}
+				if verdict, _, err := entry.Claim(b.Context(), c); err != nil || verdict != VerdictRun {
+					b.Fatalf("claim %d: %v %v", n, verdict, err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReplica is a replica's own work for a claim and its finish on one
+// core, from the bytes of the messages on, and the memory of a record.
+func BenchmarkReplica(b *testing.B) {
+	service := soloService()
+	service.replica.shards[fleet.LedgerShard{ZoneClass: testZones.Class()}].table.limits.MaxRecords = 1 << 30
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ref := &pb.ShardRef{ZoneClass: testZones.Class(), Epoch: 1}
+	owner := fleet.Owner{Instance: "entry-1", Incarnation: 1}
+	b.ResetTimer()
+	for n := range b.N {
+		key := numberedKey(n)
+		d := intentOf(fleet.AttemptID(fmt.Sprintf("%032x", n)), owner)
+		accept := pb.AcceptRequest{Shard: ref, Key: key[:], Ballot: fastBallot(1).proto(), Decision: d.proto(), EndpointId: "bank-1"}
+		finish := pb.FinishRequest{Shard: ref, Key: key[:], AttemptId: string(d.Attempt), Owner: owner.Proto(), EndpointId: "bank-1", Outcome: pb.OutcomeKind_OUTCOME_KIND_COMPLETED}
+		_, err := service.Server().Accept(b.Context(), overWire(b, &accept, &pb.AcceptRequest{}))
+		assert.NilError(b, err)
+		_, err = service.Server().Finish(b.Context(), overWire(b, &finish, &pb.FinishRequest{}))
+		assert.NilError(b, err)
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(service.replica.Records()), "bytes/record")
+	runtime.KeepAlive(service)
+}
+
+func overWire[M proto.Message](b *testing.B, from, to M) M {
+	data, err := proto.Marshal(from)
+	assert.NilError(b, err)
+	assert.NilError(b, proto.Unmarshal(data, to))
+	return to
+}
--- a/internal/outcome/contract.go
+++ b/internal/outcome/contract.go
@@ -28,8 +28,8 @@
 	VerdictRun              // this attempt's intent is decided: it alone may run
 	VerdictInFlight         // another attempt may be running
 	VerdictRecorded         // another attempt has ended; Record has the outcome
-	VerdictUnknown          // another attempt may have run; its owner is gone
-	VerdictNotRun           // a tombstone is decided, or no replica was asked to accept
+	VerdictUnknown          // an attempt may have run; its owner is gone, or records were lost
+	VerdictNotRun           // a tombstone is decided: no attempt ran or will
 )
 
 // Record is what the ledger knows of a key.
@@ -45,15 +45,24 @@
 // Ledger is how requests use outcome records.
 type Ledger interface {
 	// Claim decides a record for the attempt before the first byte goes to an
-	// endpoint. An error means that no replica was asked to accept the intent:
-	// the request is truly not run. When a majority can't be reached after
-	// that, the verdict is VerdictUnknown or VerdictNotRun, as decided.
+	// endpoint. Only VerdictRun lets the attempt run, and the caller checks
+	// right before it sends that its process is still current. An attempt ID
+	// is claimed once.
+	//
+	// An error means that no replica was asked to accept the intent: this
+	// attempt never runs. It says nothing of earlier attempts with the key: a
+	// caller that may have sent the key before must not be told "not run".
+	// When no majority answers after that, the verdict is VerdictUnknown; the
+	// record is then settled in the background, so that a later repeat is told
+	// what became of it.
 	Claim(ctx context.Context, c Claim) (Verdict, Record, error)
 	// Finish records the end of a decided attempt at a majority; it goes on in
 	// the background after ctx ends.
 	Finish(ctx context.Context, c Claim, outcome pb.OutcomeKind, statusCode int) error
-	// Lookup reads a key through a majority.
+	// Lookup reads a key through a majority. VerdictUnset means that nothing
+	// was decided so far.
 	Lookup(ctx context.Context, key Key, permitted fleet.ZoneSet) (Verdict, Record, error)
-	// Forbid decides a tombstone unless an intent was decided before.
+	// Forbid decides a tombstone unless an intent was decided before. After an
+	// error nothing is known.
 	Forbid(ctx context.Context, c Claim) (Verdict, Record, error)
 }
--- a/internal/outcome/driver.go
+++ b/internal/outcome/driver.go
@@ -83,6 +83,8 @@
 		switch {
 		case step.Done:
 			return true
+		case ctx.Err() != nil:
+			return false
 		case step.Broadcast != nil:
 			waiting = false
 			timer.Reset(d.service.options.Call)
@@ -123,12 +125,13 @@
 	return time.Duration(d.random.Int64N(int64(most))) + 1
 }
 
-// broadcast sends to all replicas at once. Each call ends within Options.Call,
-// and its goroutine with it.
+// broadcast sends to all replicas at once. A call that the proposer no longer
+// waits for goes on, so that the slowest replica gets the record too; it ends
+// within Options.Call, and its goroutine with it.
 func (d *driver) broadcast(ctx context.Context, q *Request) {
 	for n, member := range d.group.Replicas {
 		go func() {
-			reply := d.service.ask(ctx, member.Owner, *q)
+			reply := d.service.ask(context.WithoutCancel(ctx), member.Owner, *q)
 			select {
 			case d.arrivals <- arrival{from: n, request: q, reply: reply}:
 			case <-ctx.Done():
--- a/internal/outcome/server.go
+++ b/internal/outcome/server.go
@@ -33,7 +33,7 @@
 		Action:   ActionAccept,
 		Ballot:   ballotFromProto(q.GetBallot()),
 		Decision: decisionFromProto(q.GetDecision()),
-		Endpoint: fleet.EndpointID(q.GetEndpointId()),
+		Endpoint: fleet.EndpointID(shared(q.GetEndpointId())),
 	}, q.GetShard(), q.GetKey())
 }
 
@@ -44,8 +44,8 @@
 	}
 	return s.serve(Request{
 		Action:   ActionFinish,
-		Decision: intentOf(fleet.AttemptID(q.GetAttemptId()), fleet.OwnerFromProto(q.GetOwner())),
-		Endpoint: fleet.EndpointID(q.GetEndpointId()),
+		Decision: intentOf(fleet.AttemptID(q.GetAttemptId()), ownerFromProto(q.GetOwner())),
+		Endpoint: fleet.EndpointID(shared(q.GetEndpointId())),
 		Outcome:  q.GetOutcome(),
 		Status:   uint16(min(q.GetStatusCode(), maxStatus)),
 		Tokens:   q.GetTokensPassed(),
--- a/internal/outcome/service.go
+++ b/internal/outcome/service.go
@@ -92,8 +92,7 @@
 	return verdict, record, err
 }
 
-// Lookup implements Ledger. VerdictUnset without an error means that no
-// attempt was decided so far.
+// Lookup implements Ledger.
 func (s *Service) Lookup(ctx context.Context, key Key, permitted fleet.ZoneSet) (Verdict, Record, error) {
 	return s.newDriver(PurposeResolve, Claim{Key: key, Permitted: permitted}).run(ctx)
 }
--- a/internal/outcome/wire.go
+++ b/internal/outcome/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -24,11 +25,22 @@
 	}
 }
 
+// shared gives one copy of a name that many records hold, such as an
+// instance's: else each record would keep its own.
+func shared(name string) string { return unique.Make(name).Value() }
+
+func ownerFromProto(p *pb.Owner) fleet.Owner {
+	return fleet.Owner{
+		Instance:    fleet.InstanceID(shared(p.GetInstanceId())),
+		Incarnation: fleet.Incarnation(p.GetIncarnation()),
+	}
+}
+
 func ballotFromProto(p *pb.Ballot) Ballot {
 	return Ballot{
 		Round: p.GetRound(),
 		Owner: fleet.Owner{
-			Instance:    fleet.InstanceID(p.GetInstanceId()),
+			Instance:    fleet.InstanceID(shared(p.GetInstanceId())),
 			Incarnation: fleet.Incarnation(p.GetIncarnation()),
 		},
 		Proposer: p.GetProposer(),
@@ -54,7 +66,7 @@
 		if p.GetAttemptId() == "" || len(p.GetAttemptId()) > maxNameBytes {
 			return Decision{}
 		}
-		return intentOf(fleet.AttemptID(p.GetAttemptId()), fleet.OwnerFromProto(p.GetOwner()))
+		return intentOf(fleet.AttemptID(p.GetAttemptId()), ownerFromProto(p.GetOwner()))
 	case pb.DecisionKind_DECISION_KIND_TOMBSTONE:
 		return tombstone()
 	}
@@ -90,7 +102,7 @@
 		Accepted: ballotFromProto(p.GetAcceptedBallot()),
 		Decision: decision,
 		Outcome:  knownOutcome(p.GetOutcome()),
-		Endpoint: fleet.EndpointID(p.GetEndpointId()),
+		Endpoint: fleet.EndpointID(shared(p.GetEndpointId())),
 		Status:   uint16(min(p.GetStatusCode(), maxStatus)),
 		Tokens:   p.GetTokensPassed(),
 		Age:      time.Duration(min(p.GetAgeMs(), maxAgeMs)) * time.Millisecond,
