--- /dev/null
+++ b/internal/quarantine/service_test.go
@@ -0,0 +1,154 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+var testZones = fleet.NewZoneSet("howrah", "barasat")
+
+// testEntry is a process whose state the test sets, and its way to the others.
+type testEntry struct {
+	self    fleet.Instance
+	state   *membership.State
+	service *Service
+	others  map[string]*testEntry
+	calls   int
+}
+
+func (e *testEntry) State() *membership.State { return e.state }
+func (e *testEntry) Current(time.Time) bool   { return true }
+func (e *testEntry) Self() fleet.Instance     { return e.self }
+func (e *testEntry) Changed() <-chan struct{} { return nil }
+
+func (e *testEntry) Conn(_ context.Context, address string) (drpc.Conn, error) {
+	other, ok := e.others[address]
+	if !ok {
+		return nil, errors.New("out of reach")
+	}
+	return &testConn{to: other}, nil
+}
+
+type testConn struct {
+	drpc.Conn
+	to *testEntry
+}
+
+func (c *testConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	c.to.calls++
+	switch q := in.(type) {
+	case *pb.BeginRunRequest:
+		reply, err := c.to.service.BeginRun(ctx, q)
+		if err != nil {
+			return err
+		}
+		out.(*pb.BeginRunReply).Verdict = reply.Verdict
+		out.(*pb.BeginRunReply).RetryAfterMs = reply.RetryAfterMs
+		return nil
+	case *pb.EndRunRequest:
+		_, err := c.to.service.EndRun(ctx, q)
+		return err
+	}
+	return errors.New("no such call")
+}
+
+// newPair gives two entries; the first is the guard of all fingerprints.
+func newPair() (guard, other *testEntry) {
+	view := fleet.View{Instances: make(map[fleet.InstanceID]fleet.Instance)}
+	groups := make(map[fleet.LedgerShard]fleet.LedgerGroup)
+	state := &membership.State{View: view, Groups: groups, Suspects: make(map[fleet.Fingerprint]fleet.Suspect)}
+	others := make(map[string]*testEntry)
+	var entries []*testEntry
+	for _, name := range []fleet.InstanceID{"a", "b"} {
+		e := &testEntry{state: state, others: others}
+		e.self = fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
+		e.service = NewService(Options{Source: e, Dialer: e})
+		view.Instances[name] = e.self
+		others[string(name)] = e
+		entries = append(entries, e)
+	}
+	for n := range uint32(fleet.LedgerShards) {
+		shard := fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}
+		groups[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: []fleet.LedgerReplica{
+			{Owner: entries[1].self.Owner()},
+			{Owner: entries[0].self.Owner(), Ready: true},
+		}}
+	}
+	return entries[0], entries[1]
+}
+
+func (e *testEntry) begin(t *testing.T, attempt fleet.AttemptID) pb.RunVerdict {
+	verdict, wait := e.service.Begin(t.Context(), testPrint, testZones, attempt)
+	assert.Equal(t, wait > 0, verdict == verdictWait)
+	return verdict
+}
+
+// drain sends the ends that wait, as Run does.
+func (e *testEntry) drain(t *testing.T) {
+	for len(e.service.ends) > 0 {
+		e.service.sendEnd(t.Context(), <-e.service.ends)
+	}
+}
+
+// The same request comes to two entries. Both ask the same guard instance, so
+// the second waits until the first has completed.
+func TestOneGuardForAllEntries(t *testing.T) {
+	guard, other := newPair()
+	assert.Equal(t, other.begin(t, "1"), verdictGo)
+	assert.Equal(t, guard.begin(t, "2"), verdictWait)
+	other.service.End(testPrint, testZones, "1", true, false)
+	other.drain(t)
+	assert.Equal(t, guard.begin(t, "2"), verdictGo)
+	assert.Equal(t, other.begin(t, "3"), verdictGo)
+}
+
+// The guard instance can't be reached. Requests go on by what the shared state
+// says: one in quarantine is refused at once, a suspect runs alone.
+func TestGuardOutOfReach(t *testing.T) {
+	guard, other := newPair()
+	delete(other.others, "a")
+	assert.Equal(t, other.begin(t, "1"), verdictGo)
+	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1}
+	assert.Equal(t, other.begin(t, "2"), verdictAlone)
+	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true}
+	assert.Equal(t, other.begin(t, "3"), verdictQuarantined)
+	assert.Equal(t, guard.calls, 0)
+}
+
+// The guard instance is in a zone that the team's data may not touch. Nothing
+// may be sent there.
+func TestGuardOutsideTheZones(t *testing.T) {
+	guard, other := newPair()
+	moved := guard.self
+	moved.Zone = "rende-hall"
+	other.state.View.Instances["a"] = moved
+	assert.Equal(t, other.begin(t, "1"), verdictGo)
+	other.service.End(testPrint, testZones, "1", true, false)
+	other.drain(t)
+	assert.Equal(t, guard.calls, 0)
+}
+
+// FuzzRuns gives the calls fields from outside.
+func FuzzRuns(f *testing.F) {
+	f.Add(testPrint[:], "attempt", "owner", true, false)
+	f.Add([]byte{1}, "", "", false, true)
+	guard, _ := newPair()
+	f.Fuzz(func(t *testing.T, print []byte, attempt, owner string, completed, crashed bool) {
+		ctx := t.Context()
+		_, begun := guard.service.BeginRun(ctx, &pb.BeginRunRequest{Fingerprint: print, AttemptId: attempt, Owner: &pb.Owner{InstanceId: owner}})
+		_, ended := guard.service.EndRun(ctx, &pb.EndRunRequest{Fingerprint: print, AttemptId: attempt, Completed: completed, EndpointCrashed: crashed})
+		wellFormed := len(print) == len(testPrint)
+		if !wellFormed && (begun == nil || ended == nil) {
+			t.Fatal("a malformed fingerprint was taken")
+		}
+	})
+}
