--- a/internal/outcome/bench_test.go
+++ b/internal/outcome/bench_test.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // benchTLS makes a certificate that is its own authority.
@@ -79,8 +80,9 @@
 	direct := directDialer{}
 	var dialer rpc.Dialer = direct
 	config := benchTLS(b)
+	clock := timeline.NewClock(time.Now)
 	if overNetwork {
-		pool := rpc.NewPool(config)
+		pool := rpc.NewPool(config, clock)
 		b.Cleanup(func() { _ = pool.Close() })
 		dialer = pool
 	}
@@ -101,7 +103,7 @@
 		s := NewService(o)
 		services = append(services, s)
 		direct[self.RPCAddress] = s
-		server := rpc.NewServer(config, logging.Part{})
+		server := rpc.NewServer(config, clock, logging.Part{})
 		assert.NilError(b, pb.DRPCRegisterLedger(server.Mux, s.Server()))
 		go func() { _ = server.Serve(b.Context(), listener) }()
 	}
