--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -35,11 +35,11 @@
 
 // track is what a register keeps of a fingerprint.
 type track struct {
-	runs        map[fleet.AttemptID]activeRun
-	proven      time.Time // when a run last completed
-	crashed     time.Time // when a run here last ended with the endpoint's death
-	quarantined time.Time // when a lone suspect's run did
-	cleared     time.Time // Updated of the shared suspicion that a completed run refuted
+	runs        map[fleet.AttemptID]activeRun // nil when there are none
+	proven      time.Time                     // when a run last completed
+	crashed     time.Time                     // when a run here last ended with the endpoint's death
+	quarantined time.Time                     // when a lone suspect's run did
+	cleared     time.Time                     // Updated of the shared suspicion that a completed run refuted
 	used        time.Time
 }
 
@@ -95,6 +95,9 @@
 	if r.busy(now, t, alone) {
 		return r.wait()
 	}
+	if t.runs == nil {
+		t.runs = make(map[fleet.AttemptID]activeRun, 1)
+	}
 	t.runs[q.Attempt] = activeRun{owner: q.Owner, begun: now, alone: alone}
 	return started(alone)
 }
@@ -129,6 +132,9 @@
 	}
 	run, known := t.runs[attempt]
 	delete(t.runs, attempt)
+	if len(t.runs) == 0 {
+		t.runs = nil // most fingerprints run once; an empty map is larger than the rest
+	}
 	switch {
 	case endpointCrashed:
 		t.crashed = now
@@ -161,7 +167,7 @@
 	if len(r.tracked) >= r.limits.MaxTracked && !r.evict() {
 		return nil
 	}
-	t := &track{runs: make(map[fleet.AttemptID]activeRun, 1), used: now}
+	t := &track{used: now}
 	r.tracked[f] = t
 	r.order = append(r.order, orderMark{fingerprint: f, used: now})
 	return t
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -109,6 +109,8 @@
 	other.drain(t)
 	assert.Equal(t, guard.begin(t, "2"), verdictGo)
 	assert.Equal(t, other.begin(t, "3"), verdictGo)
+	// The first replica of the group is not ready and is asked nothing.
+	assert.Equal(t, other.service.register.Len(), 0)
 }
 
 // The guard instance can't be reached. Requests go on by what the shared state
