--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// The client's time bounds.
+const (
+	attemptTimeout  = 1500 * time.Millisecond // one try at one member
+	renewTimeout    = 400 * time.Millisecond  // so that a lease outlives a silent member or two
+	commandTimeout  = proposeTimeout + attemptTimeout
+	shortestBackoff = 20 * time.Millisecond
+	longestBackoff  = 400 * time.Millisecond
+	maxRedirects    = 2 // redirects in a row without a wait
+)
+
+// Client calls the control group from other processes. It follows the leader
+// and repeats calls until one is answered or the context ends; all calls are
+// idempotent, by change ID, order ID, incarnation or content. Safe for use by
+// many goroutines.
+type Client struct {
+	dialer    rpc.Dialer
+	addresses func() []string
+	part      logging.Part
+
+	mu     sync.Mutex
+	random *rand.Rand
+	leader string        // last known; empty when not
+	moved  chan struct{} // closed when a leader becomes known
+	next   int           // of addresses, when there is no leader known
+	reader string        // where pulls go
+}
+
+// NewClient makes a client of the control instances at addresses, which is
+// asked anew whenever the client has to look for another one.
+func NewClient(dialer rpc.Dialer, addresses func() []string, part logging.Part) *Client {
+	return &Client{
+		dialer:    dialer,
+		addresses: addresses,
+		part:      part,
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		moved:     make(chan struct{}),
+	}
+}
+
+// attempt makes one call and gives the address to ask instead, if any.
+type attempt func(ctx context.Context, c pb.DRPCControlClient) (elsewhere string, err error)
+
+// follow repeats try at the leader, as far as it is known, until it is
+// answered there.
+func (c *Client) follow(ctx context.Context, timeout time.Duration, try attempt) error {
+	backoff := shortestBackoff
+	redirects := 0
+	for {
+		address := c.target()
+		elsewhere, err := c.once(ctx, timeout, address, try)
+		if err == nil && elsewhere == "" {
+			c.setLeader(address)
+			return nil
+		}
+		c.learn(address, elsewhere, err)
+		if elsewhere != "" && redirects < maxRedirects {
+			redirects++
+			continue
+		}
+		redirects = 0
+		if !c.sleep(ctx, backoff) {
+			return givenUp(ctx, err)
+		}
+		backoff = min(2*backoff, longestBackoff)
+	}
+}
+
+// learn takes a try's failure. It forgets the leader only when that is who
+// failed: another call may have found the next one meanwhile.
+func (c *Client) learn(address, elsewhere string, err error) {
+	if elsewhere != "" {
+		c.setLeader(elsewhere)
+		return
+	}
+	c.part.Debug("Call failed.", "address", address, "err", err)
+	c.loseLeader(address)
+}
+
+func givenUp(ctx context.Context, last error) error {
+	if last == nil {
+		last = ctx.Err()
+	}
+	return trace.ConnectionProblem(last, "no answer from the control group")
+}
+
+func (c *Client) once(ctx context.Context, timeout time.Duration, address string, try attempt) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client, err := c.at(ctx, address)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	go c.cancelWhenMoved(ctx, cancel, address)
+	return try(ctx, client)
+}
+
+// cancelWhenMoved ends a try once another member is known to lead.
+//
+// Failure: the leader is cut off silently while a change waits there for its
+// answer. It shows as an operator's command that hangs for the whole time of a
+// try, long after the others have a new leader. The lease renewals of this
+// process find the new leader within a second, and since all calls are
+// idempotent the try may be given up and made there.
+func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) {
+	for {
+		leader, moved := c.known()
+		if leader != "" && leader != address {
+			cancel()
+			return
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) known() (leader string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.moved
+}
+
+func (c *Client) at(ctx context.Context, address string) (pb.DRPCControlClient, error) {
+	if address == "" {
+		return nil, trace.BadParameter("no address of a control instance is known")
+	}
+	conn, err := c.dialer.Conn(ctx, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return pb.NewDRPCControlClient(conn), nil
+}
+
+// target gives the leader, or the next address in turn.
+func (c *Client) target() string {
+	addresses := c.addresses()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	if c.next == 0 {
+		c.next = 1 + c.random.IntN(len(addresses))
+	}
+	c.next++
+	return addresses[c.next%len(addresses)]
+}
+
+func (c *Client) setLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address != "" && address != c.leader {
+		close(c.moved)
+		c.moved = make(chan struct{})
+	}
+	c.leader = address
+}
+
+// loseLeader forgets the leader if it is the one at address.
+func (c *Client) loseLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
+// sleep waits for a random part of about backoff; false when ctx ended.
+func (c *Client) sleep(ctx context.Context, backoff time.Duration) bool {
+	c.mu.Lock()
+	wait := backoff/2 + time.Duration(c.random.Int64N(int64(backoff)))
+	c.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/endpointkey.go
@@ -0,0 +1,16 @@
+package daemon
+
+import "github.com/hyssopsail/hyssopsail/internal/fleet"
+
+// endpointKeyMatches tells whether key is one of the fleet's endpoint keys.
+func endpointKeyMatches(b *base, key string) bool {
+	tree := b.agent.State().Tree
+	if tree == nil {
+		return false
+	}
+	return tree.EndpointKeyMatches(key)
+}
+
+func (e *entryRole) running(attempt fleet.AttemptID) bool {
+	return e.follower.Running(attempt)
+}
--- /dev/null
+++ b/internal/outcome/model_control_test.go
@@ -0,0 +1,235 @@
+package outcome
+
+import (
+	"fmt"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// join adds a process: a new instance, or a later incarnation of a crashed
+// one with its records lost.
+func (w *world) join() {
+	if len(w.state.view.Instances) >= 6 {
+		return
+	}
+	id := fleet.InstanceID(fmt.Sprint("entry-", w.random.IntN(7)))
+	if _, live := w.state.view.Instances[id]; live {
+		return
+	}
+	incarnation := fleet.Incarnation(1)
+	for _, n := range w.nodes {
+		if n.self.Instance == id {
+			n.crashed = true
+			incarnation = max(incarnation, n.self.Incarnation+1)
+		}
+	}
+	self := fleet.Owner{Instance: id, Incarnation: incarnation}
+	n := &modelNode{self: self, replica: NewReplica(self, DefaultLimits), state: &modelState{}}
+	w.nodes = append(w.nodes, n)
+	w.publish(func(s *modelState) {
+		s.view.Instances[id] = fleet.Instance{ID: id, Incarnation: incarnation, Entry: true}
+	})
+	if w.state.group.Epoch != 0 && len(w.state.group.Replicas) < fleet.LedgerReplicas {
+		w.regroup(fleet.Owner{})
+	}
+}
+
+func (w *world) publish(edit func(*modelState)) {
+	next := &modelState{index: w.state.index + 1, group: w.state.group}
+	next.view = fleet.View{Number: next.index, Instances: make(map[fleet.InstanceID]fleet.Instance)}
+	for id, i := range w.state.view.Instances {
+		next.view.Instances[id] = i
+	}
+	edit(next)
+	w.state = next
+}
+
+// lose takes a process out of the view: it crashed, or it is cut off and goes
+// on with stale state, perhaps after a freeze.
+func (w *world) lose() {
+	n := w.pick()
+	if n.zombie || n.crashed || !w.state.view.Holds(n.self) || len(w.state.view.Instances) <= 3 {
+		return
+	}
+	n.zombie = true
+	switch w.random.IntN(3) {
+	case 0:
+		n.crashed = true
+	case 1:
+		n.frozen = true
+	}
+	w.publish(func(s *modelState) { delete(s.view.Instances, n.self.Instance) })
+	for _, r := range w.state.group.Replicas {
+		if r.Owner == n.self {
+			w.regroup(fleet.Owner{})
+			return
+		}
+	}
+}
+
+// regroup gives the shard its next epoch, as the control group does: live
+// replicas stay as they are, others fill up and must copy from a majority of
+// those that were ready. When no majority of these is left, the history is
+// lost. One that drains is replaced while it lives.
+func (w *world) regroup(drains fleet.Owner) {
+	w.publish(func(s *modelState) {
+		old := s.group
+		next := fleet.LedgerGroup{Shard: modelShard, Epoch: old.Epoch + 1, HistoryLostMs: old.HistoryLostMs}
+		wasReady, stillReady := 0, 0
+		for _, r := range old.Replicas {
+			live := s.view.Holds(r.Owner)
+			if r.Ready {
+				wasReady++
+				next.Sources = append(next.Sources, r)
+			}
+			if r.Ready && live {
+				stillReady++
+			}
+			if live && r.Owner != drains {
+				next.Replicas = append(next.Replicas, r)
+			}
+		}
+		next.Replicas = w.filled(next.Replicas, s.view, drains)
+		lost := len(old.Replicas) > 0 && stillReady <= wasReady/2
+		if lost {
+			next.HistoryLostMs = w.now.UnixMilli()
+			w.audit.lost = true
+		}
+		if lost || len(old.Replicas) == 0 {
+			next.Sources = nil
+			for n := range next.Replicas {
+				next.Replicas[n].Ready = true
+			}
+		}
+		s.group = next
+	})
+}
+
+func (w *world) filled(replicas []fleet.LedgerReplica, view fleet.View, drains fleet.Owner) []fleet.LedgerReplica {
+	start := w.random.IntN(len(w.nodes))
+	for n := range w.nodes {
+		o := w.nodes[(start+n)%len(w.nodes)].self
+		if len(replicas) < fleet.LedgerReplicas && view.Holds(o) && o != drains && !holds(replicas, o) {
+			replicas = append(replicas, fleet.LedgerReplica{Owner: o})
+		}
+	}
+	return replicas
+}
+
+func holds(replicas []fleet.LedgerReplica, o fleet.Owner) bool {
+	for _, r := range replicas {
+		if r.Owner == o {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) markReady(o fleet.Owner, epoch uint64) {
+	if w.state.group.Epoch != epoch || !w.state.view.Holds(o) {
+		return
+	}
+	w.publish(func(s *modelState) {
+		replicas := append([]fleet.LedgerReplica(nil), s.group.Replicas...)
+		for n := range replicas {
+			replicas[n].Ready = replicas[n].Ready || replicas[n].Owner == o
+		}
+		s.group.Replicas = replicas
+	})
+}
+
+// drain replaces a live replica of a group that is ready as a whole.
+func (w *world) drain() {
+	g := w.state.group
+	if len(g.Replicas) < fleet.LedgerReplicas || len(w.state.view.Instances) <= fleet.LedgerReplicas {
+		return
+	}
+	for _, r := range g.Replicas {
+		if !r.Ready {
+			return
+		}
+	}
+	w.regroup(g.Replicas[w.random.IntN(len(g.Replicas))].Owner)
+}
+
+// push tells a process of the newest state; one out of the view hears nothing.
+func (w *world) push() {
+	n := w.pick()
+	state := w.state
+	if n.zombie || n.stuck() || state.index <= n.state.index {
+		return
+	}
+	n.state = state
+	n.replica.ApplyGroup(state.group)
+	for _, m := range n.active {
+		if !m.done && m.epoch != state.group.Epoch && w.random.IntN(2) == 0 {
+			w.restart(m)
+		}
+	}
+}
+
+func (w *world) freeze() {
+	n := w.pick()
+	if !n.crashed {
+		n.frozen = !n.frozen
+	}
+}
+
+// repair moves a copy on, or reports a whole shard.
+func (w *world) repair() {
+	n := w.pick()
+	if n.stuck() {
+		return
+	}
+	for _, g := range n.replica.Whole() {
+		w.send(func() { w.markReady(n.self, g.Epoch) })
+	}
+	for _, task := range n.replica.Tasks() {
+		n.replica.TryWhole(task.Shard)
+		if len(task.Sources) == 0 {
+			continue
+		}
+		source := task.Sources[w.random.IntN(len(task.Sources))]
+		w.copyFrom(n, CopyQuery{Shard: task.Shard, Epoch: task.Epoch, Source: source, Limit: 1})
+	}
+}
+
+func (w *world) copyFrom(n *modelNode, q CopyQuery) {
+	w.send(func() {
+		source := w.at(q.Source.Instance)
+		if source == nil || source.stuck() {
+			return
+		}
+		page := w.source(source, q)
+		w.send(func() {
+			if n.stuck() || !n.replica.Merge(w.now, q, page) {
+				return
+			}
+			if !page.Done {
+				last := page.Records[len(page.Records)-1].Key
+				next := q
+				next.After = &last
+				w.copyFrom(n, next)
+				return
+			}
+			s := n.replica.shards[q.Shard]
+			if w.fault == faultOneSource && s.member {
+				s.whole = s.epoch
+			}
+			n.replica.TryWhole(q.Shard)
+		})
+	})
+}
+
+func (w *world) source(n *modelNode, q CopyQuery) CopyPage {
+	var before uint64
+	s := n.replica.shards[q.Shard]
+	if s != nil {
+		before = s.epoch
+	}
+	page := n.replica.Source(w.now, q)
+	if s != nil && w.fault == faultNoSeal {
+		s.epoch = before
+	}
+	return page
+}
