--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // filesIn names the files that writeFiles makes.
@@ -67,15 +68,15 @@
 	listener, err := net.Listen("tcp", p.address)
 	assert.NilError(t, err)
 	p.address = listener.Addr().String()
-	pool := rpc.NewPool(config)
+	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
 	transport := NewTransport(pool, logging.Part{})
 	p.node, err = New(Options{
 		InstanceID: p.name, RPCAddress: p.address, Dir: p.dir, FS: storage.OSFS{},
 		Machine: &journal{}, Transport: transport, Seed: uint64(time.Now().UnixNano()),
 	})
 	assert.NilError(t, err)
-	server := rpc.NewServer(config, logging.Part{})
-	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, Server{Group: p.node}))
+	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
+	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: p.node}))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop, p.ended = cancel, make(chan struct{})
 	go transport.Run(ctx)
--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // childVariable makes the test binary run as one node: its value is the
@@ -41,7 +42,7 @@
 	must(err)
 	config, err := rpc.LoadTLS(filesIn(filepath.Dir(dir)))
 	must(err)
-	pool := rpc.NewPool(config)
+	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
 	transport := NewTransport(pool, logging.Part{})
 	state := &journal{}
 	node, err := New(Options{
@@ -49,8 +50,8 @@
 		Machine: state, Transport: transport, Seed: uint64(os.Getpid()),
 	})
 	must(err)
-	server := rpc.NewServer(config, logging.Part{})
-	must(pb.DRPCRegisterConsensus(server.Mux, Server{Group: node}))
+	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
+	must(pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: node}))
 	go transport.Run(context.Background())
 	go server.Serve(context.Background(), listener)
 	go node.Run(context.Background())
--- /dev/null
+++ b/internal/replica/server_test.go
@@ -0,0 +1,20 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// stepServer hands messages that come over drpc to a Group.
+type stepServer struct{ Group Group }
+
+var _ pb.DRPCConsensusServer = stepServer{}
+
+// Step implements pb.DRPCConsensusServer.
+func (s stepServer) Step(ctx context.Context, m *pb.ConsensusMessage) (*pb.StepReply, error) {
+	if err := s.Group.Step(ctx, m); err != nil {
+		return nil, err
+	}
+	return &pb.StepReply{}, nil
+}
