TestStoppedProcess waits until the process is stopped

The signal is sent before all threads are stopped, so the child could answer the read just before it froze, which is right.

--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -122,6 +122,16 @@
 	_ = c.command.Wait()
 }
 
+// freeze returns once the kernel says that all threads are stopped: some may
+// run on, and answer, for a moment after the signal was sent.
+func (c *child) freeze() {
+	assert.NilError(c.t, c.command.Process.Signal(syscall.SIGSTOP))
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(c.command.Process.Pid, &status, syscall.WUNTRACED, nil)
+	assert.NilError(c.t, err)
+	assert.Assert(c.t, status.Stopped())
+}
+
 func (c *child) send(line string) {
 	_, err := fmt.Fprintln(c.input, line)
 	assert.NilError(c.t, err)
@@ -189,14 +199,16 @@
 	children := startChildren(t)
 	old, _ := leadingChild(t, children)
 	assert.Equal(t, old.ask("propose before"), "ok")
-	assert.NilError(t, old.command.Process.Signal(syscall.SIGSTOP))
+	old.freeze()
 	old.send("read")
 	old.send("propose late")
 	next, _ := leadingChild(t, without(children, old))
 	assert.Equal(t, next.ask("propose meanwhile"), "ok")
 	assert.NilError(t, old.command.Process.Signal(syscall.SIGCONT))
-	assert.Assert(t, strings.HasPrefix(old.answer(), "error"))
-	assert.Assert(t, strings.HasPrefix(old.answer(), "error"))
+	for _, request := range []string{"read", "change"} {
+		answer := old.answer()
+		assert.Assert(t, strings.HasPrefix(answer, "error"), "%s: %q", request, answer)
+	}
 	_, state := leadingChild(t, children)
 	assert.Equal(t, state, "before,meanwhile")
 }
