--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -113,10 +113,10 @@
 		way  func(f *testFleet, victim, other *instance, cut bool)
 	}{
 		{"hears nobody", func(f *testFleet, victim, other *instance, cut bool) {
-			f.links.set(direction{other.ip, victim.ip}, cut)
+			f.cutOneWay(other, victim, cut)
 		}},
 		{"is heard by nobody", func(f *testFleet, victim, other *instance, cut bool) {
-			f.links.set(direction{victim.ip, other.ip}, cut)
+			f.cutOneWay(victim, other, cut)
 		}},
 	}
 	for _, c := range cases {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -271,16 +271,17 @@
 	}
 }
 
-// cut silences one way between two instances; heal undoes it.
-func (f *testFleet) cut(from, to *instance)  { f.links.set(direction{from.ip, to.ip}, true) }
-func (f *testFleet) heal(from, to *instance) { f.links.set(direction{from.ip, to.ip}, false) }
+// cutOneWay silences one way between two instances, or undoes it.
+func (f *testFleet) cutOneWay(from, to *instance, cut bool) {
+	f.links.set(direction{from.ip, to.ip}, cut)
+}
 
 // isolate silences both ways between i and all others.
 func (f *testFleet) isolate(i *instance, cut bool) {
 	for _, other := range f.instances {
 		if other != i {
-			f.links.set(direction{i.ip, other.ip}, cut)
-			f.links.set(direction{other.ip, i.ip}, cut)
+			f.cutOneWay(i, other, cut)
+			f.cutOneWay(other, i, cut)
 		}
 	}
 }
