Refused before the body is read; slow and endless callers bounded

An entry outside a team's zones took the body in before it refused. It now refuses first. TestEntryOutsideTheZones and TestBodyNeverEnds found that net/http waits for the rest of an unread body before it sends the answer, and that a read deadline cancels the request's context, so that the refusal was left out: such connections are closed after the answer, and a failure is written whether or not the context has ended.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -88,8 +88,24 @@
 	}
 }
 
-// body reads the whole body within the team's bound and the body time.
+// body reads the whole body, unless the request is refused whatever it is.
+//
+// When a part stays unread the connection is closed after the answer: the HTTP
+// server would else wait for the rest before it sends the refusal, so that a
+// caller with a slow or endless body gets its refusal late or never.
 func (c *callers) body(x *exchange) ([]byte, *route.Failure) {
+	body, failure := c.readBody(x)
+	if failure != nil {
+		x.w.Header().Set("Connection", "close")
+	}
+	return body, failure
+}
+
+// readBody reads within the team's bound and the body time.
+func (c *callers) readBody(x *exchange) ([]byte, *route.Failure) {
+	if failure := c.opts.Router.Refuses(x.team.Name, x.key); failure != nil {
+		return nil, failure
+	}
 	limit := c.bounds.BodyBytes
 	if own := int64(x.team.Limits.BodyBytes); own > 0 {
 		limit = own
@@ -97,7 +113,7 @@
 	if x.r.ContentLength > limit {
 		return nil, tooLarge()
 	}
-	// Servers without deadlines (in tests) leave the body time unbounded.
+	// Recorders in tests have no deadline.
 	_ = x.control.SetReadDeadline(time.Now().Add(c.bounds.BodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	_ = x.control.SetReadDeadline(time.Time{})
--- a/internal/entry/fail.go
+++ b/internal/entry/fail.go
@@ -76,7 +76,7 @@
 // fail answers f, if nothing of an answer is out yet.
 func (c *callers) fail(x *exchange, f *route.Failure) {
 	c.metrics.answered(f)
-	if x.began || x.r.Context().Err() != nil {
+	if x.began {
 		return
 	}
 	x.began = true
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -16,13 +16,16 @@
 
 // fast decodes without waiting and holds nothing, so that the benchmark sees
 // the relay alone.
-type fast struct{ engines }
+type fast struct {
+	engines
+	text string // of each token
+}
 
 func (f fast) Decode(_ context.Context, t engine.Target, gate engine.Gate, r engineapi.DecodeRequest) (engine.Stream, error) {
 	if err := gate(t); err != nil {
 		return nil, err
 	}
-	return &fastStream{attempt: r, at: r.Offset, incarnation: t}, nil
+	return &fastStream{attempt: r, at: r.Offset, incarnation: t, text: f.text}, nil
 }
 
 func (f fast) Prefill(_ context.Context, t engine.Target, gate engine.Gate, r engineapi.PrefillRequest) (engineapi.PrefillReply, error) {
@@ -33,10 +36,11 @@
 	attempt     engineapi.DecodeRequest
 	incarnation engine.Target
 	at          int
+	text        string
 }
 
 func (s *fastStream) Next() (engineapi.Chunk, error) {
-	c := engineapi.Chunk{Attempt: s.attempt.Attempt, Incarnation: s.incarnation.Incarnation, Offset: s.at, Tokens: 1, Text: "cotton "}
+	c := engineapi.Chunk{Attempt: s.attempt.Attempt, Incarnation: s.incarnation.Incarnation, Offset: s.at, Tokens: 1, Text: s.text}
 	s.at++
 	if s.at == s.attempt.MaxTokens {
 		c.Finish = engineapi.FinishLength
@@ -55,7 +59,7 @@
 // BenchmarkRelay is the router's own cost of one token, without HTTP.
 func BenchmarkRelay(b *testing.B) {
 	w := newWorld()
-	r := w.routerWith(fast{engines{w}}, route.Bounds{})
+	r := w.routerWith(fast{engines{w}, "cotton "}, route.Bounds{})
 	request := modelRequest()
 	request.MaxTokens = benchTokens
 	b.ReportAllocs()
@@ -74,7 +78,7 @@
 	for _, key := range []string{"", "k"} {
 		b.Run("key="+key, func(b *testing.B) {
 			w := newWorld()
-			r := w.routerWith(fast{engines{w}}, route.Bounds{})
+			r := w.routerWith(fast{engines{w}, "cotton "}, route.Bounds{})
 			request := modelRequest()
 			request.MaxTokens = 1
 			b.ReportAllocs()
@@ -96,7 +100,7 @@
 // caller over loopback, the caller's side included.
 func BenchmarkStreamHTTP(b *testing.B) {
 	w := newWorld()
-	server := serveRouter(b, w, w.routerWith(fast{engines{w}}, route.Bounds{}))
+	server := serveRouter(b, w, w.routerWith(fast{engines{w}, "cotton "}, route.Bounds{}))
 	body := `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":2000,"stream":true}`
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/route/callers_test.go
+++ b/internal/route/callers_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -29,13 +31,18 @@
 }
 
 func serveRouter(t testing.TB, w *world, r *route.Router) *httptest.Server {
+	t.Helper()
+	return serveBounded(t, w, r, entry.Bounds{BodyBytes: 4096, KeyBytes: 32})
+}
+
+func serveBounded(t testing.TB, w *world, r *route.Router, bounds entry.Bounds) *httptest.Server {
 	t.Helper()
 	handler := entry.NewCallers(entry.CallersOptions{
 		Router: r, Source: w, Recorder: w,
 		TeamByKey: func(tree *settings.Tree, key string) (settings.Team, bool) {
 			return tree.Teams["sutokatha"], key == teamKey
 		},
-		Bounds: entry.Bounds{BodyBytes: 4096, KeyBytes: 32},
+		Bounds: bounds,
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -249,6 +256,67 @@
 	})
 }
 
+// A caller knocks at an entry outside its team's zones: it learns where to go,
+// and its body isn't taken in. The entry answers before the body has come.
+func TestEntryOutsideTheZones(t *testing.T) {
+	w := newWorld()
+	w.permit("kolkata-north")
+	server := serve(t, w)
+	got := call{method: "GET", path: "/v1/addresses"}.do(t, server)
+	assert.Assert(t, strings.Contains(got.body, "127.0.0.1:2") && !strings.Contains(got.body, "127.0.0.1:1"), got.body)
+	unread, body := io.Pipe()
+	defer func() { _ = body.Close() }()
+	request, err := http.NewRequestWithContext(t.Context(), "POST", server.URL+"/v1/completions", unread)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var refusal callerapi.ErrorBody
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&refusal))
+	assert.Equal(t, refusal.Error.Code, callerapi.CodeNoZone)
+	assert.DeepEqual(t, refusal.Error.Addresses, []string{"127.0.0.1:2"})
+}
+
+// A caller begins a body and never ends it: the connection isn't kept for it.
+func TestBodyNeverEnds(t *testing.T) {
+	w := newWorld()
+	server := serveBounded(t, w, w.router(route.Bounds{}), entry.Bounds{BodyTime: 20 * time.Millisecond})
+	unread, body := io.Pipe()
+	defer func() { _ = body.Close() }()
+	go func() { _, _ = body.Write([]byte(`{"model":`)) }()
+	request, err := http.NewRequestWithContext(t.Context(), "POST", server.URL+"/v1/completions", unread)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, 400)
+}
+
+// A caller stops reading in the middle of its answer but keeps its connection.
+// Its decode slot must not wait for it for ever.
+func TestCallerStopsReading(t *testing.T) {
+	w := newWorld()
+	r := w.routerWith(fast{engines{w}, strings.Repeat("cotton ", 600)}, route.Bounds{OutputTokens: 4000})
+	server := serveBounded(t, w, r, entry.Bounds{WriteTime: 50 * time.Millisecond})
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(1024))
+	body := `{"model":"fibre","prompt":"a","stream":true,"max_tokens":4000}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", teamKey, len(body), body)
+	assert.NilError(t, err)
+	_, err = bufio.NewReaderSize(conn, 16).ReadByte()
+	assert.NilError(t, err)
+	deadline := time.Now().Add(5 * time.Second)
+	for r.Running() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, r.Running(), 0)
+	assert.Equal(t, w.grantCount(), 0)
+}
+
 func TestServiceCall(t *testing.T) {
 	w := newWorld()
 	server := serve(t, w)
--- a/internal/route/flight.go
+++ b/internal/route/flight.go
@@ -26,7 +26,7 @@
 func (f *flight) enter(now time.Time) (leave func(), state entryState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.draining && !now.Before(f.closes) {
+	if f.closedLocked(now) {
 		return nil, entryState{draining: true}
 	}
 	if f.count >= f.most {
@@ -36,6 +36,14 @@
 	return sync.OnceFunc(f.leave), entryState{}
 }
 
+func (f *flight) closedLocked(now time.Time) bool { return f.draining && !now.Before(f.closes) }
+
+func (f *flight) closed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closedLocked(now)
+}
+
 func (f *flight) leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -47,32 +47,55 @@
 	return r
 }
 
-// enter counts a request in, or refuses it at once.
+// Refuses tells whether a request of team would be refused whatever it is, so
+// that its body need not be read: a body that is never read can't linger in a
+// zone that the team forbids.
+func (r *Router) Refuses(team fleet.Team, key string) *Failure {
+	if failure := r.checkSelf(team); failure != nil {
+		return unsureOfKey(key, failure)
+	}
+	if r.flight.closed(time.Now()) {
+		return unsureOfKey(key, stopping())
+	}
+	return nil
+}
+
+// checkSelf refuses what this entry may not take.
 //
 // A daemon that can't confirm its lease could place by settings that are no
 // longer in force: it shows as a request served in a zone that the team has
 // just forbidden. Refusing before anything else is looked at rules it out.
-func (r *Router) enter(team fleet.Team) (leave func(), failure *Failure) {
+func (r *Router) checkSelf(team fleet.Team) *Failure {
 	if !r.opts.Source.Current(time.Now()) {
-		return nil, refused(callerapi.CodeNotCurrent, "this entry can't confirm its settings now", 0)
+		return refused(callerapi.CodeNotCurrent, "this entry can't confirm its settings now", 0)
 	}
 	refusal := placement.CheckEntry(r.opts.Source.State().Tree, team, r.opts.Source.Self().Zone)
 	if refusal != nil && refusal.Cause == placement.CauseNotCurrent {
-		return nil, refused(callerapi.CodeNotCurrent, "this entry has no settings yet", 0)
+		return refused(callerapi.CodeNotCurrent, "this entry has no settings yet", 0)
 	}
 	if refusal != nil {
-		return nil, notRun(callerapi.CodeNoZone, "this entry's availability zone is not permitted for the team", 0)
+		return notRun(callerapi.CodeNoZone, "this entry's availability zone is not permitted for the team", 0)
+	}
+	return nil
+}
+
+// enter counts a request in, or refuses it at once.
+func (r *Router) enter(team fleet.Team) (leave func(), failure *Failure) {
+	if failure := r.checkSelf(team); failure != nil {
+		return nil, failure
 	}
 	leave, entered := r.flight.enter(time.Now())
 	if !entered.draining && !entered.full {
 		return leave, nil
 	}
 	if entered.draining {
-		return nil, refused(callerapi.CodeDraining, "this entry is stopping", 0)
+		return nil, stopping()
 	}
 	return nil, refused(callerapi.CodeOverloaded, "this entry holds all the requests that it can", 0)
 }
 
+func stopping() *Failure { return refused(callerapi.CodeDraining, "this entry is stopping", 0) }
+
 func (r *Router) admit(a admission.Request) admission.Decision {
 	r.admissionMu.Lock()
 	defer r.admissionMu.Unlock()
