--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -34,9 +34,10 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	leader string // last known; empty when not
-	next   int    // of addresses, when there is no leader known
-	reader string // where pulls go
+	leader string        // last known; empty when not
+	moved  chan struct{} // closed when a leader becomes known
+	next   int           // of addresses, when there is no leader known
+	reader string        // where pulls go
 }
 
 // NewClient makes a client of the control instances at addresses, which is
@@ -47,6 +48,7 @@
 		addresses: addresses,
 		part:      part,
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		moved:     make(chan struct{}),
 	}
 }
 
@@ -65,10 +67,7 @@
 			c.setLeader(address)
 			return nil
 		}
-		if err != nil {
-			c.part.Debug("Call failed.", "address", address, "err", err)
-		}
-		c.setLeader(elsewhere)
+		c.learn(address, elsewhere, err)
 		if elsewhere != "" && redirects < maxRedirects {
 			redirects++
 			continue
@@ -81,6 +80,17 @@
 	}
 }
 
+// learn takes a try's failure. It forgets the leader only when that is who
+// failed: another call may have found the next one meanwhile.
+func (c *Client) learn(address, elsewhere string, err error) {
+	if elsewhere != "" {
+		c.setLeader(elsewhere)
+		return
+	}
+	c.part.Debug("Call failed.", "address", address, "err", err)
+	c.loseLeader(address)
+}
+
 func givenUp(ctx context.Context, last error) error {
 	if last == nil {
 		last = ctx.Err()
@@ -95,9 +105,38 @@
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
+	go c.cancelWhenMoved(ctx, cancel, address)
 	return try(ctx, client)
 }
 
+// cancelWhenMoved ends a try once another member is known to lead.
+//
+// Failure: the leader is cut off silently while a change waits there for its
+// answer. It shows as an operator's command that hangs for the whole time of a
+// try, long after the others have a new leader. The lease renewals of this
+// process find the new leader within a second, and since all calls are
+// idempotent the try may be given up and made there.
+func (c *Client) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, address string) {
+	for {
+		leader, moved := c.known()
+		if leader != "" && leader != address {
+			cancel()
+			return
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) known() (leader string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.moved
+}
+
 func (c *Client) at(ctx context.Context, address string) (pb.DRPCControlClient, error) {
 	if address == "" {
 		return nil, trace.BadParameter("no address of a control instance is known")
@@ -130,9 +169,22 @@
 func (c *Client) setLeader(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if address != "" && address != c.leader {
+		close(c.moved)
+		c.moved = make(chan struct{})
+	}
 	c.leader = address
 }
 
+// loseLeader forgets the leader if it is the one at address.
+func (c *Client) loseLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
 // sleep waits for a random part of about backoff; false when ctx ended.
 func (c *Client) sleep(ctx context.Context, backoff time.Duration) bool {
 	c.mu.Lock()
--- a/internal/endpoint/home.go
+++ b/internal/endpoint/home.go
@@ -21,6 +21,7 @@
 	metrics *homeMetrics
 	jobs    chan job
 	crashes chan *pb.ReportCrash
+	replies announceReplies
 
 	mu    sync.Mutex
 	core  *core
@@ -127,6 +128,9 @@
 	for _, t := range out.resyncs {
 		h.enqueue(func(ctx context.Context) { h.resync(ctx, t) })
 	}
+	for _, m := range out.handovers {
+		h.enqueue(func(ctx context.Context) { h.handOver(ctx, m) })
+	}
 	h.askOwners(out.disowns)
 }
 
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -14,7 +14,12 @@
 	announced engineapi.Announcement
 	heard     time.Time // arrival of the last announcement or heartbeat
 	beat      bool      // a held list has come
+	beatAt    time.Time // when the last held list came
 	sequence  uint64    // of the last heartbeat
+	first     uint64    // sequence of the first heartbeat since this is its home
+	skipped   time.Time // when a heartbeat last came whose number wasn't the next
+	doubt     bool      // a view was missed: another home may have granted
+	complete  bool      // this home has granted, or may, with full knowledge
 	quiet     time.Time // nothing is granted before: see tenure
 	leaving   bool
 	silent    bool // the lease ran out
@@ -100,38 +105,6 @@
 	return list
 }
 
-// remaining gives the predicted rest of each slot in use, shortest first.
-func (r *record) remaining(now time.Time, p *Predictor) []time.Duration {
-	list := make([]time.Duration, 0, len(r.holds))
-	for _, h := range r.holds {
-		if h.state == holdPromised {
-			continue
-		}
-		rest := p.Remaining(h.finished(), h.expected, now.Sub(h.granted), medianQuantile)
-		list = append(list, max(rest, time.Millisecond))
-	}
-	slices.Sort(list)
-	return list
-}
-
-func (h *hold) finished() Finished {
-	return Finished{Team: h.team, Model: h.model, Kind: h.key.kind}
-}
-
-// freeIn predicts when the n-th slot from now (0: the next) is free, beyond
-// those that promises wait for.
-func (r *record) freeIn(now time.Time, p *Predictor, n int) time.Duration {
-	wait := max(r.quiet.Sub(now), 0)
-	rest := r.remaining(now, p)
-	at := n + len(r.promised()) - (r.announced.Slots - len(rest))
-	if at < 0 || len(rest) == 0 {
-		return wait
-	}
-	longest := rest[len(rest)-1]
-	rounds := time.Duration(at / len(rest))
-	return wait + rest[at%len(rest)] + rounds*longest
-}
-
 // drainRate is how often slots are freed, learned from releases.
 type drainRate struct {
 	last time.Time
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 	if len(e.Entries) == 0 {
 		return Result{}, trace.BadParameter("no entries are given")
 	}
+	if len(e.Direct) == 0 && slices.ContainsFunc(e.Streams, func(s Stream) bool { return s.Direct }) {
+		return Result{}, trace.BadParameter("a stream is direct but no endpoints are given")
+	}
 	client := &http.Client{Transport: o.Transport}
 	if o.Transport == nil {
 		transport := newTransport(e.MaxInFlight)
@@ -77,7 +81,7 @@
 }
 
 func newRunner(e *Experiment, client *http.Client, o Options) *runner {
-	c := &caller{sender: &sender{client: client, expect: o.Expect}}
+	c := &caller{sender: &sender{client: client, expect: o.Expect}, direct: e.Direct}
 	for n := range e.Callers {
 		c.books = append(c.books, newAddressBook(client, e, n))
 	}
@@ -180,7 +184,8 @@
 }
 
 // shares works out how much of the capacity was asked for and used well. The
-// scarcer of prefill and decode counts.
+// scarcer of prefill and decode counts. Requests whose callers went away by plan
+// aren't counted as offered.
 func shares(r *Result, e *Experiment) {
 	if !e.Capacity.known() || r.Seconds <= 0 {
 		return
@@ -191,8 +196,9 @@
 			continue
 		}
 		measured := r.Streams[n]
-		offeredPrefill += measured.OfferedPerSec / e.Capacity.prefillPerSec(s)
-		offeredDecode += measured.OfferedPerSec / e.Capacity.decodePerSec(s)
+		wanted := float64(measured.Offered-measured.Verdicts[VerdictCancelled]) / r.Seconds
+		offeredPrefill += wanted / e.Capacity.prefillPerSec(s)
+		offeredDecode += wanted / e.Capacity.decodePerSec(s)
 		goodPrefill += measured.GoodPerSec / e.Capacity.prefillPerSec(s)
 		goodDecode += measured.GoodPerSec / e.Capacity.decodePerSec(s)
 	}
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -50,7 +50,7 @@
 // join makes an empty disk part of the group that named it. Only a member of
 // the group can know the disk's ID, from an operator who gave it.
 func (n *Node) join(group string) bool {
-	if err := n.guarded(func() error { return n.store.JoinGroup(group) }); err != nil {
+	if err := n.guarded(0, func() error { return n.store.JoinGroup(group) }); err != nil {
 		n.options.Part.Error("Can't join the group.", "group", group, "err", err)
 		n.failed.Store(true)
 		return false
@@ -125,6 +125,21 @@
 	n.changes = append(n.changes, memberChange{change: e.change, term: n.core.Status().Term, reply: e.reply})
 }
 
+// handoverEvent asks another member to lead.
+type handoverEvent struct{ reply chan struct{} } // closed when not leading
+
+func (e handoverEvent) refuse(error) { close(e.reply) }
+
+func (e handoverEvent) size() int { return 0 }
+
+func (e handoverEvent) run(n *Node, now time.Time) {
+	if n.core.HandOver(now) == consensus.ErrNotLeader {
+		close(e.reply)
+		return
+	}
+	n.handovers = append(n.handovers, e)
+}
+
 // initEvent begins a group on this disk.
 type initEvent struct {
 	group   string
@@ -148,7 +163,7 @@
 	if err != nil {
 		return refusal(err)
 	}
-	err = n.guarded(func() error {
+	err = n.guarded(0, func() error {
 		if err := n.store.Save(state.HardState, state.Entries); err != nil {
 			return err
 		}
