endpoint: an endpoint's first heartbeat at another instance spares the wait too

Seen in a trial fleet: a daemon joined between an endpoint's announcement and its first heartbeat; its new home first heard number 2 and granted nothing for 4.5 s, and a fleet with one prefill engine answered nothing. The instance that got number 1 now says so to the home. TestFirstHeartbeatAtAnotherInstance gave 0 grants for 2 before. An instance also probes only endpoints that it is home of.

--- a/internal/endpoint/core.go
+++ b/internal/endpoint/core.go
@@ -166,7 +166,7 @@
 
 func (c *core) tickRecord(now time.Time, id fleet.EndpointID, r *record) {
 	silence := now.Sub(r.heard)
-	if silence >= c.limits.EndpointLease {
+	if silence >= c.limits.EndpointLease && c.isHome(r) {
 		c.fallSilent(now, r)
 	}
 	if silence >= c.limits.EndpointLease+2*c.limits.GrantLife && now.Sub(c.awake) > c.limits.EndpointLease {
--- a/internal/endpoint/core_beat.go
+++ b/internal/endpoint/core_beat.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"fmt"
 	"reflect"
 	"time"
 
@@ -121,6 +122,9 @@
 		r.take(now, h.message, c.guards.anyHandover)
 		delete(c.handed, r.announced.ID)
 	}
+	if wait := r.quiet.Sub(now); wait > 0 {
+		c.note(timeline.KindEndpointJoin, r, "", fmt.Sprintf("first heartbeat here is number %d; no grant for %v", r.first, wait.Round(time.Millisecond)))
+	}
 }
 
 // clearFailed forgets failed runs of an endpoint that is alive after all.
--- a/internal/endpoint/core_handover.go
+++ b/internal/endpoint/core_handover.go
@@ -68,9 +68,17 @@
 // elsewhere: the new home has to know of its number.
 func (c *core) redirected(now time.Time, b engineapi.Heartbeat) {
 	r, ok := c.known(b.Announcement.ID, b.Announcement.Incarnation)
+	if !ok && b.Sequence == firstSequence {
+		r, ok = c.join(now, b.Announcement)
+	}
 	if !ok || c.isHome(r) || b.Sequence <= r.sequence {
 		return
 	}
+	if b.Sequence == firstSequence {
+		// Nobody can have granted before an incarnation's first heartbeat, and
+		// this instance doesn't: so all there is is known.
+		r.complete = true
+	}
 	if b.Sequence != r.sequence+1 && !c.guards.anyHandover {
 		// The endpoint has been elsewhere meanwhile: what is known here is no
 		// longer the last word.
--- a/internal/endpoint/handover_test.go
+++ b/internal/endpoint/handover_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
@@ -116,6 +117,35 @@
 	assert.Assert(t, run(guards{noDoubt: true}, 22) > 0, "the proof must fail without its guard")
 }
 
+// A fleet starts: an endpoint has announced itself, another daemon joins and
+// becomes its home, and the endpoint's first heartbeat still goes to the first
+// one. Its next would be the first that its home hears, and callers would wait
+// five seconds for nothing.
+func TestFirstHeartbeatAtAnotherInstance(t *testing.T) {
+	for name, announced := range map[string]bool{"announced there": true, "unknown there": false} {
+		t.Run(name, func(t *testing.T) {
+			a, b := homes("e1")
+			owner := instance("owner", zoneFar)
+			before, after := viewOf(1, a, owner), viewOf(2, a, b, owner)
+			old, next := coreAt(epoch, a, before, guards{}), coreAt(epoch, b, before, guards{})
+			if announced {
+				old.announce(epoch, announcement("e1", 2))
+			}
+			now := at(200 * time.Millisecond)
+			old.observe(now, after, true)
+			next.observe(now, after, true)
+			old.redirected(now, engineapi.Heartbeat{Announcement: announcement("e1", 2), Sequence: 1})
+			for _, m := range old.drain().handovers {
+				next.takeHandover(now, m.message)
+			}
+			beatCore(next, now, announcement("e1", 2), 2)
+			assert.Equal(t, granted(next, now), 2)
+			old.tick(at(10 * time.Second))
+			assert.Equal(t, len(old.drain().probes), 0, "an instance probes only endpoints that it is home of")
+		})
+	}
+}
+
 // The whole way: a daemon joins, the engine is sent on by its old home, and is
 // granted by the new one within a second, counting the old grant.
 func TestHandoverBetweenDaemons(t *testing.T) {
