endpoint: endpoints of a home that can't be reached are set aside

Seen in a trial fleet after SIGKILL of one daemon of three: 16 and 76 requests refused as overloaded, with two of three decode engines free. Cause: the dead home's endpoints stayed candidates for 2 s and looked emptier than the others, and requests spent the retry budget on them. Ruled out: the new home's wait (it ends later than the refusals). Without the guard TestEndpointsOfAKilledHomeAreSetAside fails with 1 candidate for 0 (leaving_test.go).

--- a/internal/endpoint/follower_metrics.go
+++ b/internal/endpoint/follower_metrics.go
@@ -7,6 +7,7 @@
 	takes        *prometheus.CounterVec
 	droppedGives prometheus.Counter
 	renewals     prometheus.Counter
+	distrusted   prometheus.Counter
 }
 
 func newFollowerMetrics(r prometheus.Registerer) *followerMetrics {
@@ -23,9 +24,12 @@
 		renewals: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_follower_renewals_total", Help: "Grants renewed before the endpoint had confirmed them.",
 		}),
+		distrusted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_follower_distrusted_homes_total", Help: "Homes whose endpoints were set aside since a call to them failed.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.failedPolls, m.takes, m.droppedGives, m.renewals)
+		r.MustRegister(m.failedPolls, m.takes, m.droppedGives, m.renewals, m.distrusted)
 	}
 	return m
 }
--- a/internal/endpoint/follower_take.go
+++ b/internal/endpoint/follower_take.go
@@ -59,6 +59,7 @@
 
 func (f *HomeClient) takeFrom(ctx context.Context, key takenKey, t *taken, known *row) (*Grant, *Refusal, error) {
 	wait := boundedMs(t.request.WaitMs, maxWait)
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wait+takeMargin)
 	defer cancel()
 	asked := time.Now()
@@ -71,6 +72,9 @@
 	if err != nil {
 		// The home may have granted: give it back, whatever it was.
 		f.metrics.takes.WithLabelValues("failed").Inc()
+		if caller.Err() == nil {
+			f.distrust(known.home)
+		}
 		f.Give(Release{Grant: Grant{Endpoint: key.endpoint, Attempt: key.hold.attempt, Kind: key.hold.kind},
 			Reason: pb.ReleaseReason_RELEASE_REASON_UNUSED})
 		return nil, nil, trace.Wrap(err, "home of endpoint %s", key.endpoint)
@@ -86,6 +90,21 @@
 	return f.grantOf(key, t, known, reply), nil, nil
 }
 
+// distrust stops offering the endpoints of a home that can't be reached, until
+// it answers a poll.
+//
+// The failure: a home is killed; its endpoints stay candidates for two seconds
+// by its last digest, look emptier than the others since it no longer changes,
+// and each request spends its retries on them.
+func (f *HomeClient) distrust(home fleet.Owner) {
+	f.metrics.distrusted.Inc()
+	for _, r := range f.index.Load().byID {
+		if r.home == home {
+			r.distrust()
+		}
+	}
+}
+
 func (f *HomeClient) askGrant(ctx context.Context, t *taken) (*pb.GrantReply, error) {
 	f.attemptsMu.Lock()
 	address := t.address
--- a/internal/endpoint/leaving_test.go
+++ b/internal/endpoint/leaving_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// The home of some engines is killed. Its last digests say that they are empty;
+// requests would try them first, again and again, until their retries are spent.
+func TestEndpointsOfAKilledHomeAreSetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet(t)
+		home, other := pair(t, net, "e1")
+		defer home.stop()
+		defer other.stop()
+		home.beat(announcement("e1", 4), 1)
+		time.Sleep(pollEvery + 10*time.Millisecond)
+		net.setCut(home.source.self.RPCAddress, true)
+		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 1)
+		_, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 0)
+		net.setCut(home.source.self.RPCAddress, false)
+		home.beat(announcement("e1", 4), 2)
+		time.Sleep(pollEvery + 10*time.Millisecond)
+		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 1, "it answers again")
+	})
+}
+
 // The engine's home changes between a request's digest and its take: the old
 // home names the new one, which the request then asks.
 func TestTakeFollowsTheHome(t *testing.T) {
--- a/internal/endpoint/row.go
+++ b/internal/endpoint/row.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// distrust makes what is known unusable until a newer digest comes.
+func (r *row) distrust() {
+	old := r.figures.Load()
+	if old == nil {
+		return
+	}
+	stale := *old
+	stale.at = time.Time{}
+	r.figures.CompareAndSwap(old, &stale)
+}
+
 func newFigures(now time.Time, d *pb.EndpointDigest) *figures {
 	f := &figures{
 		sequence:   d.GetSequence(),
