--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -23,13 +23,14 @@
 	home     *endpoint.Home
 	follower *endpoint.HomeClient
 	ledger   *outcome.Service
-	guard    quarantine.Guard
+	guard    *quarantine.Service
 	router   *route.Router
 }
 
 func newEntryRole(b *base) (*entryRole, error) {
 	e := &entryRole{}
 	client := engine.NewClient(engine.Options{
+		Owner:      b.self.Owner(),
 		Part:       newPart(b.logger, "engine"),
 		Registerer: b.registry,
 	})
@@ -85,7 +86,13 @@
 }
 
 func (e *entryRole) newOutcomes(b *base) {
-	e.guard = noGuard{}
+	e.guard = quarantine.NewService(quarantine.Options{
+		Source:     b.agent,
+		Dialer:     b.pool,
+		Seed:       uint64(b.self.Incarnation),
+		Part:       newPart(b.logger, "quarantine"),
+		Registerer: b.registry,
+	})
 	e.ledger = outcome.NewService(outcome.Options{
 		Source: b.agent,
 		Dialer: b.pool,
@@ -93,6 +100,7 @@
 			_, err := b.client.Ready(ctx, ready)
 			return err
 		},
+		Runs:       e.guard,
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "ledger"),
 		Recorder:   b.ring,
@@ -111,4 +119,5 @@
 	group.Go(func() error { return e.home.Run(work) })
 	group.Go(func() error { return e.follower.Run(work) })
 	group.Go(func() error { return e.ledger.Run(work) })
+	group.Go(func() error { return e.guard.Run(work) })
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -38,10 +38,12 @@
 	metrics   *metrics
 
 	applied   uint64
+	newBytes  uint64 // of the entries applied since the newest snapshot
 	nextRead  uint64
 	proposals map[uint64]proposal // by index
 	reads     map[uint64]chan error
 	changes   []memberChange
+	handovers []handoverEvent
 }
 
 // New opens the data folder and restores the state machine. An error that is
