--- a/internal/schedule/names.go
+++ b/internal/schedule/names.go
@@ -67,7 +67,7 @@
 
 func defaultChoice(kind fleet.EndpointRole) string {
 	if kind == fleet.RolePrefill {
-		return NameLeastWait
+		return NameSampledWait
 	}
 	return NameTwoChoices
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -28,7 +28,7 @@
 // DefaultDecisions are the policies of a fleet that names none.
 func DefaultDecisions() Decisions {
 	return Decisions{
-		Prefill: "least-wait",
+		Prefill: "sampled-wait",
 		Decode:  "two-choices",
 		Start:   "predicted-room",
 		Plain:   "two-choices",
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -85,7 +85,7 @@
 // Decisions chooses the policy of each decision by name; see package schedule
 // for the names.
 type Decisions struct {
-	Prefill string `yaml:"prefill"` // endpoint choice for prefill, default "least-wait"
+	Prefill string `yaml:"prefill"` // endpoint choice for prefill, default "sampled-wait"
 	Decode  string `yaml:"decode"`  // endpoint choice for decode, default "two-choices"
 	Start   string `yaml:"start"`   // when a prefill may start, default "predicted-room"
 	Plain   string `yaml:"plain"`   // endpoint choice for plain services, default "two-choices"
--- a/internal/settings/policies.go
+++ b/internal/settings/policies.go
@@ -5,7 +5,7 @@
 // The policy names that each decision takes. Package schedule has one type for
 // each; a name without a type would be accepted and then ignored.
 var (
-	prefillPolicies = []string{"least-wait", "sampled-wait", "two-choices", "round-robin", "least-reported-load"}
+	prefillPolicies = []string{"sampled-wait", "least-wait", "two-choices", "round-robin", "least-reported-load"}
 	decodePolicies  = []string{"two-choices", "least-wait", "sampled-wait", "round-robin", "least-reported-load"}
 	startPolicies   = []string{"predicted-room", "prefill-first", "reserve-first"}
 	plainPolicies   = []string{"two-choices", "least-wait", "sampled-wait", "round-robin", "least-reported-load"}
--- a/internal/settings/refusal_test.go
+++ b/internal/settings/refusal_test.go
@@ -52,7 +52,7 @@
 	{"operator pattern", "fleet", "[teams/sorters]", "[sorters]", `operators[1].subtrees[0]: "sorters" matches no subtree`},
 	{"operator key twice", "fleet", "%LEAD%", "%ROOT%", `operators[1]: the same key stands here again`},
 	{"no operator for the fleet", "fleet", `["*"]`, `["teams/*"]`, `operators: no operator may change the fleet subtree`},
-	{"unknown policy", "fleet", "timeouts:\n", "decisions: {prefill: best}\ntimeouts:\n", `decisions.prefill: "best" is not known; choose one of least-wait`},
+	{"unknown policy", "fleet", "timeouts:\n", "decisions: {prefill: best}\ntimeouts:\n", `decisions.prefill: "best" is not known; choose one of sampled-wait`},
 	{"lease under three heartbeats", "fleet", "record_life: 5m", "endpoint_heartbeat: 501ms", `keep endpoint_heartbeat * 3 <= endpoint_lease (now 501ms * 3 > 1.5s)`},
 	{"leaving too slow", "fleet", "record_life: 5m", "{endpoint_lease: 2900ms, grant_life: 3s}", `keep endpoint_lease + endpoint_heartbeat <= 3s (now 2.9s + 300ms)`},
 	{"settings lease too short", "fleet", "record_life: 5m", "settings_lease: 2s", `timeouts.settings_lease: doesn't fit the other timeouts; keep instance_lease < settings_lease`},
