outcome: a claim decides another's intent before it says in flight

Cause: go test -race -count=6 failed once in six, TestClaimsRace, 'slip-39 was never decided'. Two claims each had an accept at one replica, each then saw the other's undecided intent and gave up with 'in flight'. Nobody ran the request, and repeats would have been told 'in flight' for as long as both owners lived. Ruled out: a lost reply in the test's network.

Now the found intent is proposed first, so whoever gives up has seen the other's decided, and that owner is told to run. A repeat costs a second round trip, 6 requests instead of 3.

--- a/internal/outcome/proposer.go
+++ b/internal/outcome/proposer.go
@@ -257,19 +257,23 @@
 	return p.decided()
 }
 
-// prepared chooses what to propose, or answers without proposing.
+// prepared chooses what to propose, or answers where that needs no decision.
 func (p *Proposer) prepared() Step {
 	c := choose(p.oks)
 	if c.held.Ended() {
 		return p.ended(c.held)
 	}
 	other := c.held.Decision.Kind == DecisionIntent && c.held.Decision != p.own
-	if other && p.circumstances.Alive(c.held.Decision.Owner) && (c.bound || p.purpose == PurposeResolve) {
+	if other && p.circumstances.Alive(c.held.Decision.Owner) && (p.purpose == PurposeResolve || p.circumstances.HistoryLost) {
 		return p.done(VerdictInFlight, c.held)
 	}
 	if p.circumstances.HistoryLost {
 		return p.done(VerdictUnknown, c.held)
 	}
+	// Another's intent is proposed before "in flight" is said. Were a claim to
+	// give up on sight of an undecided one, two claims could give up for each
+	// other: nobody would run the request, and repeats would be told "in
+	// flight" for as long as both owners live.
 	switch {
 	case c.bound, p.purpose == PurposeResolve && c.held.Found():
 		p.held = c.held
