--- a/internal/settings/check_fleet.go
+++ b/internal/settings/check_fleet.go
@@ -33,6 +33,7 @@
 	c.operators(f.Operators)
 	c.weightStore(f.WeightStore)
 	c.decisions(f.Decisions)
+	c.provision(f.Provision)
 	c.callerKinds("caller_kinds", f.Callers)
 	c.timeouts(f)
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -40,6 +40,7 @@
 	return Fleet{
 		WeightStore: WeightStore{Rate: 1e9, ConcurrentLoads: DefaultConcurrentLoads},
 		Decisions:   DefaultDecisions(),
+		Provision:   DefaultProvision(),
 		Timeouts:    DefaultTimeouts(),
 	}
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -16,6 +16,7 @@
 	Operators    []Operator   `yaml:"operators"`
 	WeightStore  WeightStore  `yaml:"weight_store"`
 	Decisions    Decisions    `yaml:"decisions"`
+	Provision    Provision    `yaml:"provision"`
 	Timeouts     Timeouts     `yaml:"timeouts"`
 	Callers      []CallerKind `yaml:"caller_kinds"` // defaults for teams
 }
