Planner of loads and roles, wired into entries; operators' orders

Entries count demand where requests find endpoints and take slots; one entry of each region, by rendezvous, polls counts and digests, plans by ModelPlan and gives orders through the issuer once the endpoint's home has stopped new work and the endpoint is idle. hyssopsail order load|unload|role does it by hand.

An order right after an own one at an endpoint that ignores tokens no longer waits out the lease and the longest load: a swap (unload, load) would have stood still for minutes between its two halves.

--- a/cmd/hyssopsail/app.go
+++ b/cmd/hyssopsail/app.go
@@ -38,6 +38,7 @@
 	addStatus,
 	addEndpoints,
 	addDrain,
+	addOrder,
 	addControl,
 	addTimeline,
 	addHashKey,
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/provision"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
@@ -20,11 +21,12 @@
 
 // entryRole serves callers and endpoints and routes requests.
 type entryRole struct {
-	home     *endpoint.Home
-	follower *endpoint.HomeClient
-	ledger   *outcome.Service
-	guard    *quarantine.Service
-	router   *route.Router
+	home      *endpoint.Home
+	follower  *endpoint.HomeClient
+	ledger    *outcome.Service
+	guard     *quarantine.Service
+	router    *route.Router
+	provision *provision.Service
 }
 
 func newEntryRole(b *base) (*entryRole, error) {
@@ -35,10 +37,11 @@
 		Registerer: b.registry,
 	})
 	e.newHomes(b, client)
+	e.newProvision(b, client)
 	e.newOutcomes(b)
 	e.router = route.New(route.Options{
 		Source:     b.agent,
-		Follower:   e.follower,
+		Follower:   e.provision.Follower(),
 		Engine:     client,
 		Ledger:     e.ledger,
 		Guard:      e.guard,
@@ -109,7 +112,10 @@
 }
 
 func (e *entryRole) register(b *base) error {
-	if err := pb.DRPCRegisterHome(b.rpc.Mux, e.home); err != nil {
+	if err := pb.DRPCRegisterHome(b.rpc.Mux, e.provision.Home()); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := pb.DRPCRegisterProvision(b.rpc.Mux, e.provision.Server()); err != nil {
 		return trace.Wrap(err)
 	}
 	return trace.Wrap(pb.DRPCRegisterLedger(b.rpc.Mux, e.ledger.Server()))
@@ -118,6 +124,7 @@
 func (e *entryRole) start(group *errgroup.Group, work context.Context) {
 	group.Go(func() error { return e.home.Run(work) })
 	group.Go(func() error { return e.follower.Run(work) })
+	group.Go(func() error { return e.provision.Run(work) })
 	group.Go(func() error { return e.ledger.Run(work) })
 	group.Go(func() error { return e.guard.Run(work) })
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -72,6 +72,7 @@
 		Now:       time.Now,
 		Log:       newPart(b.logger, "operator"),
 		Endpoints: newEndpointLister(b, e).list,
+		Order:     endpointOrders{lister: newEndpointLister(b, e), own: e}.order,
 		Timeline:  newTimelineReader(b).read,
 		Health:    http.HandlerFunc(healthy),
 		Ready:     readiness{base: b},
--- /dev/null
+++ b/internal/e2e/provision_test.go
@@ -0,0 +1,146 @@
+package e2e_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+const quickProvision = "provision: {mode: %s, poll: 300ms, hold: 1s, cool_down: 5s, drain: 5s, models_per_engine: 1}\n"
+
+// provision puts a fleet's planners in a mode.
+func (f *testFleet) provision(t *testing.T, p plan, mode settings.ProvisionMode) {
+	t.Helper()
+	yaml := fleetYAML(p) + fmt.Sprintf(quickProvision, mode)
+	eventually(t, 10*time.Second, func() error {
+		version, err := f.versionAt(t, f.instances[0], settings.FleetSubtree)
+		if err != nil {
+			return err
+		}
+		return f.change(t, f.operator, settings.FleetSubtree, version, uuid.NewString(), yaml)
+	})
+}
+
+func withoutModel(o *standin.Options) {
+	o.Models = nil
+	o.ChecksTokens = true
+	o.Timing.LoadTime = 500 * time.Millisecond
+}
+
+// A model has no endpoint and callers begin to ask for it. They are refused
+// until an idle engine of each kind has loaded it, and then get their answers;
+// nobody has to do anything.
+func TestModelIsLoadedWhereDemandIs(t *testing.T) {
+	p := oneZone()
+	f := startFleet(t, p)
+	f.provision(t, p, settings.ProvisionAct)
+	e := &engines{fleet: f}
+	prefill := e.add(t, "p", "a", fleet.RolePrefill, withoutModel)
+	decode := e.add(t, "d", "a", fleet.RoleDecode, withoutModel)
+	f.awaitEndpoints(t, "p", "d")
+
+	began := time.Now()
+	eventually(t, 40*time.Second, func() error {
+		a, err := ask(callContext(t), f.instances[0], request{prompt: "bales of saris", maxTokens: 3})
+		if err == nil && !a.whole() {
+			err = fmt.Errorf("%+v", a)
+		}
+		return err
+	})
+	t.Logf("served %s after the first request, load time 500ms", time.Since(began).Round(time.Millisecond))
+	m := []engineapi.ModelRef{{Model: "m", Version: "1"}}
+	assert.DeepEqual(t, prefill.Announcement().Models, m)
+	assert.DeepEqual(t, decode.Announcement().Models, m)
+	assert.Equal(t, prefill.audit(t).Orders+decode.audit(t).Orders, 2)
+}
+
+// awaitEndpoints waits until the homes know the endpoints.
+func (f *testFleet) awaitEndpoints(t *testing.T, ids ...string) {
+	t.Helper()
+	eventually(t, 15*time.Second, func() error {
+		reply, err := f.operator.Endpoints(callContext(t))
+		if err != nil {
+			return err
+		}
+		known := map[string]bool{}
+		for _, d := range reply.Endpoints {
+			known[d.GetId()] = true
+		}
+		for _, id := range ids {
+			if !known[id] {
+				return fmt.Errorf("no home knows %s", id)
+			}
+		}
+		return nil
+	})
+}
+
+// In the default mode the same demand moves nothing; the time line says what
+// would have been ordered.
+func TestAdviceMovesNothing(t *testing.T) {
+	p := oneZone()
+	f := startFleet(t, p)
+	f.provision(t, p, settings.ProvisionAdvise)
+	e := &engines{fleet: f}
+	decode := e.add(t, "d", "a", fleet.RoleDecode, withoutModel)
+	f.awaitEndpoints(t, "d")
+	eventually(t, 30*time.Second, func() error {
+		if _, err := ask(callContext(t), f.instances[0], request{prompt: "x", maxTokens: 1}); err != nil {
+			return err
+		}
+		line, err := f.operator.Timeline(callContext(t), &pb.TimelineQuery{EndpointId: "d"})
+		if err != nil {
+			return err
+		}
+		for _, event := range line.Events {
+			if event.GetKind() == "order.issued" {
+				return nil
+			}
+		}
+		return fmt.Errorf("no advice in %d events", len(line.Events))
+	})
+	assert.Equal(t, decode.audit(t).Orders, 0)
+}
+
+// An operator loads, unloads and changes a role by hand; the time line names
+// the operator.
+func TestOperatorOrdersAnEndpoint(t *testing.T) {
+	p := oneZone()
+	f := startFleet(t, p)
+	e := &engines{fleet: f}
+	engine := e.add(t, "x", "a", fleet.RoleDecode, withoutModel)
+	f.awaitEndpoints(t, "x")
+	at := f.operatorAs(t, operatorKey, f.instances[1])
+	for _, in := range []*pb.OrderEndpointRequest{
+		{Kind: "load", Model: "m@1"},
+		{Kind: "change-role", Role: "both"},
+		{Kind: "unload", Model: "m@1"},
+	} {
+		in.EndpointId, in.OrderId = "x", uuid.NewString()
+		for range 2 { // the second is a repeat
+			reply, err := at.Order(callContext(t), in)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.GetOutcome(), "done", "%v", in)
+		}
+	}
+	assert.Equal(t, engine.audit(t).Orders, 3)
+	assert.Equal(t, engine.Announcement().Role, fleet.RoleBoth)
+	line, err := f.operator.Timeline(callContext(t), &pb.TimelineQuery{EndpointId: "x"})
+	assert.NilError(t, err)
+	named := 0
+	for _, event := range line.Events {
+		if event.GetKind() == "order.issued" && len(event.GetDetail()) > 14 && event.GetDetail()[:14] == "by operator o " {
+			named++
+		}
+	}
+	assert.Equal(t, named, 3)
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -109,6 +109,13 @@
 	return out, c.post(ctx, "/v1/drain", in, out)
 }
 
+// Order gives an order to an endpoint, or asks how it is going. Both must go to
+// the same instance: one address only.
+func (c *Client) Order(ctx context.Context, in *pb.OrderEndpointRequest) (*pb.OrderEndpointReply, error) {
+	out := &pb.OrderEndpointReply{}
+	return out, c.post(ctx, "/v1/orders", in, out)
+}
+
 // Endpoints lists the endpoints.
 func (c *Client) Endpoints(ctx context.Context) (EndpointsReply, error) {
 	var out EndpointsReply
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -10,6 +10,7 @@
 //	POST /v1/members     pb.ChangeMemberRequest -> pb.ChangeMemberReply
 //	GET  /v1/disk                               -> pb.Member
 //	POST /v1/drain       pb.DrainRequest        -> pb.DrainReply
+//	POST /v1/orders      pb.OrderEndpointRequest -> pb.OrderEndpointReply
 //	GET  /v1/endpoints                          -> EndpointsReply
 //	GET  /v1/timeline    ?request=&endpoint=&team=&change=&since_ns=&after=&limit= -> TimelineReply
 //
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -41,6 +41,9 @@
 		if options.Endpoints != nil {
 			r.Get("/endpoints", h.serve(h.endpoints, callTimeout))
 		}
+		if options.Order != nil {
+			r.Post("/orders", h.serve(h.current(h.order), callTimeout))
+		}
 		if options.Timeline != nil {
 			r.Get("/timeline", h.serve(h.timeline, callTimeout))
 		}
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -11,7 +11,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
-// Options are what a handler needs. Current, Endpoints, Timeline, Health, Ready
+// Options are what a handler needs. Current, Endpoints, Order, Timeline, Health, Ready
 // and Metrics may be nil: paths of the missing ones are then not found.
 type Options struct {
 	Control   Control
@@ -21,10 +21,12 @@
 	Now       func() time.Time
 	Log       logging.Part
 	Endpoints func(ctx context.Context) ([]*pb.EndpointDigest, error)
-	Timeline  func(ctx context.Context, query *pb.TimelineQuery) (TimelineReply, error)
-	Health    http.Handler
-	Ready     http.Handler
-	Metrics   http.Handler
+	// Order gives an order to an endpoint for the operator named by.
+	Order    func(ctx context.Context, in *pb.OrderEndpointRequest, by string) (*pb.OrderEndpointReply, error)
+	Timeline func(ctx context.Context, query *pb.TimelineQuery) (TimelineReply, error)
+	Health   http.Handler
+	Ready    http.Handler
+	Metrics  http.Handler
 }
 
 // TimelineReply is the merged time line of all reachable instances.
--- a/internal/orders/issuer.go
+++ b/internal/orders/issuer.go
@@ -56,6 +56,7 @@
 	recorder  timeline.Recorder
 	now       func() time.Time
 	running   chan struct{}
+	ended     endedTokens
 }
 
 // NewIssuer makes an issuer.
@@ -115,6 +116,7 @@
 
 func (i *Issuer) run(ctx context.Context, target engine.Target, want Want) (Outcome, *pb.OrderRecord, error) {
 	p := NewProcess(want, BoundsOf(i.source.State().Tree), i.now())
+	p.own = i.ended.of(target.ID)
 	for {
 		step, at := p.Next()
 		if err := i.waitUntil(ctx, at); err != nil {
@@ -129,6 +131,9 @@
 			i.send(ctx, p, target, want)
 		case StepEnd:
 			i.part.Info("Order ended.", "order", p.OrderID(), "endpoint", target.ID, "token", p.Token(), "outcome", p.Outcome())
+			if p.Outcome() == OutcomeDone {
+				i.ended.note(target.ID, p.Token())
+			}
 			return p.Outcome(), p.Newest(), nil
 		}
 	}
--- a/internal/orders/process.go
+++ b/internal/orders/process.go
@@ -60,7 +60,7 @@
 	checks    bool // the endpoint checks tokens
 	issue     int
 	tries     int
-	own       uint64 // this process's token before the present one
+	own       uint64 // this issuer's token before the present one, known to have ended
 	record    *pb.OrderRecord
 	newest    *pb.OrderRecord
 	confirmed time.Time // when the last good confirmation was asked for
