--- a/internal/orders/issuer.go
+++ b/internal/orders/issuer.go
@@ -57,6 +57,7 @@
 	now       func() time.Time
 	running   chan struct{}
 	ended     endedTokens
+	watch     watch
 }
 
 // NewIssuer makes an issuer.
@@ -131,14 +132,23 @@
 			i.send(ctx, p, target, want)
 		case StepEnd:
 			i.part.Info("Order ended.", "order", p.OrderID(), "endpoint", target.ID, "token", p.Token(), "outcome", p.Outcome())
-			if p.Outcome() == OutcomeDone {
-				i.ended.note(target.ID, p.Token())
-			}
+			i.noteEnd(p, target, want)
 			return p.Outcome(), p.Newest(), nil
 		}
 	}
 }
 
+// noteEnd remembers an order that was done.
+func (i *Issuer) noteEnd(p *Process, target engine.Target, want Want) {
+	if p.Outcome() != OutcomeDone {
+		return
+	}
+	i.ended.note(target.ID, p.Token())
+	if !p.checks {
+		i.watch.note(watched{target: target, want: want, order: p.OrderID(), until: i.now().Add(watchFor)})
+	}
+}
+
 func (i *Issuer) waitUntil(ctx context.Context, at time.Time) error {
 	timer := time.NewTimer(at.Sub(i.now()))
 	defer timer.Stop()
@@ -151,28 +161,13 @@
 }
 
 func (i *Issuer) look(ctx context.Context, p *Process, target engine.Target) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	a, err := i.endpoints.State(ctx, target)
+	a, err := i.stateOf(ctx, target)
 	p.Looked(i.now(), a, err)
 }
 
 func (i *Issuer) confirm(ctx context.Context, p *Process, target engine.Target, want Want) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	self := i.source.Self()
 	asked := i.now()
-	reply, err := i.control.Order(ctx, &pb.IssueOrder{
-		OrderId:           p.OrderID(),
-		EndpointId:        string(target.ID),
-		Kind:              want.kind(),
-		Model:             want.Model.Model,
-		Version:           want.Model.Version,
-		Adapter:           want.Model.Adapter,
-		Role:              string(want.Role),
-		IssuerInstance:    string(self.ID),
-		IssuerIncarnation: uint64(self.Incarnation),
-	})
+	reply, err := i.ask(ctx, target, want, p.OrderID())
 	p.Confirmed(asked, i.now(), reply, err)
 }
 
--- a/internal/orders/issuer_test.go
+++ b/internal/orders/issuer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -58,13 +59,25 @@
 	return &result
 }
 
-func (w *world) issuer(id fleet.InstanceID) *Issuer {
-	return NewIssuer(Options{Control: w, Endpoints: endpoint{w}, Source: &membership.Static{
+func (w *world) issuer(id fleet.InstanceID) *Issuer { return w.issuerAt(id, endpoint{w}) }
+
+func (w *world) issuerAt(id fleet.InstanceID, e Endpoints) *Issuer {
+	return NewIssuer(Options{Control: w, Endpoints: e, Source: &membership.Static{
 		Fixed:    &membership.State{Tree: settings.EmptyTree()},
 		Instance: fleet.Instance{ID: id, Incarnation: 1},
 	}})
 }
 
+// settings applies a fleet subtree with these lines more.
+func (w *world) settings(t *testing.T, lines string) {
+	yaml := fmt.Sprintf("availability_zones: [{name: howrah, region: r}]\noperators: [{name: o, key_hash: %q, subtrees: [\"*\"]}]\n%s",
+		settings.HashKey("key"), lines)
+	r := w.apply(&pb.Command{Body: &pb.Command_ChangeSubtree{ChangeSubtree: &pb.ChangeSubtree{
+		Name: settings.FleetSubtree, ChangeId: "c", Author: "o", Yaml: []byte(yaml),
+	}}})
+	assert.Equal(t, r.GetChange().GetStatus(), pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, "%v", r)
+}
+
 func (w *world) Order(_ context.Context, o *pb.IssueOrder) (*pb.OrderReply, error) {
 	r := w.apply(&pb.Command{Body: &pb.Command_IssueOrder{IssueOrder: o}})
 	return &pb.OrderReply{Record: r.Order, Newest: r.NewestOrder, Refusal: r.Refusal}, nil
--- a/internal/provision/service.go
+++ b/internal/provision/service.go
@@ -84,6 +84,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	var changes sync.WaitGroup
 	defer changes.Wait()
+	changes.Go(func() { _ = s.carrier.issuer.Watch(ctx) }) // it gives nil
 	for ctx.Err() == nil {
 		p := s.provision()
 		if p.Mode != settings.ProvisionOff && s.plans() {
