Process tests of orders: a frozen daemon's late ones, and emptying before an unload

TestFrozenDaemonWakesWithOrdersInHand: a daemon is stopped by SIGSTOP with two orders on the way, for longer than its lease; newer ones are given elsewhere; it wakes and its orders arrive.

--- /dev/null
+++ b/internal/e2e/provision_frozen_test.go
@@ -0,0 +1,201 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// slowRoad is the way to an endpoint on which old orders get stuck.
+type slowRoad struct {
+	server  *httptest.Server
+	stuck   chan struct{} // closed when an old order is on the road
+	release chan struct{}
+	arrived chan int // the endpoint's answer to an old order, HTTP status
+
+	mu      sync.Mutex
+	end     http.Handler
+	onOrder func() // called when an order arrives
+}
+
+func newSlowRoad(t *testing.T) *slowRoad {
+	t.Helper()
+	r := &slowRoad{stuck: make(chan struct{}), release: make(chan struct{}), arrived: make(chan int, 1)}
+	r.server = httptest.NewServer(r)
+	t.Cleanup(r.server.CloseClientConnections)
+	return r
+}
+
+func (r *slowRoad) address() string { return strings.TrimPrefix(r.server.URL, "http://") }
+
+// ServeHTTP passes calls on to the endpoint, old orders after their release,
+// whether the sender still waits or not: the bytes have left it.
+func (r *slowRoad) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	end, onOrder := r.end, r.onOrder
+	r.mu.Unlock()
+	if onOrder != nil && strings.HasSuffix(q.URL.Path, "/orders") {
+		onOrder()
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil || end == nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	q.Body = io.NopCloser(bytes.NewReader(body))
+	if !bytes.Contains(body, []byte(`"operator/old`)) {
+		end.ServeHTTP(w, q)
+		return
+	}
+	close(r.stuck)
+	<-r.release
+	answer := httptest.NewRecorder()
+	end.ServeHTTP(answer, q.WithContext(context.WithoutCancel(q.Context())))
+	r.arrived <- answer.Code
+}
+
+func (e *engines) addBehind(t *testing.T, r *slowRoad, id string, checks bool) *emulated {
+	t.Helper()
+	m := e.add(t, id, "a", fleet.RoleDecode, func(o *standin.Options) {
+		o.ChecksTokens = checks
+		o.Advertise = r.address()
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end = m.Handler()
+	return m
+}
+
+// order gives an operator's order at one instance and waits for its end.
+func (f *testFleet) order(t *testing.T, at *instance, id, endpoint, role string) (outcome string) {
+	t.Helper()
+	client := f.operatorAs(t, operatorKey, at)
+	eventually(t, 90*time.Second, func() error {
+		reply, err := client.Order(callContext(t), &pb.OrderEndpointRequest{OrderId: id, EndpointId: endpoint, Kind: "change-role", Role: role})
+		if err == nil && !reply.GetEnded() {
+			err = fmt.Errorf("order %s is under way", id)
+		}
+		outcome = reply.GetOutcome()
+		return err
+	})
+	return outcome
+}
+
+// A daemon has given orders to two endpoints and is frozen while they are on
+// the way, for longer than its lease. Another daemon gives newer orders, which
+// are done. Then the frozen one wakes and its old orders arrive. The endpoint
+// that checks fencing tokens refuses its own; the other one obeys, and must be
+// given the newer order again. The old one never wins.
+func TestFrozenDaemonWakesWithOrdersInHand(t *testing.T) {
+	f := startFleet(t, oneZone())
+	e := &engines{fleet: f}
+	roads := map[string]*slowRoad{"checks": newSlowRoad(t), "ignores": newSlowRoad(t)}
+	ends := map[string]*emulated{}
+	for id, road := range roads {
+		ends[id] = e.addBehind(t, road, id, id == "checks")
+	}
+	f.awaitEndpoints(t, "checks", "ignores")
+	rest := f.others(f.leader(t, f.instances...))
+	frozen, other := rest[0], rest[1]
+	for id, road := range roads {
+		go func() {
+			_, _ = f.operatorAs(t, operatorKey, frozen).Order(t.Context(), &pb.OrderEndpointRequest{
+				OrderId: "old-" + id, EndpointId: id, Kind: "change-role", Role: "prefill",
+			})
+		}()
+		<-road.stuck
+	}
+	frozen.freeze(t)
+	f.awaitGone(t, other, frozen)
+	for id := range roads {
+		assert.Equal(t, f.order(t, other, "new-"+id, id, "both"), "done", id)
+		assert.Equal(t, ends[id].Announcement().Role, fleet.RoleBoth)
+	}
+	frozen.thaw(t)
+	for _, road := range roads {
+		close(road.release)
+	}
+	assert.Equal(t, <-roads["checks"].arrived, http.StatusConflict)
+	assert.Equal(t, <-roads["ignores"].arrived, http.StatusOK)
+	for id, end := range ends {
+		eventually(t, 60*time.Second, func() error {
+			if role := end.Announcement().Role; role != fleet.RoleBoth {
+				return fmt.Errorf("%s has role %s", id, role)
+			}
+			return nil
+		})
+	}
+	assert.Equal(t, ends["checks"].audit(t).Orders, 1)
+	assert.Equal(t, ends["ignores"].audit(t).Orders, 3) // the newer, the old, the newer again
+}
+
+// awaitGone waits until an instance is out of another's view.
+func (f *testFleet) awaitGone(t *testing.T, at, gone *instance) {
+	t.Helper()
+	eventually(t, callTime, func() error {
+		status, err := f.operatorAs(t, operatorKey, at).Status(callContext(t), nil)
+		if err != nil {
+			return err
+		}
+		for _, i := range status.GetInstances() {
+			if i.GetInstance().GetId() == gone.id {
+				return fmt.Errorf("%s is still in the view", gone.id)
+			}
+		}
+		return nil
+	})
+}
+
+// Callers' streams run on an engine that is told to drop their model. The order
+// must wait until they have ended whole, and no new one may begin meanwhile:
+// else streams break off in the middle.
+func TestUnloadWaitsForRunningStreams(t *testing.T) {
+	f := startFleet(t, oneZone())
+	e := &engines{fleet: f}
+	e.add(t, "p", "a", fleet.RolePrefill)
+	road := newSlowRoad(t)
+	decode := e.addBehind(t, road, "d", true)
+	e.awaitServing(t)
+	held := make(chan int, 8)
+	road.mu.Lock()
+	road.onOrder = func() { held <- decode.audit(t).Held }
+	road.mu.Unlock()
+
+	streams := make(chan answer, 3)
+	for _, i := range f.instances {
+		go func() {
+			a, err := ask(callContext(t), i, request{prompt: "long " + i.id, maxTokens: 1500, stream: true})
+			assert.Check(t, err)
+			streams <- a
+		}()
+	}
+	eventually(t, callTime, func() error {
+		if held := decode.audit(t).Held; held < 3 {
+			return fmt.Errorf("%d streams run", held)
+		}
+		return nil
+	})
+	client := f.operatorAs(t, operatorKey, f.instances[0])
+	reply, err := client.Order(callContext(t), &pb.OrderEndpointRequest{OrderId: "u", EndpointId: "d", Kind: "unload", Model: "m@1"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetOutcome(), "done")
+	assert.Equal(t, <-held, 0)
+	for range f.instances {
+		a := <-streams
+		assert.Assert(t, a.whole(), "%+v", a.refused)
+	}
+	assert.Equal(t, len(decode.Announcement().Models), 0)
+}
--- /dev/null
+++ b/internal/provision/gate_test.go
@@ -0,0 +1,176 @@
+package provision
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/endpoint"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// oneHome is a home of endpoint "e" that grants all and shows what it granted.
+type oneHome struct {
+	pb.DRPCHomeUnimplementedServer
+	granted map[string]struct{}
+	slow    chan struct{} // a grant waits for it; nil: none does
+}
+
+func (h *oneHome) Grant(_ context.Context, in *pb.GrantRequest) (*pb.GrantReply, error) {
+	if h.slow != nil {
+		<-h.slow
+	}
+	h.granted[in.GetAttemptId()] = struct{}{}
+	return &pb.GrantReply{Status: pb.GrantStatus_GRANT_STATUS_GRANTED}, nil
+}
+
+func (h *oneHome) Digest(_ context.Context, in *pb.DigestRequest) (*pb.DigestReply, error) {
+	return &pb.DigestReply{StaticVersion: 7, Digests: []*pb.EndpointDigest{
+		{Id: "e", Role: "decode", Granted: uint32(len(h.granted)), Brief: in.GetStaticVersion() == 7},
+	}}, nil
+}
+
+func newServer(h *oneHome) *server {
+	gate := NewGate()
+	return &server{home: NewGatedHome(h, gate), meter: NewMeter(nil, nil, gate)}
+}
+
+func (s *server) ask(t *testing.T, attempt string) pb.GrantStatus {
+	t.Helper()
+	reply, err := s.home.Grant(t.Context(), &pb.GrantRequest{EndpointId: "e", AttemptId: attempt, Kind: "decode"})
+	assert.NilError(t, err)
+	return reply.GetStatus()
+}
+
+func (s *server) quiesce(t *testing.T, order string, life time.Duration) *pb.QuiesceReply {
+	t.Helper()
+	reply, err := s.Quiesce(t.Context(), &pb.QuiesceRequest{EndpointId: "e", OrderId: order, LifeMs: uint64(life.Milliseconds())})
+	assert.NilError(t, err)
+	return reply
+}
+
+const (
+	full    = pb.GrantStatus_GRANT_STATUS_FULL
+	granted = pb.GrantStatus_GRANT_STATUS_GRANTED
+)
+
+// A request runs on the endpoint whose model is to go. New ones are kept off,
+// the running one may renew its grant, and the endpoint isn't idle before it
+// has ended; then other orders can't take the stop over, and it ends by itself.
+func TestStoppedEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &oneHome{granted: map[string]struct{}{}}
+		s := newServer(h)
+		assert.Equal(t, s.ask(t, "running"), granted)
+		reply := s.quiesce(t, "o", time.Second)
+		assert.Assert(t, reply.Stopped && !reply.Idle)
+		assert.Equal(t, s.ask(t, "new"), full)
+		assert.Equal(t, s.ask(t, "running"), granted)
+		digests, err := s.home.Digest(t.Context(), &pb.DigestRequest{StaticVersion: 7})
+		assert.NilError(t, err)
+		assert.Assert(t, digests.Digests[0].Leaving && !digests.Digests[0].Brief)
+		delete(h.granted, "running")
+		assert.Assert(t, s.quiesce(t, "o", time.Second).Idle)
+		assert.Assert(t, !s.quiesce(t, "other", time.Second).Stopped)
+		assert.Assert(t, !s.quiesce(t, "other", 0).Stopped)
+		assert.Equal(t, s.ask(t, "new"), full)
+		time.Sleep(time.Second)
+		assert.Equal(t, s.ask(t, "new"), granted)
+	})
+}
+
+// A request has passed the gate and waits in the home when the stop comes. The
+// home's books don't show it yet, but the endpoint isn't idle: the grant comes
+// a moment later.
+func TestTakeUnderWayIsNotIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &oneHome{granted: map[string]struct{}{}, slow: make(chan struct{})}
+		s := newServer(h)
+		took := make(chan pb.GrantStatus)
+		go func() { took <- s.ask(t, "late") }()
+		synctest.Wait()
+		reply := s.quiesce(t, "o", time.Minute)
+		assert.Assert(t, reply.Stopped && !reply.Idle)
+		close(h.slow)
+		assert.Equal(t, <-took, granted)
+		assert.Assert(t, !s.quiesce(t, "o", time.Minute).Idle)
+		delete(h.granted, "late")
+		assert.Assert(t, s.quiesce(t, "o", time.Minute).Idle)
+		s.quiesce(t, "o", 0)
+		assert.Assert(t, !s.home.gate.any())
+	})
+}
+
+func TestQuiesceOfAnotherHomesEndpoint(t *testing.T) {
+	s := newServer(&oneHome{})
+	reply, err := s.Quiesce(t.Context(), &pb.QuiesceRequest{EndpointId: "far", OrderId: "o", LifeMs: 1000})
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.Stopped && !s.home.gate.any())
+	for _, in := range []*pb.QuiesceRequest{{}, {EndpointId: "e"}, {OrderId: "o"}} {
+		_, err := s.Quiesce(t.Context(), in)
+		assert.Assert(t, err != nil)
+	}
+}
+
+// fakeFollower grants unless it is full.
+type fakeFollower struct {
+	endpoint.Follower
+	candidates []endpoint.Candidate
+	full       bool
+}
+
+func (f *fakeFollower) Candidates(endpoint.Query) []endpoint.Candidate { return f.candidates }
+func (f *fakeFollower) Give(endpoint.Release)                          {}
+func (f *fakeFollower) Take(_ context.Context, r endpoint.GrantRequest) (*endpoint.Grant, *endpoint.Refusal, error) {
+	if f.full {
+		return nil, &endpoint.Refusal{Status: full}, nil
+	}
+	return &endpoint.Grant{Endpoint: r.Endpoint, Attempt: r.Attempt, Kind: r.Kind}, nil, nil
+}
+
+func TestMeterCounts(t *testing.T) {
+	tree := settings.EmptyTree()
+	tree.Teams["t"] = settings.Team{Name: "t", PermittedZones: []fleet.AvailabilityZone{"h", "b"}}
+	source := &membership.Static{Fixed: &membership.State{Tree: tree}, Instance: fleet.Instance{ID: "i", Incarnation: 3}}
+	f := &fakeFollower{}
+	m := NewMeter(f, source, NewGate())
+	permitted := fleet.NewZoneSet("b", "h")
+	m.Candidates(endpoint.Query{Kind: fleet.RoleDecode, Model: fibre, Permitted: permitted})
+	m.Candidates(endpoint.Query{Kind: fleet.RolePlain, Service: "s", Permitted: permitted})
+	r := endpoint.GrantRequest{Endpoint: "e", Kind: fleet.RoleDecode, Attempt: "a", Team: "t", Model: fibre, PromptTokens: 11}
+	grant, _, _ := m.Take(t.Context(), r)
+	m.Give(endpoint.Release{Grant: *grant, Busy: 1500 * time.Millisecond})
+	m.Give(endpoint.Release{Grant: *grant, Busy: time.Hour}) // a repeat
+	f.full = true
+	m.Take(t.Context(), r)
+	rows := m.Reply().Rows
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].String(), (&pb.DemandRow{
+		Model: "fibre@v4", Kind: "decode", Class: "b+h", Granted: 1, Refused: 1, Absent: 1, PromptTokens: 11, BusyMs: 1500,
+	}).String())
+
+	f.candidates = []endpoint.Candidate{{ID: "e"}, {ID: "f"}}
+	m.gate.stop(time.Now(), "e", "o", time.Minute)
+	found := m.Candidates(endpoint.Query{Kind: fleet.RoleDecode, Model: fibre, Permitted: permitted})
+	assert.Equal(t, len(found), 1)
+	_, refusal, _ := m.Take(t.Context(), r)
+	assert.Equal(t, refusal.Status, full)
+}
+
+// Callers name models as they like; what is counted must stay bounded.
+func TestMeterIsBounded(t *testing.T) {
+	m := NewMeter(&fakeFollower{}, &membership.Static{Fixed: &membership.State{}}, NewGate())
+	for n := range 2 * maxRows {
+		k := key(fibre, fleet.RoleDecode)
+		k.Model.Version = fmt.Sprint(n)
+		m.Candidates(endpoint.Query{Kind: k.Kind, Model: k.Model})
+	}
+	assert.Equal(t, len(m.Reply().Rows), maxRows)
+}
