Advice proved to move nothing; scope and repeats of operators' orders

TestAdviceMovesNothing passed without its guard at first: it ended at the first advice, before an order could have come. It now waits for the second advice, which comes when the endpoint would long have obeyed the first; without the guard: 'not so within 30s: 0 advices in 939 events'.

--- a/internal/e2e/provision_test.go
+++ b/internal/e2e/provision_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +59,7 @@
 		}
 		return err
 	})
+	f.logPollBytes(t)
 	t.Logf("served %s after the first request, load time 500ms", time.Since(began).Round(time.Millisecond))
 	m := []engineapi.ModelRef{{Model: "m", Version: "1"}}
 	assert.DeepEqual(t, prefill.Announcement().Models, m)
@@ -63,6 +67,20 @@
 	assert.Equal(t, prefill.audit(t).Orders+decode.audit(t).Orders, 2)
 }
 
+// logPollBytes tells what planners' looks have cost so far.
+func (f *testFleet) logPollBytes(t *testing.T) {
+	t.Helper()
+	polls, size := 0.0, 0.0
+	for _, i := range f.instances {
+		p, err := metricOf(t, i, "hyssopsail_provision_polls_total")
+		assert.NilError(t, err)
+		s, err := metricOf(t, i, "hyssopsail_provision_poll_bytes")
+		assert.NilError(t, err)
+		polls, size = polls+p, size+s
+	}
+	t.Logf("%.0f looks, %.0f bytes from the two other entries each", polls, size/max(polls, 1))
+}
+
 // awaitEndpoints waits until the homes know the endpoints.
 func (f *testFleet) awaitEndpoints(t *testing.T, ids ...string) {
 	t.Helper()
@@ -101,12 +119,18 @@
 		if err != nil {
 			return err
 		}
+		// The second advice comes when the endpoint would long have obeyed
+		// the first.
+		advised := 0
 		for _, event := range line.Events {
-			if event.GetKind() == "order.issued" {
-				return nil
+			if strings.HasPrefix(event.GetDetail(), "advised ") {
+				advised++
 			}
 		}
-		return fmt.Errorf("no advice in %d events", len(line.Events))
+		if advised < 2 {
+			return fmt.Errorf("%d advices in %d events", advised, len(line.Events))
+		}
+		return nil
 	})
 	assert.Equal(t, decode.audit(t).Orders, 0)
 }
@@ -132,15 +156,21 @@
 			assert.Equal(t, reply.GetOutcome(), "done", "%v", in)
 		}
 	}
-	assert.Equal(t, engine.audit(t).Orders, 3)
+	tool := exec.Command(program("hyssopsail"), "--address", f.instances[1].at(operatorsPort),
+		"--authority", f.key("authority.pem"), "order", "load", "x", "m@1")
+	tool.Env = append(os.Environ(), "HYSSOPSAIL_KEY="+operatorKey)
+	out, err := tool.CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	assert.Assert(t, strings.Contains(string(out), "done"), "%s", out)
+	assert.Equal(t, engine.audit(t).Orders, 4)
 	assert.Equal(t, engine.Announcement().Role, fleet.RoleBoth)
 	line, err := f.operator.Timeline(callContext(t), &pb.TimelineQuery{EndpointId: "x"})
 	assert.NilError(t, err)
 	named := 0
 	for _, event := range line.Events {
-		if event.GetKind() == "order.issued" && len(event.GetDetail()) > 14 && event.GetDetail()[:14] == "by operator o " {
+		if strings.HasPrefix(event.GetDetail(), "by operator o ") {
 			named++
 		}
 	}
-	assert.Equal(t, named, 3)
+	assert.Equal(t, named, 4)
 }
--- /dev/null
+++ b/internal/operator/order_test.go
@@ -0,0 +1,43 @@
+package operator
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// A team's operator orders a model off an endpoint that other teams use too.
+// Only operators of the fleet may, and none whose instance can't confirm that
+// the operator's key still holds.
+func TestOrderTakesTheFleetsScope(t *testing.T) {
+	tree := &settings.Tree{Fleet: settings.Fleet{Operators: operators}}
+	current, asked := true, ""
+	server := httptest.NewServer(NewHandler(Options{
+		Tree:    func() *settings.Tree { return tree },
+		Current: func() bool { return current },
+		Order: func(_ context.Context, in *pb.OrderEndpointRequest, by string) (*pb.OrderEndpointReply, error) {
+			asked = by + " " + in.GetKind() + " " + in.GetEndpointId()
+			return &pb.OrderEndpointReply{Ended: true, Outcome: "done"}, nil
+		},
+	}))
+	defer server.Close()
+	order := func(key string, in *pb.OrderEndpointRequest) error {
+		_, err := NewClient(ClientOptions{Addresses: []string{server.Listener.Addr().String()}, Key: key}).Order(t.Context(), in)
+		return err
+	}
+	unload := &pb.OrderEndpointRequest{OrderId: "1", EndpointId: "e", Kind: "unload", Model: "m@1"}
+	assert.ErrorContains(t, order("lead-key", unload), string(CodeForbidden))
+	assert.ErrorContains(t, order("no-key", unload), string(CodeUnauthorised))
+	assert.ErrorContains(t, order("root-key", &pb.OrderEndpointRequest{}), string(CodeBadRequest))
+	current = false
+	assert.ErrorContains(t, order("root-key", unload), string(CodeUnavailable))
+	assert.Equal(t, asked, "")
+	current = true
+	assert.NilError(t, order("root-key", unload))
+	assert.Equal(t, asked, "root unload e")
+}
