--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -39,7 +39,7 @@
 func (a *attempt) startInput(decodeReady time.Duration) schedule.StartInput {
 	m := a.run
 	r := m.router
-	work, spread := m.predictPrefill()
+	work, spread := r.speeds.prefill(m.class.prompt)
 	queue := predictWaits(r.opts.Follower.Candidates(a.query(fleet.RolePrefill)), nil, 0).prefill
 	zone := r.opts.Source.Self().Zone
 	return schedule.StartInput{
@@ -69,7 +69,7 @@
 	local, cancel := context.WithDeadline(ctx, m.deadline)
 	defer cancel()
 	if a.decode == nil {
-		work, spread := m.predictPrefill()
+		work, spread := m.router.speeds.prefill(m.class.prompt)
 		wait := work + spread + m.class.timeouts.KVLife
 		a.early = a.startEarly(ctx, a.wantDecode(min(wait, m.remaining())))
 	}
