--- a/cmd/hyssopsail/timeline.go
+++ b/cmd/hyssopsail/timeline.go
@@ -6,14 +6,19 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/operator"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // timelineCommand shows events merged over all instances.
 type timelineCommand struct {
-	app   *app
-	query pb.TimelineQuery
-	since time.Duration
+	app    *app
+	query  pb.TimelineQuery
+	since  time.Duration
+	follow bool
+	seen   map[timelineKey]struct{}
 }
 
 func addTimeline(a *app, parser *kingpin.Application) {
@@ -25,6 +30,7 @@
 	command.Flag("change", "Only this change ID.").StringVar(&c.query.ChangeId)
 	command.Flag("since", "Only events of so long ago, such as 10m; 0s for all kept.").Default("0s").DurationVar(&c.since)
 	command.Flag("limit", "At most so many events from each instance.").Default("1000").Uint32Var(&c.query.Limit)
+	command.Flag("follow", "Go on with new events until interrupted; table output only.").BoolVar(&c.follow)
 	command.Action(a.do(c.run))
 }
 
@@ -36,10 +42,17 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if c.follow {
+		return c.followEvents(client)
+	}
 	reply, err := client.Timeline(c.app.ctx, &c.query)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if c.query.RequestId != "" && c.app.format == formatTable {
+		c.warnOfGaps(reply)
+		return trace.Wrap(timeline.WriteChart(c.app.out, chartOf(reply)))
+	}
 	t := &table{header: []string{"TIME", "INSTANCE", "EVENT", "REQUEST", "ATTEMPT", "TEAM", "ENDPOINT", "CHANGE", "DETAIL"}}
 	for _, e := range reply.Events {
 		t.add(clock(e), e.GetInstanceId(), e.GetKind(), orDash(e.GetRequestId()), orDash(short(e.GetAttemptId())),
@@ -48,10 +61,14 @@
 	if err := c.app.show(reply, t); err != nil {
 		return trace.Wrap(err)
 	}
+	c.warnOfGaps(reply)
+	return nil
+}
+
+func (c *timelineCommand) warnOfGaps(reply operator.TimelineReply) {
 	if len(reply.Unreachable) > 0 || reply.Dropped > 0 {
 		c.app.warn("the time line is not whole: no answer from %v, %d older events overwritten", reply.Unreachable, reply.Dropped)
 	}
-	return nil
 }
 
 const clockForm = "15:04:05.000000"
@@ -69,3 +86,12 @@
 	}
 	return id[:shortID]
 }
+
+// chartOf takes a reply for the request chart.
+func chartOf(reply operator.TimelineReply) timeline.Merged {
+	merged := timeline.Merged{Events: reply.Events, Dropped: reply.Dropped}
+	for _, id := range reply.Unreachable {
+		merged.Silent = append(merged.Silent, timeline.Silent{Instance: fleet.InstanceID(id), Cause: "not reached in time"})
+	}
+	return merged
+}
--- a/internal/daemon/timelinereader.go
+++ b/internal/daemon/timelinereader.go
@@ -22,10 +22,17 @@
 	for _, instance := range view.Instances {
 		instances = append(instances, instance)
 	}
-	merged := timeline.Collect(ctx, r.base.pool, instances, q, nil)
+	merged := r.collect(ctx, instances, q)
 	reply := operator.TimelineReply{Events: merged.Events, Dropped: merged.Dropped}
 	for _, silent := range merged.Silent {
 		reply.Unreachable = append(reply.Unreachable, string(silent.Instance))
 	}
 	return reply, nil
 }
+
+func (r timelineReader) collect(ctx context.Context, instances []fleet.Instance, q *pb.TimelineQuery) timeline.Merged {
+	if q.GetRequestId() != "" {
+		return timeline.CollectRequest(ctx, r.base.pool, instances, q)
+	}
+	return timeline.Collect(ctx, r.base.pool, instances, q, nil)
+}
--- a/internal/timeline/chart.go
+++ b/internal/timeline/chart.go
@@ -14,6 +14,12 @@
 // first event, instance, event, a bar that shows where in the whole span it
 // lies, and what it names. Daemons that did not answer come last.
 func WriteChart(w io.Writer, merged Merged) error {
+	if len(merged.Events) > 0 {
+		first := Stamp{Wall: merged.Events[0].GetWallNs()}.Time().UTC()
+		if _, err := fmt.Fprintf(w, "began %s\n", first.Format(beganForm)); err != nil {
+			return err
+		}
+	}
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	if _, err := fmt.Fprintln(table, "AFTER\tINSTANCE\tEVENT\tWHEN\tENDPOINT\tATTEMPT\tDETAIL"); err != nil {
 		return err
@@ -35,6 +41,8 @@
 	return nil
 }
 
+const beganForm = "2006-01-02 15:04:05.000000"
+
 type span struct {
 	first, last uint64 // unix ns
 }
--- a/internal/timeline/collect.go
+++ b/internal/timeline/collect.go
@@ -78,6 +78,7 @@
 		ChangeId:      q.GetChangeId(),
 		SinceNs:       q.GetSinceNs(),
 		Limit:         q.GetLimit(),
+		AttemptIds:    q.GetAttemptIds(),
 		AfterSequence: after,
 	})
 	return answer{instance: instance.ID, page: page, err: err}
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -112,6 +113,8 @@
 		return false
 	case e.GetWallNs() < q.GetSinceNs():
 		return false
+	case len(q.GetAttemptIds()) > 0 && !slices.Contains(q.GetAttemptIds(), e.GetAttemptId()):
+		return false
 	}
 	return true
 }
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -69,7 +69,7 @@
 func TestRingQueries(t *testing.T) {
 	ring := newRing(8)
 	ring.Record(timeline.Event{Kind: timeline.KindReceived, Request: "r", Team: "x", Detail: strings.Repeat("d", 500)})
-	ring.Record(timeline.Event{Kind: timeline.KindGranted, Request: "r", Endpoint: "e"})
+	ring.Record(timeline.Event{Kind: timeline.KindGranted, Request: "r", Endpoint: "e", Attempt: "a1"})
 	ring.Record(timeline.Event{Kind: timeline.KindSettings, Change: "c"})
 	cases := []struct {
 		name  string
@@ -84,6 +84,7 @@
 		{"after", &pb.TimelineQuery{AfterSequence: 2}, 1},
 		{"after the end", &pb.TimelineQuery{AfterSequence: 9}, 0},
 		{"limit", &pb.TimelineQuery{Limit: 1}, 1},
+		{"attempts", &pb.TimelineQuery{AttemptIds: []string{"a1", "a2"}}, 1},
 		{"since later", &pb.TimelineQuery{SinceNs: uint64(epoch.Add(time.Hour).UnixNano())}, 0},
 	}
 	for _, c := range cases {
