--- a/internal/daemon/controlrole.go
+++ b/internal/daemon/controlrole.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hyssopsail/hyssopsail/internal/control"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
@@ -15,6 +17,7 @@
 
 // controlRole is a member of the control group.
 type controlRole struct {
+	part      logging.Part
 	node      *replica.Node
 	transport *replica.DRPCTransport
 	server    *control.Server
@@ -55,11 +58,32 @@
 	if err := pb.DRPCRegisterConsensus(b.rpc.Mux, server); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &controlRole{node: node, transport: transport, server: server}, nil
+	return &controlRole{part: newPart(b.logger, "replica"), node: node, transport: transport, server: server}, nil
 }
 
 func (c *controlRole) start(group *errgroup.Group, work context.Context) {
 	group.Go(func() error { return c.transport.Run(work) })
-	group.Go(func() error { return c.node.Run(work) })
+	group.Go(func() error { return c.runNode(work) })
 	group.Go(func() error { return c.server.Run(work) })
 }
+
+// runNode keeps the daemon up when its disk fails: the member has stepped down
+// and answers nothing any more, while the entry role, which needs no disk,
+// goes on under a lease that the other members renew. Ending the process would
+// cut off its requests in flight for a fault that does not concern them.
+func (c *controlRole) runNode(work context.Context) error {
+	err := c.node.Run(work)
+	if !errors.Is(err, replica.ErrStorage) {
+		return err
+	}
+	c.part.Error("The disk failed; this control instance has stepped down. Replace the disk.", "err", err)
+	return nil
+}
+
+// handOver lets another member lead before this one stops, so that a planned
+// stop leaves the group no time without a leader.
+func (c *controlRole) handOver(ctx context.Context) {
+	if err := c.node.HandOver(ctx); err != nil {
+		c.part.Info("Leadership was not handed over.", "err", err)
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,6 +30,7 @@
 	if d.entry != nil && d.everCurrent() {
 		d.drain()
 	}
+	d.handOver()
 	leaving, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.base.agent.Leave(leaving); err != nil {
@@ -67,6 +68,15 @@
 	return false
 }
 
+func (d *Daemon) handOver() {
+	if d.control == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	d.control.handOver(ctx)
+}
+
 // everCurrent tells whether callers can have been given this address.
 func (d *Daemon) everCurrent() bool { return d.base.agent.State().View.Holds(d.base.self.Owner()) }
 
