--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -10,24 +10,11 @@
 // those in prefer before the others, then by hash. Each process that sees the
 // same instances gets the same order, and the loss of one moves only its keys.
 func RankInstances(key string, prefer AvailabilityZone, instances []Instance) []Instance {
-	type ranked struct {
-		instance Instance
-		near     bool
-		score    uint64
-	}
 	rows := make([]ranked, len(instances))
 	for n, i := range instances {
-		rows[n] = ranked{instance: i, near: i.Zone == prefer, score: score(key, string(i.ID))}
+		rows[n] = rank(key, prefer, i)
 	}
-	sort.Slice(rows, func(a, b int) bool {
-		if rows[a].near != rows[b].near {
-			return rows[a].near
-		}
-		if rows[a].score != rows[b].score {
-			return rows[a].score > rows[b].score
-		}
-		return rows[a].instance.ID < rows[b].instance.ID
-	})
+	sort.Slice(rows, func(a, b int) bool { return rows[a].before(rows[b]) })
 	out := make([]Instance, len(rows))
 	for n, r := range rows {
 		out[n] = r.instance
@@ -35,6 +22,27 @@
 	return out
 }
 
+// ranked is an instance's place in the order for one key.
+type ranked struct {
+	instance Instance
+	near     bool
+	score    uint64
+}
+
+func rank(key string, prefer AvailabilityZone, i Instance) ranked {
+	return ranked{instance: i, near: i.Zone == prefer, score: score(key, string(i.ID))}
+}
+
+func (r ranked) before(o ranked) bool {
+	if r.near != o.near {
+		return r.near
+	}
+	if r.score != o.score {
+		return r.score > o.score
+	}
+	return r.instance.ID < o.instance.ID
+}
+
 func score(key, member string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -48,14 +56,15 @@
 // rendezvous over the view's entries, preferring the endpoint's own zone. ok
 // is false when the view has no entry.
 func HomeOf(endpoint EndpointID, zone AvailabilityZone, view View) (home Instance, ok bool) {
-	entries := make([]Instance, 0, len(view.Instances))
+	var best ranked
 	for _, i := range view.Instances {
-		if i.Entry && !i.Draining {
-			entries = append(entries, i)
+		if !i.Entry || i.Draining {
+			continue
+		}
+		r := rank(string(endpoint), zone, i)
+		if !ok || r.before(best) {
+			best, ok = r, true
 		}
 	}
-	if len(entries) == 0 {
-		return Instance{}, false
-	}
-	return RankInstances(string(endpoint), zone, entries)[0], true
+	return best.instance, ok
 }
