Planned stops wait for what they must, and no longer

Cause 1: the daemon slept for the address-keep time and the router's drain waits it too; a stop took twice as long. The clock also began before other entries knew of the drain; now it begins once the view shows it. Cause 2: with three entries no other one can take a ledger shard over, so the handover wait always ran out (15 s).

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 // The bounds of a graceful stop.
@@ -13,7 +11,8 @@
 	leaveTimeout    = 5 * time.Second
 	closeTimeout    = 5 * time.Second
 	abandonTimeout  = 2 * time.Second
-	drainMargin     = 500 * time.Millisecond // over the time that callers keep an address
+	drainShown      = 2 * time.Second        // until the view shows this instance draining
+	drainMargin     = 500 * time.Millisecond // until the other entries have that view
 )
 
 // stop ends the daemon without cutting off a request: it leaves the address
@@ -40,9 +39,8 @@
 }
 
 func (d *Daemon) drain() {
-	keep := d.addressKeep() + drainMargin
-	d.base.part.Info("Serving until callers have dropped this address.", "for", keep)
-	time.Sleep(keep)
+	d.awaitDraining()
+	d.base.part.Info("Serving until callers have dropped this address.")
 	finishing, cancel := context.WithTimeout(context.Background(), d.base.file.Bounds.StreamTime)
 	defer cancel()
 	if err := d.entry.router.Drain(finishing); err != nil {
@@ -58,6 +56,29 @@
 	}
 }
 
+// awaitDraining waits until no new address answer names this instance. The
+// router then serves for as long as an older answer may be kept.
+func (d *Daemon) awaitDraining() {
+	limit := time.NewTimer(drainShown)
+	defer limit.Stop()
+	for !d.shownDraining() {
+		changed := d.base.agent.Changed()
+		if d.shownDraining() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return
+		}
+	}
+	time.Sleep(drainMargin)
+}
+
+func (d *Daemon) shownDraining() bool {
+	return d.base.agent.State().View.Instances[d.base.self.ID].Draining
+}
+
 // hasSuccessor tells whether another entry can take over what this one holds.
 func (d *Daemon) hasSuccessor() bool {
 	for _, instance := range d.base.agent.State().View.Instances {
@@ -80,17 +101,6 @@
 // everCurrent tells whether callers can have been given this address.
 func (d *Daemon) everCurrent() bool { return d.base.agent.State().View.Holds(d.base.self.Owner()) }
 
-func (d *Daemon) addressKeep() time.Duration {
-	tree := d.base.agent.State().Tree
-	if tree == nil {
-		return 0
-	}
-	if keep := tree.Fleet.Timeouts.AddressKeep; keep > 0 {
-		return keep
-	}
-	return settings.DefaultTimeouts().AddressKeep
-}
-
 // abandon ends a daemon that lost its place or a part: its requests can't go
 // on, so it only lets their last events out.
 func (d *Daemon) abandon() { d.closeServers(abandonTimeout) }
--- a/internal/membership/leave.go
+++ b/internal/membership/leave.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -21,14 +22,19 @@
 }
 
 // HandedOver tells whether no ledger group counts on this process: neither as
-// a replica nor as a source of one that still copies.
+// a replica nor as a source of one that still copies. A group that has no
+// entry left to take its place doesn't count: waiting would help nobody.
 func (a *Agent) HandedOver() bool {
 	self := a.Self().Owner()
-	for _, g := range a.State().Groups {
+	state := a.State()
+	for _, g := range state.Groups {
 		whole := true
 		for _, r := range g.Replicas {
 			if r.Owner == self {
-				return false
+				if hasSpare(state.View, g) {
+					return false
+				}
+				continue
 			}
 			whole = whole && r.Ready
 		}
@@ -44,6 +50,20 @@
 	return true
 }
 
+// hasSpare tells whether an entry in the group's zones is not yet a replica.
+func hasSpare(view fleet.View, g fleet.LedgerGroup) bool {
+	members := make(map[fleet.Owner]struct{}, len(g.Replicas))
+	for _, r := range g.Replicas {
+		members[r.Owner] = struct{}{}
+	}
+	for _, i := range view.Entries(fleet.ParseZoneClass(g.Shard.ZoneClass)) {
+		if _, member := members[i.Owner()]; !member {
+			return true
+		}
+	}
+	return false
+}
+
 // AwaitHandover waits until the ledger groups of a draining instance are whole
 // without it. It gives ctx's error when that comes first, as it must when no
 // other entry is there to take over.
