--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -7,8 +7,11 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -19,10 +22,17 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
-// selfSigned makes a TLS configuration of a one-certificate fleet.
-func selfSigned(t testing.TB) *tls.Config {
+// filesIn names the files that writeFiles makes.
+func filesIn(dir string) rpc.Files {
+	path := filepath.Join(dir, "fleet.pem")
+	return rpc.Files{Authority: path, Certificate: path, Key: filepath.Join(dir, "key.pem")}
+}
+
+// writeFiles makes a fleet whose daemons share one self-signed certificate.
+func writeFiles(t testing.TB, dir string) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	template := &x509.Certificate{
@@ -30,13 +40,17 @@
 		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	assert.NilError(t, err)
-	certificate, err := x509.ParseCertificate(der)
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
 	assert.NilError(t, err)
-	authority := x509.NewCertPool()
-	authority.AddCert(certificate)
-	return rpc.MutualTLS(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, authority)
+	writePEM(t, filesIn(dir).Certificate, "CERTIFICATE", certificate)
+	writePEM(t, filesIn(dir).Key, "PRIVATE KEY", secret)
+}
+
+func writePEM(t testing.TB, path, kind string, content []byte) {
+	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+	assert.NilError(t, os.WriteFile(path, block, 0o600))
 }
 
 // process is one node over drpc on the loopback, with real files.
@@ -54,15 +68,15 @@
 	listener, err := net.Listen("tcp", p.address)
 	assert.NilError(t, err)
 	p.address = listener.Addr().String()
-	pool := rpc.NewPool(config, nil)
+	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
 	transport := NewTransport(pool, logging.Part{})
 	p.node, err = New(Options{
 		InstanceID: p.name, RPCAddress: p.address, Dir: p.dir, FS: storage.OSFS{},
 		Machine: &journal{}, Transport: transport, Seed: uint64(time.Now().UnixNano()),
 	})
 	assert.NilError(t, err)
-	server := rpc.NewServer(config, nil, logging.Part{})
-	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, Server{Group: p.node}))
+	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
+	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: p.node}))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop, p.ended = cancel, make(chan struct{})
 	go transport.Run(ctx)
@@ -75,7 +89,10 @@
 }
 
 func startProcesses(t testing.TB, count int) (*tls.Config, []*process) {
-	config := selfSigned(t)
+	base := t.TempDir()
+	writeFiles(t, base)
+	config, err := rpc.LoadTLS(filesIn(base))
+	assert.NilError(t, err)
 	var all []*process
 	var members []*pb.Member
 	for i := range count {
