Bytes of each listener are counted

Endpoints' heartbeats come over HTTP; without this their share of a daemon's bytes could not be told apart from calls between processes. Two atomic additions for each read and write.

--- a/internal/daemon/base.go
+++ b/internal/daemon/base.go
@@ -55,6 +55,9 @@
 		listeners: opened,
 		registry:  newRegistry(),
 	}
+	for name, t := range opened.traffic {
+		registerTraffic(b.registry, name, t)
+	}
 	clock := timeline.NewClock(time.Now)
 	b.ring = timeline.NewRing(timeline.DefaultRingSize, clock, b.self.Owner())
 	b.pool = rpc.NewPool(secure, clock)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -16,20 +16,22 @@
 	callers   net.Listener
 	endpoints net.Listener
 	operators net.Listener
+	traffic   map[string]*traffic // by the listener's name
 }
 
 // openListeners opens what the file names and writes the ports that the
 // kernel chose back into it, so that the daemon advertises what it got.
 func openListeners(file *config.Daemon) (listeners, error) {
-	var opened listeners
+	opened := listeners{traffic: make(map[string]*traffic)}
 	slots := []struct {
+		name     string
 		settings *config.Listener
 		listener *net.Listener
 	}{
-		{&file.Listeners.RPC, &opened.rpc},
-		{&file.Listeners.Callers, &opened.callers},
-		{&file.Listeners.Endpoints, &opened.endpoints},
-		{&file.Listeners.Operators, &opened.operators},
+		{"rpc", &file.Listeners.RPC, &opened.rpc},
+		{"callers", &file.Listeners.Callers, &opened.callers},
+		{"endpoints", &file.Listeners.Endpoints, &opened.endpoints},
+		{"operators", &file.Listeners.Operators, &opened.operators},
 	}
 	for _, slot := range slots {
 		if slot.settings.Listen == "" {
@@ -40,7 +42,9 @@
 			opened.close()
 			return listeners{}, trace.Wrap(err)
 		}
-		*slot.listener = listener
+		counted := countedListener{Listener: listener, traffic: &traffic{}}
+		opened.traffic[slot.name] = counted.traffic
+		*slot.listener = counted
 	}
 	return opened, nil
 }
