operator: the tool asks again while no daemon is current

Ruled out: asking again on every 503: a 503 also stands for a lost reply, of which TestLostReply asks that the operator learns. The refusal by an instance that is not current has its own code now; it is given before anything is tried. Seen to fail: with 'rounds: 0' TestClientWaitsUntilAnInstanceIsCurrent fails on a scratch copy: 'error is not nil: no daemon could answer'. Passes with it.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -32,6 +32,7 @@
 	options  ClientOptions
 	http     *http.Client
 	patience time.Duration // for one address, without the wait for a change in force
+	rounds   time.Duration // how long all addresses are asked again
 }
 
 const (
@@ -40,6 +41,10 @@
 	// replyMargin is how much longer than the handler's own limit a reply may
 	// take on its way.
 	replyMargin = time.Second
+	// roundsTime is longer than an election and than a lease takes to be
+	// confirmed; roundPause is what the daemons get between two rounds.
+	roundsTime = 5 * time.Second
+	roundPause = 100 * time.Millisecond
 )
 
 // NewClient makes a client; it dials at the first call.
@@ -49,7 +54,7 @@
 	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	transport.TLSClientConfig = options.TLS
 	transport.TLSHandshakeTimeout = dialTimeout
-	return &Client{options: options, http: &http.Client{Transport: transport}, patience: callTimeout + replyMargin}
+	return &Client{options: options, http: &http.Client{Transport: transport}, patience: callTimeout + replyMargin, rounds: roundsTime}
 }
 
 // KeyHash names the key that the client shows.
@@ -163,19 +168,61 @@
 // ask tries each address until one answers for good. Every request here may
 // be sent twice: changes carry a change ID, init refuses a second time, and
 // members and drains name their end state.
+//
+// Failure: right after init, and in an election, no daemon can confirm its
+// settings; each refuses as not current, and a command fails that would have
+// passed a moment later. So while a live daemon says so, all are asked again,
+// for a bounded time. It refused before it tried anything.
 func (c *Client) ask(ctx context.Context, method, path string, body []byte, wait time.Duration) (data []byte, err error) {
 	if len(c.options.Addresses) == 0 {
 		return nil, trace.BadParameter("no address of a daemon is given")
 	}
-	var failures []error
+	for end := time.Now().Add(c.rounds); ; {
+		var failures []error
+		data, failures, err = c.round(ctx, method, path, body, wait)
+		if len(failures) == 0 {
+			return data, err
+		}
+		if !anyNotCurrent(failures) || time.Now().After(end) || !pause(ctx, roundPause) {
+			return nil, trace.ConnectionProblem(errors.Join(failures...), "no daemon could answer: %v", errors.Join(failures...))
+		}
+	}
+}
+
+// round asks each address once. It gives what each said when none answered for
+// good.
+func (c *Client) round(ctx context.Context, method, path string, body []byte, wait time.Duration) (data []byte, failures []error, err error) {
 	for _, address := range c.options.Addresses {
 		data, err = c.askWithin(ctx, c.patience+wait, address, method, path, body)
 		if err == nil || !elsewhere(err) || ctx.Err() != nil {
-			return data, err
+			return data, nil, err
 		}
 		failures = append(failures, err)
 	}
-	return nil, trace.ConnectionProblem(errors.Join(failures...), "no daemon could answer: %v", errors.Join(failures...))
+	return nil, failures, nil
+}
+
+// anyNotCurrent tells whether a live daemon may serve in a moment.
+func anyNotCurrent(failures []error) bool {
+	for _, err := range failures {
+		var refused *ReplyError
+		if errors.As(err, &refused) && refused.Detail.Code == CodeNotCurrent {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits for d; false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // elsewhere tells whether another instance may do better.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -20,6 +21,9 @@
 	MaxWait = time.Minute
 )
 
+// errNotCurrent refuses before anything is tried.
+var errNotCurrent = errors.New("not current")
+
 type handler struct {
 	options Options
 	secret  settings.KeyHash
@@ -68,7 +72,7 @@
 func (h *handler) current(do action) action {
 	return func(w http.ResponseWriter, r *http.Request, who identity) error {
 		if !who.bootstrap && h.options.Current != nil && !h.options.Current() {
-			return trace.ConnectionProblem(nil, "this instance can't confirm that its settings are in force; ask another")
+			return trace.Wrap(errNotCurrent, "this instance can't confirm that its settings are in force; ask another")
 		}
 		return do(w, r, who)
 	}
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -222,6 +222,29 @@
 	assert.Equal(t, refused.Detail.Code, CodeUnauthorised)
 }
 
+// What a user sees: a first "settings apply" of a folder fails with
+// "unavailable" and passes when it is run again. Fleet subtree and teams go one
+// right after the other, when no daemon's lease has been confirmed yet.
+func TestClientWaitsUntilAnInstanceIsCurrent(t *testing.T) {
+	accepted := &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 1}}
+	asked := 0
+	current := func() bool { asked++; return asked > 3 }
+	s := &stub{reply: accepted}
+	young := httptest.NewServer(NewHandler(Options{Control: s, Tree: bootstrapped, Secret: secret, Now: time.Now, Current: current}))
+	defer young.Close()
+	client := NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", strings.TrimPrefix(young.URL, "http://")}, Key: "root-key"})
+	change := &pb.ChangeRequest{Change: &pb.ChangeSubtree{Name: "teams/a", ChangeId: "c1", Yaml: []byte("x")}}
+	reply, err := client.Change(context.Background(), change)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetResult().GetVersion(), uint64(1))
+	assert.Equal(t, asked, 4)
+
+	asked = -1_000_000
+	client.rounds = 0
+	_, err = client.Change(context.Background(), change)
+	assert.Assert(t, trace.IsConnectionProblem(err), "%v", err)
+}
+
 // What a user sees: the tool hangs for good. The first instance asked is behind
 // a silent partition: it takes the connection and never answers.
 func TestClientLeavesASilentInstance(t *testing.T) {
--- a/internal/operator/reply.go
+++ b/internal/operator/reply.go
@@ -63,6 +63,8 @@
 		return http.StatusRequestEntityTooLarge, CodeTooLarge
 	case errors.Is(err, errUnauthorised):
 		return http.StatusUnauthorized, CodeUnauthorised
+	case errors.Is(err, errNotCurrent):
+		return http.StatusServiceUnavailable, CodeNotCurrent
 	case trace.IsAccessDenied(err):
 		return http.StatusForbidden, CodeForbidden
 	case trace.IsBadParameter(err):
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -42,6 +42,7 @@
 	CodeTooLarge     Code = "too-large"    // 413
 	CodeExists       Code = "exists"       // 412: already done, such as init of a fleet that is
 	CodeUnavailable  Code = "unavailable"  // 503: no leader, or not in time; ask again
+	CodeNotCurrent   Code = "not-current"  // 503: this instance can't confirm its settings; nothing was tried
 	CodeInternal     Code = "internal"     // 500
 )
 
