A long prompt on an idle fleet is served

Cause: admission refused each request whose own prefill alone is predicted past the team's first-token target, also with nothing running; the caller would have been refused for ever. Before: refused at once. Requests that can meet the target are refused as before.

--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -99,7 +99,7 @@
 		Limits:        m.class.team.Limits,
 		Share:         m.class.team.Share,
 		Work:          float64(prefill.Milliseconds()) + float64(w.tokenTime.Milliseconds())*float64(m.class.output),
-		Patience:      m.admissionPatience(),
+		Patience:      m.admissionPatience(prefill + transfer),
 		PredictedWait: w.firstToken(prefill, transfer),
 		DrainPerSec:   w.drainPerSec,
 		Queued:        w.queued,
@@ -111,11 +111,17 @@
 // admissionPatience is the longest wait with which a request is taken. One that
 // would miss its team's target is refused at once: taken, it would be late and
 // make those behind it late too, until all answers of an overloaded fleet are.
-func (m *modelRun) admissionPatience() time.Duration {
+// own is what the request takes on idle engines: a prompt so long that this
+// alone passes the target may queue for as long as the target besides, since
+// refusing it would refuse it for ever.
+func (m *modelRun) admissionPatience(own time.Duration) time.Duration {
 	target := m.class.team.Targets.FirstToken
 	if target <= 0 {
 		return m.remaining()
 	}
+	if own > target {
+		return min(m.remaining(), own+target)
+	}
 	return min(m.remaining(), target)
 }
 
