HTTPS for callers and endpoints

Callers' and endpoints' listeners take a certificate of their own; endpoints are called by HTTPS when the daemon's file names their authority; the tool's ask speaks both. Without these the listeners speak plain HTTP as before. Not done: the emulated endpoints speak plain HTTP only.

--- a/cmd/hyssopsail/ask.go
+++ b/cmd/hyssopsail/ask.go
@@ -14,6 +14,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/caller"
 	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
 )
 
 // askCommand sends one request as a caller would, to try a fleet out.
@@ -21,6 +22,7 @@
 	app     *app
 	entries []string
 	keyFile string
+	trusted string
 	model   string
 	tokens  int
 	whole   bool
@@ -37,6 +39,7 @@
 	command := parser.Command("ask", "Send one request as a caller: ask an entry which addresses to use, connect to the first and print the answer. The request's ID goes to standard error.")
 	command.Flag("entry", "Callers' listener of an entry, ip:port. Repeatable.").Required().StringsVar(&c.entries)
 	command.Flag("team-key-file", "File with the team's key.").Required().StringVar(&c.keyFile)
+	command.Flag("entry-authority", "File with the certificate authority of the entries: ask by HTTPS.").StringVar(&c.trusted)
 	command.Flag("model", "Model to ask.").StringVar(&c.model)
 	command.Flag("max-tokens", "Longest answer, tokens.").Default("64").IntVar(&c.tokens)
 	command.Flag("whole", "Ask for one JSON answer instead of a stream.").BoolVar(&c.whole)
@@ -56,7 +59,11 @@
 	}
 	ctx, cancel := context.WithTimeout(c.app.ctx, c.timeout)
 	defer cancel()
-	client := caller.New(c.entries, strings.TrimSpace(string(key)))
+	secure, err := rpc.TrustingTLS(c.trusted)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	client := caller.New(c.entries, strings.TrimSpace(string(key)), secure)
 	if c.service != "" {
 		return c.call(ctx, client)
 	}
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,9 +16,10 @@
 
 // Client asks the entries of one fleet as one team. Safe for concurrent use.
 type Client struct {
-	seeds []string // host:port of entries to ask first
-	key   string
-	http  *http.Client
+	seeds  []string // host:port of entries to ask first
+	key    string
+	scheme string
+	http   *http.Client
 
 	mu      sync.Mutex
 	kept    []callerapi.Address
@@ -28,8 +30,14 @@
 const maxReply = 16 << 20
 
 // New makes a client of the entries at seeds (host:port) with a team's key.
-func New(seeds []string, key string) *Client {
-	return &Client{seeds: seeds, key: key, http: &http.Client{}}
+// secure is nil for plain HTTP; a fleet's entries all speak the same.
+func New(seeds []string, key string, secure *tls.Config) *Client {
+	c := &Client{seeds: seeds, key: key, scheme: "http://", http: &http.Client{}}
+	if secure != nil {
+		c.scheme = "https://"
+		c.http.Transport = &http.Transport{TLSClientConfig: secure}
+	}
+	return c
 }
 
 // Addresses gives the entries to use, best first. It asks a seed or an entry
@@ -107,7 +115,7 @@
 }
 
 func (c *Client) request(ctx context.Context, method, address, path string, body io.Reader) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+address+path, body)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -37,6 +37,11 @@
 	c.listener("listeners.operators", &d.Listeners.Operators, true)
 	c.listener("listeners.callers", &d.Listeners.Callers, d.Has(RoleEntry))
 	c.listener("listeners.endpoints", &d.Listeners.Endpoints, d.Has(RoleEntry))
+	c.noOwnCertificate("listeners.rpc", d.Listeners.RPC)
+	c.noOwnCertificate("listeners.operators", d.Listeners.Operators)
+	c.ownCertificate("listeners.callers", d.Listeners.Callers)
+	c.ownCertificate("listeners.endpoints", d.Listeners.Endpoints)
+	c.endpointAuthority()
 	c.distinctListeners()
 	c.file("tls.authority", d.TLS.Authority)
 	c.file("tls.certificate", d.TLS.Certificate)
@@ -130,6 +135,24 @@
 	c.dialable(advertisePath, l.Advertise)
 }
 
+func (c checker) noOwnCertificate(path string, l Listener) {
+	if l.Certificate != "" || l.Key != "" {
+		c.document.Fault(path, "take certificate and key out", "would be ignored: this listener uses the files below tls")
+	}
+}
+
+func (c checker) ownCertificate(path string, l Listener) {
+	if (l.Certificate == "") != (l.Key == "") {
+		c.document.Fault(path, "name both certificate and key, or neither for plain HTTP", "has one of certificate and key")
+	}
+}
+
+func (c checker) endpointAuthority() {
+	if c.daemon.EndpointAuthority != "" && !c.daemon.Has(RoleEntry) {
+		c.document.Fault("endpoint_authority", "take it out, or add the role entry", "would be ignored without the role entry")
+	}
+}
+
 // dialable refuses what others couldn't dial: names, and "any" addresses.
 func (c checker) dialable(path, text string) {
 	address, err := netip.ParseAddrPort(text)
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -19,8 +19,12 @@
 	Listeners        Listeners              `yaml:"listeners"`
 	TLS              TLS                    `yaml:"tls"`
 	FleetSecretFile  string                 `yaml:"fleet_secret_file"` // SecretBytes random bytes as hex
-	LogLevel         logging.Level          `yaml:"log_level"`         // default info
-	Bounds           Bounds                 `yaml:"bounds"`
+	// EndpointAuthority is a PEM file: endpoints are then called by HTTPS and
+	// must show a certificate of this authority for their IP number. Without it
+	// they are called by plain HTTP. Entry only.
+	EndpointAuthority string        `yaml:"endpoint_authority"`
+	LogLevel          logging.Level `yaml:"log_level"` // default info
+	Bounds            Bounds        `yaml:"bounds"`
 }
 
 // Role is a job of the daemon.
@@ -42,12 +46,19 @@
 }
 
 // Listener is one TCP listener. Both are ip:port; Advertise is what others are
-// told to dial and defaults to Listen.
+// told to dial and defaults to Listen. Certificate and Key are PEM files for
+// HTTPS on the callers' and endpoints' listeners; without both these speak
+// plain HTTP. The other two listeners always use the files below tls.
 type Listener struct {
-	Listen    string `yaml:"listen"`
-	Advertise string `yaml:"advertise"`
+	Listen      string `yaml:"listen"`
+	Advertise   string `yaml:"advertise"`
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
 }
 
+// Secure tells whether the listener has its own certificate.
+func (l Listener) Secure() bool { return l.Certificate != "" }
+
 // TLS names the PEM files for connections between processes.
 type TLS struct {
 	Authority   string `yaml:"authority"`
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -41,7 +41,14 @@
 }
 
 func (d *Daemon) paths() []*string {
-	return []*string{&d.DataFolder, &d.TLS.Authority, &d.TLS.Certificate, &d.TLS.Key, &d.FleetSecretFile}
+	return []*string{
+		&d.DataFolder,
+		&d.TLS.Authority, &d.TLS.Certificate, &d.TLS.Key,
+		&d.FleetSecretFile,
+		&d.EndpointAuthority,
+		&d.Listeners.Callers.Certificate, &d.Listeners.Callers.Key,
+		&d.Listeners.Endpoints.Certificate, &d.Listeners.Endpoints.Key,
+	}
 }
 
 func under(folder, path string) string {
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/provision"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
 	"github.com/hyssopsail/hyssopsail/internal/route"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 )
 
@@ -31,7 +32,12 @@
 
 func newEntryRole(b *base) (*entryRole, error) {
 	e := &entryRole{}
+	secure, err := rpc.TrustingTLS(b.file.EndpointAuthority)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	client := engine.NewClient(engine.Options{
+		TLS:        secure,
 		Owner:      b.self.Owner(),
 		Part:       newPart(b.logger, "engine"),
 		Registerer: b.registry,
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -43,9 +43,21 @@
 		Part:       newPart(b.logger, "entry"),
 		Registerer: b.registry,
 	})
-	s.callers = newHTTPServer(callers, b.file.Bounds, nil)
-	s.endpoints = newHTTPServer(e.home.Handler(), b.file.Bounds, nil)
-	return s, nil
+	return s, trace.Wrap(s.addEntry(b, callers, e.home.Handler()))
+}
+
+func (s *servers) addEntry(b *base, callers, endpoints http.Handler) error {
+	secureCallers, err := ownTLS(b.file.Listeners.Callers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	secureEndpoints, err := ownTLS(b.file.Listeners.Endpoints)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.callers = newHTTPServer(callers, b.file.Bounds, secureCallers)
+	s.endpoints = newHTTPServer(endpoints, b.file.Bounds, secureEndpoints)
+	return nil
 }
 
 func teamByKey(tree *settings.Tree, key string) (settings.Team, bool) {
--- a/internal/rpc/tls.go
+++ b/internal/rpc/tls.go
@@ -26,15 +26,38 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "certificate %s with key %s", f.Certificate, f.Key)
 	}
-	pem, err := os.ReadFile(f.Authority)
+	pool, err := LoadAuthority(f.Authority)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return MutualTLS(pair, pool), nil
+}
+
+// LoadAuthority reads the PEM certificates of a file.
+func LoadAuthority(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, trace.BadParameter("%s holds no certificate", f.Authority)
+		return nil, trace.BadParameter("%s holds no certificate", path)
 	}
-	return MutualTLS(pair, pool), nil
+	return pool, nil
+}
+
+// TrustingTLS makes a client's configuration that trusts the authority in a
+// file, and checks that a server's certificate names the host dialled; nil
+// for an empty path: plain HTTP.
+func TrustingTLS(path string) (*tls.Config, error) {
+	if path == "" {
+		return nil, nil
+	}
+	pool, err := LoadAuthority(path)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil
 }
 
 // MutualTLS makes the configuration that both sides of a connection use.
