Soak of random pairs of faults, audited against the endpoints' records

Callers of two teams, in two zones, go on while any two faults overlap: daemons die, freeze, are cut off each way and stop; engines die, come back with a new incarnation, stall, lose cancels, spoil chunks and leave; a team's zones are widened and narrowed. The callers' record is held against the endpoints'.

--- /dev/null
+++ b/internal/e2e/soak_test.go
@@ -0,0 +1,184 @@
+package e2e_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// Environment variables of the soak.
+const (
+	soakLengthVariable = "HYSSOPSAIL_SOAK" // how long faults go on, such as "10m"
+	soakSeedVariable   = "HYSSOPSAIL_SOAK_SEED"
+)
+
+const (
+	soakShort    = 14 * time.Second // the length in CI
+	soakSeed     = 1
+	soakCallers  = 10
+	soakHeldTime = 15 * time.Second // until all memory must be free
+)
+
+// soakTeam is a team of the soak: its data stays in home, but for the times
+// when a change permits the other zone too.
+type soakTeam struct {
+	name    string
+	key     string
+	home    string
+	version uint64
+	mu      sync.Mutex
+	wide    []span
+}
+
+// span is a time, unix ms, in which a team may run anywhere.
+type span struct{ from, until int64 }
+
+func (s *soakTeam) permits(zone fleet.AvailabilityZone, at int64) bool {
+	if string(zone) == s.home {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.wide {
+		if at >= w.from && (w.until == 0 || at <= w.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// soakEngine is an endpoint that may live several times.
+type soakEngine struct {
+	id      string
+	zone    string
+	role    fleet.EndpointRole
+	address string
+	now     *emulated
+}
+
+// soak is one run: a fleet, its load, its faults and the record of callers.
+type soak struct {
+	t       *testing.T
+	fleet   *testFleet
+	engines *engines
+	slots   []*soakEngine
+	teams   []*soakTeam
+	seed    uint64
+	random  *rand.Rand // of the faults
+	log     soakLog
+	changes int
+}
+
+// Any two faults at once, again and again: entries and control instances die,
+// freeze past their leases, are cut off and stop; engines die and come back,
+// stall, lose cancels and leave; settings narrow a team's zones. Callers go on,
+// and repeat with the same key what was lost. In the end the callers' record is
+// held against the endpoints' own: nothing doubled, wrong, misplaced, lost or
+// still held, and what was "not run" did not run.
+func TestSoak(t *testing.T) {
+	s := newSoak(t)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for n := range soakCallers {
+		callers.Go(func() { s.caller(n).run(stop) })
+	}
+	end := time.Now().Add(soakLength(t))
+	for pairs := 1; time.Now().Before(end); pairs++ {
+		s.pair(pairs)
+	}
+	close(stop)
+	callers.Wait()
+	s.audit()
+}
+
+func soakLength(t *testing.T) time.Duration {
+	text := os.Getenv(soakLengthVariable)
+	if text == "" {
+		return soakShort
+	}
+	length, err := time.ParseDuration(text)
+	assert.NilError(t, err)
+	return length
+}
+
+func newSoak(t *testing.T) *soak {
+	seed := uint64(soakSeed)
+	if text := os.Getenv(soakSeedVariable); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		seed = n
+	}
+	f := startFleet(t, plan{zones: []string{"a", "b", "a", "a", "b", "b"}, control: 3})
+	s := &soak{
+		t: t, fleet: f, engines: &engines{fleet: f}, seed: seed,
+		random: rand.New(rand.NewPCG(seed, 0)),
+		teams: []*soakTeam{
+			{name: "t", key: teamKey, home: "a", version: 1},
+			{name: "u", key: "e2e-team-u", home: "b"},
+		},
+	}
+	for _, team := range s.teams {
+		s.permit(team, team.home)
+	}
+	s.addEngines()
+	return s
+}
+
+func (s *soak) addEngines() {
+	for _, zone := range []string{"a", "b"} {
+		s.addEngine("p-"+zone, zone, fleet.RolePrefill)
+		s.addEngine("q-"+zone, zone, fleet.RolePrefill)
+		for n := range 3 {
+			s.addEngine(fmt.Sprintf("d%d-%s", n, zone), zone, fleet.RoleDecode)
+		}
+		for n := range 2 {
+			s.addEngine(fmt.Sprintf("s%d-%s", n, zone), zone, fleet.RolePlain)
+		}
+	}
+}
+
+func (s *soak) addEngine(id, zone string, role fleet.EndpointRole) {
+	g := &soakEngine{id: id, zone: zone, role: role, address: s.fleet.prefix + ".250:0"}
+	s.slots = append(s.slots, g)
+	s.startEngine(g)
+	g.address = g.now.Address()
+}
+
+// startEngine starts an endpoint with a new incarnation at its address.
+func (s *soak) startEngine(g *soakEngine) {
+	g.now = s.engines.add(s.t, g.id, g.zone, g.role, func(o *standin.Options) { o.Listen = g.address })
+}
+
+// permit changes a team's zones and waits until the change is in force.
+func (s *soak) permit(team *soakTeam, zones ...string) {
+	s.changes++
+	id := fmt.Sprintf("soak-%d", s.changes)
+	yaml := teamYAML(team.name, team.key, zones...)
+	eventually(s.t, 60*time.Second, func() error {
+		return s.fleet.change(s.t, s.fleet.operator, "teams/"+team.name, team.version, id, yaml)
+	})
+	team.version++
+}
+
+func (s *soak) widen(team *soakTeam) {
+	team.mu.Lock()
+	team.wide = append(team.wide, span{from: time.Now().UnixMilli()})
+	team.mu.Unlock()
+	s.permit(team, "a", "b")
+}
+
+func (s *soak) narrow(team *soakTeam) {
+	s.permit(team, team.home)
+	team.mu.Lock()
+	team.wide[len(team.wide)-1].until = time.Now().UnixMilli()
+	team.mu.Unlock()
+}
