--- a/internal/provision/jobs_test.go
+++ b/internal/provision/jobs_test.go
@@ -63,3 +63,20 @@
 	_, fresh, err = j.begin("more", load("m@v"))
 	assert.Assert(t, err == nil && fresh && len(j.byID) == maxJobs)
 }
+
+// An operator's order and an endpoint's digest are outside input: what is taken
+// of them must be whole and bounded.
+func FuzzChangeOf(f *testing.F) {
+	f.Add("1", "load", "m@v/a", "", "decode", uint32(2))
+	f.Add("1", "change-role", "", "both", "prefill", uint32(0))
+	f.Fuzz(func(t *testing.T, id, kind, model, role, has string, slots uint32) {
+		digest := &pb.EndpointDigest{Id: "e", Role: has, Slots: slots, Models: []string{model}}
+		c, err := changeOf(&pb.OrderEndpointRequest{OrderId: id, Kind: kind, Model: model, Role: role}, digest)
+		if err != nil {
+			return
+		}
+		o := c.Orders[0]
+		assert.Assert(t, len(id) <= maxOrderID && (o.Model.Model != "") != (o.Role != ""))
+		assert.Assert(t, c.Engine.busy() >= 0 && c.Engine.busy() <= 1)
+	})
+}
