--- /dev/null
+++ b/internal/e2e/story_test.go
@@ -0,0 +1,38 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
+)
+
+// story gives the time line of a request over all daemons, with all deaths of
+// endpoints, for the report of a failed test.
+func (f *testFleet) story(request string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	reply, err := f.operator.Timeline(ctx, &pb.TimelineQuery{Limit: 10_000})
+	if err != nil {
+		return err.Error()
+	}
+	var b strings.Builder
+	for _, e := range reply.Events {
+		if e.GetRequestId() == request || fateful(timeline.Kind(e.GetKind())) {
+			at := time.Unix(0, int64(e.GetWallNs())).Format("15:04:05.000")
+			fmt.Fprintf(&b, "%s %s %s %.8s %s %s %s\n", at, e.GetInstanceId(), e.GetKind(), e.GetAttemptId(), e.GetEndpointId(), e.GetRequestId(), e.GetDetail())
+		}
+	}
+	return b.String()
+}
+
+func fateful(k timeline.Kind) bool {
+	switch k {
+	case timeline.KindEndpointJoin, timeline.KindEndpointLost, timeline.KindSuspect, timeline.KindQuarantined, timeline.KindViewChanged:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/e2e/zones_test.go
@@ -0,0 +1,149 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/standin"
+)
+
+// twoZones is a fleet with entries and all kinds of endpoints in two zones.
+func twoZones(t *testing.T) (*testFleet, *engines) {
+	f := startFleet(t, plan{zones: []string{"a", "b", "a", "b"}, control: 3})
+	e := &engines{fleet: f}
+	for _, zone := range []string{"a", "b"} {
+		e.add(t, "p-"+zone, zone, fleet.RolePrefill)
+		e.add(t, "d-"+zone, zone, fleet.RoleDecode, func(o *standin.Options) { o.Slots = 6 })
+		e.add(t, "s-"+zone, zone, fleet.RolePlain)
+	}
+	e.awaitServing(t)
+	e.awaitService(t)
+	return f, e
+}
+
+// newestIn gives when the newest work in a zone began, unix ms.
+func (e *engines) newestIn(zone fleet.AvailabilityZone) int64 {
+	newest := int64(0)
+	for _, m := range e.all {
+		record := m.Audit()
+		if record.Zone != zone {
+			continue
+		}
+		for _, fact := range record.Attempts {
+			newest = max(newest, fact.StartedMs)
+		}
+	}
+	return newest
+}
+
+// An operator forbids a team's data in one zone while its glosses and slips run
+// there and more wait. Once the change is in force nothing of the team begins in
+// that zone, and what ran there ends instead of running on for half a minute.
+func TestZonesNarrowedWhileRequestsRunAndWait(t *testing.T) {
+	f, e := twoZones(t)
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	long, leave := context.WithCancel(callContext(t))
+	for n := range 24 {
+		load.Go(func() {
+			r := request{prompt: fmt.Sprintf("narrow %d [[tokens=15000]]", n), maxTokens: 15000, stream: true}
+			_, _ = ask(long, f.instances[n%4], r)
+		})
+	}
+	for n := range 8 {
+		load.Go(func() { bothKinds(t, f.instances[n%4], n, stop) })
+	}
+	eventually(t, callTime, func() error {
+		for _, m := range e.all {
+			if a := m.Audit(); a.Role == fleet.RoleDecode && a.Held < 6 {
+				return fmt.Errorf("%s holds %d", m.id(), a.Held)
+			}
+		}
+		return nil
+	})
+	assert.NilError(t, f.change(t, f.operator, "teams/t", 1, "narrow", teamYAML("t", teamKey, "a")))
+	inForce := time.Now().UnixMilli()
+	eventually(t, 6*time.Second, func() error {
+		for _, m := range e.all {
+			if a := m.Audit(); a.Zone == "b" && a.Held > 0 {
+				return fmt.Errorf("%s still holds %d", m.id(), a.Held)
+			}
+		}
+		return nil
+	})
+	close(stop)
+	leave()
+	load.Wait()
+	assert.Assert(t, e.newestIn("b") <= inForce, "work began in the forbidden zone %d ms after the change was in force", e.newestIn("b")-inForce)
+	e.awaitNothingHeld(t, 10*time.Second)
+}
+
+// All that serves a team in its only zone is down. Its callers are refused with
+// "not run" by each entry that is left, and nothing of theirs runs in the other
+// zone, where all is well.
+func TestTeamWhoseZonesAreDownIsRefused(t *testing.T) {
+	f, e := twoZones(t)
+	assert.NilError(t, f.change(t, f.operator, "teams/t", 1, "only b", teamYAML("t", teamKey, "b")))
+	for _, m := range e.all {
+		if m.Audit().Zone == "b" {
+			m.kill()
+		}
+	}
+	inForce := time.Now().UnixMilli()
+	f.refusesAll(t, f.instances)
+	f.instances[3].kill(t) // the entry in b that is no control instance
+	f.refusesAll(t, f.instances[:3])
+	assert.Assert(t, e.newestIn("a") <= inForce)
+}
+
+func (f *testFleet) refusesAll(t *testing.T, entries []*instance) {
+	t.Helper()
+	for n, i := range entries {
+		eventually(t, callTime, func() error {
+			a, err := ask(callContext(t), i, request{prompt: fmt.Sprintf("down %d", n), maxTokens: 5})
+			assert.NilError(t, err)
+			assert.Assert(t, !a.whole(), "%s served it: %+v", i.id, a)
+			return wantNotRun(i, a)
+		})
+		eventually(t, callTime, func() error {
+			a, err := call(callContext(t), i, "/once", "", body(fmt.Sprintf("down-%d", n)))
+			assert.NilError(t, err)
+			assert.Assert(t, a.status >= 400, "%s served it: %+v", i.id, a)
+			return wantNotRun(i, a)
+		})
+	}
+}
+
+func wantNotRun(i *instance, a answer) error {
+	if a.outcome != callerapi.OutcomeNotRun {
+		return fmt.Errorf("%s: %+v", i.id, a)
+	}
+	return nil
+}
+
+// A pickup slip runs, and its answer is lost. Then an operator forbids the
+// team's data in one zone. The volunteer's app sends the slip again with the
+// same key: it must not run a second time, though its record was kept by
+// replicas in the zones of before.
+func TestSlipRepeatedAfterItsTeamsZonesChanged(t *testing.T) {
+	f, e := twoZones(t)
+	const slips = 8
+	for n := range slips {
+		a, err := call(callContext(t), f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, 200, "%+v", a)
+	}
+	assert.NilError(t, f.change(t, f.operator, "teams/t", 1, "narrow", teamYAML("t", teamKey, "a")))
+	for n := range slips {
+		_, err := call(callContext(t), f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
+		assert.NilError(t, err)
+		assert.Check(t, e.runsOf(t, fmt.Sprintf("slip-%d", n)) == 1, "slip-%d ran twice", n)
+	}
+}
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -1,6 +1,9 @@
 package engine
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // The causes in an Error, for errors.Is.
 var (
@@ -11,6 +14,9 @@
 	// ErrIncarnation says that an answer comes from another process of the
 	// endpoint than the one asked.
 	ErrIncarnation = errors.New("answer of another incarnation")
+	// ErrEarlier says that an answer comes from an earlier process of the
+	// endpoint: it is late, and tells nothing against the process of now.
+	ErrEarlier = fmt.Errorf("%w, an earlier one", ErrIncarnation)
 	// ErrGap says that tokens are missing before a chunk.
 	ErrGap = errors.New("tokens missing in stream")
 	// ErrRepeat says that a chunk holds tokens that were given before.
--- a/internal/route/decide_test.go
+++ b/internal/route/decide_test.go
@@ -56,6 +56,7 @@
 		"oversized":   {&engine.Error{Target: target, Sent: true, Err: engine.ErrOversized}, causeRefused, false},
 		"malformed":   {&engine.Error{Target: target, Sent: true, Err: engine.ErrMalformed}, causeRefused, false},
 		"restarted":   {&engine.Error{Target: target, Sent: true, Err: engine.ErrIncarnation}, causeBroken, true},
+		"old chunk":   {&engine.Error{Target: target, Sent: true, Err: engine.ErrEarlier}, causeRefused, false},
 		"silent":      {&engine.Error{Target: target, Sent: true, Err: engine.ErrIdle}, causeStalled, false},
 		"stale":       {&engine.Error{Target: target, Sent: true, Code: engineapi.CodeStale}, causeRefused, false},
 		"full":        {&engine.Error{Target: target, Sent: true, Code: engineapi.CodeFull}, causeFull, false},
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -25,6 +25,7 @@
 	policies     Policies
 	admitted     admission.Request
 	avoid        endpointSet
+	stalled      stall
 	deadline     time.Time // for the next token
 	attempts     int
 	passed       int // output tokens that the sink has
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -76,7 +76,7 @@
 
 // spoiled tells whether the endpoint lives but sent what can't be used.
 func spoiled(err error) bool {
-	for _, bad := range []error{engine.ErrGap, engine.ErrRepeat, engine.ErrMalformed, engine.ErrOversized} {
+	for _, bad := range []error{engine.ErrEarlier, engine.ErrGap, engine.ErrRepeat, engine.ErrMalformed, engine.ErrOversized} {
 		if errors.Is(err, bad) {
 			return true
 		}
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -69,12 +69,22 @@
 	}
 	h, refusal := a.take(ctx, a.wantDecode(left/2))
 	if refusal != nil {
+		a.blameSource(s, refusal)
 		return false
 	}
 	a.decode = h
 	return true
 }
 
+// blameSource suspects the prefill engine when there is no other decode engine
+// to send to: the same one can be tried with another source.
+func (a *attempt) blameSource(s, refusal *setback) {
+	if s.cause == causeStalled && refusal.cause == causeExhausted {
+		a.run.clearStalled()
+		s.endpoint = a.prefill.target.ID
+	}
+}
+
 func (a *attempt) importOnce(ctx context.Context) *setback {
 	m := a.run
 	m.event(timeline.KindTransferStart, a.id, a.decode.target.ID)
@@ -104,6 +114,8 @@
 	switch {
 	case s.code == engineapi.CodeTransfer || s.code == engineapi.CodeGone:
 		s.endpoint = a.prefill.target.ID
+	case s.cause == causeStalled:
+		s.endpoint = a.run.blameStall(a.prefill.target.ID, a.decode.target.ID)
 	case s.endpoint == "":
 		s.endpoint = a.decode.target.ID
 	}
