--- /dev/null
+++ b/internal/capacity/parts.go
@@ -0,0 +1,26 @@
+package main
+
+import "context"
+
+// part is one measurement with fleets of its own.
+type part struct {
+	name string
+	run  func(context.Context, options, *report) error
+}
+
+var parts = []part{
+	{"daemons", measureDaemons},
+	{"endpoints", measureEndpoints},
+	{"teams", measureTeams},
+	{"commits", measureCommits},
+	{"calls", measureCalls},
+	{"leader", measureLeader},
+}
+
+func partNames() []string {
+	names := make([]string, len(parts))
+	for n, p := range parts {
+		names[n] = p.name
+	}
+	return names
+}
--- /dev/null
+++ b/internal/capacity/settings.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hyssopsail/hyssopsail/internal/settings"
+)
+
+// The keys of a measured fleet.
+const (
+	operatorKey = "capacity-operator-key"
+	endpointKey = "capacity-endpoint-key"
+)
+
+// The names in a measured fleet's settings.
+const (
+	modelName   = "notes"
+	serviceName = "slips"
+)
+
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+func fleetDocument() string {
+	var b strings.Builder
+	b.WriteString("availability_zones:\n")
+	for _, z := range zones {
+		fmt.Fprintf(&b, "  - {name: %s, region: home}\n", z)
+	}
+	b.WriteString("links:\n")
+	for _, from := range zones {
+		for _, to := range zones {
+			fmt.Fprintf(&b, "  - {from: %s, to: %s, rate: 5GB/s, delay: 400us}\n", from, to)
+		}
+	}
+	fmt.Fprintf(&b, `models:
+  - {name: %s, versions: ["1"], kv_bytes_per_token: 131072B, max_tokens: 32768, load_time: 30s, weight_bytes: 16GB}
+services:
+  - name: %s
+    timeout: 5s
+    routes:
+      - {method: POST, prefix: /once, idempotent: false}
+      - {method: POST, prefix: /, idempotent: true}
+endpoint_key_hashes: [%q]
+operators:
+  - {name: capacity, key_hash: %q, subtrees: ["*"]}
+weight_store: {rate: 1GB/s, concurrent_loads: 2}
+caller_kinds:
+  - {kind: sorter, patience: 10s, priority: 5}
+`, modelName, serviceName, settings.HashKey(endpointKey), settings.HashKey(operatorKey))
+	return b.String()
+}
+
+func teamName(n int) string { return fmt.Sprintf("team-%04d", n) }
+
+func teamKey(n int) string { return fmt.Sprintf("capacity-key-of-%s", teamName(n)) }
+
+// teamDocument gives a team's subtree of some 400 bytes. Revisions differ in
+// the share alone.
+func teamDocument(n, revision int) string {
+	return fmt.Sprintf(`team: %s
+key_hashes: [%q]
+permitted_zones: [%s]
+models: [%s]
+services: [%s]
+targets: {first_token: 1600ms, token_gap: 38ms}
+wasted_prefill_weight: 0.5
+share: %d
+limits: {concurrent: 1000, prompt_tokens: 16000}
+`, teamName(n), settings.HashKey(teamKey(n)), strings.Join(permitted(n), ", "), modelName, serviceName, 1+revision%100)
+}
+
+// permitted gives all zones to two teams of three, and two to the third, so
+// that there are two sets of permitted zones.
+func permitted(n int) []string {
+	if n%3 == 2 {
+		return zones[:2]
+	}
+	return zones
+}
