--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -20,6 +21,9 @@
 	MaxWait = time.Minute
 )
 
+// errNotCurrent refuses before anything is tried.
+var errNotCurrent = errors.New("not current")
+
 type handler struct {
 	options Options
 	secret  settings.KeyHash
@@ -41,6 +45,9 @@
 		if options.Endpoints != nil {
 			r.Get("/endpoints", h.serve(h.endpoints, callTimeout))
 		}
+		if options.Order != nil {
+			r.Post("/orders", h.serve(h.current(h.order), callTimeout))
+		}
 		if options.Timeline != nil {
 			r.Get("/timeline", h.serve(h.timeline, callTimeout))
 		}
@@ -68,7 +75,7 @@
 func (h *handler) current(do action) action {
 	return func(w http.ResponseWriter, r *http.Request, who identity) error {
 		if !who.bootstrap && h.options.Current != nil && !h.options.Current() {
-			return trace.ConnectionProblem(nil, "this instance can't confirm that its settings are in force; ask another")
+			return trace.Wrap(errNotCurrent, "this instance can't confirm that its settings are in force; ask another")
 		}
 		return do(w, r, who)
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -16,6 +16,7 @@
 	Operators    []Operator   `yaml:"operators"`
 	WeightStore  WeightStore  `yaml:"weight_store"`
 	Decisions    Decisions    `yaml:"decisions"`
+	Provision    Provision    `yaml:"provision"`
 	Timeouts     Timeouts     `yaml:"timeouts"`
 	Callers      []CallerKind `yaml:"caller_kinds"` // defaults for teams
 }
@@ -85,7 +86,7 @@
 // Decisions chooses the policy of each decision by name; see package schedule
 // for the names.
 type Decisions struct {
-	Prefill string `yaml:"prefill"` // endpoint choice for prefill, default "least-wait"
+	Prefill string `yaml:"prefill"` // endpoint choice for prefill, default "sampled-wait"
 	Decode  string `yaml:"decode"`  // endpoint choice for decode, default "two-choices"
 	Start   string `yaml:"start"`   // when a prefill may start, default "predicted-room"
 	Plain   string `yaml:"plain"`   // endpoint choice for plain services, default "two-choices"
