--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -47,6 +47,7 @@
 weight_store: {rate: 1GB/s, concurrent_loads: 2}
 caller_kinds:
   - {kind: sorter, patience: 10s, priority: 5}
+timeouts: {address_keep: 1s}
 `, modelName, serviceName, settings.HashKey(endpointKey), settings.HashKey(operatorKey))
 	return b.String()
 }
--- a/internal/endpoint/follower.go
+++ b/internal/endpoint/follower.go
@@ -78,14 +78,33 @@
 
 func (f *HomeClient) pollLoop(ctx context.Context) {
 	for ctx.Err() == nil {
+		view := f.options.Source.State().View.Number
 		f.pollAll(ctx)
-		timer := time.NewTimer(f.pollInterval())
+		f.awaitPoll(ctx, view)
+	}
+}
+
+// awaitPoll waits until the next poll is due or the view is another than the
+// one that was polled.
+//
+// Failure guarded: each change of settings wakes all followers. When they
+// polled all homes for it, ten changes a second in a fleet of nine daemons made
+// five times the polls, and nothing in a digest depends on settings.
+func (f *HomeClient) awaitPoll(ctx context.Context, polled uint64) {
+	timer := time.NewTimer(f.pollInterval())
+	defer timer.Stop()
+	for {
+		changed := f.options.Source.Changed()
+		if f.options.Source.State().View.Number != polled {
+			return
+		}
 		select {
 		case <-ctx.Done():
-		case <-f.options.Source.Changed():
+			return
 		case <-timer.C:
+			return
+		case <-changed:
 		}
-		timer.Stop()
 	}
 }
 
