--- a/cmd/hyssopsail/ask.go
+++ b/cmd/hyssopsail/ask.go
@@ -85,14 +85,11 @@
 		MaxTokens: c.tokens,
 		Stream:    !c.whole,
 	}, c.header(), c.app.out)
-	c.tell(answer.RequestID)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if c.whole {
+	if err == nil && c.whole {
 		_, err = fmt.Fprint(c.app.out, answer.Text)
 	}
 	_, _ = fmt.Fprintln(c.app.out)
+	c.tell(answer.RequestID)
 	return trace.Wrap(err)
 }
 
@@ -114,6 +111,11 @@
 	return nil
 }
 
+// tell names the request for "timeline --request"; none was made when no entry
+// could be asked.
 func (c *askCommand) tell(requestID string) {
+	if requestID == "" {
+		return
+	}
 	_, _ = fmt.Fprintf(c.app.errors, "request %s\n", requestID)
 }
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -60,7 +60,7 @@
 		c.keptEnd = asked.Add(time.Duration(reply.KeepMs) * time.Millisecond)
 		return c.kept, nil
 	}
-	return nil, trace.ConnectionProblem(last, "no entry told its addresses")
+	return nil, trace.ConnectionProblem(last, "no entry told its addresses: %v", last)
 }
 
 func (c *Client) candidates() []string {
--- /dev/null
+++ b/internal/caller/client_test.go
@@ -0,0 +1,29 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+)
+
+// What a user sees: "no entry told its addresses" for a key that was taken out
+// of the settings, and looks for a fault of the network. Each entry had
+// answered, and said why it refused.
+func TestRefusedAddressesSayWhy(t *testing.T) {
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnauthorized)
+		body := callerapi.ErrorBody{Error: callerapi.Error{Code: callerapi.CodeUnauthorised, Message: "no team has this key"}}
+		assert.Check(t, json.NewEncoder(w).Encode(body))
+	}))
+	defer refusing.Close()
+	client := New([]string{strings.TrimPrefix(refusing.URL, "http://")}, "old key", nil)
+	_, err := client.Addresses(context.Background())
+	assert.ErrorContains(t, err, "no team has this key (unauthorised")
+}
