A call runs once over a change of its team's permitted zones; one crash rule

Cause: a team's zones choose the ledger shard of its keys. After a change, entries looked in the new shard alone, so the repeat of a call from before ran again. TestSlipRepeatedAfterItsZonesChanged, four daemon processes, failed on the code before this commit: "zonechange_test.go:77: assertion failed: 2 (int) != 1 (int)". With it both tests of that file pass, three times over.

The shared state keeps the classes that a team left, for two record lives by the clock of the commands. A claim first decides "moved" for its key in the shard of each, and only then its intent in its own: so it meets a claim under the old zones in one consensus.

Place comes first: replicas in zones that the team's data may no longer touch aren't asked, nor told outcomes. Without a majority the answer is "unknown" while the class is kept; calls without a caller's key go on (Claim.Fresh).

Contract: outcome.Claim has Team and Fresh, Lookup takes the team, a claim whose zones aren't the settings' gives an error; membership.State has Former. package route fills them in: three fields and one argument.

In a fleet without commands the leader proposes an empty one when records are due to go.

control.ReportCrash had a rule of its own; it uses quarantine's now, which gets control's bound of three deaths in company.

--- a/internal/control/change.go
+++ b/internal/control/change.go
@@ -55,6 +55,9 @@
 	if m.tooManyClasses(tree, c.Name) {
 		return invalid(version, "too many different sets of permitted zones")
 	}
+	if m.tooManyFormer(tree, c.Name) {
+		return invalid(version, "the permitted zones were changed too often of late; try again when outcome records have aged")
+	}
 	accepted := &pb.SubtreeDocument{
 		Name:           c.Name,
 		Version:        version + 1,
--- a/internal/control/classes.go
+++ b/internal/control/classes.go
@@ -14,16 +14,18 @@
 const defaultRecordLife = 10 * time.Minute
 
 // classes counts which zone classes teams use. A class that falls out of use
-// is retired: its groups stay for one record life, so that requests in flight
-// can still finish their records.
+// is retired: its groups stay for as long as it is a former class of a team,
+// so that requests in flight can finish their records and repeats find them.
 type classes struct {
+	former  *former
 	ofTeam  map[fleet.Team]string
 	users   map[string]int
 	retired map[string]int64 // class to the unix ms of its last use
 }
 
-func newClasses() *classes {
+func newClasses(f *former) *classes {
 	return &classes{
+		former:  f,
 		ofTeam:  make(map[fleet.Team]string),
 		users:   make(map[string]int),
 		retired: make(map[string]int64),
@@ -37,6 +39,7 @@
 		return
 	}
 	if old != "" {
+		c.former.leave(team, old, clock)
 		c.users[old]--
 		if c.users[old] == 0 {
 			delete(c.users, old)
@@ -127,20 +130,17 @@
 	}
 }
 
-// dropRetired removes the groups of classes unused for one record life. Their
+// dropRetired removes the groups of classes unused for formerLives. Their
 // epochs stay used up: a class that returns starts above them, so that no
 // replica mistakes an old group for the new one.
 func (m *Machine) dropRetired() {
-	life := m.tree.Fleet.Timeouts.RecordLife
-	if life <= 0 {
-		life = defaultRecordLife
-	}
+	life := m.formerLife()
 	for _, class := range sortedKeys(m.classes.retired) {
 		age := m.clock - m.classes.retired[class]
-		if age < -life.Milliseconds() {
+		if age < -life {
 			m.classes.retired[class] = m.clock // retired by a clock that was ahead
 		}
-		if age <= life.Milliseconds() {
+		if age <= life {
 			continue
 		}
 		delete(m.classes.retired, class)
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -7,6 +7,8 @@
 	maxYAMLBytes     = 256 << 10 // one subtree
 	maxTreeBytes     = 5 << 20   // all current subtrees: a FleetState stays under rpc.MaxMessage
 	maxClasses       = 256       // sets of permitted zones in use, or retired of late
+	maxTeamFormer    = 16        // former zone classes of one team
+	maxFormer        = 8192      // of all teams
 	maxSubtrees      = 8192      // names ever used, removed ones too
 	maxDetailBytes   = 512       // of a result
 	historyVersions  = 64        // kept older versions of one subtree
@@ -25,5 +27,4 @@
 	pullBytes        = 1 << 20   // deltas of one pull
 	maxSnapshotBytes = 256 << 20 // after decompression
 	fingerprintBytes = 16
-	quarantineAfter  = 3 // crashes after which company no longer excuses
 )
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -31,6 +31,7 @@
 	instances  map[string]*pb.InstanceRecord
 	seen       *incarnations
 	classes    *classes
+	former     *former
 	groups     map[fleet.LedgerShard]*pb.LedgerGroup
 	epochFloor uint64
 	orders     *orders
@@ -58,7 +59,8 @@
 	m.answers = newAnswers()
 	m.instances = make(map[string]*pb.InstanceRecord)
 	m.seen = newIncarnations()
-	m.classes = newClasses()
+	m.former = newFormer()
+	m.classes = newClasses(m.former)
 	m.groups = make(map[fleet.LedgerShard]*pb.LedgerGroup)
 	m.epochFloor = 0
 	m.orders = newOrders()
@@ -132,13 +134,14 @@
 func (m *Machine) expireOld(index uint64) {
 	m.answers.expire(index)
 	m.dropRetired()
-	life := m.tree.Fleet.Timeouts.QuarantineLife.Milliseconds()
-	m.delta.Suspects = append(m.delta.Suspects, m.suspects.expire(m.clock, life)...)
+	m.former.expire(m.clock, m.formerLife())
+	m.delta.Suspects = append(m.delta.Suspects, m.suspects.expire(m.clock, m.suspectLife())...)
 }
 
 func (m *Machine) publish(index uint64) {
 	d := m.delta
-	if len(d.Subtrees)+len(d.Joined)+len(d.Left)+len(d.LedgerGroups)+len(d.Suspects) == 0 {
+	d.FormerClasses = m.former.take()
+	if len(d.Subtrees)+len(d.Joined)+len(d.Left)+len(d.LedgerGroups)+len(d.Suspects)+len(d.FormerClasses) == 0 {
 		return
 	}
 	if len(d.Joined)+len(d.Left) > 0 {
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -100,12 +100,13 @@
 
 func (m *Machine) fleetState() *pb.FleetState {
 	return &pb.FleetState{
-		Index:        m.effect,
-		ViewNumber:   m.viewNumber,
-		Subtrees:     m.sortedDocuments(false),
-		Instances:    m.sortedInstances(),
-		LedgerGroups: m.sortedGroups(),
-		Suspects:     m.suspects.sorted(),
+		Index:         m.effect,
+		ViewNumber:    m.viewNumber,
+		Subtrees:      m.sortedDocuments(false),
+		Instances:     m.sortedInstances(),
+		LedgerGroups:  m.sortedGroups(),
+		Suspects:      m.suspects.sorted(),
+		FormerClasses: m.former.sorted(),
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -57,6 +58,7 @@
 	leases   *leases
 	expiring chan struct{} // one token for each expiry under way
 	pulls    chan struct{} // one token for each open pull
+	aging    sync.Mutex    // held by the one proposal that ages the state
 	ledTerm  uint64        // term in which this member leads, 0: none; of Run alone
 }
 
--- a/internal/control/server_run.go
+++ b/internal/control/server_run.go
@@ -35,6 +35,7 @@
 		s.part.Info("Leading.", "term", term)
 		s.record(timeline.Event{Kind: timeline.KindLeader, Detail: fmt.Sprintf("%s term %d", s.self.ID, term)})
 	}
+	s.age(ctx)
 	ended := s.leases.tick(s.now(), term, s.instanceLease(), s.machine.Owners())
 	for _, o := range ended {
 		select {
@@ -49,6 +50,21 @@
 	}
 }
 
+// age lets the state drop records that have outlived their age. Commands do it
+// on their way; in a fleet without any, a team's calls would go on being held
+// up by the record of a change that is long past.
+func (s *Server) age(ctx context.Context) {
+	if !s.machine.Due(s.now().UnixMilli()) || !s.aging.TryLock() {
+		return
+	}
+	go func() {
+		defer s.aging.Unlock()
+		if _, _, err := s.propose(ctx, &pb.Command{}); err != nil {
+			s.part.Debug("Old records can't be dropped yet.", "err", err)
+		}
+	}()
+}
+
 // observe tells whether this member leads, and in which term. One that does
 // not forgets all lease times.
 func (s *Server) observe() (term uint64, leading bool) {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -133,8 +133,8 @@
 	}
 	m.orders.slots = append(m.orders.slots, s.GetLoadSlotsUnixMs()...)
 	for _, r := range s.GetState().GetSuspects() {
-		if f, ok := fleet.FingerprintFromBytes(r.Fingerprint); ok {
-			m.suspects.records[f] = r
+		if suspect, ok := suspectFromProto(r); ok {
+			m.suspects.put(suspect)
 		}
 	}
 	for _, c := range s.GetCrashes() {
@@ -148,6 +148,9 @@
 	for _, r := range s.GetRetired() {
 		m.classes.retired[r.ZoneClass] = r.UnixMs
 	}
+	for _, f := range s.GetState().GetFormerClasses() {
+		m.former.set(fleet.Team(f.Team), f.ZoneClass, f.ChangedUnixMs)
+	}
 	for _, g := range s.GetState().GetLedgerGroups() {
 		m.groups[shardOf(g)] = g
 	}
@@ -159,6 +162,6 @@
 	m.tree, m.current, m.treeBytes = next.tree, next.current, next.treeBytes
 	m.history, m.answers = next.history, next.answers
 	m.instances, m.seen = next.instances, next.seen
-	m.classes, m.groups, m.epochFloor = next.classes, next.groups, next.epochFloor
+	m.classes, m.former, m.groups, m.epochFloor = next.classes, next.former, next.groups, next.epochFloor
 	m.orders, m.suspects, m.recent = next.orders, next.suspects, next.recent
 }
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -2,9 +2,11 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/quarantine"
 )
 
 // crashKey names one death of an endpoint process.
@@ -14,23 +16,22 @@
 }
 
 // suspects holds the fingerprints that ran on endpoints which died, and the
-// reports seen, so that a repeated report counts once.
+// reports seen, so that a repeated report counts once. The rule is that of
+// package quarantine.
 type suspects struct {
-	records map[fleet.Fingerprint]*pb.SuspectRecord
+	records map[fleet.Fingerprint]fleet.Suspect
 	crashes map[crashKey]*pb.CrashRecord
 	order   []*pb.CrashRecord // oldest first
 }
 
 func newSuspects() *suspects {
 	return &suspects{
-		records: make(map[fleet.Fingerprint]*pb.SuspectRecord),
+		records: make(map[fleet.Fingerprint]fleet.Suspect),
 		crashes: make(map[crashKey]*pb.CrashRecord),
 	}
 }
 
-// applyCrash counts a death against what ran there. A fingerprint is put in
-// quarantine when it was alone at its second death, when it is the only one
-// at this death that was at another before, or at its third death.
+// applyCrash counts a death against what ran there.
 func (m *Machine) applyCrash(index uint64, c *pb.ReportCrash) string {
 	if !validName(c.GetEndpointId()) || len(c.GetFingerprints()) > maxFingerprints {
 		return refusalMalformed
@@ -40,29 +41,61 @@
 			return refusalMalformed
 		}
 	}
-	m.delta.Suspects = append(m.delta.Suspects, m.suspects.report(index, c, m.clock)...)
+	limits := quarantine.DefaultLimits
+	limits.MaxSuspects = maxSuspects
+	limits.SuspectLife = time.Duration(m.suspectLife()) * time.Millisecond
+	m.delta.Suspects = append(m.delta.Suspects, m.suspects.report(index, c, m.clock, limits)...)
 	return ""
 }
 
-func (s *suspects) report(index uint64, c *pb.ReportCrash, clock int64) []*pb.SuspectRecord {
-	known := s.remember(index, c)
-	var hit []fleet.Fingerprint
+// suspectLife is how long a suspect is kept after its last death, in ms.
+func (m *Machine) suspectLife() int64 {
+	life := m.tree.Fleet.Timeouts.QuarantineLife
+	if life <= 0 {
+		life = quarantine.DefaultLimits.SuspectLife
+	}
+	return life.Milliseconds()
+}
+
+// report applies what is new in a report. A death may be reported twice, or in
+// parts by two homes of its endpoint; what an earlier part named isn't counted
+// again, and when that part had its suspect, later ones add nothing.
+func (s *suspects) report(index uint64, c *pb.ReportCrash, clock int64, limits quarantine.Limits) []*pb.SuspectRecord {
+	earlier := s.remember(index, c)
+	part := &pb.ReportCrash{EndpointId: c.EndpointId, EndpointIncarnation: c.EndpointIncarnation}
 	for _, raw := range c.Fingerprints {
-		f, ok := fleet.FingerprintFromBytes(raw)
-		if !ok || known[f] {
-			continue
+		if f, ok := fleet.FingerprintFromBytes(raw); ok && !earlier[f] {
+			part.Fingerprints = append(part.Fingerprints, raw)
 		}
-		known[f] = true
-		hit = append(hit, f)
 	}
-	repeated := s.repeated(hit)
-	var changed []*pb.SuspectRecord
-	for _, f := range hit {
-		next := s.blame(f, clock, len(repeated) == 1 && repeated[0] == f)
-		s.records[f] = next
-		changed = append(changed, next)
+	if len(part.Fingerprints) == 0 || s.explained(earlier) {
+		return nil
+	}
+	changed := quarantine.ApplyCrashWithin(s.records, part, time.UnixMilli(clock), limits)
+	records := make([]*pb.SuspectRecord, 0, len(changed))
+	for _, next := range changed {
+		s.put(next)
+		records = append(records, suspectProto(next))
+	}
+	return records
+}
+
+// explained tells whether one of these was at more than one death.
+func (s *suspects) explained(earlier map[fleet.Fingerprint]bool) bool {
+	for f := range earlier {
+		if s.records[f].Crashes >= quarantine.QuarantineCrashes {
+			return true
+		}
 	}
-	return append(changed, s.bound()...)
+	return false
+}
+
+func (s *suspects) put(next fleet.Suspect) {
+	if next.Crashes == 0 {
+		delete(s.records, next.Fingerprint)
+		return
+	}
+	s.records[next.Fingerprint] = next
 }
 
 // remember notes the report and gives the fingerprints that earlier reports of
@@ -108,75 +141,61 @@
 	}
 }
 
-// repeated gives those of hit that were at a death before.
-func (s *suspects) repeated(hit []fleet.Fingerprint) []fleet.Fingerprint {
-	var found []fleet.Fingerprint
-	for _, f := range hit {
-		if s.records[f].GetCrashes() > 0 {
-			found = append(found, f)
-		}
-	}
-	return found
-}
-
-func (s *suspects) blame(f fleet.Fingerprint, clock int64, onlyRepeated bool) *pb.SuspectRecord {
-	old := s.records[f]
-	crashes := old.GetCrashes() + 1
-	return &pb.SuspectRecord{
-		Fingerprint:   f[:],
-		Crashes:       crashes,
-		Quarantined:   old.GetQuarantined() || onlyRepeated || crashes >= quarantineAfter,
-		UpdatedUnixMs: clock,
-	}
-}
-
-// expire drops suspects not reported for life, and those reported under a
-// clock that was further ahead than that; life 0 keeps them.
+// expire drops suspects not reported for life, in ms, and those reported under
+// a clock that was further ahead than that.
 func (s *suspects) expire(clock, life int64) []*pb.SuspectRecord {
-	if life <= 0 {
-		return nil
-	}
-	return s.drop(func(r *pb.SuspectRecord) bool {
-		age := clock - r.UpdatedUnixMs
-		return age > life || age < -life
-	})
-}
-
-// bound drops the longest unreported suspects above the limit.
-func (s *suspects) bound() []*pb.SuspectRecord {
-	if len(s.records) <= maxSuspects {
-		return nil
-	}
-	sorted := s.sorted()
-	sort.SliceStable(sorted, func(a, b int) bool { return sorted[a].UpdatedUnixMs < sorted[b].UpdatedUnixMs })
-	excess := make(map[*pb.SuspectRecord]bool)
-	for _, r := range sorted[:len(sorted)-maxSuspects] {
-		excess[r] = true
-	}
-	return s.drop(func(r *pb.SuspectRecord) bool { return excess[r] })
-}
-
-func (s *suspects) drop(match func(*pb.SuspectRecord) bool) []*pb.SuspectRecord {
 	var removed []*pb.SuspectRecord
 	for f, r := range s.records {
-		if match(r) {
+		if age := clock - r.Updated.UnixMilli(); age > life || age < -life {
 			delete(s.records, f)
-			removed = append(removed, &pb.SuspectRecord{Fingerprint: r.Fingerprint})
+			removed = append(removed, suspectProto(fleet.Suspect{Fingerprint: f}))
 		}
 	}
 	sortSuspects(removed)
 	return removed
 }
 
+func (s *suspects) due(clock, life int64) bool {
+	for _, r := range s.records {
+		if clock-r.Updated.UnixMilli() > life {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *suspects) sorted() []*pb.SuspectRecord {
 	all := make([]*pb.SuspectRecord, 0, len(s.records))
 	for _, r := range s.records {
-		all = append(all, r)
+		all = append(all, suspectProto(r))
 	}
 	sortSuspects(all)
 	return all
 }
 
+// suspectProto tells of a suspect, or with no crashes of its removal.
+func suspectProto(s fleet.Suspect) *pb.SuspectRecord {
+	if s.Crashes == 0 {
+		return &pb.SuspectRecord{Fingerprint: s.Fingerprint[:]}
+	}
+	return &pb.SuspectRecord{
+		Fingerprint:   s.Fingerprint[:],
+		Crashes:       uint32(s.Crashes),
+		Quarantined:   s.Quarantined,
+		UpdatedUnixMs: s.Updated.UnixMilli(),
+	}
+}
+
+func suspectFromProto(r *pb.SuspectRecord) (fleet.Suspect, bool) {
+	f, ok := fleet.FingerprintFromBytes(r.GetFingerprint())
+	return fleet.Suspect{
+		Fingerprint: f,
+		Crashes:     int(r.GetCrashes()),
+		Quarantined: r.GetQuarantined(),
+		Updated:     time.UnixMilli(r.GetUpdatedUnixMs()),
+	}, ok && r.GetCrashes() > 0
+}
+
 func sortSuspects(records []*pb.SuspectRecord) {
 	sort.Slice(records, func(a, b int) bool {
 		return string(records[a].Fingerprint) < string(records[b].Fingerprint)
--- /dev/null
+++ b/internal/e2e/zonechange_test.go
@@ -0,0 +1,114 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// zonePickups is a fleet over two zones in which zone a has a majority of each
+// ledger group, and a plain service in zone a.
+func zonePickups(t *testing.T) (*testFleet, *engines) {
+	t.Helper()
+	f := startFleet(t, plan{zones: []string{"a", "a", "a", "b"}, control: 3})
+	e := &engines{fleet: f}
+	e.add(t, "s1", "a", fleet.RolePlain)
+	e.add(t, "s2", "a", fleet.RolePlain)
+	e.awaitService(t)
+	return f, e
+}
+
+// setZones changes the permitted zones of the team and waits until the change
+// is in force.
+func (f *testFleet) setZones(t *testing.T, version uint64, zones ...string) {
+	t.Helper()
+	id := fmt.Sprintf("zones-%d", version)
+	eventually(t, callTime, func() error {
+		err := f.change(t, f.operator, "teams/t", version, id, teamYAML("t", teamKey, zones...))
+		return err
+	})
+}
+
+// repeatSlip sends a slip again at the entries. None may run it; one in a
+// permitted zone answers with the recorded outcome.
+func repeatSlip(t *testing.T, entries []*instance, key, marker string) {
+	t.Helper()
+	for _, i := range entries {
+		eventually(t, callTime, func() error {
+			again, err := call(callContext(t), i, "/once", key, body(marker))
+			if err != nil {
+				return err
+			}
+			if again.outcome != callerapi.OutcomeCompleted || again.refused.Code != callerapi.CodeRecorded {
+				return fmt.Errorf("%s at %s: %+v", marker, i.id, again)
+			}
+			return nil
+		})
+	}
+}
+
+// A volunteer's pickup slip has run. The operator narrows the team's permitted
+// zones, then widens them again, and after each change the app sends the slip
+// again with the same key. Its record is under the zones of before; an entry
+// that looks only where new records go would send a second truck.
+func TestSlipRepeatedAfterItsZonesChanged(t *testing.T) {
+	f, e := zonePickups(t)
+	const slips = 16
+	key := func(n int) string { return fmt.Sprintf("key-zones-%d", n) }
+	marker := func(n int) string { return fmt.Sprintf("slip-zones-%d", n) }
+	for n := range slips {
+		a, err := call(callContext(t), f.instances[n%3], "/once", key(n), body(marker(n)))
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, http.StatusOK, "%+v", a)
+	}
+	f.setZones(t, 1, "a")
+	for n := range slips {
+		repeatSlip(t, f.instances[:3], key(n), marker(n))
+	}
+	f.setZones(t, 2, "a", "b")
+	for n := range slips {
+		repeatSlip(t, f.instances, key(n), marker(n))
+		assert.Equal(t, e.runsOf(t, marker(n)), 1)
+	}
+}
+
+// The slip and its repeats reach all entries at the moment at which the team's
+// zones change: some entries claim under the old zones, some under the new.
+// The slip runs once at most, and once if any answer says that it completed.
+func TestSlipRacesAChangeOfItsZones(t *testing.T) {
+	f, e := zonePickups(t)
+	sets := [][]string{{"a"}, {"a", "b"}}
+	for round := range 8 {
+		var group sync.WaitGroup
+		const slips = 4
+		answers := make([][]answer, slips)
+		for n := range slips {
+			answers[n] = make([]answer, 3)
+			for at, i := range f.instances[:3] {
+				group.Go(func() {
+					a, err := call(callContext(t), i, "/once", fmt.Sprintf("key-race-%d-%d", round, n), body(fmt.Sprintf("slip-race-%d-%d", round, n)))
+					if err == nil {
+						answers[n][at] = a
+					}
+				})
+			}
+		}
+		f.setZones(t, uint64(round+1), sets[round%2]...)
+		group.Wait()
+		for n := range slips {
+			runs := e.runsOf(t, fmt.Sprintf("slip-race-%d-%d", round, n))
+			assert.Assert(t, runs <= 1, "round %d: %d runs: %+v", round, runs, answers[n])
+			for _, a := range answers[n] {
+				if a.outcome == callerapi.OutcomeCompleted {
+					assert.Equal(t, runs, 1)
+				}
+			}
+		}
+	}
+}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,7 @@
 			View:     fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}},
 			Groups:   map[fleet.LedgerShard]fleet.LedgerGroup{},
 			Suspects: map[fleet.Fingerprint]fleet.Suspect{},
+			Former:   map[fleet.Team][]string{},
 		},
 	}
 }
@@ -94,6 +96,7 @@
 		View:     fleet.View{Number: s.ViewNumber, Instances: make(map[fleet.InstanceID]fleet.Instance, len(s.Instances))},
 		Groups:   make(map[fleet.LedgerShard]fleet.LedgerGroup, len(s.LedgerGroups)),
 		Suspects: make(map[fleet.Fingerprint]fleet.Suspect, len(s.Suspects)),
+		Former:   make(map[fleet.Team][]string),
 	}
 	f.documents = make(map[string]*pb.SubtreeDocument, len(s.Subtrees))
 	for _, d := range s.Subtrees {
@@ -105,6 +108,7 @@
 	}
 	putGroups(next.Groups, s.LedgerGroups)
 	putSuspects(next.Suspects, s.Suspects)
+	putFormer(next.Former, s.FormerClasses)
 	f.state = next
 	return true, nil
 }
@@ -124,6 +128,10 @@
 		next.Suspects = maps.Clone(next.Suspects)
 		putSuspects(next.Suspects, d.Suspects)
 	}
+	if len(d.FormerClasses) > 0 {
+		next.Former = maps.Clone(next.Former)
+		putFormer(next.Former, d.FormerClasses)
+	}
 	return nil
 }
 
@@ -221,6 +229,23 @@
 	return out
 }
 
+// putFormer changes no list in place: older states share them.
+func putFormer(former map[fleet.Team][]string, from []*pb.FormerClass) {
+	for _, f := range from {
+		team := fleet.Team(f.Team)
+		classes := slices.DeleteFunc(slices.Clone(former[team]), func(c string) bool { return c == f.ZoneClass })
+		if !f.Removed {
+			classes = append(classes, f.ZoneClass)
+			slices.Sort(classes)
+		}
+		if len(classes) == 0 {
+			delete(former, team)
+			continue
+		}
+		former[team] = classes
+	}
+}
+
 func putSuspects(suspects map[fleet.Fingerprint]fleet.Suspect, from []*pb.SuspectRecord) {
 	for _, s := range from {
 		f, ok := fleet.FingerprintFromBytes(s.Fingerprint)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -13,4 +13,8 @@
 	View     fleet.View
 	Groups   map[fleet.LedgerShard]fleet.LedgerGroup
 	Suspects map[fleet.Fingerprint]fleet.Suspect
+	// Former are the zone classes that each team left of late, sorted; one may
+	// be the team's present class again. An outcome record of the team may be
+	// in any of them.
+	Former map[fleet.Team][]string
 }
--- a/internal/outcome/ask.go
+++ b/internal/outcome/ask.go
@@ -37,11 +37,16 @@
 			return false
 		}
 	}
-	return true
+	return len(g.Replicas) > 0
 }
 
-// ask gives a replica's reply, calling it directly when it is this process.
-func (s *Service) ask(ctx context.Context, to fleet.Owner, q Request) Reply {
+// ask gives a replica's reply, calling it directly when it is this process. A
+// replica outside the zones that the settings permit the team now isn't asked.
+func (s *Service) ask(ctx context.Context, team fleet.Team, to fleet.Owner, q Request) Reply {
+	state := s.options.Source.State()
+	if !permits(state, team, state.View.Instances[to.Instance].Zone) {
+		return Reply{Status: ReplyUnreachable}
+	}
 	s.metrics.asked(q.Action, to == s.self)
 	if to == s.self {
 		return s.handle(q)
--- a/internal/outcome/contract.go
+++ b/internal/outcome/contract.go
@@ -11,9 +11,13 @@
 // Key is the keyed hash of team and caller's key: the name of a record.
 type Key [16]byte
 
-// Claim asks to run a request.
+// Claim asks to run a request. Permitted is what the settings permit the team
+// now: a claim under other zones gives an error. Fresh tells that the key was
+// made for this call alone, so that no earlier record of it can exist.
 type Claim struct {
 	Key       Key
+	Team      fleet.Team
+	Fresh     bool
 	Permitted fleet.ZoneSet
 	Attempt   fleet.AttemptID
 	Endpoint  fleet.EndpointID
@@ -30,6 +34,7 @@
 	VerdictRecorded         // another attempt has ended; Record has the outcome
 	VerdictUnknown          // an attempt may have run; its owner is gone, or records were lost
 	VerdictNotRun           // a tombstone is decided: no attempt ran or will
+	VerdictMoved            // of one shard: a later zone class decides. No Ledger gives it
 )
 
 // Record is what the ledger knows of a key.
@@ -43,6 +48,11 @@
 }
 
 // Ledger is how requests use outcome records.
+//
+// When a team's permitted zones have changed within two record lives, the
+// records of before are consulted too, at replicas in zones that are still
+// permitted. Where these are no majority, the verdict is VerdictUnknown for
+// each key that isn't Fresh: new keys can't be told from repeats.
 type Ledger interface {
 	// Claim decides a record for the attempt before the first byte goes to an
 	// endpoint. Only VerdictRun lets the attempt run, and the caller checks
@@ -61,7 +71,7 @@
 	Finish(ctx context.Context, c Claim, outcome pb.OutcomeKind, statusCode int) error
 	// Lookup reads a key through a majority. VerdictUnset means that nothing
 	// was decided so far.
-	Lookup(ctx context.Context, key Key, permitted fleet.ZoneSet) (Verdict, Record, error)
+	Lookup(ctx context.Context, team fleet.Team, key Key, permitted fleet.ZoneSet) (Verdict, Record, error)
 	// Forbid decides a tombstone unless an intent was decided before. After an
 	// error nothing is known.
 	Forbid(ctx context.Context, c Claim) (Verdict, Record, error)
--- a/internal/outcome/decision.go
+++ b/internal/outcome/decision.go
@@ -10,6 +10,7 @@
 	DecisionUnset     DecisionKind = iota
 	DecisionIntent                 // the attempt may run
 	DecisionTombstone              // no attempt may ever run
+	DecisionMoved                  // the key is decided in a later zone class of its team
 )
 
 // Decision is the value that a record's consensus chooses.
@@ -24,3 +25,5 @@
 }
 
 func tombstone() Decision { return Decision{Kind: DecisionTombstone} }
+
+func moved() Decision { return Decision{Kind: DecisionMoved} }
--- a/internal/outcome/driver.go
+++ b/internal/outcome/driver.go
@@ -15,6 +15,8 @@
 type driver struct {
 	service  *Service
 	proposer *Proposer
+	claim    Claim
+	current  bool // stop when the settings no longer permit just the claim's zones
 	shard    fleet.LedgerShard
 	random   *rand.Rand
 	arrivals chan arrival
@@ -36,24 +38,29 @@
 	mostWaits = 7 // doublings
 )
 
-func (s *Service) newDriver(purpose Purpose, c Claim) *driver {
+func (s *Service) newDriver(purpose Purpose, c Claim, shard fleet.LedgerShard) *driver {
 	number := s.numbers.Add(1)
 	return &driver{
 		service:  s,
 		proposer: NewProposer(purpose, c, s.self, number),
-		shard:    ShardOf(c.Key, c.Permitted),
+		claim:    c,
+		shard:    shard,
 		random:   rand.New(rand.NewPCG(s.options.Seed, number)),
 		arrivals: make(chan arrival),
 	}
 }
 
-// run drives the proposer to its end. An error means that ctx ended first.
+// run drives the proposer to its end. An error means that ctx ended or the
+// settings changed first.
 func (d *driver) run(ctx context.Context) (Verdict, Record, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for {
 		changed := d.service.options.Source.Changed()
 		state := d.service.options.Source.State()
+		if d.current && !sameZones(state, d.claim) {
+			return VerdictUnset, Record{}, errZonesChanged(d.claim)
+		}
 		group, ok := state.Groups[d.shard]
 		if ok && d.atEpoch(ctx, state, group, changed) {
 			verdict, record := d.proposer.Result()
@@ -131,7 +138,7 @@
 func (d *driver) broadcast(ctx context.Context, q *Request) {
 	for n, member := range d.group.Replicas {
 		go func() {
-			reply := d.service.ask(context.WithoutCancel(ctx), member.Owner, *q)
+			reply := d.service.ask(context.WithoutCancel(ctx), d.claim.Team, member.Owner, *q)
 			select {
 			case d.arrivals <- arrival{from: n, request: q, reply: reply}:
 			case <-ctx.Done():
--- a/internal/outcome/finish.go
+++ b/internal/outcome/finish.go
@@ -19,7 +19,7 @@
 	for {
 		state := s.options.Source.State()
 		group, ok := state.Groups[shard]
-		if ok && s.finishAt(ctx, finishRequest(s.circumstances(state, group), c.Key, end), group) {
+		if ok && s.finishAt(ctx, c, finishRequest(s.circumstances(state, group), c.Key, end), group) {
 			s.finished(c, end)
 			return nil
 		}
@@ -34,12 +34,12 @@
 
 // finishAt gives true as soon as a majority has taken the outcome; the calls to
 // the others go on.
-func (s *Service) finishAt(ctx context.Context, q Request, g fleet.LedgerGroup) bool {
+func (s *Service) finishAt(ctx context.Context, c Claim, q Request, g fleet.LedgerGroup) bool {
 	ctx = context.WithoutCancel(ctx)
 	replies := make(chan bool, len(g.Replicas))
 	for _, m := range g.Replicas {
 		go func() {
-			replies <- s.ask(ctx, m.Owner, q).Status == ReplyOK
+			replies <- s.ask(ctx, c.Team, m.Owner, q).Status == ReplyOK
 		}()
 	}
 	taken := 0
--- a/internal/outcome/key.go
+++ b/internal/outcome/key.go
@@ -33,10 +33,12 @@
 func ShardOf(key Key, permitted fleet.ZoneSet) fleet.LedgerShard {
 	return fleet.LedgerShard{
 		ZoneClass: permitted.Class(),
-		Shard:     uint32(key[0]) % fleet.LedgerShards,
+		Shard:     shardNumber(key),
 	}
 }
 
+func shardNumber(key Key) uint32 { return uint32(key[0]) % fleet.LedgerShards }
+
 // String gives the hex form for logs.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
--- a/internal/outcome/metrics.go
+++ b/internal/outcome/metrics.go
@@ -13,6 +13,7 @@
 	records    prometheus.Gauge
 	copying    prometheus.Gauge
 	unfinished prometheus.Counter
+	outOfZone  prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -42,9 +43,13 @@
 			Name: "hyssopsail_ledger_unfinished_total",
 			Help: "Outcomes that no majority took in time.",
 		}),
+		outOfZone: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_ledger_former_out_of_zone_total",
+			Help: "Keys answered unknown: records of the team's former zones are outside its present ones.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.claims, m.duration, m.messages, m.records, m.copying, m.unfinished)
+		r.MustRegister(m.claims, m.duration, m.messages, m.records, m.copying, m.unfinished, m.outOfZone)
 	}
 	return m
 }
--- a/internal/outcome/proposer.go
+++ b/internal/outcome/proposer.go
@@ -14,6 +14,7 @@
 	PurposeClaim           // decide the own intent
 	PurposeForbid          // decide a tombstone
 	PurposeResolve         // learn, and decide what may be decided
+	PurposeSeal            // decide that the key has moved to a later zone class
 )
 
 type phase uint8
@@ -83,10 +84,10 @@
 	first := p.phase == phaseIdle
 	p.circumstances = c
 	p.highest = c.Epoch << roundBits
-	if first && c.Fast && !c.HistoryLost && p.purpose == PurposeClaim {
+	if first && c.Fast && !c.HistoryLost && (p.purpose == PurposeClaim || p.purpose == PurposeSeal) {
 		p.phase = phaseFast
 		p.ballot = fastBallot(c.Epoch)
-		return p.propose(p.own)
+		return p.propose(p.wanted())
 	}
 	if p.purpose == PurposeResolve {
 		return p.read()
@@ -278,12 +279,21 @@
 	case c.bound, p.purpose == PurposeResolve && c.held.Found():
 		p.held = c.held
 		return p.accept(c.held.Decision)
-	case p.purpose == PurposeClaim:
-		return p.accept(p.own)
-	case p.purpose == PurposeForbid:
-		return p.accept(tombstone())
+	case p.purpose == PurposeResolve:
+		return p.done(VerdictUnset, Held{})
+	}
+	return p.accept(p.wanted())
+}
+
+// wanted is what the proposer decides where nothing binds it.
+func (p *Proposer) wanted() Decision {
+	switch p.purpose {
+	case PurposeForbid:
+		return tombstone()
+	case PurposeSeal:
+		return moved()
 	}
-	return p.done(VerdictUnset, Held{})
+	return p.own
 }
 
 // ended answers with a recorded outcome. When some of the majority lack it,
@@ -320,6 +330,8 @@
 
 func (p *Proposer) decided() Step {
 	switch {
+	case p.value.Kind == DecisionMoved:
+		return p.done(VerdictMoved, Held{Decision: p.value})
 	case p.value.Kind == DecisionTombstone && p.held.Age.Seconds() > tombstoneTrust*p.circumstances.RecordLife.Seconds():
 		return p.done(VerdictUnknown, p.held)
 	case p.value.Kind == DecisionTombstone:
@@ -358,7 +370,7 @@
 		return pb.OutcomeKind_OUTCOME_KIND_IN_FLIGHT
 	case VerdictNotRun:
 		return pb.OutcomeKind_OUTCOME_KIND_NOT_RUN
-	case VerdictUnknown:
+	case VerdictUnknown, VerdictMoved:
 		return pb.OutcomeKind_OUTCOME_KIND_UNKNOWN
 	}
 	return pb.OutcomeKind_OUTCOME_KIND_UNSPECIFIED
--- a/internal/outcome/service.go
+++ b/internal/outcome/service.go
@@ -78,13 +78,12 @@
 	life := s.claimLife(s.options.Source.State())
 	ctx, cancel := context.WithTimeout(ctx, life)
 	defer cancel()
-	d := s.newDriver(PurposeClaim, c)
-	verdict, record, err := d.run(ctx)
+	verdict, record, proposed, err := s.decide(ctx, PurposeClaim, c)
 	late := verdict == VerdictRun && time.Since(begun) >= life
 	if late {
 		verdict, record = VerdictUnknown, Record{Outcome: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN}
 	}
-	if late || (err != nil && d.proposer.Proposed()) {
+	if late || (err != nil && proposed) {
 		s.disown(c)
 		verdict, record, err = VerdictUnknown, Record{Outcome: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN}, nil
 	}
@@ -93,13 +92,15 @@
 }
 
 // Lookup implements Ledger.
-func (s *Service) Lookup(ctx context.Context, key Key, permitted fleet.ZoneSet) (Verdict, Record, error) {
-	return s.newDriver(PurposeResolve, Claim{Key: key, Permitted: permitted}).run(ctx)
+func (s *Service) Lookup(ctx context.Context, team fleet.Team, key Key, permitted fleet.ZoneSet) (Verdict, Record, error) {
+	verdict, record, _, err := s.decide(ctx, PurposeResolve, Claim{Key: key, Team: team, Permitted: permitted})
+	return verdict, record, err
 }
 
 // Forbid implements Ledger.
 func (s *Service) Forbid(ctx context.Context, c Claim) (Verdict, Record, error) {
-	return s.newDriver(PurposeForbid, c).run(ctx)
+	verdict, record, _, err := s.decide(ctx, PurposeForbid, c)
+	return verdict, record, err
 }
 
 // Finish implements Ledger.
@@ -145,10 +146,11 @@
 // disown settles the record of an attempt whose claim ended without a
 // decision. The attempt won't run, but its intent may be decided: without the
 // settling, repeats would be told "in flight" for as long as this process
-// lives.
+// lives. The shard of the claim settles it, also when the team's zones have
+// changed since: what the former shards decided stands.
 func (s *Service) disown(c Claim) {
 	s.background(func(ctx context.Context) {
-		verdict, record, err := s.Forbid(ctx, c)
+		verdict, record, err := s.newDriver(PurposeForbid, c, ShardOf(c.Key, c.Permitted)).run(ctx)
 		if err != nil || verdict != VerdictInFlight || record.Attempt != c.Attempt {
 			return
 		}
--- a/internal/outcome/verdict.go
+++ b/internal/outcome/verdict.go
@@ -7,6 +7,7 @@
 	VerdictRecorded: "recorded",
 	VerdictUnknown:  "unknown",
 	VerdictNotRun:   "not-run",
+	VerdictMoved:    "moved",
 }
 
 // String names the verdict for logs and metrics.
--- a/internal/outcome/wire.go
+++ b/internal/outcome/wire.go
@@ -69,6 +69,8 @@
 		return intentOf(fleet.AttemptID(p.GetAttemptId()), ownerFromProto(p.GetOwner()))
 	case pb.DecisionKind_DECISION_KIND_TOMBSTONE:
 		return tombstone()
+	case pb.DecisionKind_DECISION_KIND_MOVED:
+		return moved()
 	}
 	return Decision{}
 }
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -13,6 +13,12 @@
 // was the only suspect on the endpoint is refused for good.
 const QuarantineCrashes = 2
 
+// CompanyCrashes is the number of crashes after which a suspect is refused for
+// good although other suspects were on the endpoint each time. Suspects run
+// apart as long as their guard instances answer; without this bound a pair
+// that comes together all the same would take down endpoints for ever.
+const CompanyCrashes = 3
+
 // ApplyCrash is ApplyCrashWithin the DefaultLimits.
 func ApplyCrash(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time) []fleet.Suspect {
 	return ApplyCrashWithin(suspects, report, now, DefaultLimits)
@@ -27,7 +33,7 @@
 //
 // When nothing that ran was a suspect, all of it becomes so. When exactly one
 // was, it is quarantined and its neighbours aren't counted: they were there by
-// chance. When several were, only these are counted.
+// chance. When several were, only these are counted, up to CompanyCrashes.
 func ApplyCrashWithin(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time, limits Limits) []fleet.Suspect {
 	ran := reported(report)
 	changed := expired(suspects, ran, now, limits)
@@ -42,7 +48,7 @@
 			s := suspects[f]
 			s.Crashes++
 			s.Updated = now
-			s.Quarantined = s.Quarantined || (len(known) == 1 && s.Crashes >= QuarantineCrashes)
+			s.Quarantined = s.Quarantined || s.Crashes >= CompanyCrashes || (len(known) == 1 && s.Crashes >= QuarantineCrashes)
 			changed = append(changed, s)
 		}
 	}
--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -123,6 +123,7 @@
 	for generation := range r.bounds.Generations {
 		claim := outcome.Claim{
 			Key:       r.hash.recordKey(req.Team, req.Key, generation),
+			Team:      req.Team,
 			Permitted: c.permitted,
 			Attempt:   newClaimAttempt(f),
 		}
--- a/internal/route/forbid.go
+++ b/internal/route/forbid.go
@@ -37,6 +37,7 @@
 	defer cancel()
 	verdict, record, err := r.opts.Ledger.Forbid(ctx, outcome.Claim{
 		Key:       r.hash.recordKey(in.team, in.key, 0),
+		Team:      in.team,
 		Permitted: in.permitted,
 		Attempt:   newClaimAttempt(in.fingerprint),
 	})
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -68,6 +68,8 @@
 	}
 	claim := outcome.Claim{
 		Key:       m.router.hash.recordKey(m.req.Team, key, 0),
+		Team:      m.req.Team,
+		Fresh:     m.req.Key == "",
 		Permitted: m.class.permitted,
 		Attempt:   id,
 		Endpoint:  h.target.ID,
--- a/internal/route/outcomes.go
+++ b/internal/route/outcomes.go
@@ -33,7 +33,7 @@
 	var last Known
 	for generation := range r.bounds.Generations {
 		name := r.hash.recordKey(team, key, generation)
-		verdict, record, err := r.opts.Ledger.Lookup(ctx, name, owner.Permitted())
+		verdict, record, err := r.opts.Ledger.Lookup(ctx, team, name, owner.Permitted())
 		if err != nil {
 			return Known{}, unknownFate()
 		}
