--- a/internal/control/former_test.go
+++ b/internal/control/former_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -65,3 +66,16 @@
 	assert.Equal(t, l.machine.Tree().Teams["sorters"].Permitted().Len(), 3)
 	l.accept("teams/sorters", 1, append(teamYAML("sorters", "howrah", "barasat", "durgapur"), "share: 2\n"...))
 }
+
+// A call runs while its team's zones change, and ends minutes later. Its record
+// lives on from its end, and a repeat in that time must still find it, though
+// the change is more than one record life ago.
+func TestFormerClassOutlivesALateEnd(t *testing.T) {
+	l := newFleet(t)
+	old := l.machine.classes.ofTeam["sorters"]
+	l.accept("teams/sorters", 1, teamYAML("sorters", "howrah"))
+	l.clock += defaultRecordLife.Milliseconds() * 19 / 10
+	l.drain("nobody")
+	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + old})
+	assert.Assert(t, l.machine.groups[fleet.LedgerShard{ZoneClass: old}] != nil)
+}
--- a/internal/quarantine/crash_test.go
+++ b/internal/quarantine/crash_test.go
@@ -45,6 +45,11 @@
 			ran:    []byte{1, 2, 3},
 			want:   []fleet.Suspect{suspect(1, 2, false, now), suspect(2, 2, false, now)},
 		},
+		"two were, for the third time": {
+			before: []fleet.Suspect{suspect(1, 2, false, fresh), suspect(2, 1, false, fresh)},
+			ran:    []byte{1, 2, 3},
+			want:   []fleet.Suspect{suspect(1, 3, true, now), suspect(2, 2, false, now)},
+		},
 		"one was long ago": {
 			before: []fleet.Suspect{suspect(1, 1, false, stale)},
 			ran:    []byte{1, 2},
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -75,7 +75,7 @@
 // it run at a time; once it was on an endpoint that died, one at a time, and
 // its endpoint is given no other suspect, so that the next death tells.
 func (r *Register) Begin(now time.Time, q Run, shared Shared) Answer {
-	suspect, suspected := shared.Suspects[q.Fingerprint]
+	suspect, suspected := liveSuspect(shared.Suspects, q.Fingerprint, now, r.limits.SuspectLife)
 	if suspected && suspect.Quarantined {
 		return Answer{Verdict: pb.RunVerdict_RUN_VERDICT_QUARANTINED}
 	}
@@ -102,6 +102,14 @@
 	return started(alone)
 }
 
+// liveSuspect gives the shared suspect unless its life is over. The shared
+// state drops old ones only with its next command, which may be long in coming
+// when the control group has no leader: a quarantine would go on meanwhile.
+func liveSuspect(suspects map[fleet.Fingerprint]fleet.Suspect, f fleet.Fingerprint, now time.Time, life time.Duration) (fleet.Suspect, bool) {
+	s, ok := suspects[f]
+	return s, ok && now.Sub(s.Updated) < life
+}
+
 func started(alone bool) Answer {
 	if alone {
 		return Answer{Verdict: pb.RunVerdict_RUN_VERDICT_ALONE}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -75,12 +75,13 @@
 	state := s.options.Source.State()
 	// The refusal of a quarantined request needs no call: it is at once, also
 	// on an entry that is cut off.
-	if state.Suspects[f].Quarantined {
+	suspect, suspected := liveSuspect(state.Suspects, f, time.Now(), s.suspectLife(state))
+	if suspected && suspect.Quarantined {
 		return Answer{Verdict: pb.RunVerdict_RUN_VERDICT_QUARANTINED}
 	}
 	guard, ok := guardOf(f, permitted, state)
 	if !ok {
-		return s.alone(state, f)
+		return started(suspected)
 	}
 	run := Run{Fingerprint: f, Attempt: attempt, Owner: s.self}
 	if guard == s.self {
@@ -90,26 +91,24 @@
 	if err != nil {
 		s.metrics.unreachable.Inc()
 		s.options.Part.Debug("Guard instance did not answer.", "guard", guard, "err", err)
-		return s.alone(state, f)
+		// The shared state alone decides.
+		return started(suspected)
 	}
 	return s.spread(answer)
 }
 
-// alone decides by the shared state when no guard instance can be asked.
-func (s *Service) alone(state *membership.State, f fleet.Fingerprint) Answer {
-	if _, suspect := state.Suspects[f]; suspect {
-		return Answer{Verdict: pb.RunVerdict_RUN_VERDICT_ALONE}
+func (s *Service) suspectLife(state *membership.State) time.Duration {
+	if state.Tree != nil && state.Tree.Fleet.Timeouts.QuarantineLife > 0 {
+		return state.Tree.Fleet.Timeouts.QuarantineLife
 	}
-	return Answer{Verdict: pb.RunVerdict_RUN_VERDICT_GO}
+	return s.options.Limits.SuspectLife
 }
 
 func (s *Service) beginHere(run Run) Answer {
 	state := s.options.Source.State()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state.Tree != nil && state.Tree.Fleet.Timeouts.QuarantineLife > 0 {
-		s.register.SetSuspectLife(state.Tree.Fleet.Timeouts.QuarantineLife)
-	}
+	s.register.SetSuspectLife(s.suspectLife(state))
 	return s.register.Begin(time.Now(), run, sharedOf(state))
 }
 
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -119,13 +119,32 @@
 	guard, other := newPair()
 	delete(other.others, "a")
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1}
+	now := time.Now()
+	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: now}
 	assert.Equal(t, other.begin(t, "2"), verdictAlone)
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true}
+	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: now}
 	assert.Equal(t, other.begin(t, "3"), verdictQuarantined)
 	assert.Equal(t, guard.calls, 0)
 }
 
+// The control group has no leader for longer than a quarantine lasts, so that
+// nothing is dropped from the shared state. The request is served again all
+// the same, when its guard instance answers and when it doesn't.
+func TestQuarantineEndsWithoutTheControlGroup(t *testing.T) {
+	old := time.Now().Add(-DefaultLimits.SuspectLife)
+	for _, suspect := range []fleet.Suspect{
+		{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: old},
+		{Fingerprint: testPrint, Crashes: 1, Updated: old},
+	} {
+		guard, other := newPair()
+		other.state.Suspects[testPrint] = suspect
+		assert.Equal(t, other.begin(t, "1"), verdictGo)
+		assert.Equal(t, guard.begin(t, "1"), verdictGo)
+		delete(other.others, "a")
+		assert.Equal(t, other.begin(t, "2"), verdictGo)
+	}
+}
+
 // The guard instance is in a zone that the team's data may not touch. Nothing
 // may be sent there.
 func TestGuardOutsideTheZones(t *testing.T) {
