The control group ends the time of a lost history

Each entry compared the time of a loss, a leader's wall clock, with its own. One whose clock was ahead by more than a record life took lost records for absent ones and could run a call twice; one behind answered "unknown" for too long. Now the replicated state clears the mark by the clocks of its commands, one record life and 10 s after the loss, and entries go by the mark alone.

TestHistoryLostByAnotherClock, trial with the entry's clock: "run != unknown". TestLostHistoryEnds, trial without the end: fails. What is left is the control members' own clocks: a leader with a clock ahead by the whole window ends it early, as it does for all ages.

--- a/internal/control/former.go
+++ b/internal/control/former.go
@@ -132,11 +132,16 @@
 
 // formerLife is how long former and retired classes are kept, in ms.
 func (m *Machine) formerLife() int64 {
+	return formerLives * m.recordLife()
+}
+
+// recordLife is how long outcome records live, in ms.
+func (m *Machine) recordLife() int64 {
 	life := m.tree.Fleet.Timeouts.RecordLife
 	if life <= 0 {
 		life = defaultRecordLife
 	}
-	return formerLives * life.Milliseconds()
+	return life.Milliseconds()
 }
 
 // Due tells whether records have outlived their age by the given clock, unix
@@ -150,5 +155,8 @@
 			return true
 		}
 	}
+	if m.lostHistoryDue(clock) {
+		return true
+	}
 	return m.former.due(clock, life) || m.suspects.due(clock, m.suspectLife())
 }
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -133,6 +133,27 @@
 	assert.Equal(t, next.Sources[0].InstanceId, older.Replicas[0].InstanceId)
 }
 
+// A history was lost. "Unknown" is answered for as long as the lost records
+// would have lived, by the control group's clocks, and no longer.
+func TestLostHistoryEnds(t *testing.T) {
+	l := grown(t, 3)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		l.expire(id, 1)
+	}
+	l.clock += defaultRecordLife.Milliseconds() + lostHistoryMargin
+	l.drain("nobody")
+	epoch := l.group(0).Epoch
+	assert.Assert(t, l.group(0).HistoryLostUnixMs != 0)
+	assert.Assert(t, !l.machine.Due(l.clock))
+	l.clock++
+	assert.Assert(t, l.machine.Due(l.clock))
+	l.drain("nobody")
+	assert.Equal(t, l.group(0).HistoryLostUnixMs, int64(0))
+	assert.Equal(t, l.group(0).Epoch, epoch)
+	assert.Equal(t, len(l.lastDelta().LedgerGroups), fleet.LedgerShards)
+	assert.Assert(t, !l.machine.Due(l.clock))
+}
+
 // A class with two entries: each restart of one must not cost the history,
 // since with two replicas each holds every decided record.
 func TestTwoEntriesRestartInTurn(t *testing.T) {
--- /dev/null
+++ b/internal/control/losthistory.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// lostHistoryMargin is added to the record life for which a lost history
+// counts, in ms: two leaders' clocks may differ by as much.
+const lostHistoryMargin = 10_000
+
+// endLostHistory clears the mark of groups whose lost records have outlived
+// their life.
+//
+// Failure guarded: were each entry to compare the time of the loss with its
+// own wall clock, one with a clock ahead would take lost records for absent
+// ones, and run a call a second time. So the state ends the mark, by the
+// clocks of the control group alone.
+func (m *Machine) endLostHistory() {
+	if !m.anyLostHistory() {
+		return
+	}
+	for _, shard := range m.sortedShards() {
+		g := m.groups[shard]
+		if g.HistoryLostUnixMs == 0 {
+			continue
+		}
+		age := m.clock - g.HistoryLostUnixMs
+		switch life := m.recordLife() + lostHistoryMargin; {
+		case age < -life:
+			m.putGroup(withLostHistory(g, m.clock)) // lost by a clock far ahead
+		case age > life:
+			m.putGroup(withLostHistory(g, 0))
+		}
+	}
+}
+
+func (m *Machine) anyLostHistory() bool {
+	for _, g := range m.groups {
+		if g.HistoryLostUnixMs != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) lostHistoryDue(clock int64) bool {
+	for _, g := range m.groups {
+		if g.HistoryLostUnixMs != 0 && clock-g.HistoryLostUnixMs > m.recordLife()+lostHistoryMargin {
+			return true
+		}
+	}
+	return false
+}
+
+func withLostHistory(g *pb.LedgerGroup, lost int64) *pb.LedgerGroup {
+	next := proto.Clone(g).(*pb.LedgerGroup)
+	next.HistoryLostUnixMs = lost
+	return next
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -134,6 +134,7 @@
 func (m *Machine) expireOld(index uint64) {
 	m.answers.expire(index)
 	m.dropRetired()
+	m.endLostHistory()
 	m.former.expire(m.clock, m.formerLife())
 	m.delta.Suspects = append(m.delta.Suspects, m.suspects.expire(m.clock, m.suspectLife())...)
 }
--- a/internal/outcome/ask.go
+++ b/internal/outcome/ask.go
@@ -11,20 +11,14 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// historySkew allows for differences between the clocks of the control group
-// and of the entries.
-const historySkew = 10 * time.Second
-
 func (s *Service) circumstances(state *membership.State, g fleet.LedgerGroup) Circumstances {
-	life := recordLife(s.options, state)
-	lost := time.UnixMilli(g.HistoryLostMs)
 	return Circumstances{
 		Shard:       g.Shard,
 		Epoch:       g.Epoch,
 		Replicas:    len(g.Replicas),
 		Fast:        !s.options.NoFast && s.fast(g),
-		RecordLife:  life,
-		HistoryLost: g.HistoryLostMs != 0 && time.Since(lost) < life+historySkew,
+		RecordLife:  recordLife(s.options, state),
+		HistoryLost: g.HistoryLostMs != 0,
 		Alive:       state.View.Holds,
 	}
 }
--- a/internal/outcome/bench_test.go
+++ b/internal/outcome/bench_test.go
@@ -72,11 +72,12 @@
 }
 
 // benchEntry gives an entry that isn't a replica itself, the usual case, and
-// its three replicas, over loopback TCP with TLS or by direct calls.
-func benchEntry(b *testing.B, overNetwork, fast bool, registry prometheus.Registerer) *Service {
+// its three replicas, over loopback TCP with TLS or by direct calls. The team
+// has left the former classes.
+func benchEntry(b *testing.B, overNetwork, fast bool, registry prometheus.Registerer, former ...string) *Service {
 	group := make(map[fleet.LedgerShard]fleet.LedgerGroup)
 	view := fleet.View{Instances: make(map[fleet.InstanceID]fleet.Instance)}
-	state := &membership.State{View: view, Groups: group, Tree: treeOf(testZones)}
+	state := &membership.State{View: view, Groups: group, Tree: treeOf(testZones), Former: map[fleet.Team][]string{testTeam: former}}
 	direct := directDialer{}
 	var dialer rpc.Dialer = direct
 	config := benchTLS(b)
@@ -108,8 +109,10 @@
 		go func() { _ = server.Serve(b.Context(), listener) }()
 	}
 	for n := range uint32(fleet.LedgerShards) {
-		shard := fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}
-		group[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: replicas}
+		for _, class := range append(former, testZones.Class()) {
+			shard := fleet.LedgerShard{ZoneClass: class, Shard: n}
+			group[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: replicas}
+		}
 	}
 	for _, s := range services {
 		s.apply()
@@ -165,9 +168,10 @@
 
 // BenchmarkClaimOnly is what a request waits for before its first byte may go.
 func BenchmarkClaimOnly(b *testing.B) {
-	for _, fast := range []bool{true, false} {
-		b.Run(map[bool]string{true: "fast", false: "two-phases"}[fast], func(b *testing.B) {
-			entry := benchEntry(b, true, fast, nil)
+	wider := fleet.NewZoneSet(append(testZones.Zones(), "rende")...).Class()
+	for name, former := range map[string][]string{"fast": nil, "two-phases": nil, "fast, zones changed": {wider}} {
+		b.Run(name, func(b *testing.B) {
+			entry := benchEntry(b, true, name != "two-phases", nil, former...)
 			for n := range b.N {
 				c := Claim{Key: KeyFor([]byte("s"), testTeam, fmt.Sprint(n)), Team: testTeam, Permitted: testZones, Attempt: fleet.AttemptID(fmt.Sprintf("%032x", n)), Endpoint: "bank-1"}
 				if verdict, _, err := entry.Claim(b.Context(), c); err != nil || verdict != VerdictRun {
--- a/internal/outcome/failure_test.go
+++ b/internal/outcome/failure_test.go
@@ -169,6 +169,20 @@
 	assert.Equal(t, verdict, VerdictUnknown)
 }
 
+// A history was lost just now, and the entry's clock is hours ahead of the
+// control group's. Were it to judge by its own clock that the lost records have
+// aged, a call whose record was lost would run again.
+func TestHistoryLostByAnotherClock(t *testing.T) {
+	f := newFive(t, Options{})
+	c := claimOf("slip", "attempt-1")
+	f.mu.Lock()
+	f.groups[ShardOf(c.Key, testZones)].current.HistoryLostMs = time.Now().Add(-5 * time.Hour).UnixMilli()
+	f.mu.Unlock()
+	f.change(func(*membership.State) {})
+	verdict, _ := f.claim(t, "d", c)
+	assert.Equal(t, verdict, VerdictUnknown)
+}
+
 // The network between an entry and two replicas fails in one direction or
 // both while it claims. With nothing accepted the answer is an error. Once an
 // accept may have arrived it is "unknown", and after the network heals the
