--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -112,6 +112,17 @@
 	return c
 }
 
+// inGroup runs test in a synctest bubble, with an initialised group of "a", "b"
+// and "c".
+func inGroup(t *testing.T, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.init("a", "b", "c")
+		test(t, c)
+	})
+}
+
 func (c *cluster) add(names ...string) {
 	for _, name := range names {
 		c.hosts[name] = &machineHost{name: name, disk: faultfs.New()}
@@ -152,8 +163,11 @@
 	synctest.Wait()
 }
 
-// loseDisk replaces a killed instance's disk by an empty one.
-func (c *cluster) loseDisk(name string) { c.hosts[name].disk = faultfs.New() }
+// loseDisk kills an instance and replaces its disk by an empty one.
+func (c *cluster) loseDisk(name string) {
+	c.kill(name)
+	c.hosts[name].disk = faultfs.New()
+}
 
 func (c *cluster) stopAll() {
 	for _, h := range c.hosts {
@@ -198,17 +212,21 @@
 
 func (c *cluster) propose(command string) Applied {
 	c.t.Helper()
-	applied, err := c.leader().node.Propose(short(c.t), []byte(command))
+	return c.proposeTo(c.leader(), command)
+}
+
+func (c *cluster) proposeTo(h *machineHost, command string) Applied {
+	c.t.Helper()
+	applied, err := h.node.Propose(short(c.t), []byte(command))
 	assert.NilError(c.t, err)
 	return applied
 }
 
 func (c *cluster) proposeMany(prefix string, count int) {
 	c.t.Helper()
-	leader := c.leader().node
+	leader := c.leader()
 	for i := range count {
-		_, err := leader.Propose(short(c.t), fmt.Appendf(nil, "%s-%d", prefix, i))
-		assert.NilError(c.t, err)
+		c.proposeTo(leader, fmt.Sprint(prefix, "-", i))
 	}
 }
 
--- a/internal/replica/failures_test.go
+++ b/internal/replica/failures_test.go
@@ -15,9 +15,7 @@
 // it answers. The operator sees "uncertain" and resends: the first one must be
 // there, once, for the resend to find.
 func TestLeaderKilledBetweenSyncAndReply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		c.propose("first")
 		old := c.leader()
 		// The followers persist and answer, but the answers are lost.
@@ -59,14 +57,12 @@
 	}
 	for _, row := range tables {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { cutOff(t, row.leader, row.sends, row.gets, row.pair) })
+			inGroup(t, func(t *testing.T, c *cluster) { cutOff(t, c, row.leader, row.sends, row.gets, row.pair) })
 		})
 	}
 }
 
-func cutOff(t *testing.T, leader, sends, gets, pair bool) {
-	c := newCluster(t, "a", "b", "c")
-	c.init("a", "b", "c")
+func cutOff(t *testing.T, c *cluster, leader, sends, gets, pair bool) {
 	c.propose("before")
 	first := c.leader()
 	lost := first
@@ -86,8 +82,7 @@
 	current := c.leaderOf(rest)
 	assert.Assert(t, leader || current == first, "a working leader was deposed")
 	for i := range 20 {
-		_, err := current.node.Propose(short(t), fmt.Appendf(nil, "during-%d", i))
-		assert.NilError(t, err)
+		c.proposeTo(current, fmt.Sprint("during-", i))
 		assert.Assert(t, lost.node.ReadBarrier(short(t)) != nil)
 		time.Sleep(time.Second)
 	}
@@ -107,15 +102,12 @@
 // which never saw the change, the empty one must not elect a leader without
 // it. After the repair a second disk is lost, and still nothing is missing.
 func TestLostDiskCannotVoteAChangeAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		c.propose("first")
 		leader := c.leader()
 		holder, behind := c.others(leader)[0], c.others(leader)[1]
 		c.setCut(leader.name, behind.name, true)
 		c.propose("accepted")
-		c.kill(holder.name)
 		c.loseDisk(holder.name)
 		c.kill(leader.name)
 		c.start(holder.name)
@@ -128,7 +120,6 @@
 		c.repair(holder)
 		assert.DeepEqual(t, c.agree("a", "b", "c"), []string{"first", "accepted"})
 
-		c.kill(leader.name)
 		c.loseDisk(leader.name)
 		c.start(leader.name)
 		c.repair(leader)
@@ -166,9 +157,7 @@
 // All control instances lose power at once, in the middle of proposals, and
 // what their disks had not synced is gone. Each confirmed change is there.
 func TestAllRestartWithUnsyncedWritesDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		var confirmed []string
 		for round := range 10 {
 			leader := c.leader()
@@ -200,9 +189,7 @@
 // confirmed on the word of members that don't hold it durably: the power
 // fails, the leader's disk is lost, and a confirmed change would be gone.
 func TestNothingIsConfirmedBeforeFollowersSync(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		c.propose("before")
 		leader := c.leader()
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
@@ -230,9 +217,7 @@
 	}
 	for _, row := range tables {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t, "a", "b", "c")
-				c.init("a", "b", "c")
+			inGroup(t, func(t *testing.T, c *cluster) {
 				c.propose("before")
 				bad := c.leader()
 				mend := row.spoil(bad)
@@ -244,8 +229,7 @@
 				_, err = bad.node.Propose(short(t), []byte("x"))
 				assert.ErrorIs(t, err, ErrStorage)
 				assert.ErrorIs(t, bad.node.ReadBarrier(short(t)), ErrStorage)
-				_, err = c.leaderOf(c.others(bad)).node.Propose(short(t), []byte("after"))
-				assert.NilError(t, err)
+				c.proposeTo(c.leaderOf(c.others(bad)), "after")
 			})
 		})
 	}
@@ -256,9 +240,7 @@
 // must not be answered from its old state, nor the change be confirmed.
 func TestFrozenLeaderAnswersNothing(t *testing.T) {
 	for _, frozen := range []time.Duration{1500 * time.Millisecond, 20 * time.Second} {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, "a", "b", "c")
-			c.init("a", "b", "c")
+		inGroup(t, func(t *testing.T, c *cluster) {
 			c.propose("before")
 			old := c.leader()
 			thaw := make(chan struct{})
@@ -272,8 +254,7 @@
 				answers <- err
 			}()
 			time.Sleep(frozen)
-			_, err := c.leaderOf(c.others(old)).node.Propose(short(t), []byte("meanwhile"))
-			assert.NilError(t, err)
+			c.proposeTo(c.leaderOf(c.others(old)), "meanwhile")
 			close(thaw)
 			assert.Assert(t, <-answers != nil)
 			assert.Assert(t, <-answers != nil)
@@ -285,17 +266,14 @@
 // A leader's process is stopped as planned. Users must not wait for an
 // election timeout, and nothing in flight is lost.
 func TestHandOverAtAPlannedStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		c.proposeMany("x", 10)
 		old := c.leader()
 		began := time.Now()
 		assert.NilError(t, old.node.HandOver(short(t)))
 		next := c.leaderOf(c.others(old))
 		assert.Assert(t, time.Since(began) <= 100*time.Millisecond, "%s", time.Since(began))
-		_, err := next.node.Propose(short(t), []byte("last"))
-		assert.NilError(t, err)
+		c.proposeTo(next, "last")
 		assert.Equal(t, len(c.agree("a", "b", "c")), 11)
 	})
 }
@@ -305,13 +283,10 @@
 // ends with three voters and every confirmed change.
 func TestLeaderKilledWhileAMemberIsReplaced(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			c := newCluster(t, "a", "b", "c")
-			c.init("a", "b", "c")
+		inGroup(t, func(t *testing.T, c *cluster) {
 			c.proposeMany("x", 50)
 			leader := c.leader()
 			replaced := c.others(leader)[0]
-			c.kill(replaced.name)
 			c.loseDisk(replaced.name)
 			c.start(replaced.name)
 			go leader.node.ProposeMember(context.Background(), false, c.member(replaced.name))
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -41,9 +41,7 @@
 // An operator removes a member, repeats it, and must not be able to remove
 // what keeps the group working.
 func TestRemoval(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t, "a", "b", "c")
-		c.init("a", "b", "c")
+	inGroup(t, func(t *testing.T, c *cluster) {
 		leader := c.leader()
 		dead, alive := c.others(leader)[0], c.others(leader)[1]
 		c.kill(dead.name)
