replica: tests run a served node through one function, with certs' keys

The node over drpc was assembled twice, in the benchmark's processes and in the child process; the tests made their own certificates and wrote the PEM files by hand; two functions left one node out of a list. serve, certs.Write and without stand once now. No assertion or case changed.

--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
 	"path/filepath"
-	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/certs"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
@@ -25,32 +19,47 @@
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
-// filesIn names the files that writeFiles makes.
-func filesIn(dir string) rpc.Files {
-	path := filepath.Join(dir, "fleet.pem")
-	return rpc.Files{Authority: path, Certificate: path, Key: filepath.Join(dir, "key.pem")}
+// fleetFiles writes the keys of a fleet whose daemons share one certificate.
+func fleetFiles(t testing.TB, dir string) rpc.Files {
+	_, err := certs.Write(certs.Options{Folder: dir, Instances: []fleet.InstanceID{"all"}, Now: time.Now()})
+	assert.NilError(t, err)
+	return filesIn(dir)
 }
 
-// writeFiles makes a fleet whose daemons share one self-signed certificate.
-func writeFiles(t testing.TB, dir string) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{rpc.ServerName},
-		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+// filesIn names the files that fleetFiles writes.
+func filesIn(dir string) rpc.Files {
+	return rpc.Files{
+		Authority:   filepath.Join(dir, certs.AuthorityFile),
+		Certificate: filepath.Join(dir, "all"+certs.CertificateSuffix),
+		Key:         filepath.Join(dir, "all"+certs.KeySuffix),
 	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	assert.NilError(t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(t, err)
-	writePEM(t, filesIn(dir).Certificate, "CERTIFICATE", certificate)
-	writePEM(t, filesIn(dir).Key, "PRIVATE KEY", secret)
 }
 
-func writePEM(t testing.TB, path, kind string, content []byte) {
-	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
-	assert.NilError(t, os.WriteFile(path, block, 0o600))
+// serve runs a node with its folder on real files, over drpc on listener,
+// until ctx ends; then it closes ended.
+func serve(ctx context.Context, config *tls.Config, listener net.Listener, dir, name string, state StateMachine) (node *Node, ended <-chan struct{}, err error) {
+	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
+	transport := NewTransport(pool, logging.Part{})
+	node, err = New(Options{
+		InstanceID: name, RPCAddress: listener.Addr().String(), Dir: dir, FS: storage.OSFS{},
+		Machine: state, Transport: transport, Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
+	if err := pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: node}); err != nil {
+		return nil, nil, err
+	}
+	go transport.Run(ctx)
+	go server.Serve(ctx, listener)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		node.Run(ctx)
+		pool.Close()
+	}()
+	return node, done, nil
 }
 
 // process is one node over drpc on the loopback, with real files.
@@ -58,7 +67,7 @@
 	name, dir, address string
 	node               *Node
 	stop               context.CancelFunc
-	ended              chan struct{}
+	ended              <-chan struct{}
 }
 
 func startProcess(t testing.TB, config *tls.Config, p *process) {
@@ -68,30 +77,14 @@
 	listener, err := net.Listen("tcp", p.address)
 	assert.NilError(t, err)
 	p.address = listener.Addr().String()
-	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
-	transport := NewTransport(pool, logging.Part{})
-	p.node, err = New(Options{
-		InstanceID: p.name, RPCAddress: p.address, Dir: p.dir, FS: storage.OSFS{},
-		Machine: &journal{}, Transport: transport, Seed: uint64(time.Now().UnixNano()),
-	})
-	assert.NilError(t, err)
-	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
-	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: p.node}))
 	ctx, cancel := context.WithCancel(context.Background())
-	p.stop, p.ended = cancel, make(chan struct{})
-	go transport.Run(ctx)
-	go server.Serve(ctx, listener)
-	go func() {
-		defer close(p.ended)
-		p.node.Run(ctx)
-		pool.Close()
-	}()
+	p.stop = cancel
+	p.node, p.ended, err = serve(ctx, config, listener, p.dir, p.name, &journal{})
+	assert.NilError(t, err)
 }
 
 func startProcesses(t testing.TB, count int) (*tls.Config, []*process) {
-	base := t.TempDir()
-	writeFiles(t, base)
-	config, err := rpc.LoadTLS(filesIn(base))
+	config, err := rpc.LoadTLS(fleetFiles(t, t.TempDir()))
 	assert.NilError(t, err)
 	var all []*process
 	var members []*pb.Member
@@ -130,7 +123,7 @@
 	assert.NilError(t, err)
 	leader.stop()
 	<-leader.ended
-	rest := slices.DeleteFunc(slices.Clone(all), func(p *process) bool { return p == leader })
+	rest := without(all, leader)
 	applied, err := leaderProcess(t, rest).node.Propose(context.Background(), []byte("y"))
 	assert.NilError(t, err)
 	leader.address = ""
--- a/internal/replica/node_benchmark_test.go
+++ b/internal/replica/node_benchmark_test.go
@@ -60,7 +60,7 @@
 	var took []time.Duration
 	for b.Loop() {
 		leader := leaderProcess(b, all)
-		rest := slices.DeleteFunc(slices.Clone(all), func(p *process) bool { return p == leader })
+		rest := without(all, leader)
 		began := time.Now()
 		leader.stop()
 		<-leader.ended
--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,11 +18,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
-	"github.com/hyssopsail/hyssopsail/internal/storage"
-	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // childVariable makes the test binary run as one node: its value is the
@@ -42,19 +40,9 @@
 	must(err)
 	config, err := rpc.LoadTLS(filesIn(filepath.Dir(dir)))
 	must(err)
-	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
-	transport := NewTransport(pool, logging.Part{})
 	state := &journal{}
-	node, err := New(Options{
-		InstanceID: filepath.Base(dir), RPCAddress: listener.Addr().String(), Dir: dir, FS: storage.OSFS{},
-		Machine: state, Transport: transport, Seed: uint64(os.Getpid()),
-	})
+	node, _, err := serve(context.Background(), config, listener, dir, filepath.Base(dir), state)
 	must(err)
-	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
-	must(pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: node}))
-	go transport.Run(context.Background())
-	go server.Serve(context.Background(), listener)
-	go node.Run(context.Background())
 	fmt.Println(node.DiskID(), listener.Addr())
 	lines := bufio.NewScanner(os.Stdin)
 	for lines.Scan() {
@@ -152,7 +140,7 @@
 
 func startChildren(t *testing.T) []*child {
 	base := t.TempDir()
-	writeFiles(t, base)
+	fleetFiles(t, base)
 	var children []*child
 	var members []*pb.Member
 	for _, name := range []string{"a", "b", "c"} {
@@ -182,14 +170,9 @@
 	return nil, ""
 }
 
-func without(children []*child, gone *child) []*child {
-	var rest []*child
-	for _, c := range children {
-		if c != gone {
-			rest = append(rest, c)
-		}
-	}
-	return rest
+// without gives all but one.
+func without[T comparable](all []T, gone T) []T {
+	return slices.DeleteFunc(slices.Clone(all), func(one T) bool { return one == gone })
 }
 
 // The leader's process is stopped (SIGSTOP) for longer than its lease, with a
