--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -240,7 +240,7 @@
 	assert.Equal(t, asked, 4)
 
 	asked = -1_000_000
-	client.rounds = 0
+	client.retryFor = 0
 	_, err = client.Change(context.Background(), change)
 	assert.Assert(t, trace.IsConnectionProblem(err), "%v", err)
 }
@@ -257,7 +257,7 @@
 		Addresses: []string{silent.Addr().String(), strings.TrimPrefix(well.URL, "http://")},
 		Key:       "lead-key",
 	})
-	client.patience = 2 * time.Second
+	client.timeout = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
 	reply, err := client.Status(ctx, nil)
