operator: the scope checks of fleet actions stand once

Members, drain and orders each checked the fleet's scope and then read the body; init and disk each made the same exception for the fleet's secret. readForFleet and mayInit do it now. BootstrapAuthor was used in this package only and is private; two comments lose a metaphor. go test -race passes.

--- a/internal/operator/fleet_actions.go
+++ b/internal/operator/fleet_actions.go
@@ -12,10 +12,8 @@
 )
 
 func (h *handler) init(w http.ResponseWriter, r *http.Request, who identity) error {
-	if !who.bootstrap {
-		if err := who.ownsFleet(); err != nil {
-			return err
-		}
+	if err := who.mayInit(); err != nil {
+		return err
 	}
 	var request pb.InitRequest
 	if err := read(w, r, &request); err != nil {
@@ -43,10 +41,8 @@
 }
 
 func (h *handler) disk(w http.ResponseWriter, r *http.Request, who identity) error {
-	if !who.bootstrap {
-		if err := who.ownsFleet(); err != nil {
-			return err
-		}
+	if err := who.mayInit(); err != nil {
+		return err
 	}
 	reply, err := h.options.Control.DiskIdentity(r.Context(), &pb.StatusRequest{})
 	if err != nil {
@@ -57,11 +53,8 @@
 }
 
 func (h *handler) changeMember(w http.ResponseWriter, r *http.Request, who identity) error {
-	if err := who.ownsFleet(); err != nil {
-		return err
-	}
 	var request pb.ChangeMemberRequest
-	if err := read(w, r, &request); err != nil {
+	if err := who.readForFleet(w, r, &request); err != nil {
 		return err
 	}
 	if request.GetMember().GetInstanceId() == "" {
@@ -77,11 +70,8 @@
 }
 
 func (h *handler) drain(w http.ResponseWriter, r *http.Request, who identity) error {
-	if err := who.ownsFleet(); err != nil {
-		return err
-	}
 	var request pb.DrainRequest
-	if err := read(w, r, &request); err != nil {
+	if err := who.readForFleet(w, r, &request); err != nil {
 		return err
 	}
 	if request.InstanceId == "" {
--- a/internal/operator/identity.go
+++ b/internal/operator/identity.go
@@ -6,19 +6,20 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 var errUnauthorised = errors.New("no operator has this key")
 
-// BootstrapAuthor is the author of the first fleet subtree.
-const BootstrapAuthor = "bootstrap"
+// bootstrapAuthor is the author of the first fleet subtree.
+const bootstrapAuthor = "bootstrap"
 
 // identity is who sends a request.
 type identity struct {
 	operator  settings.Operator
-	bootstrap bool // shown by the fleet's secret, before any operator exists
+	bootstrap bool // authenticated by the fleet's secret, before any operator exists
 }
 
 // identify finds the operator of a request. Before the fleet subtree exists no
@@ -34,7 +35,7 @@
 		if !h.secret.Matches(key) {
 			return identity{}, trace.Wrap(errUnauthorised)
 		}
-		return identity{bootstrap: true, operator: settings.Operator{Name: BootstrapAuthor}}, nil
+		return identity{bootstrap: true, operator: settings.Operator{Name: bootstrapAuthor}}, nil
 	}
 	operator, found := tree.OperatorByKey(key)
 	if !found {
@@ -45,9 +46,9 @@
 
 // mayChange tells whether a change is within the sender's scope. This instance
 // may lag behind: a fleet subtree may exist that it hasn't applied yet, and
-// the secret would then still open the door here. So the secret only creates
-// the fleet subtree, with expected version 0, which the control group refuses
-// once there is one.
+// the secret would then still be accepted here, long after operators were
+// declared. So the secret only creates the fleet subtree, with expected
+// version 0, which the control group refuses once there is one.
 func (i identity) mayChange(subtree string, expectedVersion uint64) error {
 	if i.bootstrap {
 		if subtree == settings.FleetSubtree && expectedVersion == 0 {
@@ -68,3 +69,19 @@
 
 // ownsFleet tells whether the sender may act on the whole fleet.
 func (i identity) ownsFleet() error { return i.covers(settings.FleetSubtree) }
+
+// mayInit tells whether the sender may act on a fleet that need not exist yet.
+func (i identity) mayInit() error {
+	if i.bootstrap {
+		return nil
+	}
+	return i.ownsFleet()
+}
+
+// readForFleet decodes the body of a request that takes the fleet's scope.
+func (i identity) readForFleet(w http.ResponseWriter, r *http.Request, into proto.Message) error {
+	if err := i.ownsFleet(); err != nil {
+		return err
+	}
+	return read(w, r, into)
+}
--- a/internal/operator/order_action.go
+++ b/internal/operator/order_action.go
@@ -11,11 +11,8 @@
 // order gives an endpoint an order: all teams share the endpoints, so that it
 // takes the fleet's scope.
 func (h *handler) order(w http.ResponseWriter, r *http.Request, who identity) error {
-	if err := who.ownsFleet(); err != nil {
-		return err
-	}
 	var request pb.OrderEndpointRequest
-	if err := read(w, r, &request); err != nil {
+	if err := who.readForFleet(w, r, &request); err != nil {
 		return err
 	}
 	if request.GetEndpointId() == "" {
