sleep: the interruptible wait in one package

A timer and a select on ctx.Done stood nine times over the tree, under the names pause, sleep, wait and waitUntil. sleep.For is that wait; operator and standin use it. control, load, endpoint, membership, orders, provision and route still have their own, to be changed by whoever works on them.

go test -race of sleep, operator, standin and cmd/hyssopsail-standin passes.

--- a/internal/operator/client_ask.go
+++ b/internal/operator/client_ask.go
@@ -12,6 +12,8 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 func (c *Client) get(ctx context.Context, path string, query url.Values, out any) error {
@@ -68,7 +70,7 @@
 		if len(failures) == 0 {
 			return data, err
 		}
-		if !anyNotCurrent(failures) || time.Now().After(end) || !pause(ctx, retryPause) {
+		if !anyNotCurrent(failures) || time.Now().After(end) || !sleep.For(ctx, retryPause) {
 			return nil, trace.ConnectionProblem(errors.Join(failures...), "no daemon could answer: %v", errors.Join(failures...))
 		}
 	}
@@ -98,18 +100,6 @@
 	return false
 }
 
-// pause waits for d; false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // elsewhere tells whether another instance may do better.
 func elsewhere(err error) bool {
 	var refused *ReplyError
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -12,6 +12,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 const (
@@ -69,7 +70,7 @@
 		s.waitThaw(ctx.Done())
 		known := s.known()
 		if !s.settle(ctx, known[n%len(known)]) {
-			sleep(ctx, s.pause())
+			sleep.For(ctx, s.pause())
 			continue
 		}
 		s.heartbeats(ctx)
@@ -138,7 +139,7 @@
 // heartbeats returns when the home is gone or another one was named.
 func (s *Standin) heartbeats(ctx context.Context) {
 	misses := 0
-	for sleep(ctx, s.interval()) {
+	for sleep.For(ctx, s.interval()) {
 		s.waitThaw(ctx.Done())
 		home, beat := s.heartbeat()
 		var answer engineapi.AnnounceReply
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // stepPlan is what one step of the engine does.
@@ -33,7 +34,7 @@
 			continue
 		}
 		at = at.Add(plan.length)
-		if !sleepUntil(ctx, at) {
+		if !sleep.For(ctx, time.Until(at)) {
 			return
 		}
 		if late := time.Since(at); late > plan.length {
@@ -43,25 +44,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	return sleep(ctx, time.Until(at))
-}
-
-// sleep gives false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // planStep takes all decodes and the first prefill by priority, then arrival.
 func (s *Standin) planStep() stepPlan {
 	s.mu.Lock()
--- a/internal/standin/cacheevents.go
+++ b/internal/standin/cacheevents.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 const (
@@ -34,7 +35,7 @@
 // runEvents sends cache events late, until ctx ends. A message that fails is
 // not sent again: the home finds the gap.
 func (s *Standin) runEvents(ctx context.Context) {
-	for sleep(ctx, s.timing.CacheLag) {
+	for sleep.For(ctx, s.timing.CacheLag) {
 		s.waitThaw(ctx.Done())
 		home, batch := s.takeEvents()
 		if len(batch) == 0 {
--- a/internal/standin/export.go
+++ b/internal/standin/export.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // stallPoll is how often a stalled transfer looks whether it may go on.
@@ -87,7 +88,7 @@
 
 func (s *Standin) waitUnstalled(ctx context.Context) bool {
 	for s.Faults().StallTransfers {
-		if !sleep(ctx, stallPoll) {
+		if !sleep.For(ctx, stallPoll) {
 			return false
 		}
 	}
--- a/internal/standin/leave.go
+++ b/internal/standin/leave.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 const (
@@ -24,11 +25,11 @@
 	if len(s.options.Entries) > 0 && !s.announceLeave(ctx) {
 		return trace.ConnectionProblem(ctx.Err(), "no daemon confirmed the leave of %q", s.options.ID)
 	}
-	if !sleep(ctx, s.timing.LeaveGrace) {
+	if !sleep.For(ctx, s.timing.LeaveGrace) {
 		return trace.Wrap(ctx.Err())
 	}
 	for len(s.Held()) > 0 {
-		if !sleep(ctx, leavePoll) {
+		if !sleep.For(ctx, leavePoll) {
 			return trace.LimitExceeded("endpoint %q leaves with requests held", s.options.ID)
 		}
 	}
@@ -47,7 +48,7 @@
 				return true
 			}
 		}
-		sleep(ctx, leaveRetry)
+		sleep.For(ctx, leaveRetry)
 	}
 	return false
 }
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // linkSlice is the time that one piece of a transfer takes at the whole rate.
@@ -27,7 +29,7 @@
 
 // pass waits until so many bytes have passed; false when ctx ended first.
 func (l *link) pass(ctx context.Context, bytes int64) bool {
-	return sleepUntil(ctx, l.reserve(time.Now(), bytes))
+	return sleep.For(ctx, time.Until(l.reserve(time.Now(), bytes)))
 }
 
 func (l *link) reserve(now time.Time, bytes int64) time.Time {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // serveOrder carries out one order at a time. An order ID that was done is
@@ -19,7 +20,7 @@
 		refuse(w, *refused)
 		return
 	}
-	if !s.wasDone(order.ID) && takesTime(order.Kind) && !sleep(r.Context(), s.timing.LoadTime) {
+	if !s.wasDone(order.ID) && takesTime(order.Kind) && !sleep.For(r.Context(), s.timing.LoadTime) {
 		return
 	}
 	reply(w, s.apply(order))
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // CallRun is one run of a plain call.
@@ -99,7 +100,7 @@
 		<-ctx.Done()
 		return false
 	}
-	return sleep(ctx, s.timing.CallTime+time.Duration(f.CallDelayMs)*time.Millisecond)
+	return sleep.For(ctx, s.timing.CallTime+time.Duration(f.CallDelayMs)*time.Millisecond)
 }
 
 func (s *Standin) answerCall(w http.ResponseWriter, answer CallAnswer) {
