--- a/internal/standin/announce_test.go
+++ b/internal/standin/announce_test.go
@@ -135,9 +135,7 @@
 	p := start(t, standin.Options{ID: "prefill", Role: fleet.RolePrefill})
 	d := start(t, standin.Options{ID: "decode", Role: fleet.RoleDecode, Entries: []string{home.address()}, RefuseLeaving: true})
 	f, late := newFlow(p, d, "leaving [[tokens=60]]"), newFlow(p, d, "late")
-	f.toDecode(t)
-	stream, err := f.open(t.Context(), 0)
-	assert.NilError(t, err)
+	stream := f.toStream(t, 0)
 	done := make(chan error, 1)
 	heldAtEnd := 0
 	go func() {
--- a/internal/standin/harness_test.go
+++ b/internal/standin/harness_test.go
@@ -147,6 +147,15 @@
 	assert.NilError(t, f.runImport(t.Context()))
 }
 
+// toStream runs all steps up to the stream from offset on.
+func (f *flow) toStream(t *testing.T, offset int) engine.Stream {
+	t.Helper()
+	f.toDecode(t)
+	stream, err := f.open(t.Context(), offset)
+	assert.NilError(t, err)
+	return stream
+}
+
 // inBackground runs one step on a copy of f and gives its error.
 func (f *flow) inBackground(step func(*flow, context.Context) error) <-chan error {
 	copied := *f
--- a/internal/standin/timing_test.go
+++ b/internal/standin/timing_test.go
@@ -35,6 +35,13 @@
 	}
 }
 
+func startTestPrefill(t *testing.T, s *Standin, attempt string, priority int) *hold {
+	t.Helper()
+	h, refused := s.startPrefill(engineapi.PrefillRequest{Work: s.testWork(attempt, priority), Prompt: "x"})
+	assert.Assert(t, refused == nil)
+	return h
+}
+
 func startTestDecode(t *testing.T, s *Standin, attempt string) *hold {
 	t.Helper()
 	h, refused := s.startImport(engineapi.ImportRequest{Work: s.testWork(attempt, 0), Source: "other:1"})
@@ -77,10 +84,8 @@
 		begun := time.Now()
 		s.SetFaults(Faults{Freeze: true})
 		synctest.Wait()
-		low, refused := s.startPrefill(engineapi.PrefillRequest{Work: s.testWork("low", 0), Prompt: "x"})
-		assert.Assert(t, refused == nil)
-		high, refused := s.startPrefill(engineapi.PrefillRequest{Work: s.testWork("high", 1), Prompt: "x"})
-		assert.Assert(t, refused == nil)
+		low := startTestPrefill(t, s, "low", 0)
+		high := startTestPrefill(t, s, "high", 1)
 		s.SetFaults(Faults{})
 		work := s.timing.prefill(1)
 		<-high.ready
@@ -92,10 +97,8 @@
 
 func TestQueuedPrefillEndsAtItsDeadline(t *testing.T) {
 	bubble(t, Timing{}, func(s *Standin) {
-		_, refused := s.startPrefill(engineapi.PrefillRequest{Work: s.testWork("first", 1), Prompt: "x"})
-		assert.Assert(t, refused == nil)
-		second, refused := s.startPrefill(engineapi.PrefillRequest{Work: s.testWork("second", 0), Prompt: "x"})
-		assert.Assert(t, refused == nil)
+		startTestPrefill(t, s, "first", 1)
+		second := startTestPrefill(t, s, "second", 0)
 		assert.Assert(t, !s.waitPrefill(t.Context(), second, 50))
 		assert.ErrorIs(t, context.Cause(second.ctx), errTooLate)
 	})
