--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -34,27 +35,13 @@
 	return binary.BigEndian.AppendUint64(nil, uint64(len(j.commands)))
 }
 
-func (j *journal) Snapshot() ([]byte, error) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var out []byte
-	for _, c := range j.commands {
-		out = binary.AppendUvarint(out, uint64(len(c)))
-		out = append(out, c...)
-	}
-	return out, nil
-}
+func (j *journal) Snapshot() ([]byte, error) { return json.Marshal(j.list()) }
 
 func (j *journal) Restore(_ uint64, data []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.commands = nil
-	for len(data) > 0 {
-		size, n := binary.Uvarint(data)
-		j.commands = append(j.commands, string(data[n:n+int(size)]))
-		data = data[n+int(size):]
-	}
-	return nil
+	return json.Unmarshal(data, &j.commands)
 }
 
 func (j *journal) list() []string {
--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -101,17 +101,9 @@
 }
 
 func leaderProcess(t testing.TB, all []*process) *process {
-	deadline := time.Now().Add(20 * time.Second)
-	for time.Now().Before(deadline) {
-		for _, p := range all {
-			if p.node.Status().IsLeader && p.node.ReadBarrier(context.Background()) == nil {
-				return p
-			}
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal("no leader within 20 s")
-	return nil
+	return waitForOne(t, 20*time.Second, all, func(p *process) bool {
+		return p.node.Status().IsLeader && p.node.ReadBarrier(context.Background()) == nil
+	})
 }
 
 // Three processes with real files and sockets elect, commit, and go on when
@@ -128,9 +120,5 @@
 	assert.NilError(t, err)
 	leader.address = ""
 	startProcess(t, config, leader)
-	deadline := time.Now().Add(20 * time.Second)
-	for leader.node.Status().Applied < applied.Index {
-		assert.Assert(t, time.Now().Before(deadline), "the restarted member doesn't catch up")
-		time.Sleep(time.Millisecond)
-	}
+	waitForOne(t, 20*time.Second, []*process{leader}, func(p *process) bool { return p.node.Status().Applied >= applied.Index })
 }
--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -155,19 +155,28 @@
 	return children
 }
 
-// leadingChild polls until one of children answers a read.
-func leadingChild(t *testing.T, children []*child) (*child, string) {
-	deadline := time.Now().Add(30 * time.Second)
-	for time.Now().Before(deadline) {
-		for _, c := range children {
-			if answer := c.ask("read"); strings.HasPrefix(answer, "ok") {
-				return c, strings.TrimPrefix(answer, "ok ")
-			}
+// leadingChild waits until one of children answers a read.
+func leadingChild(t *testing.T, children []*child) (leader *child, state string) {
+	leader = waitForOne(t, 30*time.Second, children, func(c *child) bool {
+		answer := c.ask("read")
+		state = strings.TrimPrefix(answer, "ok ")
+		return strings.HasPrefix(answer, "ok")
+	})
+	return leader, state
+}
+
+// waitForOne polls until ok holds for one of all.
+func waitForOne[T any](t testing.TB, limit time.Duration, all []T, ok func(T) bool) T {
+	t.Helper()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); <-poll.C {
+		if n := slices.IndexFunc(all, ok); n >= 0 {
+			return all[n]
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatal("no leader within 30 s")
-	return nil, ""
+	t.Fatalf("none of %d within %s", len(all), limit)
+	panic("unreachable")
 }
 
 // without gives all but one.
