--- a/cmd/hyssopsail-standin/main_test.go
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // asCommand makes the test binary run the command instead of the tests.
@@ -40,13 +41,10 @@
 	process.Stderr = os.Stderr
 	assert.NilError(t, process.Start())
 	t.Cleanup(func() { _ = process.Process.Kill() })
-	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
-		text, err := os.ReadFile(file)
-		if err == nil {
-			return process, strings.Split(strings.TrimSpace(string(text)), "\n")
-		}
-		assert.Assert(t, time.Now().Before(deadline), "no address file")
-	}
+	poll.WaitOn(t, poll.FileExists(file), poll.WithDelay(time.Millisecond))
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	return process, strings.Split(strings.TrimSpace(string(text)), "\n")
 }
 
 func target(line string) engine.Target {
@@ -128,13 +126,13 @@
 	done := make(chan error, 1)
 	go func() { done <- prefill(t, target(addresses[0]), "x") }()
 	client := engine.NewClient(engine.Options{ReadTimeout: 100 * time.Millisecond})
-	for deadline := time.Now().Add(10 * time.Second); ; {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		held, err := client.Held(t.Context(), target(addresses[0]))
 		if err == nil && len(held.Held) == 1 {
-			break
+			return poll.Success()
 		}
-		assert.Assert(t, time.Now().Before(deadline))
-	}
+		return poll.Continue("%d held: %v", len(held.Held), err)
+	}, poll.WithDelay(time.Millisecond))
 	assert.NilError(t, process.Process.Signal(syscall.SIGSTOP))
 	_, err := client.Held(t.Context(), target(addresses[0]))
 	assert.Assert(t, err != nil)
