cmd/hyssopsail-standin: a stopped process is waited for

TestStoppedProcessGoesOn failed 1 of 10 times with -race (main_test.go:140, the frozen process answered): after SIGSTOP was sent, some threads ran on and answered. freeze waits until the kernel reports the stop, as replica's test does.

The assertions are the same.

--- a/cmd/hyssopsail-standin/main_test.go
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -47,6 +47,17 @@
 	return process, strings.Split(strings.TrimSpace(string(text)), "\n")
 }
 
+// freeze returns once the kernel says that all threads are stopped: some may
+// run on, and answer, for a moment after the signal was sent.
+func freeze(t *testing.T, process *os.Process) {
+	t.Helper()
+	assert.NilError(t, process.Signal(syscall.SIGSTOP))
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(process.Pid, &status, syscall.WUNTRACED, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, status.Stopped())
+}
+
 func target(line string) engine.Target {
 	id, address, _ := strings.Cut(line, " ")
 	return engine.Target{ID: fleet.EndpointID(id), Incarnation: 5, Zone: "howrah", Address: address}
@@ -133,7 +144,7 @@
 		}
 		return poll.Continue("%d held: %v", len(held.Held), err)
 	}, poll.WithDelay(time.Millisecond))
-	assert.NilError(t, process.Process.Signal(syscall.SIGSTOP))
+	freeze(t, process.Process)
 	_, err := client.Held(t.Context(), target(addresses[0]))
 	assert.Assert(t, err != nil)
 	assert.NilError(t, process.Process.Signal(syscall.SIGCONT))
