testkit: what tests of several packages set up alike

Freezing a child process until the kernel confirms it stood in replica and cmd/hyssopsail-standin; writing a fleet's keys and naming the files stood in replica and operator. e2e (freeze without the wait) and outcome's benchmark (a certificate by hand) can use both. Only tests import the package.

--- a/cmd/hyssopsail-standin/main_test.go
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -47,17 +48,6 @@
 	return process, strings.Split(strings.TrimSpace(string(text)), "\n")
 }
 
-// freeze returns once the kernel says that all threads are stopped: some may
-// run on, and answer, for a moment after the signal was sent.
-func freeze(t *testing.T, process *os.Process) {
-	t.Helper()
-	assert.NilError(t, process.Signal(syscall.SIGSTOP))
-	var status syscall.WaitStatus
-	_, err := syscall.Wait4(process.Pid, &status, syscall.WUNTRACED, nil)
-	assert.NilError(t, err)
-	assert.Assert(t, status.Stopped())
-}
-
 func target(line string) engine.Target {
 	id, address, _ := strings.Cut(line, " ")
 	return engine.Target{ID: fleet.EndpointID(id), Incarnation: 5, Zone: "howrah", Address: address}
@@ -144,7 +134,7 @@
 		}
 		return poll.Continue("%d held: %v", len(held.Held), err)
 	}, poll.WithDelay(time.Millisecond))
-	freeze(t, process.Process)
+	testkit.Freeze(t, process.Process)
 	_, err := client.Held(t.Context(), target(addresses[0]))
 	assert.Assert(t, err != nil)
 	assert.NilError(t, process.Process.Signal(syscall.SIGCONT))
--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -4,37 +4,19 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hyssopsail/hyssopsail/internal/certs"
-	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
-// fleetFiles writes the keys of a fleet whose daemons share one certificate.
-func fleetFiles(t testing.TB, dir string) rpc.Files {
-	_, err := certs.Write(certs.Options{Folder: dir, Instances: []fleet.InstanceID{"all"}, Now: time.Now()})
-	assert.NilError(t, err)
-	return filesIn(dir)
-}
-
-// filesIn names the files that fleetFiles writes.
-func filesIn(dir string) rpc.Files {
-	return rpc.Files{
-		Authority:   filepath.Join(dir, certs.AuthorityFile),
-		Certificate: filepath.Join(dir, "all"+certs.CertificateSuffix),
-		Key:         filepath.Join(dir, "all"+certs.KeySuffix),
-	}
-}
-
 // serve runs a node with its folder on real files, over drpc on listener,
 // until ctx ends; then it closes ended.
 func serve(ctx context.Context, config *tls.Config, listener net.Listener, dir, name string, state StateMachine) (node *Node, ended <-chan struct{}, err error) {
@@ -84,7 +66,7 @@
 }
 
 func startProcesses(t testing.TB, count int) (*tls.Config, []*process) {
-	config, err := rpc.LoadTLS(fleetFiles(t, t.TempDir()))
+	config, err := rpc.LoadTLS(testkit.Keys(t, t.TempDir(), "all"))
 	assert.NilError(t, err)
 	var all []*process
 	var members []*pb.Member
--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -20,28 +20,37 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
-// childVariable makes the test binary run as one node: its value is the
-// folder, with the name of the instance last.
+// childVariable makes the test binary run as one node: its value is a
+// childConfig in JSON.
 const childVariable = "HYSSOPSAIL_TEST_NODE"
 
+// childConfig is what a child process needs to know.
+type childConfig struct {
+	Dir, Address string
+	Keys         rpc.Files
+}
+
 func TestMain(m *testing.M) {
-	if dir := os.Getenv(childVariable); dir != "" {
-		runChild(dir)
+	if text := os.Getenv(childVariable); text != "" {
+		var config childConfig
+		must(json.Unmarshal([]byte(text), &config))
+		runChild(config)
 		return
 	}
 	os.Exit(m.Run())
 }
 
 // runChild answers requests, one a line, until its input ends.
-func runChild(dir string) {
-	listener, err := net.Listen("tcp", os.Getenv(childVariable+"_ADDRESS"))
+func runChild(c childConfig) {
+	listener, err := net.Listen("tcp", c.Address)
 	must(err)
-	config, err := rpc.LoadTLS(filesIn(filepath.Dir(dir)))
+	config, err := rpc.LoadTLS(c.Keys)
 	must(err)
 	state := &journal{}
-	node, _, err := serve(context.Background(), config, listener, dir, filepath.Base(dir), state)
+	node, _, err := serve(context.Background(), config, listener, c.Dir, filepath.Base(c.Dir), state)
 	must(err)
 	fmt.Println(node.DiskID(), listener.Addr())
 	lines := bufio.NewScanner(os.Stdin)
@@ -81,19 +90,20 @@
 
 // child is a node in a process of its own.
 type child struct {
-	t            *testing.T
-	dir, address string
-	diskID       string
-	command      *exec.Cmd
-	input        io.WriteCloser
-	output       *bufio.Scanner
+	t       *testing.T
+	config  childConfig
+	diskID  string
+	command *exec.Cmd
+	input   io.WriteCloser
+	output  *bufio.Scanner
 }
 
 func startChild(t *testing.T, c *child) {
+	config, err := json.Marshal(c.config)
+	assert.NilError(t, err)
 	c.command = exec.Command(os.Args[0])
-	c.command.Env = append(os.Environ(), childVariable+"="+c.dir, childVariable+"_ADDRESS="+c.address)
+	c.command.Env = append(os.Environ(), childVariable+"="+string(config))
 	c.command.Stderr = os.Stderr
-	var err error
 	c.input, err = c.command.StdinPipe()
 	assert.NilError(t, err)
 	output, err := c.command.StdoutPipe()
@@ -101,7 +111,7 @@
 	assert.NilError(t, c.command.Start())
 	c.output = bufio.NewScanner(output)
 	assert.Assert(t, c.output.Scan(), "the child did not start")
-	c.diskID, c.address, _ = strings.Cut(c.output.Text(), " ")
+	c.diskID, c.config.Address, _ = strings.Cut(c.output.Text(), " ")
 	t.Cleanup(c.kill)
 }
 
@@ -110,16 +120,6 @@
 	_ = c.command.Wait()
 }
 
-// freeze returns once the kernel says that all threads are stopped: some may
-// run on, and answer, for a moment after the signal was sent.
-func (c *child) freeze() {
-	assert.NilError(c.t, c.command.Process.Signal(syscall.SIGSTOP))
-	var status syscall.WaitStatus
-	_, err := syscall.Wait4(c.command.Process.Pid, &status, syscall.WUNTRACED, nil)
-	assert.NilError(c.t, err)
-	assert.Assert(c.t, status.Stopped())
-}
-
 func (c *child) send(line string) {
 	_, err := fmt.Fprintln(c.input, line)
 	assert.NilError(c.t, err)
@@ -140,14 +140,14 @@
 
 func startChildren(t *testing.T) []*child {
 	base := t.TempDir()
-	fleetFiles(t, base)
+	keys := testkit.Keys(t, base, "all")
 	var children []*child
 	var members []*pb.Member
 	for _, name := range []string{"a", "b", "c"} {
-		c := &child{t: t, dir: filepath.Join(base, name), address: "127.0.0.1:0"}
+		c := &child{t: t, config: childConfig{Dir: filepath.Join(base, name), Address: "127.0.0.1:0", Keys: keys}}
 		startChild(t, c)
 		children = append(children, c)
-		members = append(members, &pb.Member{InstanceId: name, DiskId: c.diskID, RpcAddress: c.address})
+		members = append(members, &pb.Member{InstanceId: name, DiskId: c.diskID, RpcAddress: c.config.Address})
 	}
 	data, err := json.Marshal(members)
 	assert.NilError(t, err)
@@ -191,7 +191,7 @@
 	children := startChildren(t)
 	old, _ := leadingChild(t, children)
 	assert.Equal(t, old.ask("propose before"), "ok")
-	old.freeze()
+	testkit.Freeze(t, old.command.Process)
 	old.send("read")
 	old.send("propose late")
 	next, _ := leadingChild(t, without(children, old))
--- /dev/null
+++ b/internal/testkit/keys.go
@@ -0,0 +1,25 @@
+package testkit
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/certs"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// Keys writes the keys of a new fleet of one instance into an empty folder.
+func Keys(t testing.TB, folder string, id fleet.InstanceID) rpc.Files {
+	t.Helper()
+	_, err := certs.Write(certs.Options{Folder: folder, Instances: []fleet.InstanceID{id}, Now: time.Now()})
+	assert.NilError(t, err)
+	return rpc.Files{
+		Authority:   filepath.Join(folder, certs.AuthorityFile),
+		Certificate: filepath.Join(folder, string(id)+certs.CertificateSuffix),
+		Key:         filepath.Join(folder, string(id)+certs.KeySuffix),
+	}
+}
