--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -56,24 +57,12 @@
 	if c.Random == nil {
 		return c, trace.BadParameter("consensus needs a random source")
 	}
-	if c.ElectionTimeout == 0 {
-		c.ElectionTimeout = DefaultElectionTimeout
-	}
-	if c.HeartbeatInterval == 0 {
-		c.HeartbeatInterval = DefaultHeartbeatInterval
-	}
-	if c.MaxMessageBytes == 0 {
-		c.MaxMessageBytes = DefaultMaxMessageBytes
-	}
-	if c.MaxInflight == 0 {
-		c.MaxInflight = DefaultMaxInflight
-	}
-	if c.MaxUncommitted == 0 {
-		c.MaxUncommitted = DefaultMaxUncommitted
-	}
-	if c.MaxPendingBytes == 0 {
-		c.MaxPendingBytes = DefaultMaxPendingBytes
-	}
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.MaxInflight = cmp.Or(c.MaxInflight, DefaultMaxInflight)
+	c.MaxUncommitted = cmp.Or(c.MaxUncommitted, DefaultMaxUncommitted)
+	c.MaxPendingBytes = cmp.Or(c.MaxPendingBytes, DefaultMaxPendingBytes)
 	if c.HeartbeatInterval*3 > c.ElectionTimeout {
 		return c, trace.BadParameter("election timeout %s is under three heartbeats of %s",
 			c.ElectionTimeout, c.HeartbeatInterval)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -60,26 +61,12 @@
 	if o.FS == nil || o.Machine == nil || o.Transport == nil {
 		return o, trace.BadParameter("a replica needs a file system, a state machine and a transport")
 	}
-	if o.Tick == 0 {
-		o.Tick = DefaultTick
-	}
-	if o.HeartbeatInterval == 0 {
-		o.HeartbeatInterval = heartbeatTicks * o.Tick
-	}
-	if o.ElectionTimeout == 0 {
-		o.ElectionTimeout = electionTicks * o.Tick
-	}
-	if o.StorageTimeout == 0 {
-		o.StorageTimeout = DefaultStorageTimeout
-	}
-	if o.SnapshotEntries == 0 {
-		o.SnapshotEntries = DefaultSnapshotEntries
-	}
-	if o.SnapshotBytes == 0 {
-		o.SnapshotBytes = DefaultSnapshotBytes
-	}
-	if o.KeepEntries == 0 {
-		o.KeepEntries = DefaultKeepEntries
-	}
+	o.Tick = cmp.Or(o.Tick, DefaultTick)
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, heartbeatTicks*o.Tick)
+	o.ElectionTimeout = cmp.Or(o.ElectionTimeout, electionTicks*o.Tick)
+	o.StorageTimeout = cmp.Or(o.StorageTimeout, DefaultStorageTimeout)
+	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.SnapshotBytes = cmp.Or(o.SnapshotBytes, DefaultSnapshotBytes)
+	o.KeepEntries = cmp.Or(o.KeepEntries, DefaultKeepEntries)
 	return o, nil
 }
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"net/http"
 	"os"
 	"time"
@@ -51,10 +52,10 @@
 
 func (o Options) withDefaults() Options {
 	o.Timing = o.Timing.withDefaults()
-	orDefault(&o.Incarnation, fleet.Incarnation(time.Now().UnixMicro()))
-	orDefault(&o.Role, fleet.RoleBoth)
-	orDefault(&o.Slots, defaultSlots)
-	orDefault(&o.MostFacts, defaultMostFacts)
+	o.Incarnation = cmp.Or(o.Incarnation, fleet.Incarnation(time.Now().UnixMicro()))
+	o.Role = cmp.Or(o.Role, fleet.RoleBoth)
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.MostFacts = cmp.Or(o.MostFacts, defaultMostFacts)
 	if o.Exit == nil {
 		o.Exit = os.Exit
 	}
--- a/internal/standin/timing.go
+++ b/internal/standin/timing.go
@@ -1,6 +1,9 @@
 package standin
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Timing holds the figures of an emulated engine. A zero field takes
 // DefaultTiming's value.
@@ -48,32 +51,25 @@
 
 func (t Timing) withDefaults() Timing {
 	d := DefaultTiming()
-	orDefault(&t.StepBase, d.StepBase)
-	orDefault(&t.StepPerRequest, d.StepPerRequest)
-	orDefault(&t.PrefillBase, d.PrefillBase)
-	orDefault(&t.PrefillToken, d.PrefillToken)
-	orDefault(&t.PrefillSlice, d.PrefillSlice)
-	orDefault(&t.KVLife, d.KVLife)
-	orDefault(&t.KVToken, d.KVToken)
-	orDefault(&t.LinkRate, d.LinkRate)
-	orDefault(&t.WireScale, d.WireScale)
-	orDefault(&t.TransferBound, d.TransferBound)
-	orDefault(&t.LoadTime, d.LoadTime)
-	orDefault(&t.LoadLag, d.LoadLag)
-	orDefault(&t.CacheLag, d.CacheLag)
-	orDefault(&t.CacheBytes, d.CacheBytes)
-	orDefault(&t.CallTime, d.CallTime)
-	orDefault(&t.LeaveGrace, d.LeaveGrace)
+	t.StepBase = cmp.Or(t.StepBase, d.StepBase)
+	t.StepPerRequest = cmp.Or(t.StepPerRequest, d.StepPerRequest)
+	t.PrefillBase = cmp.Or(t.PrefillBase, d.PrefillBase)
+	t.PrefillToken = cmp.Or(t.PrefillToken, d.PrefillToken)
+	t.PrefillSlice = cmp.Or(t.PrefillSlice, d.PrefillSlice)
+	t.KVLife = cmp.Or(t.KVLife, d.KVLife)
+	t.KVToken = cmp.Or(t.KVToken, d.KVToken)
+	t.LinkRate = cmp.Or(t.LinkRate, d.LinkRate)
+	t.WireScale = cmp.Or(t.WireScale, d.WireScale)
+	t.TransferBound = cmp.Or(t.TransferBound, d.TransferBound)
+	t.LoadTime = cmp.Or(t.LoadTime, d.LoadTime)
+	t.LoadLag = cmp.Or(t.LoadLag, d.LoadLag)
+	t.CacheLag = cmp.Or(t.CacheLag, d.CacheLag)
+	t.CacheBytes = cmp.Or(t.CacheBytes, d.CacheBytes)
+	t.CallTime = cmp.Or(t.CallTime, d.CallTime)
+	t.LeaveGrace = cmp.Or(t.LeaveGrace, d.LeaveGrace)
 	return t
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // step gives the time of one step with so many requests in the batch.
 func (t Timing) step(batch int) time.Duration {
 	return t.StepBase + time.Duration(batch)*t.StepPerRequest
