storage: one way to make a file whole under its name

beginSegment and writeDurably each wrote a temporary file, synced it, renamed it and synced the folder; createWhole does it for both, and holds the comment on crashes.

--- a/internal/storage/segments.go
+++ b/internal/storage/segments.go
@@ -63,31 +63,17 @@
 	return nil
 }
 
-// beginSegment makes a segment with batches durable and opens it for more. It
-// gets its name only then, so a segment's first records are always whole.
+// beginSegment makes a segment with batches durable and keeps it open for more.
 func (s *Store) beginSegment(batches []*pb.LogBatch) error {
 	first := s.number
 	content, err := s.encode(batches)
 	if err != nil {
 		return err
 	}
-	path := s.path(segmentName(first))
-	f, err := s.fs.Create(path + temporarySuffix)
+	f, err := createWhole(s.fs, s.path(segmentName(first)), content)
 	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	if err := writeAndSync(f, content); err != nil {
-		_ = f.Close()
 		return err
 	}
-	if err := s.fs.Rename(path+temporarySuffix, path); err != nil {
-		_ = f.Close()
-		return trace.ConvertSystemError(err)
-	}
-	if err := s.fs.SyncDir(s.dir); err != nil {
-		_ = f.Close()
-		return trace.ConvertSystemError(err)
-	}
 	s.file, s.size = f, int64(len(content))
 	s.segments = append(s.segments, segment{number: first})
 	for _, b := range batches {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -81,8 +81,8 @@
 }
 
 // loadIdentity reads the disk ID, or makes one for an empty folder. A folder
-// that has a log but no identity is no empty one: a new ID there would let an
-// instance that lost part of its disk vote as a fresh one.
+// that has a log but no identity is not empty: a new ID there would let an
+// instance that lost part of its disk vote as a new one.
 func (s *Store) loadIdentity(names []string) error {
 	path := filepath.Join(s.dir, identityName)
 	s.identity = &pb.DiskIdentity{}
--- a/internal/storage/whole.go
+++ b/internal/storage/whole.go
@@ -7,30 +7,40 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// writeWhole makes a file of one record durable, under its name only once it
-// is whole: a crash leaves the old file, or the new one, never a part.
+// writeWhole makes a file of one record durable.
 func writeWhole(fs FS, path, salt string, number uint64, m proto.Message) error {
 	payload, err := proto.Marshal(m)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return writeDurably(fs, path, appendRecord(nil, salt, number, payload))
+	f, err := createWhole(fs, path, appendRecord(nil, salt, number, payload))
+	if err != nil {
+		return err
+	}
+	return trace.ConvertSystemError(f.Close())
 }
 
-func writeDurably(fs FS, path string, content []byte) error {
-	temporary := path + temporarySuffix
-	f, err := fs.Create(temporary)
+// createWhole makes a file durable and leaves it open for more. It gets its
+// name only once its content is synced: a crash leaves the old file, or the
+// new one, never a part.
+func createWhole(fs FS, path string, content []byte) (File, error) {
+	f, err := fs.Create(path + temporarySuffix)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return nil, trace.ConvertSystemError(err)
 	}
-	if err := writeAndSync(f, content); err != nil {
+	if err := nameSynced(fs, f, path, content); err != nil {
 		_ = f.Close()
-		return err
+		return nil, err
 	}
-	if err := f.Close(); err != nil {
-		return trace.ConvertSystemError(err)
+	return f, nil
+}
+
+// nameSynced writes content to path's temporary file, and renames that.
+func nameSynced(fs FS, f File, path string, content []byte) error {
+	if err := writeAndSync(f, content); err != nil {
+		return err
 	}
-	if err := fs.Rename(temporary, path); err != nil {
+	if err := fs.Rename(path+temporarySuffix, path); err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	return trace.ConvertSystemError(fs.SyncDir(filepath.Dir(path)))
