--- a/internal/replica/loopback_test.go
+++ b/internal/replica/loopback_test.go
@@ -2,17 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
-	"slices"
 	"testing"
 	"time"
 
@@ -22,35 +13,35 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
-// filesIn names the files that writeFiles makes.
-func filesIn(dir string) rpc.Files {
-	path := filepath.Join(dir, "fleet.pem")
-	return rpc.Files{Authority: path, Certificate: path, Key: filepath.Join(dir, "key.pem")}
-}
-
-// writeFiles makes a fleet whose daemons share one self-signed certificate.
-func writeFiles(t testing.TB, dir string) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{rpc.ServerName},
-		NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+// serve runs a node with its folder on real files, over drpc on listener,
+// until ctx ends; then it closes ended.
+func serve(ctx context.Context, config *tls.Config, listener net.Listener, dir, name string, state StateMachine) (node *Node, ended <-chan struct{}, err error) {
+	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
+	transport := NewTransport(pool, logging.Part{})
+	node, err = New(Options{
+		InstanceID: name, RPCAddress: listener.Addr().String(), Dir: dir, FS: storage.OSFS{},
+		Machine: state, Transport: transport, Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return nil, nil, err
 	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	assert.NilError(t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(t, err)
-	writePEM(t, filesIn(dir).Certificate, "CERTIFICATE", certificate)
-	writePEM(t, filesIn(dir).Key, "PRIVATE KEY", secret)
-}
-
-func writePEM(t testing.TB, path, kind string, content []byte) {
-	block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
-	assert.NilError(t, os.WriteFile(path, block, 0o600))
+	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
+	if err := pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: node}); err != nil {
+		return nil, nil, err
+	}
+	go transport.Run(ctx)
+	go server.Serve(ctx, listener)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		node.Run(ctx)
+		pool.Close()
+	}()
+	return node, done, nil
 }
 
 // process is one node over drpc on the loopback, with real files.
@@ -58,7 +49,7 @@
 	name, dir, address string
 	node               *Node
 	stop               context.CancelFunc
-	ended              chan struct{}
+	ended              <-chan struct{}
 }
 
 func startProcess(t testing.TB, config *tls.Config, p *process) {
@@ -68,30 +59,14 @@
 	listener, err := net.Listen("tcp", p.address)
 	assert.NilError(t, err)
 	p.address = listener.Addr().String()
-	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
-	transport := NewTransport(pool, logging.Part{})
-	p.node, err = New(Options{
-		InstanceID: p.name, RPCAddress: p.address, Dir: p.dir, FS: storage.OSFS{},
-		Machine: &journal{}, Transport: transport, Seed: uint64(time.Now().UnixNano()),
-	})
-	assert.NilError(t, err)
-	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
-	assert.NilError(t, pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: p.node}))
 	ctx, cancel := context.WithCancel(context.Background())
-	p.stop, p.ended = cancel, make(chan struct{})
-	go transport.Run(ctx)
-	go server.Serve(ctx, listener)
-	go func() {
-		defer close(p.ended)
-		p.node.Run(ctx)
-		pool.Close()
-	}()
+	p.stop = cancel
+	p.node, p.ended, err = serve(ctx, config, listener, p.dir, p.name, &journal{})
+	assert.NilError(t, err)
 }
 
 func startProcesses(t testing.TB, count int) (*tls.Config, []*process) {
-	base := t.TempDir()
-	writeFiles(t, base)
-	config, err := rpc.LoadTLS(filesIn(base))
+	config, err := rpc.LoadTLS(testkit.Keys(t, t.TempDir(), "all"))
 	assert.NilError(t, err)
 	var all []*process
 	var members []*pb.Member
@@ -108,17 +83,9 @@
 }
 
 func leaderProcess(t testing.TB, all []*process) *process {
-	deadline := time.Now().Add(20 * time.Second)
-	for time.Now().Before(deadline) {
-		for _, p := range all {
-			if p.node.Status().IsLeader && p.node.ReadBarrier(context.Background()) == nil {
-				return p
-			}
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal("no leader within 20 s")
-	return nil
+	return waitForOne(t, 20*time.Second, all, func(p *process) bool {
+		return p.node.Status().IsLeader && p.node.ReadBarrier(context.Background()) == nil
+	})
 }
 
 // Three processes with real files and sockets elect, commit, and go on when
@@ -130,14 +97,10 @@
 	assert.NilError(t, err)
 	leader.stop()
 	<-leader.ended
-	rest := slices.DeleteFunc(slices.Clone(all), func(p *process) bool { return p == leader })
+	rest := without(all, leader)
 	applied, err := leaderProcess(t, rest).node.Propose(context.Background(), []byte("y"))
 	assert.NilError(t, err)
 	leader.address = ""
 	startProcess(t, config, leader)
-	deadline := time.Now().Add(20 * time.Second)
-	for leader.node.Status().Applied < applied.Index {
-		assert.Assert(t, time.Now().Before(deadline), "the restarted member doesn't catch up")
-		time.Sleep(time.Millisecond)
-	}
+	waitForOne(t, 20*time.Second, []*process{leader}, func(p *process) bool { return p.node.Status().Applied >= applied.Index })
 }
