The last check of each send asks whether its grant still lives

Cause: the gate knew lease and settings, but not the grant. An entry that was frozen between the grant and the send for longer than the grant lives, but not longer than its lease, sent into a slot that the home had given to another. endpoint.Follower gets Valid, which HomeClient had, and each send under a grant (prefill, import, decode, call) asks it with the connection in hand.

Ruled out: to blame the endpoint, which did nothing; to end the request, since no byte has left; to take again at the same home under the same attempt ID, as the release of the first grant may arrive after the second take.

--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -64,7 +64,7 @@
 	Kind        fleet.EndpointRole
 	ReadyIn     time.Duration // predicted wait until the slot is free
 	// Expires is until when work may begin on the grant, unless the follower
-	// has renewed it; HomeClient.Valid knows of renewals.
+	// has renewed it; Follower.Valid knows of renewals.
 	Expires time.Time
 }
 
@@ -94,4 +94,7 @@
 	// Running lists the attempts that this daemon still runs; the home's sweep
 	// asks for it.
 	Running(attempt fleet.AttemptID) bool
+	// Valid tells whether work may begin on a grant at now; renewals count. It
+	// is asked directly before bytes leave.
+	Valid(now time.Time, g Grant) bool
 }
--- a/internal/endpoint/taken.go
+++ b/internal/endpoint/taken.go
@@ -55,8 +55,8 @@
 	return f.byAttempt[attempt] > 0
 }
 
-// Valid tells whether work may begin on a grant at now. Ask it directly before
-// bytes leave: a grant that ran out may be someone else's by now.
+// Valid implements Follower: a grant that ran out may be someone else's by
+// now.
 func (f *HomeClient) Valid(now time.Time, g Grant) bool {
 	f.attemptsMu.Lock()
 	defer f.attemptsMu.Unlock()
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -22,7 +22,7 @@
 	watch := time.AfterFunc(m.remaining(), cancel)
 	defer watch.Stop()
 	a.noteDecodeStart()
-	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.gate, a.decodeRequest())
+	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.router.gateUnder(a.decode, m.gate), a.decodeRequest())
 	a.touch(a.decode, err)
 	if err != nil {
 		return a.decodeFailed(ctx, local, err)
@@ -74,7 +74,7 @@
 // decodeFailed reads the end of a stream that is not whole.
 func (a *attempt) decodeFailed(ctx, local context.Context, err error) *setback {
 	s := fromError(ctx, local, err)
-	if s.cause != causeCallerGone && s.cause != causeDeadline {
+	if s.cause != causeCallerGone && s.cause != causeDeadline && s.cause != causeGrantOver {
 		s.endpoint = a.decode.target.ID
 	}
 	if s.cause == causeStalled && a.run.passed == 0 && a.run.remaining() <= 0 {
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -68,6 +68,12 @@
 
 func (w *world) Running(fleet.AttemptID) bool { return true }
 
+func (w *world) Valid(_ time.Time, g endpoint.Grant) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.ranOut[string(g.Endpoint)+"/"+string(g.Attempt)]
+}
+
 // Engine.
 
 func (w *world) next(op string, at fleet.EndpointID) fault {
@@ -93,6 +99,10 @@
 // send passes the gate, notes the bytes and brings about the fault.
 func (w *world) send(ctx context.Context, op string, t engine.Target, gate engine.Gate, a fleet.AttemptID) (fault, error) {
 	f := w.next(op, t.ID)
+	if w.freezeBefore == op {
+		w.freezeBefore = ""
+		w.ranOut = map[string]bool{string(t.ID) + "/" + string(a): true}
+	}
 	if w.beforeSend != nil {
 		w.beforeSend(op + " " + string(t.ID))
 	}
@@ -104,6 +114,9 @@
 	}
 	w.mu.Lock()
 	w.sends = append(w.sends, op+" "+string(t.ID))
+	if w.ranOut[string(t.ID)+"/"+string(a)] {
+		w.lateSends++
+	}
 	w.mu.Unlock()
 	w.hold(t.ID, a, op)
 	if w.afterSend != nil {
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -23,12 +23,12 @@
 	defer cancel()
 	m.event(timeline.KindCallStart, id, h.target.ID)
 	h.touched = true
-	answer, err := m.roundTrip(local, h.target, id)
+	answer, err := m.roundTrip(local, h)
 	sent = !neverRan(err)
 	h.touched = sent
 	if err != nil {
 		s = fromError(ctx, local, err)
-		if s.cause != causeCallerGone {
+		if s.cause != causeCallerGone && s.cause != causeGrantOver {
 			s.endpoint = h.target.ID
 		}
 		return nil, sent, s
@@ -48,19 +48,20 @@
 	return neverSent(err)
 }
 
-func (m *callRun) roundTrip(ctx context.Context, t engine.Target, id fleet.AttemptID) (*CallAnswer, error) {
+func (m *callRun) roundTrip(ctx context.Context, h *hold) (*CallAnswer, error) {
 	request, err := m.httpRequest(ctx)
 	if err != nil {
-		return nil, &engine.Error{Target: t, Op: "call", Err: err}
+		return nil, &engine.Error{Target: h.target, Op: "call", Err: err}
 	}
-	response, err := m.router.opts.Engine.Call(ctx, t, m.gate, id, request)
+	gate := m.router.gateUnder(h, m.gate)
+	response, err := m.router.opts.Engine.Call(ctx, h.target, gate, h.grant.Attempt, request)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readWhole(response.Body, m.router.bounds.CallAnswerBytes)
 	if err != nil {
-		return nil, &engine.Error{Target: t, Op: "call", Sent: true, Err: err}
+		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: err}
 	}
 	return &CallAnswer{StatusCode: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -16,6 +16,7 @@
 	resumed    prometheus.Counter
 	wasted     prometheus.Counter
 	tokens     prometheus.Counter
+	grantsOver prometheus.Counter
 }
 
 const (
@@ -50,6 +51,10 @@
 			Name: "hyssopsail_route_output_tokens_total",
 			Help: "Output tokens passed on to callers.",
 		}),
+		grantsOver: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_grants_over_total",
+			Help: "Sends refused by the last check since their grant had run out.",
+		}),
 	}
 	if to == nil {
 		return m
@@ -58,7 +63,7 @@
 		Name: "hyssopsail_route_running_requests",
 		Help: "Requests in flight.",
 	}, func() float64 { return float64(f.running()) })
-	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, running)
+	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, m.grantsOver, running)
 	return m
 }
 
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -135,11 +135,12 @@
 		if s == nil || sent {
 			return answer, sent, s
 		}
-		if !mendable(s.cause) || n >= onceTries || !m.router.mayRetry(m.req.Team, s.endpoint) {
+		if !mendable(s.cause) || n >= onceTries || !m.router.mayTryAgain(m.req.Team, s) {
 			return nil, false, s
 		}
 		m.avoid.add(s.endpoint)
-		next, refusal := m.take(ctx, id, alone)
+		// The first take's release may reach the same home after this take.
+		next, refusal := m.take(ctx, newAttemptID(), alone)
 		if refusal != nil {
 			return nil, false, refusal
 		}
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -74,7 +74,7 @@
 		a.early = a.startEarly(ctx, a.wantDecode(min(wait, m.remaining())))
 	}
 	m.event(timeline.KindPrefillStart, a.id, a.prefill.target.ID)
-	reply, err := m.router.opts.Engine.Prefill(local, a.prefill.target, m.gate, engineapi.PrefillRequest{
+	reply, err := m.router.opts.Engine.Prefill(local, a.prefill.target, m.router.gateUnder(a.prefill, m.gate), engineapi.PrefillRequest{
 		Work:      a.work(a.prefill.target, m.remaining()),
 		Prompt:    m.req.Prompt + m.text.String(),
 		MaxTokens: m.class.output - m.passed,
--- a/internal/route/repeatable.go
+++ b/internal/route/repeatable.go
@@ -35,7 +35,7 @@
 		if !d.again {
 			return nil, d.failure
 		}
-		if !m.router.mayRetry(m.req.Team, s.endpoint) {
+		if !m.router.mayTryAgain(m.req.Team, s) {
 			return nil, finalFailure(in)
 		}
 		m.event(timeline.KindRetry, "", s.endpoint)
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -41,7 +41,7 @@
 // mendable tells whether another endpoint may do better.
 func mendable(c cause) bool {
 	switch c {
-	case causeForbidden, causeRefused, causeBroken, causeStalled, causeLost:
+	case causeForbidden, causeRefused, causeBroken, causeStalled, causeLost, causeGrantOver:
 		return true
 	}
 	return false
@@ -79,6 +79,8 @@
 		return notRun(callerapi.CodeEngineFailed, "each endpoint that could take it has failed it", after)
 	case causeFull:
 		return notRun(callerapi.CodeOverloaded, "no slot comes free in time", after)
+	case causeGrantOver:
+		return notRun(callerapi.CodeOverloaded, "its slots ran out before they could be used", after)
 	case causeForbidden:
 		return notRun(callerapi.CodeNoZone, "the settings no longer permit the chosen place", after)
 	}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -122,6 +122,12 @@
 	return r.opts.Admission.MayRetry(time.Now(), team, failed)
 }
 
+// mayTryAgain spends a retry. One after a grant that ran out is free: no byte
+// left under it, and the tries of a request are bounded all the same.
+func (r *Router) mayTryAgain(team fleet.Team, s *setback) bool {
+	return s.cause == causeGrantOver || r.mayRetry(team, s.endpoint)
+}
+
 func (r *Router) succeeded(team fleet.Team, by fleet.EndpointID) {
 	r.admissionMu.Lock()
 	defer r.admissionMu.Unlock()
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -110,7 +110,7 @@
 		m.freeRetry = true
 		return true
 	}
-	return m.router.mayRetry(m.req.Team, s.endpoint)
+	return m.router.mayTryAgain(m.req.Team, s)
 }
 
 func (m *modelRun) event(k timeline.Kind, a fleet.AttemptID, at fleet.EndpointID) {
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -26,6 +26,7 @@
 	causeBroken           // the connection broke: the endpoint may have died
 	causeStalled          // the transfer or the stream stood still
 	causeLost             // KV expired before it could be used
+	causeGrantOver        // the grant ran out before the send; no one is to blame
 	causeFinal            // failure says all
 )
 
@@ -54,6 +55,9 @@
 	if cause, ok := placement.IsRefusal(err); ok {
 		return forbidden(cause)
 	}
+	if errors.Is(err, errGrantOver) && parent.Err() == nil {
+		return &setback{cause: causeGrantOver}
+	}
 	s := &setback{cause: causeBroken}
 	var e *engine.Error
 	if errors.As(err, &e) {
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -62,12 +62,17 @@
 	}
 	a.run.noteLeftover(a.decode)
 	a.run.router.free(a.decode, s, 0)
-	a.run.avoid.add(a.decode.grant.Endpoint)
+	failed := a.decode.grant.Endpoint
 	a.decode = nil
-	if !a.run.router.mayRetry(a.run.req.Team, s.endpoint) {
+	if !a.run.router.mayTryAgain(a.run.req.Team, s) {
 		return false
 	}
+	// Its home may get this attempt's release after a second take there.
+	a.run.avoid.add(failed)
 	h, refusal := a.take(ctx, a.wantDecode(left/2))
+	if s.cause == causeGrantOver {
+		delete(a.run.avoid, failed)
+	}
 	if refusal != nil {
 		return false
 	}
@@ -80,8 +85,9 @@
 	m.event(timeline.KindTransferStart, a.id, a.decode.target.ID)
 	local, cancel := context.WithTimeout(ctx, a.transferBound())
 	defer cancel()
+	gate := m.router.gateUnder(a.decode, m.gate)
 	for {
-		_, err := m.router.opts.Engine.Import(local, a.decode.target, m.gate, a.importRequest())
+		_, err := m.router.opts.Engine.Import(local, a.decode.target, gate, a.importRequest())
 		a.touch(a.decode, err)
 		if err == nil {
 			m.event(timeline.KindTransferEnd, a.id, a.decode.target.ID)
@@ -102,6 +108,7 @@
 // fetch failed lives, so the other end is suspected.
 func (a *attempt) blame(s *setback) {
 	switch {
+	case s.cause == causeGrantOver:
 	case s.code == engineapi.CodeTransfer || s.code == engineapi.CodeGone:
 		s.endpoint = a.prefill.target.ID
 	case s.endpoint == "":
@@ -111,7 +118,7 @@
 
 // anotherDecode tells whether the KV cache may go to another decode engine.
 func (a *attempt) anotherDecode(s *setback) bool {
-	stuck := s.cause == causeStalled || s.cause == causeBroken
+	stuck := s.cause == causeStalled || s.cause == causeBroken || s.cause == causeGrantOver
 	return stuck && s.endpoint != a.prefill.target.ID
 }
 
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -53,6 +53,12 @@
 	// beforeSend runs after the choice and before the last check.
 	beforeSend func(next string)
 	afterSend  func(sent string)
+	// freezeBefore names the op before whose next send the entry is frozen for
+	// longer than its grant lives; ranOut are the grants lost so, by endpoint
+	// and attempt, and lateSends the sends that left under one all the same.
+	freezeBefore string
+	ranOut       map[string]bool
+	lateSends    int
 }
 
 type guardEnd struct{ completed, crashed bool }
