Requests follow the declared default kind and the daemon's stream_time

Cause: route looked kinds up itself and gave an undeclared kind nothing, where the settings declare a kind 'default'; bounds.stream_time reached the graceful stop alone, so that a request could outlive the stop's wait. tree.CallerKind and route.Bounds.StreamTime are used now. entry.Server and the three bounds that only it read are deleted: the daemon makes its servers itself.

TestUndeclaredKindTakesDefault failed before ('10s (c.patience) != 7s') and passes now; go test ./internal/route ./internal/entry passes. stream_time has no test of its own.

--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -53,6 +53,7 @@
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "route"),
 		Registerer: b.registry,
+		Bounds:     route.Bounds{StreamTime: b.file.Bounds.StreamTime},
 	})
 	return e, trace.Wrap(e.register(b))
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -56,11 +56,7 @@
 }
 
 func callerBounds(b config.Bounds) entry.Bounds {
-	return entry.Bounds{
-		BodyBytes:   int64(b.BodyBytes),
-		HeaderBytes: int(b.HeaderBytes),
-		IdleTime:    b.IdleTimeout,
-	}
+	return entry.Bounds{BodyBytes: int64(b.BodyBytes)}
 }
 
 func newOperators(b *base, e *entryRole, c *controlRole) http.Handler {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -51,18 +51,6 @@
 	return mux
 }
 
-// Server makes an http.Server for handler with the bounds on headers and idle
-// connections. Stream and body times are bounded in the handler.
-func Server(handler http.Handler, b Bounds) *http.Server {
-	b = b.withDefaults()
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: b.HeaderTime,
-		IdleTimeout:       b.IdleTime,
-		MaxHeaderBytes:    b.HeaderBytes,
-	}
-}
-
 func (c *callers) health(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
 }
--- a/internal/route/classify.go
+++ b/internal/route/classify.go
@@ -41,7 +41,7 @@
 	if !ok || !mayUseModel(team, ref) {
 		return class{}, notRun(callerapi.CodeNoModel, "the model is not declared for this team", 0)
 	}
-	kind := callerKind(team, tree.Fleet, r.CallerKind)
+	kind := tree.CallerKind(team, r.CallerKind)
 	c := class{
 		team:      team,
 		permitted: team.Permitted(),
@@ -121,17 +121,6 @@
 	return false
 }
 
-func callerKind(team settings.Team, f settings.Fleet, kind string) settings.CallerKind {
-	for _, list := range [][]settings.CallerKind{team.Callers, f.Callers} {
-		for _, k := range list {
-			if k.Kind == kind {
-				return k
-			}
-		}
-	}
-	return settings.CallerKind{}
-}
-
 func patience(kind settings.CallerKind, asked time.Duration, b Bounds) time.Duration {
 	p := orTime(asked, orTime(kind.Patience, b.Patience))
 	return min(p, b.LongestPatience)
--- a/internal/route/decide_test.go
+++ b/internal/route/decide_test.go
@@ -184,3 +184,21 @@
 	assert.Assert(t, h.recordKey("a", "b", 0) != h.recordKey("a", "b", 1))
 	assert.Assert(t, h.recordKey("a", "b", 0) != hasher{secret: []byte("t")}.recordKey("a", "b", 0))
 }
+
+// A caller names no kind, or one that nobody declared: it is owed what the
+// settings declare for the kind "default", not nothing.
+func TestUndeclaredKindTakesDefault(t *testing.T) {
+	tree := &settings.Tree{
+		Fleet: settings.Fleet{
+			Models:  []settings.Model{{Name: "fibre", Versions: []string{"1"}}},
+			Callers: []settings.CallerKind{{Kind: settings.DefaultKind, Patience: 7 * time.Second, Priority: 3}},
+		},
+		Teams: map[fleet.Team]settings.Team{"a": {Name: "a", Models: []string{"fibre"}}},
+	}
+	for _, kind := range []string{"", "sorter"} {
+		c, failure := classify(tree, ModelRequest{Team: "a", Model: "fibre", Prompt: "x", CallerKind: kind}, DefaultBounds)
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, c.patience, 7*time.Second)
+		assert.Equal(t, c.priority, 3)
+	}
+}
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -31,7 +31,7 @@
 	if !ok || !contains(team.Services, r.Service) {
 		return callClass{}, notRun(callerapi.CodeNoService, "the service is not declared for this team", 0)
 	}
-	kind := callerKind(team, tree.Fleet, r.CallerKind)
+	kind := tree.CallerKind(team, r.CallerKind)
 	return callClass{
 		team:       team,
 		permitted:  team.Permitted(),
