Requests of a daemon that lost its place end clearly; goodput is counted

Cause: daemon.abandon closed the servers under running streams, so that callers saw a cut connection. Router.Abort ends each request's context with a cause of its own, before the servers close; keyed runs and sent calls, which aren't bound to their callers, follow it too. Ruled out: to mark it by the code 'draining', since nothing of it goes on.

TestAbortEndsStreamsClearly, TestAbortEndsKeyedRuns and TestAbortedCallIsUnknown fail with the hook taken out ('a.Failure is nil', 'failure.TimedOut is true', the stream ends with [DONE]) and pass with it.

Whole answers are counted by the targets that they met (hyssopsail_route_whole_answers_total{met}, four values).

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -103,7 +103,12 @@
 
 // abandon ends a daemon that lost its place or a part: its requests can't go
 // on, so it only lets their last events out.
-func (d *Daemon) abandon() { d.closeServers(abandonTimeout) }
+func (d *Daemon) abandon() {
+	if d.entry != nil {
+		d.entry.router.Abort()
+	}
+	d.closeServers(abandonTimeout)
+}
 
 func (d *Daemon) closeServers(within time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -34,6 +34,8 @@
 	if failure != nil {
 		return nil, failure
 	}
+	ctx, stop := r.abortable(ctx)
+	defer stop()
 	m := r.newCallRun(req, c)
 	// Only after a panic is a hold still there.
 	defer func() { r.free(m.held, nil, 0) }()
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -74,7 +74,7 @@
 // decodeFailed reads the end of a stream that is not whole.
 func (a *attempt) decodeFailed(ctx, local context.Context, err error) *setback {
 	s := fromError(ctx, local, err)
-	if s.cause != causeCallerGone && s.cause != causeDeadline && s.cause != causeGrantOver {
+	if !s.cause.faultless() && s.cause != causeDeadline {
 		s.endpoint = a.decode.target.ID
 	}
 	if s.cause == causeStalled && a.run.passed == 0 && a.run.remaining() <= 0 {
@@ -116,7 +116,8 @@
 		return
 	}
 	a.run.event(timeline.KindFirstToken, a.id, a.decode.target.ID)
-	waited := time.Since(a.run.req.Arrived)
+	a.run.firstAt, a.run.firstTokens = time.Now(), c.Tokens
+	waited := a.run.firstAt.Sub(a.run.req.Arrived)
 	a.run.router.metrics.sawFirstToken(waited)
 	a.run.router.admissionSaw(a.run.admitted, waited)
 }
@@ -124,6 +125,20 @@
 func (a *attempt) ended(c engineapi.Chunk) {
 	a.decode.finished = true
 	a.run.finish = c.Finish
+	a.run.countTargets(time.Now())
 	a.run.router.succeeded(a.run.req.Team, a.decode.target.ID)
 	a.run.event(timeline.KindDecodeEnd, a.id, a.decode.target.ID)
 }
+
+// countTargets counts a whole answer by the targets that it met.
+func (m *modelRun) countTargets(now time.Time) {
+	if m.firstAt.IsZero() {
+		return
+	}
+	p := pace{
+		firstToken: m.firstAt.Sub(m.req.Arrived),
+		decoding:   now.Sub(m.firstAt),
+		later:      m.passed - m.firstTokens,
+	}
+	m.router.metrics.targets.WithLabelValues(string(p.judge(m.class.team.Targets))).Inc()
+}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -28,7 +28,7 @@
 	h.touched = sent
 	if err != nil {
 		s = fromError(ctx, local, err)
-		if s.cause != causeCallerGone && s.cause != causeGrantOver {
+		if !s.cause.faultless() {
 			s.endpoint = h.target.ID
 		}
 		return nil, sent, s
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -56,7 +56,7 @@
 func (r *Router) keyed(ctx context.Context, req ModelRequest, c class, f fleet.Fingerprint, sink Sink) Answer {
 	name := r.hash.recordKey(req.Team, req.Key, 0)
 	for {
-		runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.bounds.StreamTime)
+		runCtx, cancel := r.keyedContext(ctx)
 		fresh := &modelCall{fingerprint: f, out: newBroadcast(r.bounds.JoinBytes), cancel: cancel, done: make(chan struct{})}
 		place, _ := fresh.out.join()
 		call, isNew := r.calls.find(name, fresh)
@@ -72,6 +72,16 @@
 	}
 }
 
+// keyedContext gives a run that isn't bound to one caller its own life.
+func (r *Router) keyedContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := r.abortable(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithTimeout(ctx, r.bounds.StreamTime)
+	return ctx, func() {
+		cancel()
+		stop()
+	}
+}
+
 // join follows a call that runs already. joined is false when that had failed
 // or was cancelled for want of callers, and has now ended: the request runs
 // anew.
@@ -94,7 +104,7 @@
 	case <-call.done:
 		return Answer{}, false
 	case <-ctx.Done():
-		return Answer{Failure: callerGone()}, true
+		return Answer{Failure: endOf(ctx)}, true
 	}
 }
 
@@ -122,7 +132,7 @@
 
 // mark tells joiners of a run whose callers had all gone.
 func mark(ctx context.Context, a Answer) Answer {
-	if a.Failure == nil || ctx.Err() != context.Canceled {
+	if a.Failure == nil || ctx.Err() != context.Canceled || isAborted(ctx) {
 		return a
 	}
 	out := *a.Failure
@@ -207,7 +217,7 @@
 		select {
 		case <-b.changed:
 		case <-ctx.Done():
-			return Answer{Failure: callerGone()}
+			return Answer{Failure: endOf(ctx)}
 		}
 	}
 }
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -17,6 +17,7 @@
 	wasted     prometheus.Counter
 	tokens     prometheus.Counter
 	grantsOver prometheus.Counter
+	targets    *prometheus.CounterVec
 }
 
 const (
@@ -51,6 +52,10 @@
 			Name: "hyssopsail_route_output_tokens_total",
 			Help: "Output tokens passed on to callers.",
 		}),
+		targets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_route_whole_answers_total",
+			Help: "Whole answers of models by the team's targets that they met; both: goodput.",
+		}, []string{"met"}),
 		grantsOver: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_route_grants_over_total",
 			Help: "Sends refused by the last check since their grant had run out.",
@@ -63,7 +68,7 @@
 		Name: "hyssopsail_route_running_requests",
 		Help: "Requests in flight.",
 	}, func() float64 { return float64(f.running()) })
-	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, m.grantsOver, running)
+	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, m.grantsOver, m.targets, running)
 	return m
 }
 
--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -31,6 +31,8 @@
 	if failure != nil {
 		return Answer{Failure: failure}
 	}
+	ctx, stop := r.abortable(ctx)
+	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, r.bounds.StreamTime)
 	defer cancel()
 	f := r.hash.modelFingerprint(req, c.model, c.output)
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -130,7 +130,7 @@
 			m.settle(h, id, s)
 			return nil, false, s
 		}
-		answer, sent, s = m.exchange(context.WithoutCancel(ctx), h, id)
+		answer, sent, s = m.exchangeUnbound(ctx, h, id)
 		m.settle(h, id, s)
 		if s == nil || sent {
 			return answer, sent, s
@@ -148,6 +148,13 @@
 	}
 }
 
+// exchangeUnbound sends the call so that only Abort ends it early.
+func (m *callRun) exchangeUnbound(ctx context.Context, h *hold, id fleet.AttemptID) (answer *CallAnswer, sent bool, s *setback) {
+	unbound, stop := m.router.abortable(context.WithoutCancel(ctx))
+	defer stop()
+	return m.exchange(unbound, h, id)
+}
+
 // onceFailure is the caller's answer when the call has no whole answer: not
 // run when no byte left, unknown otherwise. Pure.
 func onceFailure(s *setback, sent bool) *Failure {
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -79,6 +79,8 @@
 		return notRun(callerapi.CodeEngineFailed, "each endpoint that could take it has failed it", after)
 	case causeFull:
 		return notRun(callerapi.CodeOverloaded, "no slot comes free in time", after)
+	case causeAborted:
+		return aborted()
 	case causeGrantOver:
 		return notRun(callerapi.CodeOverloaded, "its slots ran out before they could be used", after)
 	case causeForbidden:
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	flight   *flight
 	seen     *seen
 	metrics  *metrics
+	life     context.Context // ended by abort
+	abort    context.CancelCauseFunc
 
 	admissionMu sync.Mutex // serialises opts.Admission
 
@@ -44,6 +47,7 @@
 		seen:     newSeen(),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 	}
+	r.life, r.abort = context.WithCancelCause(context.Background())
 	r.flight = newFlight(r.bounds.Running)
 	r.metrics = newMetrics(o.Registerer, r.flight)
 	return r
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -30,9 +30,11 @@
 	passed       int // output tokens that the sink has
 	text         strings.Builder
 	promptTokens int
-	touched      bool // a byte may have reached an endpoint
-	freeRetry    bool // the free retry is used up
-	resuming     bool // a stream has broken after its first token
+	firstAt      time.Time // of the first chunk; zero: none yet
+	firstTokens  int       // in the first chunk
+	touched      bool      // a byte may have reached an endpoint
+	freeRetry    bool      // the free retry is used up
+	resuming     bool      // a stream has broken after its first token
 	cancelled    []leftover
 	finish       engineapi.Finish
 }
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -27,6 +27,7 @@
 	causeStalled          // the transfer or the stream stood still
 	causeLost             // KV expired before it could be used
 	causeGrantOver        // the grant ran out before the send; no one is to blame
+	causeAborted          // this entry lost its place
 	causeFinal            // failure says all
 )
 
@@ -39,6 +40,11 @@
 	failure    *Failure // with causeFinal
 }
 
+// faultless tells whether the endpoint has nothing to do with it.
+func (c cause) faultless() bool {
+	return c == causeCallerGone || c == causeAborted || c == causeGrantOver
+}
+
 // crashed tells whether the endpoint may have died under the request.
 func (s *setback) crashed() bool { return s != nil && s.cause == causeBroken }
 
@@ -96,6 +102,9 @@
 }
 
 func fromContext(ctx context.Context) cause {
+	if isAborted(ctx) {
+		return causeAborted
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return causeDeadline
 	}
