One predictor of prefill times, and transfers booked on their link

Cause: route predicted prefills by a cost for each token alone, which misses the fixed cost of a prefill, while the choices' own predictor learned nothing, as nobody fed it. Both are now one schedule.PrefillPredictor.

Transfers were predicted by the declared link of the entry's own zone, at both ends, as if nothing else used it, and settings' links reached the table only when the decisions changed too. They are now predicted and booked on schedule.LinkTable between the zones of the chosen ends; links follow the settings.

--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -45,6 +45,7 @@
 	e.newHomes(b, client)
 	e.newProvision(b, client)
 	e.newOutcomes(b)
+	policies := newPolicies(b)
 	e.router = route.New(route.Options{
 		Source:     b.agent,
 		Follower:   e.provision.Follower(),
@@ -52,7 +53,9 @@
 		Ledger:     e.ledger,
 		Guard:      e.guard,
 		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
-		Policies:   newPolicies(b).choose,
+		Policies:   policies.choose,
+		Prefill:    policies.prefill,
+		Links:      policies.links,
 		Recorder:   b.ring,
 		Prefixes:   schedule.Prefixes,
 		Secret:     b.secret[:],
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -24,6 +24,7 @@
 	early   *earlyTake // a decode grant asked for while prefill runs
 	kv      kvCache
 	plan    schedule.StartPlan
+	link    *linkUse // booked for the KV transfer; nil: none
 	tokens  int               // output tokens of this attempt
 	checked *membership.State // under which the decode engine's zone was last looked at
 }
@@ -73,6 +74,7 @@
 func (a *attempt) close(s *setback) {
 	r := a.run.router
 	a.early.abandon(r)
+	a.leaveLink(0)
 	a.run.noteLeftover(a.prefill)
 	a.run.noteLeftover(a.decode)
 	if s != nil && a.prefill != nil && a.prefill.touched && !a.kv.moved {
--- a/internal/route/early.go
+++ b/internal/route/early.go
@@ -39,7 +39,7 @@
 		deadline:    m.deadline,
 		policies:    m.policies,
 	}
-	return &attempt{run: run, id: a.id, alone: a.alone}
+	return &attempt{run: run, id: a.id, alone: a.alone, prefill: a.prefill}
 }
 
 // wait gives the grant, or the setback of ctx.
--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -92,10 +92,8 @@
 		m.router.opts.Follower.Candidates(a.query(fleet.RoleDecode)),
 		m.class.output,
 	)
-	prefill, _ := m.router.speeds.prefill(m.class.prompt)
-	zone := m.router.opts.Source.Self().Zone
-	links := m.router.opts.Source.State().Tree.Fleet.Links
-	transfer := transferTime(links, zone, zone, m.class.kvBytes())
+	prefill, _ := m.predictPrefill()
+	transfer := a.transferTime()
 	return admission.Request{
 		Team:          m.req.Team,
 		Limits:        m.class.team.Limits,
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -28,6 +28,10 @@
 	// last good ones in force.
 	Policies func(settings.Decisions) (Policies, error)
 	Recorder timeline.Recorder
+	// Prefill and Links are learned from what engines answer; the choices may
+	// share them. nil: the router's own.
+	Prefill *schedule.PrefillPredictor
+	Links   *schedule.LinkTable
 	// Prefixes hashes a prompt's blocks as engines do; nil: no cache affinity.
 	Prefixes   func(model engineapi.ModelRef, prompt string) []uint64
 	Secret     []byte // keys the hashes of request keys and fingerprints; equal over the fleet
--- a/internal/route/predict.go
+++ b/internal/route/predict.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
-	"github.com/hyssopsail/hyssopsail/internal/fleet"
-	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 // waits is what the candidates promise to a new request.
@@ -47,18 +45,3 @@
 	}
 	return w
 }
-
-// transferTime predicts the KV transfer between two zones by the declared
-// link; a link that isn't declared counts as its delay alone.
-func transferTime(links []settings.Link, from, to fleet.AvailabilityZone, bytes int64) time.Duration {
-	for _, l := range links {
-		if l.From != from || l.To != to {
-			continue
-		}
-		if l.Rate <= 0 {
-			return l.Delay
-		}
-		return l.Delay + time.Duration(float64(bytes)/float64(l.Rate)*float64(time.Second))
-	}
-	return 0
-}
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -39,13 +39,12 @@
 func (a *attempt) startInput(decodeReady time.Duration) schedule.StartInput {
 	m := a.run
 	r := m.router
-	work, spread := r.speeds.prefill(m.class.prompt)
+	work, spread := m.predictPrefill()
 	queue := predictWaits(r.opts.Follower.Candidates(a.query(fleet.RolePrefill)), nil, 0).prefill
-	zone := r.opts.Source.Self().Zone
 	return schedule.StartInput{
 		DecodeReadyIn: decodeReady,
 		PrefillTime:   queue + work,
-		TransferTime:  transferTime(r.opts.Source.State().Tree.Fleet.Links, zone, zone, m.class.kvBytes()),
+		TransferTime:  a.transferTime(),
 		KVLife:        m.class.timeouts.KVLife,
 		WasteWeight:   m.class.team.WastedPrefillWeight,
 		Spread:        spread,
@@ -69,10 +68,12 @@
 	local, cancel := context.WithDeadline(ctx, m.deadline)
 	defer cancel()
 	if a.decode == nil {
-		work, spread := m.router.speeds.prefill(m.class.prompt)
+		work, spread := m.predictPrefill()
 		wait := work + spread + m.class.timeouts.KVLife
 		a.early = a.startEarly(ctx, a.wantDecode(min(wait, m.remaining())))
 	}
+	expected, _ := m.predictPrefill()
+	a.bookLink(time.Now().Add(a.prefill.grant.ReadyIn+expected), m.class.kvBytes())
 	m.event(timeline.KindPrefillStart, a.id, a.prefill.target.ID)
 	reply, err := m.router.opts.Engine.Prefill(local, a.prefill.target, m.router.gateUnder(a.prefill, m.gate), engineapi.PrefillRequest{
 		Work:      a.work(a.prefill.target, m.remaining()),
@@ -97,8 +98,7 @@
 	return s
 }
 
-// keep notes the KV cache, which lives
-// for the shorter of what the engine says and what the settings allow.
+// keep notes the KV cache, which lives for the shorter of what the engine says and what the settings allow.
 func (a *attempt) keep(reply engineapi.PrefillReply) {
 	m := a.run
 	life := m.class.timeouts.KVLife
@@ -109,9 +109,11 @@
 	if m.passed == 0 {
 		m.promptTokens = reply.PromptTokens
 	}
-	m.router.speeds.sawPrefill(reply.PromptTokens-reply.CachedTokens, reply.WorkMs)
+	m.router.opts.Prefill.Observe(reply.PromptTokens-reply.CachedTokens, millis(reply.WorkMs))
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // takeDecode waits for the decode slot while the KV cache lives.
 func (a *attempt) takeDecode(ctx context.Context) *setback {
 	if a.decode != nil {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -21,7 +21,7 @@
 	bounds   Bounds
 	hash     hasher
 	policies *policyCache
-	speeds   *speeds
+	links    *links
 	calls    *callTable
 	flight   *flight
 	seen     *seen
@@ -42,12 +42,15 @@
 		bounds:   o.Bounds.withDefaults(),
 		hash:     hasher{secret: o.Secret},
 		policies: newPolicyCache(o.Policies),
-		speeds:   newSpeeds(),
 		calls:    newCallTable(),
 		seen:     newSeen(),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 	}
 	r.life, r.abort = context.WithCancelCause(context.Background())
+	if o.Prefill == nil {
+		r.opts.Prefill = schedule.NewPrefillPredictor()
+	}
+	r.links = newLinks(o.Links)
 	r.flight = newFlight(r.bounds.Running)
 	r.metrics = newMetrics(o.Registerer, r.flight)
 	return r
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -86,10 +86,13 @@
 	local, cancel := context.WithTimeout(ctx, a.transferBound())
 	defer cancel()
 	gate := m.router.gateUnder(a.decode, m.gate)
+	a.bookLink(time.Now(), a.kv.reply.KVBytes)
+	defer a.leaveLink(0)
 	for {
-		_, err := m.router.opts.Engine.Import(local, a.decode.target, gate, a.importRequest())
+		reply, err := m.router.opts.Engine.Import(local, a.decode.target, gate, a.importRequest())
 		a.touch(a.decode, err)
 		if err == nil {
+			a.leaveLink(millis(reply.TransferMs))
 			m.event(timeline.KindTransferEnd, a.id, a.decode.target.ID)
 			return nil
 		}
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -45,6 +45,7 @@
 	onClaim  func()
 	events   []timeline.Event
 	noBudget bool // no retry is left
+	links    *schedule.LinkTable
 	// cancelLag is the time that a cancel takes until it is confirmed.
 	cancelLag time.Duration
 	// takeLag is the time that a home takes to grant a decode slot, whether or
@@ -143,7 +144,7 @@
 		Policies: func(settings.Decisions) (route.Policies, error) {
 			return route.Policies{Prefill: first{}, Decode: first{}, Plain: first{}, Start: w}, nil
 		},
-		Secret: []byte("secret"), Bounds: bounds,
+		Secret: []byte("secret"), Bounds: bounds, Links: w.links,
 	})
 }
 
