Endpoints are chosen by the link to the other end of the transfer

Cause: both choices weighed the link from the entry's zone, over which the KV cache never goes. Once one end is chosen the other is weighed by the link between the two.

--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -97,7 +97,7 @@
 	}
 	return schedule.Request{
 		Team:           m.req.Team,
-		EntryZone:      m.router.opts.Source.Self().Zone,
+		EntryZone:      a.near(),
 		PromptTokens:   m.class.prompt,
 		ExpectedTokens: m.class.output - m.passed,
 		Prefixes:       prefixes,
--- a/internal/route/links.go
+++ b/internal/route/links.go
@@ -75,6 +75,18 @@
 	return a.run.router.linkTable().Predict(now, now, from, to, a.run.class.kvBytes())
 }
 
+// near gives the zone that the next endpoint is to be near by link: the other
+// end of the KV transfer when that is chosen, else this entry's own.
+func (a *attempt) near() fleet.AvailabilityZone {
+	switch {
+	case a.prefill != nil:
+		return a.prefill.target.Zone
+	case a.decode != nil:
+		return a.decode.target.Zone
+	}
+	return a.run.router.opts.Source.Self().Zone
+}
+
 // predictPrefill gives the engine's time for the prompt, and its spread.
 func (m *modelRun) predictPrefill() (work, spread time.Duration) {
 	p := m.router.opts.Prefill
