--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -24,7 +24,7 @@
 	early   *earlyTake // a decode grant asked for while prefill runs
 	kv      kvCache
 	plan    schedule.StartPlan
-	link    *linkUse // booked for the KV transfer; nil: none
+	link    *linkUse          // booked for the KV transfer; nil: none
 	tokens  int               // output tokens of this attempt
 	checked *membership.State // under which the decode engine's zone was last looked at
 }
