--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
 // readerSize is the buffer of one stream in bytes; most chunks fit in it.
@@ -16,6 +17,7 @@
 
 var (
 	dataField = []byte("data:")
+	space     = []byte(" ")
 	fields    = [][]byte{[]byte("event:"), []byte("id:"), []byte("retry:")}
 )
 
@@ -25,10 +27,11 @@
 	buffer  *bufio.Reader
 	long    []byte // a line longer than the buffer
 	maxLine int
+	attempt fleet.AttemptID // whose chunks are expected
 }
 
-func newChunkReader(r io.Reader, maxLine int) *chunkReader {
-	return &chunkReader{buffer: bufio.NewReaderSize(r, readerSize), maxLine: maxLine}
+func newChunkReader(r io.Reader, maxLine int, attempt fleet.AttemptID) *chunkReader {
+	return &chunkReader{buffer: bufio.NewReaderSize(r, readerSize), maxLine: maxLine, attempt: attempt}
 }
 
 // next gives the next chunk. The stream's end gives ErrBroken: whole streams
@@ -41,7 +44,7 @@
 		}
 		data, ok := bytes.CutPrefix(line, dataField)
 		if ok {
-			return decodeChunk(data)
+			return decodeChunk(data, r.attempt)
 		}
 		if !passedOver(line) {
 			return engineapi.Chunk{}, fmt.Errorf("%w: not an event line", ErrMalformed)
@@ -106,7 +109,10 @@
 	return false
 }
 
-func decodeChunk(data []byte) (engineapi.Chunk, error) {
+func decodeChunk(data []byte, attempt fleet.AttemptID) (engineapi.Chunk, error) {
+	if chunk, ok := parseChunk(bytes.TrimPrefix(data, space), attempt); ok {
+		return chunk, nil
+	}
 	var chunk engineapi.Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return engineapi.Chunk{}, fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -42,7 +42,7 @@
 		unfollow: follow,
 		silence:  silence,
 		body:     response.Body,
-		chunks:   newChunkReader(response.Body, c.options.MaxLine),
+		chunks:   newChunkReader(response.Body, c.options.MaxLine, r.Attempt),
 		position: position{target: t, attempt: r.Attempt, next: r.Offset, end: r.MaxTokens},
 	}, nil
 }
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -236,7 +236,7 @@
 	f.Add([]byte(": c\nid: 1\r\ndata:{}\ndata: []\n"))
 	f.Add([]byte("data: " + strings.Repeat("z", 5000)))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		reader := newChunkReader(strings.NewReader(string(data)), 6000)
+		reader := newChunkReader(strings.NewReader(string(data)), 6000, testAttempt)
 		p := position{target: targetAt("127.0.0.1:1"), attempt: testAttempt, end: 10}
 		for {
 			c, err := reader.next()
@@ -256,7 +256,7 @@
 
 func BenchmarkDecodeChunk(b *testing.B) {
 	line := event(chunk(0, 1, ""))
-	reader := newChunkReader(&endless{line: line}, 64<<10)
+	reader := newChunkReader(&endless{line: line}, 64<<10, testAttempt)
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := reader.next(); err != nil {
