Waits are predicted by releases of all holds and by prefills in a row; audits survive a crash

Cause (read from the code; pairs follow): the first release of twenty holds was predicted at the least of their medians, which lies long after the median of the first release; each waiting prefill's rest was its whole stay, queue and transfer included, added up as if all ran at once. Both are now predicted as they happen: pooled quantiles of all holds, and an engine that computes one prefill after another with work learned as a line over prompt tokens. Lengths are bounded by what the caller allows.

--- a/cmd/hyssopsail-standin/config.go
+++ b/cmd/hyssopsail-standin/config.go
@@ -95,6 +95,7 @@
 		string(engineapi.StagePrefill), string(engineapi.StageDecode), string(engineapi.StageCall))
 	app.Flag("faults", "Switches at the start, as JSON.").Default("{}").StringVar(&r.faults)
 	app.Flag("leave-bound", "Longest stop after SIGTERM.").Default("60s").DurationVar(&c.leaveBound)
+	app.Flag("audit-folder", "Folder for the audit of a process that the crash fault ends.").StringVar(&c.options.AuditFolder)
 	app.Flag("most-facts", "Attempts kept for the audit.").Default("200000").IntVar(&c.options.MostFacts)
 }
 
--- a/internal/endpoint/core_digest.go
+++ b/internal/endpoint/core_digest.go
@@ -92,34 +92,6 @@
 	}
 }
 
-// queuedWork predicts the work ahead of a new prefill. The engine's report is
-// late: what it told has gone on since, and what was granted since is not in
-// it. Where the home's own books say more, they are right.
-func (c *core) queuedWork(now time.Time, r *record) time.Duration {
-	own := time.Duration(0)
-	since := time.Duration(0)
-	for _, h := range r.holds {
-		if h.key.kind != fleet.RolePrefill || h.stage == engineapi.StageExported {
-			continue
-		}
-		rest := c.predictor.Remaining(h.finished(), h.expected, now.Sub(h.granted), medianQuantile)
-		own += rest
-		if h.granted.After(r.loadAt) {
-			since += rest
-		}
-	}
-	for _, w := range r.queue.all() {
-		if w.ask.kind == fleet.RolePrefill {
-			own += millis(w.work)
-		}
-	}
-	told := time.Duration(0)
-	if r.load.PrefillQueueMs > 0 {
-		told = max(millis(min(r.load.PrefillQueueMs, float64(maxWait.Milliseconds())))-now.Sub(r.loadAt), 0)
-	}
-	return max(own, told+since)
-}
-
 // tokenTime prefers the engine's own figure, which knows its batch.
 func (c *core) tokenTime(r *record) time.Duration {
 	if t := r.load.TokenTimeMs; t > 0 && t < 10_000 {
--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -96,10 +96,10 @@
 
 // promiseReady predicts when the slot that h waits for is free.
 func (r *record) promiseReady(now time.Time, p *Predictor, h *hold) time.Duration {
-	rest := r.forecast(now, p).rest
+	f := r.forecast(now, p)
 	for n, other := range r.promised() {
-		if other == h && len(rest) > 0 {
-			return rest[min(n, len(rest)-1)]
+		if other == h && f.used > 0 {
+			return f.release(min(n, f.used-1))
 		}
 	}
 	return 0
--- a/internal/endpoint/core_release.go
+++ b/internal/endpoint/core_release.go
@@ -50,7 +50,7 @@
 		return answer{status: statusGranted}
 	}
 	if there && h.state != holdReleased {
-		c.learn(h, q)
+		c.learn(now, r, h, q)
 		c.free(now, r, h)
 		c.out.events = append(c.out.events, timeline.Event{
 			Kind: timeline.KindReleased, Endpoint: q.endpoint, Attempt: q.key.attempt, Team: h.team,
@@ -66,7 +66,7 @@
 	return answer{status: statusGranted}
 }
 
-func (c *core) learn(h *hold, q releaseAsk) {
+func (c *core) learn(now time.Time, r *record, h *hold, q releaseAsk) {
 	if q.reason != pb.ReleaseReason_RELEASE_REASON_COMPLETED {
 		return
 	}
@@ -74,6 +74,7 @@
 	f.OutputTokens = q.tokens
 	f.Busy = q.busy
 	c.predictor.Observe(f)
+	c.learnService(now, r, h)
 }
 
 // endpointFailed keeps what ran and has the endpoint probed.
--- a/internal/endpoint/forecast.go
+++ b/internal/endpoint/forecast.go
@@ -8,40 +8,52 @@
 // forecast is when an endpoint's slots are predicted to be free.
 type forecast struct {
 	wait     time.Duration   // before anything is granted
-	rest     []time.Duration // of each slot in use, shortest first
+	rest     []time.Duration // restParts possible times for each slot in use, shortest first
+	used     int             // slots in use
 	slots    int
 	promised int // slots already given before they are free
 }
 
+// restParts is how many quantiles of a hold's remaining time a forecast uses.
+const restParts = 8
+
+// forecast pools equally likely remaining times of all holds. The n-th release
+// is where n holds' worth of them lie before. Medians in their place would put
+// the first release of twenty holds at the least of twenty medians, long after
+// the median of the first release: half of the holds end before their medians,
+// and the first to end does so far before its own.
 func (r *record) forecast(now time.Time, p *Predictor) forecast {
 	f := forecast{
-		wait:     max(r.quiet.Sub(now), 0),
-		rest:     make([]time.Duration, 0, len(r.holds)),
-		slots:    r.announced.Slots,
-		promised: 0,
+		wait:  max(r.quiet.Sub(now), 0),
+		rest:  make([]time.Duration, 0, restParts*len(r.holds)),
+		slots: r.announced.Slots,
 	}
 	for _, h := range r.holds {
 		if h.state == holdPromised {
 			f.promised++
 			continue
 		}
-		rest := p.Remaining(h.finished(), h.expected, now.Sub(h.granted), medianQuantile)
-		f.rest = append(f.rest, max(rest, time.Millisecond))
+		f.used++
+		f.rest = p.rests(f.rest, h.finished(), h.expected, now.Sub(h.granted))
 	}
 	slices.Sort(f.rest)
 	return f
 }
 
+// release predicts the time of the n-th release from now on (0: the next).
+func (f forecast) release(n int) time.Duration {
+	return f.rest[n*restParts+restParts/2]
+}
+
 // freeIn predicts when the n-th slot from now (0: the next) is free, beyond
 // those that promises wait for.
 func (f forecast) freeIn(n int) time.Duration {
-	at := n + f.promised - (f.slots - len(f.rest))
-	if at < 0 || len(f.rest) == 0 {
+	at := n + f.promised - (f.slots - f.used)
+	if at < 0 || f.used == 0 {
 		return f.wait
 	}
-	longest := f.rest[len(f.rest)-1]
-	rounds := time.Duration(at / len(f.rest))
-	return f.wait + f.rest[at%len(f.rest)] + rounds*longest
+	rounds := time.Duration(at / f.used)
+	return f.wait + f.release(at%f.used) + rounds*f.release(f.used-1)
 }
 
 func (h *hold) finished() Finished {
--- a/internal/endpoint/predictor.go
+++ b/internal/endpoint/predictor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/leastsquares"
 )
 
 // Predictor learns from finished work how long a hold will last: output
@@ -13,9 +14,10 @@
 // work. Pure but for its injected random source. Not safe for concurrent use.
 type Predictor struct {
 	random  *rand.Rand
-	lengths map[predictorKey]*sample // output tokens
-	busy    map[predictorKey]*sample // ms, for work that isn't decode
-	tokens  map[string]float64       // ms a token, by model
+	lengths map[predictorKey]*sample      // output tokens
+	busy    map[predictorKey]*sample      // ms, for work that isn't decode
+	tokens  map[string]float64            // ms a token, by model
+	service map[string]*leastsquares.Sums // ms of engine work over prompt tokens, by model
 }
 
 type predictorKey struct {
@@ -42,6 +44,7 @@
 		lengths: make(map[predictorKey]*sample),
 		busy:    make(map[predictorKey]*sample),
 		tokens:  make(map[string]float64),
+		service: make(map[string]*leastsquares.Sums),
 	}
 }
 
@@ -118,10 +121,34 @@
 	if !ok {
 		total = fallbackLength(expected, done)
 	}
+	if expected > 0 {
+		total = capLength(total, float64(expected), done)
+	}
 	return time.Duration((total - done) * float64(each))
 }
 
-// fallbackLength expects the allowed length, and work beyond it to double.
+// overdueShare of the allowed length is expected of work that should have
+// ended by the learned token time, which was wrong then.
+const overdueShare = 0.05
+
+// capLength bounds a length by what the caller allows.
+func capLength(length, most, done float64) float64 {
+	if done >= most {
+		return done + overdueShare*most
+	}
+	return min(length, most)
+}
+
+// rests appends restParts equally likely remaining times.
+func (p *Predictor) rests(list []time.Duration, f Finished, expected int, elapsed time.Duration) []time.Duration {
+	for part := range restParts {
+		quantile := (float64(part) + 0.5) / restParts
+		list = append(list, max(p.Remaining(f, expected, elapsed, quantile), time.Millisecond))
+	}
+	return list
+}
+
+// fallbackLength expects the allowed length, and what has none to double.
 func fallbackLength(expected int, done float64) float64 {
 	length := float64(expected)
 	if expected <= 0 {
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -32,6 +32,7 @@
 	cache     cacheIndex
 	cacheAt   uint64 // the home's cache version at the last change
 	drain     drainRate
+	prefilled time.Time      // when the last prefill ended
 	home      fleet.Instance // by the view numbered homeView
 	homeKnown bool
 	homeView  uint64
--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -16,7 +16,8 @@
 )
 
 // AuditResult is what the emulated endpoints say about the run's requests.
-// What a process did before it died is missing.
+// What a process did before it died is missing, save for one that was ended by
+// the crash fault and left its audit.
 type AuditResult struct {
 	Endpoints       int      `json:"endpoints"` // that answered
 	PrefillMs       float64  `json:"prefill_ms"`
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -22,6 +22,7 @@
 	AskAddresses bool          `yaml:"ask_addresses"` // use GET /v1/addresses of the entries
 	Callers      int           `yaml:"callers"`       // processes that each keep an address answer, default 60
 	Audits       []string      `yaml:"audits"`        // host:port of emulated endpoints
+	AuditFolder  string        `yaml:"audit_folder"`  // with the audits of emulated endpoints that were crashed
 	Direct       []string      `yaml:"direct"`        // host:port of plain services, for direct streams
 	Capacity     Capacity      `yaml:"capacity"`
 	Streams      []Stream      `yaml:"streams"`
--- a/internal/load/register.go
+++ b/internal/load/register.go
@@ -22,6 +22,7 @@
 	file     string
 	entries  []string
 	audits   []string
+	crashed  string
 	direct   []string
 	keys     map[string]string
 	jsonFile string
@@ -36,6 +37,7 @@
 	cmd.Arg("file", "Experiment in YAML.").Required().StringVar(&c.file)
 	cmd.Flag("entry", "host:port of an entry, instead of the file's; repeatable.").StringsVar(&c.entries)
 	cmd.Flag("audit", "host:port of an emulated endpoint, besides the file's; repeatable.").StringsVar(&c.audits)
+	cmd.Flag("audit-folder", "Folder with the audits of emulated endpoints that crash, besides the file's.").StringVar(&c.crashed)
 	cmd.Flag("direct", "host:port of a plain service, for direct streams; repeatable.").StringsVar(&c.direct)
 	cmd.Flag("team-key", "team=key, instead of the file's; repeatable.").StringMapVar(&c.keys)
 	cmd.Flag("variant", "Name of what is measured, for comparisons.").StringVar(&c.options.Variant)
@@ -68,6 +70,9 @@
 		e.Entries = splitLists(c.entries)
 	}
 	e.Audits = append(e.Audits, splitLists(c.audits)...)
+	if c.crashed != "" {
+		e.AuditFolder = c.crashed
+	}
 	e.Direct = append(e.Direct, splitLists(c.direct)...)
 	for n := range e.Streams {
 		if key, ok := c.keys[e.Streams[n].Team]; ok {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -65,7 +65,7 @@
 	result.Generator = r.generator(unfinished, cpuSeconds()-cpu)
 	shares(&result, &e)
 	if len(e.Audits) > 0 {
-		after := readAudits(ctx, client, e.Audits)
+		after := append(readAudits(ctx, client, e.Audits), crashedAudits(e.AuditFolder)...)
 		result.Audit = auditResult(run, before, after, tallies)
 	}
 	return result, nil
--- a/internal/schedule/prefillpredictor.go
+++ b/internal/schedule/prefillpredictor.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/leastsquares"
 )
 
 // The line that PrefillPredictor starts from, before anything is observed.
@@ -20,9 +22,11 @@
 // concurrent use; Predict takes no lock.
 type PrefillPredictor struct {
 	mu   sync.Mutex
-	sums regression
-	seen int
-	line atomic.Pointer[prefillLine]
+	sums leastsquares.Sums
+	// residue is the decayed sum of squared errors, weighted like sums.
+	residue float64
+	seen    int
+	line    atomic.Pointer[prefillLine]
 }
 
 type prefillLine struct {
@@ -61,42 +65,23 @@
 	defer p.mu.Unlock()
 	before := p.line.Load()
 	residue := milliseconds(work) - (before.base + before.perToken*float64(tokens))
-	p.sums.add(float64(tokens), milliseconds(work), residue)
+	p.sums.Add(float64(tokens), milliseconds(work), prefillMemory)
+	p.residue = p.residue*(1-1/prefillMemory) + residue*residue
 	p.seen++
 	if p.seen < prefillEnough {
 		return
 	}
-	p.line.Store(p.sums.fit())
-}
-
-// regression holds the decayed sums of a least-squares line.
-type regression struct {
-	n, x, y, xx, xy, residue float64
-}
-
-func (s *regression) add(x, y, residue float64) {
-	keep := 1 - 1/prefillMemory
-	s.n = s.n*keep + 1
-	s.x = s.x*keep + x
-	s.y = s.y*keep + y
-	s.xx = s.xx*keep + x*x
-	s.xy = s.xy*keep + x*y
-	s.residue = s.residue*keep + residue*residue
+	p.line.Store(p.fit())
 }
 
 // fit gives the line. Where all prompts have about one length the slope isn't
 // determined, and the line goes through the origin and the mean.
-func (s *regression) fit() *prefillLine {
-	line := &prefillLine{spread: math.Sqrt(s.residue / s.n)}
-	determinant := s.n*s.xx - s.x*s.x
-	if determinant > 1e-3*s.n*s.xx {
-		line.perToken = (s.n*s.xy - s.x*s.y) / determinant
-		line.base = (s.y - line.perToken*s.x) / s.n
-	}
-	if line.perToken <= 0 || line.base < 0 {
-		line.base, line.perToken = 0, s.y/max(1, s.x)
+func (p *PrefillPredictor) fit() *prefillLine {
+	line, ok := p.sums.Line()
+	if !ok {
+		line = p.sums.ThroughOrigin()
 	}
-	return line
+	return &prefillLine{base: line.Base, perToken: line.Slope, spread: math.Sqrt(p.residue / p.sums.Weight())}
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -139,6 +139,11 @@
 func (s *Standin) Audit() Audit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.auditNow()
+}
+
+// auditNow is Audit with mu held.
+func (s *Standin) auditNow() Audit {
 	s.book.integrate(time.Now())
 	a := s.book.audit
 	a.Endpoint, a.Incarnation, a.Zone = s.options.ID, s.options.Incarnation, s.options.Zone
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -30,6 +30,7 @@
 	CutCalls       bool       `json:"cut_calls"`       // plain calls run, then the connection ends
 	HangCalls      bool       `json:"hang_calls"`      // plain calls run, and never answer
 	CallDelayMs    int64      `json:"call_delay_ms"`   // added to each plain call
+	Crash          bool       `json:"crash"`           // the process ends at once, after its audit was written
 }
 
 // SetFaults replaces all switches.
@@ -69,6 +70,7 @@
 			return
 		}
 		s.SetFaults(f)
+		s.crashByFault()
 	}
 	reply(w, f)
 }
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -35,6 +35,7 @@
 	CrashAt          engineapi.Stage // StagePrefill, StageDecode or StageCall
 	Faults           Faults          // at the start
 	MostFacts        int             // attempts kept for the audit; 0: 200000
+	AuditFolder      string          // gets the audit of a process that Faults.Crash ends; empty: none
 
 	Part logging.Part
 	// Exit ends the process; nil: os.Exit.
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -81,7 +81,7 @@
 	local id=$1
 	STANDIN_ARGS[$id]="--zone $(zone_of "$2") ${*:3}"
 	STANDINS+=("$id")
-	mkdir -p "$FLEET/$id"
+	mkdir -p "$FLEET/$id" "$FLEET/audits"
 	run_endpoint "$id"
 }
 
@@ -90,7 +90,7 @@
 	for n in "${!DAEMONS[@]}"; do entries+=(--entry "127.0.0.1:$(port "$n" 2)"); done
 	rm -f "$FLEET/$id/address"
 	# shellcheck disable=SC2086 # the arguments hold no spaces of their own
-	"$BIN/hyssopsail-standin" --id "$id" --leave-grace 500ms --link-rate 5000000000 --address-file "$FLEET/$id/address" \
+	"$BIN/hyssopsail-standin" --id "$id" --leave-grace 500ms --link-rate 5000000000 --address-file "$FLEET/$id/address" --audit-folder "$FLEET/audits" \
 		"${entries[@]}" ${STANDIN_ARGS[$id]} 2>>"$FLEET/$id/log" &
 	PIDS+=($!)
 	STANDIN_PID[$id]=$!
@@ -164,7 +164,8 @@
 
 act() {
 	case $1 in
-	engine-killed) kill -KILL "${STANDIN_PID[decode-0]}" ;;
+	# The process ends like a killed one but leaves its audit.
+	engine-killed) curl -sS -X POST -d '{"crash":true}' "http://$(address_of decode-0)/faults" >/dev/null 2>&1 || true ;;
 	entry-killed) kill -KILL "${DAEMON_PID[8]}" ;;
 	zone-slow) set_faults '{"slow":2}' $(in_zone "${ZONES[1]}") ;;
 	link-stalled)
