--- a/internal/load/audit.go
+++ b/internal/load/audit.go
@@ -72,22 +72,27 @@
 }
 
 func readAudit(ctx context.Context, client *http.Client, address string) *endpointAudit {
+	a := &endpointAudit{}
+	if getJSON(ctx, client, "http://"+address+"/audit", a) != nil {
+		return nil
+	}
+	return a
+}
+
+// getJSON asks an emulated endpoint about itself.
+func getJSON(ctx context.Context, client *http.Client, url string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/audit", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil
+		return err
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil
+		return err
 	}
 	defer response.Body.Close()
-	a := &endpointAudit{}
-	if json.NewDecoder(io.LimitReader(response.Body, maxAudit)).Decode(a) != nil {
-		return nil
-	}
-	return a
+	return json.NewDecoder(io.LimitReader(response.Body, maxAudit)).Decode(into)
 }
 
 const maxExamples = 10
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -10,6 +10,7 @@
 	sender *sender
 	books  []*addressBook
 	direct []string
+	engine *directEngines // nil: no direct model streams
 }
 
 // run gives the last answer of the job.
@@ -27,6 +28,9 @@
 }
 
 func (c *caller) once(ctx context.Context, j *job) answer {
+	if j.stream.Direct && j.stream.Model != "" {
+		return c.engine.send(ctx, j, c.sender.expect)
+	}
 	if j.stream.Direct {
 		return c.sender.send(ctx, j, c.direct[j.number%len(c.direct)])
 	}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -40,9 +40,6 @@
 	if s.Load > 0 && (s.Model == "" || !c.known()) {
 		return trace.BadParameter("load needs a model and the experiment's capacity")
 	}
-	if s.Direct && s.Service == "" {
-		return trace.BadParameter("only calls of plain services can go to endpoints directly")
-	}
 	if s.Path[0] != '/' {
 		return trace.BadParameter("path must begin with /")
 	}
@@ -58,6 +55,19 @@
 	return s.OutputTokens.check("output_tokens")
 }
 
+// checkDirect tells whether the direct streams have somewhere to go.
+func (e Experiment) checkDirect() error {
+	for _, s := range e.Streams {
+		switch {
+		case s.Direct && s.Model != "" && len(e.Engines) == 0:
+			return trace.BadParameter("stream %q is direct but no engines are given", s.Name)
+		case s.Direct && s.Model == "" && len(e.Direct) == 0:
+			return trace.BadParameter("stream %q is direct but no endpoints are given", s.Name)
+		}
+	}
+	return nil
+}
+
 func (m Mix) check(field string) error {
 	if len(m) == 0 {
 		return trace.BadParameter("%s is missing", field)
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -17,13 +17,14 @@
 	Warmup       time.Duration `yaml:"warmup"`   // arrivals at the start that aren't counted
 	Drain        time.Duration `yaml:"drain"`    // longest wait for answers after the last arrival, default 30s
 	MaxRequests  int           `yaml:"max_requests"`
-	MaxInFlight  int           `yaml:"max_in_flight"` // default 4000
-	Entries      []string      `yaml:"entries"`       // host:port
-	AskAddresses bool          `yaml:"ask_addresses"` // use GET /v1/addresses of the entries
-	Callers      int           `yaml:"callers"`       // processes that each keep an address answer, default 60
-	Audits       []string      `yaml:"audits"`        // host:port of emulated endpoints
-	AuditFolder  string        `yaml:"audit_folder"`  // with the audits of emulated endpoints that were crashed
-	Direct       []string      `yaml:"direct"`        // host:port of plain services, for direct streams
+	MaxInFlight  int           `yaml:"max_in_flight"`  // default 4000
+	Entries      []string      `yaml:"entries"`        // host:port
+	AskAddresses bool          `yaml:"ask_addresses"`  // use GET /v1/addresses of the entries
+	Callers      int           `yaml:"callers"`        // processes that each keep an address answer, default 60
+	Audits       []string      `yaml:"audits"`         // host:port of emulated endpoints
+	AuditFolder  string        `yaml:"audit_folder"`   // with the audits of emulated endpoints that were crashed
+	Direct       []string      `yaml:"direct"`         // host:port of plain services, for direct streams
+	Engines      []string      `yaml:"direct_engines"` // host:port of emulated engines that announce themselves to no entry, for direct model streams
 	Capacity     Capacity      `yaml:"capacity"`
 	Streams      []Stream      `yaml:"streams"`
 }
@@ -52,7 +53,7 @@
 	Path      string `yaml:"path"`       // default "/"
 	BodyBytes Mix    `yaml:"body_bytes"` // default 200
 
-	Direct        bool   `yaml:"direct"`         // calls the endpoints themselves, to compare
+	Direct        bool   `yaml:"direct"`         // calls endpoints or engines themselves, to compare
 	Keyed         bool   `yaml:"keyed"`          // sends an Idempotency-Key
 	NotIdempotent bool   `yaml:"not_idempotent"` // sends Hyssopsail-Idempotent: false
 	Resend        Resend `yaml:"resend"`
--- a/internal/load/register.go
+++ b/internal/load/register.go
@@ -23,6 +23,7 @@
 	entries  []string
 	audits   []string
 	crashed  string
+	engines  []string
 	direct   []string
 	keys     map[string]string
 	jsonFile string
@@ -39,6 +40,7 @@
 	cmd.Flag("audit", "host:port of an emulated endpoint, besides the file's; repeatable.").StringsVar(&c.audits)
 	cmd.Flag("audit-folder", "Folder with the audits of emulated endpoints that crash, besides the file's.").StringVar(&c.crashed)
 	cmd.Flag("direct", "host:port of a plain service, for direct streams; repeatable.").StringsVar(&c.direct)
+	cmd.Flag("direct-engine", "host:port of an emulated engine that announces itself to no entry, for direct model streams; repeatable.").StringsVar(&c.engines)
 	cmd.Flag("team-key", "team=key, instead of the file's; repeatable.").StringMapVar(&c.keys)
 	cmd.Flag("variant", "Name of what is measured, for comparisons.").StringVar(&c.options.Variant)
 	cmd.Flag("pair", "Number of the interleaved pair.").IntVar(&c.options.Pair)
@@ -74,6 +76,7 @@
 		e.AuditFolder = c.crashed
 	}
 	e.Direct = append(e.Direct, splitLists(c.direct)...)
+	e.Engines = append(e.Engines, splitLists(c.engines)...)
 	for n := range e.Streams {
 		if key, ok := c.keys[e.Streams[n].Team]; ok {
 			e.Streams[n].Key = key
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -39,8 +38,8 @@
 	if len(e.Entries) == 0 {
 		return Result{}, trace.BadParameter("no entries are given")
 	}
-	if len(e.Direct) == 0 && slices.ContainsFunc(e.Streams, func(s Stream) bool { return s.Direct }) {
-		return Result{}, trace.BadParameter("a stream is direct but no endpoints are given")
+	if err := e.checkDirect(); err != nil {
+		return Result{}, trace.Wrap(err)
 	}
 	client := &http.Client{Transport: o.Transport}
 	if o.Transport == nil {
@@ -50,6 +49,13 @@
 	}
 	before := readAudits(ctx, client, e.Audits)
 	r := newRunner(&e, client, o)
+	if len(e.Engines) > 0 {
+		engines, err := newDirectEngines(ctx, client, e.Engines)
+		if err != nil {
+			return Result{}, trace.Wrap(err)
+		}
+		r.caller.engine = engines
+	}
 	cpu := cpuSeconds()
 	started := time.Now()
 	run := strconv.FormatInt(started.UnixNano(), 36)
