A take says how much work it believes to be ahead; a home refuses when there is more

Cause: nine entries choose on digests up to 900 ms old, and several send their prefills to the engine that was idle.

The home refuses a take when more than believed plus 100 ms is ahead; the reply brings its figures, and the choice is made again among the others. After two refusals a take waits wherever it comes to, and with fewer than four endpoints to choose from there is no bound.

home.proto: GrantRequest.most_ahead_ms.

--- a/internal/endpoint/ask.go
+++ b/internal/endpoint/ask.go
@@ -19,6 +19,7 @@
 	expected    int
 	wait        time.Duration
 	lead        time.Duration
+	mostAhead   time.Duration // 0: no bound
 	share       float64
 	priority    int
 	fingerprint fleet.Fingerprint
@@ -65,6 +66,7 @@
 		expected:    int(p.GetExpectedTokens()),
 		wait:        boundedMs(p.GetWaitMs(), maxWait),
 		lead:        boundedMs(p.GetLeadMs(), maxLead),
+		mostAhead:   boundedMs(p.GetMostAheadMs(), maxWait),
 		share:       boundedShare(p.GetShare()),
 		priority:    int(min(p.GetPriority(), 9)),
 		fingerprint: print,
--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -38,9 +38,18 @@
 		// A copy of a request whose slot was given back: late on its way.
 		return answer{status: statusFull}, nil
 	}
+	if a.mostAhead > 0 && c.ahead(now, r) > a.mostAhead {
+		return c.full(now, r, r.queue.size), nil
+	}
 	return c.queueAsk(now, r, a)
 }
 
+// ahead predicts what a new request waits for at an endpoint: a slot, and for
+// a prefill the work before it.
+func (c *core) ahead(now time.Time, r *record) time.Duration {
+	return r.forecast(now, c.predictor).freeIn(r.queue.size) + c.queuedWork(now, r)
+}
+
 // whileLeaving lets confirmed work be renewed and gives nothing new.
 func (c *core) whileLeaving(now time.Time, r *record, a *ask) answer {
 	if h, ok := r.holds[a.key()]; ok && h.confirmed() {
@@ -99,7 +108,7 @@
 	f := r.forecast(now, p)
 	for n, other := range r.promised() {
 		if other == h && f.used > 0 {
-			return f.release(min(n, f.used-1))
+			return f.release(min(n, f.used-1), likelyPart)
 		}
 	}
 	return 0
@@ -180,7 +189,7 @@
 			c.dispatch(now, r, w, holdFirm, 0)
 			continue
 		}
-		ready := r.forecast(now, c.predictor).freeIn(0)
+		ready := r.forecast(now, c.predictor).likelyFreeIn(0)
 		if len(r.promised()) >= maxPromised(r.announced.Slots) || ready > w.ask.lead {
 			return
 		}
--- a/internal/endpoint/follower.go
+++ b/internal/endpoint/follower.go
@@ -27,6 +27,7 @@
 	attemptsMu sync.Mutex
 	attempts   map[takenKey]*taken
 	byAttempt  map[fleet.AttemptID]int
+	doubts     doubts
 }
 
 const (
@@ -52,6 +53,7 @@
 		peers:     newPeers(),
 		attempts:  make(map[takenKey]*taken),
 		byAttempt: make(map[fleet.AttemptID]int),
+		doubts:    make(doubts),
 	}
 	f.index.Store(newIndex(nil))
 	return f
--- a/internal/endpoint/follower_take.go
+++ b/internal/endpoint/follower_take.go
@@ -26,6 +26,7 @@
 	}
 	key := takenKey{r.Endpoint, holdKey{r.Attempt, r.Kind}}
 	t := &taken{request: f.message(r), address: home.RPCAddress}
+	t.request.MostAheadMs = uint64(f.mostAhead(time.Now(), x, known, r).Milliseconds())
 	f.track(key, t)
 	known.underway.Add(1)
 	defer known.underway.Add(-1)
@@ -80,6 +81,9 @@
 		return nil, nil, trace.Wrap(err, "home of endpoint %s", key.endpoint)
 	}
 	f.piggyback(asked, reply.GetDigests())
+	f.settled(key.hold, t.request.MostAheadMs > 0 && reply.GetStatus() == statusFull)
+	// A renewal is for a slot that is held already, whatever is ahead of others.
+	t.request.MostAheadMs = 0
 	if reply.GetStatus() != statusGranted {
 		f.metrics.takes.WithLabelValues("refused").Inc()
 		f.untrack(key)
--- a/internal/endpoint/forecast.go
+++ b/internal/endpoint/forecast.go
@@ -40,20 +40,33 @@
 	return f
 }
 
+// The parts of a hold beyond the n holds before it at which the n-th release
+// is expected: half of the time before and half after, or two times in three or more often before.
+const (
+	middlePart = restParts / 2
+	likelyPart = restParts + middlePart
+)
+
 // release predicts the time of the n-th release from now on (0: the next).
-func (f forecast) release(n int) time.Duration {
-	return f.rest[n*restParts+restParts/2]
+func (f forecast) release(n, part int) time.Duration {
+	return f.rest[min(n*restParts+part, len(f.rest)-1)]
 }
 
 // freeIn predicts when the n-th slot from now (0: the next) is free, beyond
 // those that promises wait for.
-func (f forecast) freeIn(n int) time.Duration {
+func (f forecast) freeIn(n int) time.Duration { return f.free(n, middlePart) }
+
+// likelyFreeIn is a time by which the n-th slot is free two times in three or more often. Promises
+// go by it: a KV cache whose slot comes late is thrown away.
+func (f forecast) likelyFreeIn(n int) time.Duration { return f.free(n, likelyPart) }
+
+func (f forecast) free(n, part int) time.Duration {
 	at := n + f.promised - (f.slots - f.used)
 	if at < 0 || f.used == 0 {
 		return f.wait
 	}
 	rounds := time.Duration(at / f.used)
-	return f.wait + f.release(at%f.used) + rounds*f.release(f.used-1)
+	return f.wait + f.release(at%f.used, part) + rounds*f.release(f.used-1, middlePart)
 }
 
 func (h *hold) finished() Finished {
--- /dev/null
+++ b/internal/endpoint/forecast_test.go
@@ -0,0 +1,118 @@
+package endpoint
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// twentyHolds is a full engine whose outputs have 100 to 300 tokens of 10 ms,
+// begun at random moments of the last three seconds; begun gives how long ago.
+func twentyHolds(random *rand.Rand) (r *record, p *Predictor, begun []time.Duration) {
+	p = NewPredictor(random)
+	for range 500 {
+		tokens := 100 + random.IntN(200)
+		p.Observe(Finished{Team: "sorters", Model: "m@1", Kind: fleet.RoleDecode, OutputTokens: tokens, Busy: time.Duration(tokens) * 10 * time.Millisecond})
+	}
+	r = newRecord(epoch, announcement("e1", 20), epoch)
+	for n := range 20 {
+		ago := time.Duration(random.IntN(1500)) * time.Millisecond
+		key := holdKey{fleet.AttemptID(fmt.Sprint(n)), fleet.RoleDecode}
+		r.holds[key] = &hold{key: key, team: "sorters", model: "m@1", granted: epoch.Add(-ago)}
+		begun = append(begun, ago)
+	}
+	return r, p, begun
+}
+
+// A full engine of twenty requests frees a slot every hundred milliseconds, yet
+// callers are refused, since the first release is predicted a second away: at
+// the least of the medians of each request's rest, by which time several others
+// have ended.
+func TestForecastOfTheNextReleases(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	r, p, begun := twentyHolds(random)
+	f := r.forecast(epoch, p)
+	const draws = 2001
+	releases := make([][]time.Duration, 20)
+	for range draws {
+		var rests []time.Duration
+		for _, ago := range begun {
+			least := max(100, int(ago/(10*time.Millisecond))+1)
+			rests = append(rests, time.Duration(least+random.IntN(300-least))*10*time.Millisecond-ago)
+		}
+		slices.Sort(rests)
+		for n, rest := range rests {
+			releases[n] = append(releases[n], rest)
+		}
+	}
+	for n := range 10 {
+		slices.Sort(releases[n])
+		median := releases[n][draws/2]
+		late := releases[n][draws*2/3]
+		predicted := f.freeIn(n)
+		assert.Assert(t, predicted > median*6/10 && predicted < median*14/10, "release %d: predicted %v, median %v", n, predicted, median)
+		assert.Assert(t, f.likelyFreeIn(n) >= late, "release %d: likely by %v, two in three by %v", n, f.likelyFreeIn(n), late)
+	}
+	medians := time.Hour
+	for _, ago := range begun {
+		medians = min(medians, p.Remaining(Finished{Team: "sorters", Model: "m@1", Kind: fleet.RoleDecode}, 0, ago, medianQuantile))
+	}
+	assert.Assert(t, medians > 2*f.freeIn(0), "the least of the medians, %v, would do as well as %v", medians, f.freeIn(0))
+}
+
+// What a caller allows bounds its output, whatever others have taken.
+func TestRemainingIsBoundedByWhatIsAllowed(t *testing.T) {
+	p := NewPredictor(rand.New(rand.NewPCG(1, 1)))
+	f := Finished{Team: "sorters", Model: "m@1", Kind: fleet.RoleDecode}
+	learned := f
+	learned.OutputTokens, learned.Busy = 300, 3*time.Second
+	p.Observe(learned)
+	assert.Equal(t, p.Remaining(f, 0, 0, medianQuantile), 3*time.Second)
+	assert.Equal(t, p.Remaining(f, 120, 0, medianQuantile), 1200*time.Millisecond)
+	overdue := p.Remaining(f, 120, 2*time.Second, medianQuantile)
+	assert.Assert(t, overdue > 0 && overdue < 200*time.Millisecond, overdue)
+}
+
+// Four prefills wait at an engine that computes one after another. Each stays
+// for what is before it besides its own work; the sum of the stays would be
+// more than twice the work, and callers would be refused in its name.
+func TestPrefillsInARow(t *testing.T) {
+	const work = 400 * time.Millisecond
+	c := soleHome(t, 20, guards{})
+	a := announcement("e1", 20)
+	a.Role = fleet.RolePrefill
+	beatCore(c, epoch, a, 2)
+	prefill := func(n int, now time.Time) {
+		q := askFor(fmt.Sprint("p", n), now)
+		q.kind, q.prompt = fleet.RolePrefill, 1500
+		given, _ := c.grant(now, q)
+		assert.Equal(t, given.status, statusGranted)
+	}
+	for round := range 5 {
+		now := at(time.Duration(round) * 5 * work)
+		for n := range 4 {
+			prefill(4*round+n, now)
+		}
+		for n := range 4 {
+			now = now.Add(work)
+			beatCore(c, now, a, uint64(3+4*round+n))
+			c.release(now, releaseAsk{endpoint: "e1", key: holdKey{fleet.AttemptID(fmt.Sprint("p", 4*round+n)), fleet.RolePrefill},
+				owner: instance("owner", zoneFar).Owner(), reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED,
+				busy: time.Duration(n+1) * work})
+		}
+	}
+	now := at(25 * work)
+	for n := range 4 {
+		prefill(100+n, now)
+	}
+	ahead := c.queuedWork(now.Add(work/2), c.endpoints["e1"])
+	want := 4*work - work/2
+	assert.Assert(t, ahead > want-20*time.Millisecond && ahead < want+20*time.Millisecond, "%v, not about %v", ahead, want)
+}
