--- a/internal/replica/process_test.go
+++ b/internal/replica/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,44 +18,40 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
-	"github.com/hyssopsail/hyssopsail/internal/storage"
-	"github.com/hyssopsail/hyssopsail/internal/timeline"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
-// childVariable makes the test binary run as one node: its value is the
-// folder, with the name of the instance last.
+// childVariable makes the test binary run as one node: its value is a
+// childConfig in JSON.
 const childVariable = "HYSSOPSAIL_TEST_NODE"
 
+// childConfig is what a child process needs to know.
+type childConfig struct {
+	Dir, Address string
+	Keys         rpc.Files
+}
+
 func TestMain(m *testing.M) {
-	if dir := os.Getenv(childVariable); dir != "" {
-		runChild(dir)
+	if text := os.Getenv(childVariable); text != "" {
+		var config childConfig
+		must(json.Unmarshal([]byte(text), &config))
+		runChild(config)
 		return
 	}
 	os.Exit(m.Run())
 }
 
 // runChild answers requests, one a line, until its input ends.
-func runChild(dir string) {
-	listener, err := net.Listen("tcp", os.Getenv(childVariable+"_ADDRESS"))
+func runChild(c childConfig) {
+	listener, err := net.Listen("tcp", c.Address)
 	must(err)
-	config, err := rpc.LoadTLS(filesIn(filepath.Dir(dir)))
+	config, err := rpc.LoadTLS(c.Keys)
 	must(err)
-	pool := rpc.NewPool(config, timeline.NewClock(time.Now))
-	transport := NewTransport(pool, logging.Part{})
 	state := &journal{}
-	node, err := New(Options{
-		InstanceID: filepath.Base(dir), RPCAddress: listener.Addr().String(), Dir: dir, FS: storage.OSFS{},
-		Machine: state, Transport: transport, Seed: uint64(os.Getpid()),
-	})
+	node, _, err := serve(context.Background(), config, listener, c.Dir, filepath.Base(c.Dir), state)
 	must(err)
-	server := rpc.NewServer(config, timeline.NewClock(time.Now), logging.Part{})
-	must(pb.DRPCRegisterConsensus(server.Mux, stepServer{Group: node}))
-	go transport.Run(context.Background())
-	go server.Serve(context.Background(), listener)
-	go node.Run(context.Background())
 	fmt.Println(node.DiskID(), listener.Addr())
 	lines := bufio.NewScanner(os.Stdin)
 	for lines.Scan() {
@@ -93,19 +90,20 @@
 
 // child is a node in a process of its own.
 type child struct {
-	t            *testing.T
-	dir, address string
-	diskID       string
-	command      *exec.Cmd
-	input        io.WriteCloser
-	output       *bufio.Scanner
+	t       *testing.T
+	config  childConfig
+	diskID  string
+	command *exec.Cmd
+	input   io.WriteCloser
+	output  *bufio.Scanner
 }
 
 func startChild(t *testing.T, c *child) {
+	config, err := json.Marshal(c.config)
+	assert.NilError(t, err)
 	c.command = exec.Command(os.Args[0])
-	c.command.Env = append(os.Environ(), childVariable+"="+c.dir, childVariable+"_ADDRESS="+c.address)
+	c.command.Env = append(os.Environ(), childVariable+"="+string(config))
 	c.command.Stderr = os.Stderr
-	var err error
 	c.input, err = c.command.StdinPipe()
 	assert.NilError(t, err)
 	output, err := c.command.StdoutPipe()
@@ -113,7 +111,7 @@
 	assert.NilError(t, c.command.Start())
 	c.output = bufio.NewScanner(output)
 	assert.Assert(t, c.output.Scan(), "the child did not start")
-	c.diskID, c.address, _ = strings.Cut(c.output.Text(), " ")
+	c.diskID, c.config.Address, _ = strings.Cut(c.output.Text(), " ")
 	t.Cleanup(c.kill)
 }
 
@@ -122,16 +120,6 @@
 	_ = c.command.Wait()
 }
 
-// freeze returns once the kernel says that all threads are stopped: some may
-// run on, and answer, for a moment after the signal was sent.
-func (c *child) freeze() {
-	assert.NilError(c.t, c.command.Process.Signal(syscall.SIGSTOP))
-	var status syscall.WaitStatus
-	_, err := syscall.Wait4(c.command.Process.Pid, &status, syscall.WUNTRACED, nil)
-	assert.NilError(c.t, err)
-	assert.Assert(c.t, status.Stopped())
-}
-
 func (c *child) send(line string) {
 	_, err := fmt.Fprintln(c.input, line)
 	assert.NilError(c.t, err)
@@ -152,14 +140,14 @@
 
 func startChildren(t *testing.T) []*child {
 	base := t.TempDir()
-	writeFiles(t, base)
+	keys := testkit.Keys(t, base, "all")
 	var children []*child
 	var members []*pb.Member
 	for _, name := range []string{"a", "b", "c"} {
-		c := &child{t: t, dir: filepath.Join(base, name), address: "127.0.0.1:0"}
+		c := &child{t: t, config: childConfig{Dir: filepath.Join(base, name), Address: "127.0.0.1:0", Keys: keys}}
 		startChild(t, c)
 		children = append(children, c)
-		members = append(members, &pb.Member{InstanceId: name, DiskId: c.diskID, RpcAddress: c.address})
+		members = append(members, &pb.Member{InstanceId: name, DiskId: c.diskID, RpcAddress: c.config.Address})
 	}
 	data, err := json.Marshal(members)
 	assert.NilError(t, err)
@@ -167,29 +155,33 @@
 	return children
 }
 
-// leadingChild polls until one of children answers a read.
-func leadingChild(t *testing.T, children []*child) (*child, string) {
-	deadline := time.Now().Add(30 * time.Second)
-	for time.Now().Before(deadline) {
-		for _, c := range children {
-			if answer := c.ask("read"); strings.HasPrefix(answer, "ok") {
-				return c, strings.TrimPrefix(answer, "ok ")
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatal("no leader within 30 s")
-	return nil, ""
+// leadingChild waits until one of children answers a read.
+func leadingChild(t *testing.T, children []*child) (leader *child, state string) {
+	leader = waitForOne(t, 30*time.Second, children, func(c *child) bool {
+		answer := c.ask("read")
+		state = strings.TrimPrefix(answer, "ok ")
+		return strings.HasPrefix(answer, "ok")
+	})
+	return leader, state
 }
 
-func without(children []*child, gone *child) []*child {
-	var rest []*child
-	for _, c := range children {
-		if c != gone {
-			rest = append(rest, c)
+// waitForOne polls until ok holds for one of all.
+func waitForOne[T any](t testing.TB, limit time.Duration, all []T, ok func(T) bool) T {
+	t.Helper()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); <-poll.C {
+		if n := slices.IndexFunc(all, ok); n >= 0 {
+			return all[n]
 		}
 	}
-	return rest
+	t.Fatalf("none of %d within %s", len(all), limit)
+	panic("unreachable")
+}
+
+// without gives all but one.
+func without[T comparable](all []T, gone T) []T {
+	return slices.DeleteFunc(slices.Clone(all), func(one T) bool { return one == gone })
 }
 
 // The leader's process is stopped (SIGSTOP) for longer than its lease, with a
@@ -199,7 +191,7 @@
 	children := startChildren(t)
 	old, _ := leadingChild(t, children)
 	assert.Equal(t, old.ask("propose before"), "ok")
-	old.freeze()
+	testkit.Freeze(t, old.command.Process)
 	old.send("read")
 	old.send("propose late")
 	next, _ := leadingChild(t, without(children, old))
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -68,6 +68,8 @@
 	}
 	claim := outcome.Claim{
 		Key:       m.router.hash.recordKey(m.req.Team, key, 0),
+		Team:      m.req.Team,
+		Fresh:     m.req.Key == "",
 		Permitted: m.class.permitted,
 		Attempt:   id,
 		Endpoint:  h.target.ID,
@@ -130,16 +132,17 @@
 			m.settle(h, id, s)
 			return nil, false, s
 		}
-		answer, sent, s = m.exchange(context.WithoutCancel(ctx), h, id)
+		answer, sent, s = m.exchangeUnbound(ctx, h, id)
 		m.settle(h, id, s)
 		if s == nil || sent {
 			return answer, sent, s
 		}
-		if !mendable(s.cause) || n >= onceTries || !m.router.mayRetry(m.req.Team, s.endpoint) {
+		if !mendable(s.cause) || n >= onceTries || !m.router.mayTryAgain(m.req.Team, s) {
 			return nil, false, s
 		}
 		m.avoid.add(s.endpoint)
-		next, refusal := m.take(ctx, id, alone)
+		// The first take's release may reach the same home after this take.
+		next, refusal := m.take(ctx, newAttemptID(), alone)
 		if refusal != nil {
 			return nil, false, refusal
 		}
@@ -147,6 +150,13 @@
 	}
 }
 
+// exchangeUnbound sends the call so that only Abort ends it early.
+func (m *callRun) exchangeUnbound(ctx context.Context, h *hold, id fleet.AttemptID) (answer *CallAnswer, sent bool, s *setback) {
+	unbound, stop := m.router.abortable(context.WithoutCancel(ctx))
+	defer stop()
+	return m.exchange(unbound, h, id)
+}
+
 // onceFailure is the caller's answer when the call has no whole answer: not
 // run when no byte left, unknown otherwise. Pure.
 func onceFailure(s *setback, sent bool) *Failure {
