--- a/internal/operator/order_test.go
+++ b/internal/operator/order_test.go
@@ -28,7 +28,7 @@
 	defer server.Close()
 	order := func(key string, in *pb.OrderEndpointRequest) error {
 		client := NewClient(ClientOptions{Addresses: []string{server.Listener.Addr().String()}, Key: key})
-		client.rounds = 0 // one answer is enough here
+		client.retryFor = 0 // one answer is enough here
 		_, err := client.Order(t.Context(), in)
 		return err
 	}
