--- a/internal/outcome/ask.go
+++ b/internal/outcome/ask.go
@@ -11,20 +11,14 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// historySkew allows for differences between the clocks of the control group
-// and of the entries.
-const historySkew = 10 * time.Second
-
 func (s *Service) circumstances(state *membership.State, g fleet.LedgerGroup) Circumstances {
-	life := recordLife(s.options, state)
-	lost := time.UnixMilli(g.HistoryLostMs)
 	return Circumstances{
 		Shard:       g.Shard,
 		Epoch:       g.Epoch,
 		Replicas:    len(g.Replicas),
 		Fast:        !s.options.NoFast && s.fast(g),
-		RecordLife:  life,
-		HistoryLost: g.HistoryLostMs != 0 && time.Since(lost) < life+historySkew,
+		RecordLife:  recordLife(s.options, state),
+		HistoryLost: g.HistoryLostMs != 0,
 		Alive:       state.View.Holds,
 	}
 }
@@ -37,11 +31,16 @@
 			return false
 		}
 	}
-	return true
+	return len(g.Replicas) > 0
 }
 
-// ask gives a replica's reply, calling it directly when it is this process.
-func (s *Service) ask(ctx context.Context, to fleet.Owner, q Request) Reply {
+// ask gives a replica's reply, calling it directly when it is this process. A
+// replica outside the zones that the settings permit the team now isn't asked.
+func (s *Service) ask(ctx context.Context, team fleet.Team, to fleet.Owner, q Request) Reply {
+	state := s.options.Source.State()
+	if !permits(state, team, state.View.Instances[to.Instance].Zone) {
+		return Reply{Status: ReplyUnreachable}
+	}
 	s.metrics.asked(q.Action, to == s.self)
 	if to == s.self {
 		return s.handle(q)
