--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -25,12 +25,14 @@
 	atOnce int
 }
 
+const modelBody = `{"model": "` + modelName + `", "messages": [{"role": "user", "content": "Three bales of cotton offcuts."}], "max_tokens": 8}`
+
 var kinds = []kind{
 	{"service call, repeatable", "/v1/services/" + serviceName + "/any", "slip", false, 16},
 	{"service call, repeatable, with key", "/v1/services/" + serviceName + "/any", "slip", true, 16},
 	{"service call, not repeatable", "/v1/services/" + serviceName + "/once", "slip", true, 16},
-	{"model request", "/v1/chat/completions",
-		`{"model": "` + modelName + `", "messages": [{"role": "user", "content": "Three bales of cotton offcuts."}], "max_tokens": 8}`, false, 64},
+	{"model request", "/v1/chat/completions", modelBody, false, 64},
+	{"model request, with key", "/v1/chat/completions", modelBody, true, 64},
 }
 
 // measureCalls sends requests of each kind to one entry: one after another for
--- a/internal/capacity/options.go
+++ b/internal/capacity/options.go
@@ -37,6 +37,6 @@
 	return options{
 		daemons: []int{3, 9, 27, 60}, endpoints: []int{27, 81, 243}, teams: []int{100, 700, 2100},
 		window: 10 * time.Second, repeats: 2, settle: 5 * time.Second,
-		changes: 80, kills: 30, burst: 5 * time.Second, calls: 400,
+		changes: 80, kills: 30, burst: 5 * time.Second, calls: 100,
 	}
 }
