--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -3,12 +3,14 @@
 package docs
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
+	"go.yaml.in/yaml/v3"
 	"gotest.tools/v3/assert"
 )
 
@@ -105,6 +107,39 @@
 	}
 }
 
+// A rules file or dashboard that doesn't parse is refused as a whole.
+func TestMonitoringFilesParse(t *testing.T) {
+	var rules struct {
+		Groups []struct {
+			Name  string `yaml:"name"`
+			Rules []struct {
+				Alert       string            `yaml:"alert"`
+				Expr        string            `yaml:"expr"`
+				For         string            `yaml:"for"`
+				Labels      map[string]string `yaml:"labels"`
+				Annotations map[string]string `yaml:"annotations"`
+			} `yaml:"rules"`
+		} `yaml:"groups"`
+	}
+	decoder := yaml.NewDecoder(strings.NewReader(read(t, "alerts.yaml")))
+	decoder.KnownFields(true)
+	assert.NilError(t, decoder.Decode(&rules))
+	for _, group := range rules.Groups {
+		for _, rule := range group.Rules {
+			assert.Check(t, rule.Expr != "" && rule.Annotations["summary"] != "", "%s", rule.Alert)
+			assert.Check(t, strings.Count(rule.Expr, "(") == strings.Count(rule.Expr, ")"), "%s", rule.Alert)
+		}
+	}
+	var dashboard struct {
+		Panels []struct {
+			Title   string
+			Targets []struct{ Expr string }
+		}
+	}
+	assert.NilError(t, json.Unmarshal([]byte(read(t, "dashboard.json")), &dashboard))
+	assert.Assert(t, len(dashboard.Panels) > 20)
+}
+
 // Each alert says what to do, and each part that writes to the log is named.
 func TestAlertsAndPrefixesAreExplained(t *testing.T) {
 	page := read(t, "MONITORING.md")
