--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -151,6 +151,18 @@
 	}
 }
 
+// A page that no index names is found by nobody.
+func TestIndexesAreComplete(t *testing.T) {
+	for index, pattern := range map[string]string{"DESIGN.md": "design/*.md", "PROOFS.md": "proofs/*.md"} {
+		paths, err := filepath.Glob(pattern)
+		assert.NilError(t, err)
+		text := read(t, index)
+		for _, path := range paths {
+			assert.Check(t, strings.Contains(text, "]("+path+")"), "%s doesn't name %s", index, path)
+		}
+	}
+}
+
 // A link of a page leads nowhere after a file was moved.
 func TestLinksLead(t *testing.T) {
 	for path, text := range pages(t) {
