suspect: the crash rule in a package of its own, below control

control (layer 4) had imported quarantine (layer 5) for the rule, which the test of DESIGN.md's layers refuses. The rule needs fleet and pb alone; it moves to internal/suspect as it is, with its tests. quarantine.ApplyCrash is now suspect.Apply, Limits.MaxSuspects is suspect.Limits.Most, QuarantineCrashes is AloneCrashes.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -133,8 +133,8 @@
 	}
 	m.orders.slots = append(m.orders.slots, s.GetLoadSlotsUnixMs()...)
 	for _, r := range s.GetState().GetSuspects() {
-		if suspect, ok := suspectFromProto(r); ok {
-			m.suspects.put(suspect)
+		if s, ok := suspectFromProto(r); ok {
+			m.suspects.put(s)
 		}
 	}
 	for _, c := range s.GetCrashes() {
--- a/internal/control/suspects.go
+++ b/internal/control/suspects.go
@@ -6,7 +6,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
-	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
 // crashKey names one death of an endpoint process.
@@ -17,7 +17,7 @@
 
 // suspects holds the fingerprints that ran on endpoints which died, and the
 // reports seen, so that a repeated report counts once. The rule is that of
-// package quarantine.
+// package suspect.
 type suspects struct {
 	records map[fleet.Fingerprint]fleet.Suspect
 	crashes map[crashKey]*pb.CrashRecord
@@ -41,9 +41,7 @@
 			return refusalMalformed
 		}
 	}
-	limits := quarantine.DefaultLimits
-	limits.MaxSuspects = maxSuspects
-	limits.SuspectLife = time.Duration(m.suspectLife()) * time.Millisecond
+	limits := suspect.Limits{Life: time.Duration(m.suspectLife()) * time.Millisecond, Most: maxSuspects}
 	m.delta.Suspects = append(m.delta.Suspects, m.suspects.report(index, c, m.clock, limits)...)
 	return ""
 }
@@ -52,7 +50,7 @@
 func (m *Machine) suspectLife() int64 {
 	life := m.tree.Fleet.Timeouts.QuarantineLife
 	if life <= 0 {
-		life = quarantine.DefaultLimits.SuspectLife
+		life = suspect.DefaultLimits.Life
 	}
 	return life.Milliseconds()
 }
@@ -60,7 +58,7 @@
 // report applies what is new in a report. A death may be reported twice, or in
 // parts by two homes of its endpoint; what an earlier part named isn't counted
 // again, and when that part had its suspect, later ones add nothing.
-func (s *suspects) report(index uint64, c *pb.ReportCrash, clock int64, limits quarantine.Limits) []*pb.SuspectRecord {
+func (s *suspects) report(index uint64, c *pb.ReportCrash, clock int64, limits suspect.Limits) []*pb.SuspectRecord {
 	earlier := s.remember(index, c)
 	part := &pb.ReportCrash{EndpointId: c.EndpointId, EndpointIncarnation: c.EndpointIncarnation}
 	for _, raw := range c.Fingerprints {
@@ -71,7 +69,7 @@
 	if len(part.Fingerprints) == 0 || s.explained(earlier) {
 		return nil
 	}
-	changed := quarantine.ApplyCrashWithin(s.records, part, time.UnixMilli(clock), limits)
+	changed := suspect.Apply(s.records, part, time.UnixMilli(clock), limits)
 	records := make([]*pb.SuspectRecord, 0, len(changed))
 	for _, next := range changed {
 		s.put(next)
@@ -83,7 +81,7 @@
 // explained tells whether one of these was at more than one death.
 func (s *suspects) explained(earlier map[fleet.Fingerprint]bool) bool {
 	for f := range earlier {
-		if s.records[f].Crashes >= quarantine.QuarantineCrashes {
+		if s.records[f].Crashes >= suspect.AloneCrashes {
 			return true
 		}
 	}
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
+)
 
 // Limits bound what the register and the shared suspects keep.
 type Limits struct {
@@ -8,7 +12,6 @@
 	ProvenLife   time.Duration // a completed run vouches for its fingerprint for so long
 	RunLife      time.Duration // a run whose end was lost is forgotten after this long
 	UnprovenRuns int           // concurrent runs of a fingerprint that never completed
-	MaxSuspects  int           // in the shared state; quarantined ones are evicted last
 	MaxTracked   int           // fingerprints tracked by one register
 	RetryAfter   time.Duration // a waiting run asks again after this long
 }
@@ -17,11 +20,10 @@
 // sent by two entries at once takes down two endpoints before either death is
 // known, and the neighbours of both can't be told from it. SuspectLife follows the settings' quarantine life.
 var DefaultLimits = Limits{
-	SuspectLife:  time.Hour,
+	SuspectLife:  suspect.DefaultLimits.Life,
 	ProvenLife:   10 * time.Minute,
 	RunLife:      10 * time.Minute,
 	UnprovenRuns: 1,
-	MaxSuspects:  4096,
 	MaxTracked:   65536,
 	RetryAfter:   50 * time.Millisecond,
 }
--- a/internal/quarantine/sim_test.go
+++ b/internal/quarantine/sim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
 const simTick = 10 * time.Millisecond
@@ -207,7 +208,7 @@
 }
 
 func (s *sim) reported(report *pb.ReportCrash) {
-	changed := ApplyCrash(s.truth, report, s.now)
+	changed := suspect.Apply(s.truth, report, s.now, suspect.DefaultLimits)
 	put(s.truth, changed)
 	s.later = append(s.later, simEvent{at: s.soon(100), do: func() { put(s.seen, changed) }})
 }
--- a/internal/quarantine/crash.go
+++ b/internal/suspect/apply.go
@@ -1,4 +1,4 @@
-package quarantine
+package suspect
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// QuarantineCrashes is the number of crashes after which a fingerprint that
+// AloneCrashes is the number of crashes after which a fingerprint that
 // was the only suspect on the endpoint is refused for good.
-const QuarantineCrashes = 2
+const AloneCrashes = 2
 
 // CompanyCrashes is the number of crashes after which a suspect is refused for
 // good although other suspects were on the endpoint each time. Suspects run
@@ -19,12 +19,7 @@
 // that comes together all the same would take down endpoints for ever.
 const CompanyCrashes = 3
 
-// ApplyCrash is ApplyCrashWithin the DefaultLimits.
-func ApplyCrash(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time) []fleet.Suspect {
-	return ApplyCrashWithin(suspects, report, now, DefaultLimits)
-}
-
-// ApplyCrashWithin gives the suspects that an endpoint's death changes, in
+// Apply gives the suspects that an endpoint's death changes, in
 // the order of their fingerprints, so that each replica of the shared state
 // computes the same list. It leaves suspects as it is. A changed suspect with
 // Crashes 0 is to be removed. The caller applies each endpoint incarnation's
@@ -34,7 +29,7 @@
 // When nothing that ran was a suspect, all of it becomes so. When exactly one
 // was, it is quarantined and its neighbours aren't counted: they were there by
 // chance. When several were, only these are counted, up to CompanyCrashes.
-func ApplyCrashWithin(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time, limits Limits) []fleet.Suspect {
+func Apply(suspects map[fleet.Fingerprint]fleet.Suspect, report *pb.ReportCrash, now time.Time, limits Limits) []fleet.Suspect {
 	ran := reported(report)
 	changed := expired(suspects, ran, now, limits)
 	known := stillSuspect(suspects, ran, now, limits)
@@ -48,7 +43,7 @@
 			s := suspects[f]
 			s.Crashes++
 			s.Updated = now
-			s.Quarantined = s.Quarantined || s.Crashes >= CompanyCrashes || (len(known) == 1 && s.Crashes >= QuarantineCrashes)
+			s.Quarantined = s.Quarantined || s.Crashes >= CompanyCrashes || (len(known) == 1 && s.Crashes >= AloneCrashes)
 			changed = append(changed, s)
 		}
 	}
@@ -81,7 +76,7 @@
 	var known []fleet.Fingerprint
 	for _, f := range ran {
 		s, ok := suspects[f]
-		if ok && now.Sub(s.Updated) < limits.SuspectLife {
+		if ok && now.Sub(s.Updated) < limits.Life {
 			known = append(known, f)
 		}
 	}
@@ -93,14 +88,14 @@
 func expired(suspects map[fleet.Fingerprint]fleet.Suspect, ran []fleet.Fingerprint, now time.Time, limits Limits) []fleet.Suspect {
 	var out []fleet.Suspect
 	for f, s := range suspects {
-		if now.Sub(s.Updated) >= limits.SuspectLife && !slices.Contains(ran, f) {
+		if now.Sub(s.Updated) >= limits.Life && !slices.Contains(ran, f) {
 			out = append(out, fleet.Suspect{Fingerprint: f})
 		}
 	}
 	return out
 }
 
-// evicted gives removals that keep the shared state within MaxSuspects: the
+// evicted gives removals that keep the shared state within Limits.Most: the
 // longest unchanged first, quarantined ones last, so that a flood of crashes
 // with many neighbours doesn't free a request that is known to crash
 // endpoints.
@@ -116,7 +111,7 @@
 		}
 		after[s.Fingerprint] = s
 	}
-	excess := len(after) - limits.MaxSuspects
+	excess := len(after) - limits.Most
 	if excess <= 0 {
 		return nil
 	}
--- a/internal/quarantine/crash_test.go
+++ b/internal/suspect/apply_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package suspect
 
 import (
 	"testing"
@@ -19,7 +19,7 @@
 	return report
 }
 
-func TestApplyCrash(t *testing.T) {
+func TestApply(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	fresh := now.Add(-time.Minute)
 	stale := now.Add(-2 * time.Hour)
@@ -66,7 +66,7 @@
 		t.Run(name, func(t *testing.T) {
 			before := make(map[fleet.Fingerprint]fleet.Suspect)
 			put(before, c.before)
-			assert.DeepEqual(t, ApplyCrash(before, reportOf(c.ran...), now), c.want)
+			assert.DeepEqual(t, Apply(before, reportOf(c.ran...), now, DefaultLimits), c.want)
 		})
 	}
 }
@@ -75,27 +75,24 @@
 // must stay within their bound and keep the quarantined one.
 func TestSuspectsAreBounded(t *testing.T) {
 	limits := DefaultLimits
-	limits.MaxSuspects = 10
+	limits.Most = 10
 	now := time.Unix(1_000_000, 0)
 	suspects := make(map[fleet.Fingerprint]fleet.Suspect)
 	put(suspects, []fleet.Suspect{{Fingerprint: fleet.Fingerprint{255}, Crashes: 2, Quarantined: true, Updated: now}})
 	for n := range byte(50) {
 		now = now.Add(time.Second)
-		put(suspects, ApplyCrashWithin(suspects, reportOf(3*n, 3*n+1, 3*n+2), now, limits))
-		assert.Assert(t, len(suspects) <= limits.MaxSuspects)
+		put(suspects, Apply(suspects, reportOf(3*n, 3*n+1, 3*n+2), now, limits))
+		assert.Assert(t, len(suspects) <= limits.Most)
 	}
 	assert.Assert(t, suspects[fleet.Fingerprint{255}].Quarantined)
 }
 
-func TestFingerprint(t *testing.T) {
-	same := FingerprintOf([]byte("s"), "tainan", "gloss", []byte("verse"))
-	assert.Equal(t, same, FingerprintOf([]byte("s"), "tainan", "gloss", []byte("verse")))
-	others := []fleet.Fingerprint{
-		FingerprintOf([]byte("t"), "tainan", "gloss", []byte("verse")),
-		FingerprintOf([]byte("s"), "tainang", "loss", []byte("verse")),
-		FingerprintOf([]byte("s"), "tainan", "glossv", []byte("erse")),
-	}
-	for _, o := range others {
-		assert.Assert(t, o != same)
+func put(suspects map[fleet.Fingerprint]fleet.Suspect, changed []fleet.Suspect) {
+	for _, c := range changed {
+		if c.Crashes == 0 {
+			delete(suspects, c.Fingerprint)
+			continue
+		}
+		suspects[c.Fingerprint] = c
 	}
 }
