--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -15,7 +15,7 @@
 // EmptyTree is the tree of a fleet without any settings.
 func EmptyTree() *Tree {
 	return &Tree{
-		Fleet:    DefaultFleet(),
+		Fleet:    defaultFleet(),
 		Teams:    map[fleet.Team]Team{},
 		Versions: map[string]uint64{},
 		teamOf:   map[KeyHash]fleet.Team{},
@@ -86,7 +86,7 @@
 		if len(document.GetYaml()) == 0 {
 			continue
 		}
-		subtree, err := ParseSubtree(document.GetName(), document.GetYaml())
+		subtree, err := parseSubtree(document.GetName(), document.GetYaml())
 		if err != nil {
 			return nil, trace.Wrap(err, "version %d of %s", document.GetVersion(), document.GetName())
 		}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// DefaultFleet is what a fleet subtree starts from.
-func DefaultFleet() Fleet {
+// defaultFleet is what a fleet subtree starts from.
+func defaultFleet() Fleet {
 	return Fleet{
 		WeightStore: WeightStore{Rate: 1e9, ConcurrentLoads: DefaultConcurrentLoads},
 		Decisions:   DefaultDecisions(),
@@ -45,8 +45,8 @@
 	}
 }
 
-// DefaultTeam is what a team's subtree starts from.
-func DefaultTeam() Team {
+// defaultTeam is what a team's subtree starts from.
+func defaultTeam() Team {
 	return Team{
 		Targets:             Targets{FirstToken: 1600 * time.Millisecond, TokenGap: 38 * time.Millisecond},
 		WastedPrefillWeight: 0.5,
@@ -55,15 +55,15 @@
 	}
 }
 
-// DefaultCallerKind is owed to a caller whose kind neither its team nor the
-// fleet names.
-func DefaultCallerKind() CallerKind {
-	return CallerKind{Kind: DefaultKind, Patience: 10 * time.Second, Priority: 5}
+// defaultCallerKind holds for a caller whose kind neither its team nor the
+// fleet declares.
+func defaultCallerKind() CallerKind {
+	return CallerKind{Kind: defaultKind, Patience: 10 * time.Second, Priority: 5}
 }
 
-// DefaultKind is the caller kind that stands for each unnamed one. A team or
-// the fleet may declare it too.
-const DefaultKind = "default"
+// defaultKind names the caller kind that holds for each undeclared one. A team
+// or the fleet may declare it too.
+const defaultKind = "default"
 
 // SetDefaults implements strictyaml.Defaulter.
 func (s *Service) SetDefaults() { s.Timeout = DefaultServiceTimeout }
@@ -72,4 +72,4 @@
 func (m *Model) SetDefaults() { m.LoadTime = DefaultLoadTime }
 
 // SetDefaults implements strictyaml.Defaulter.
-func (c *CallerKind) SetDefaults() { c.Priority = DefaultCallerKind().Priority }
+func (c *CallerKind) SetDefaults() { c.Priority = defaultCallerKind().Priority }
--- a/internal/settings/fixture_test.go
+++ b/internal/settings/fixture_test.go
@@ -71,7 +71,7 @@
 	tree := goodTree(t)
 	for i := range n {
 		name := fmt.Sprintf("team-%d", i)
-		next, err := ParseSubtree("teams/"+name, teamText(name))
+		next, err := parseSubtree("teams/"+name, teamText(name))
 		assert.NilError(t, err)
 		tree.setTeam(*next.Team)
 		tree.Versions["teams/"+name] = 1
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -107,7 +107,7 @@
 	QuarantineLife    time.Duration `yaml:"quarantine_life"`    // default 1h
 }
 
-// CallerKind is the patience owed to one kind of caller.
+// CallerKind says how long one kind of caller waits, and its priority.
 type CallerKind struct {
 	Kind     string        `yaml:"kind"`     // e.g. "sorter"
 	Patience time.Duration `yaml:"patience"` // time from arrival to the first token
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -22,7 +22,7 @@
 		if isFleet {
 			name = FleetSubtree
 		}
-		subtree, err := ParseSubtree(name, data)
+		subtree, err := parseSubtree(name, data)
 		if err != nil {
 			var faults strictyaml.Faults
 			if !errors.As(err, &faults) || len(faults) == 0 || subtree.Fleet != nil || subtree.Team != nil {
@@ -33,7 +33,7 @@
 		if (subtree.Fleet != nil) != isFleet || (subtree.Team != nil) == isFleet {
 			t.Fatal("parsed into the wrong subtree")
 		}
-		if _, err := ParseSubtree(name, data); err != nil {
+		if _, err := parseSubtree(name, data); err != nil {
 			t.Fatalf("read differently the second time: %v", err)
 		}
 	})
--- a/internal/settings/lookup.go
+++ b/internal/settings/lookup.go
@@ -52,18 +52,18 @@
 	return back, hasBack
 }
 
-// CallerKind gives the patience and priority owed to a kind of caller: the
-// team's own, else the fleet's, else the same for DefaultKind, else the
+// CallerKind gives the patience and priority of a kind of caller: the
+// team's own, else the fleet's, else the same for defaultKind, else the
 // built-in default.
 func (t *Tree) CallerKind(team Team, kind string) CallerKind {
-	for _, name := range []string{kind, DefaultKind} {
+	for _, name := range []string{kind, defaultKind} {
 		for _, kinds := range [][]CallerKind{team.Callers, t.Fleet.Callers} {
 			if found, ok := kindNamed(kinds, name); ok {
 				return found
 			}
 		}
 	}
-	return DefaultCallerKind()
+	return defaultCallerKind()
 }
 
 func kindNamed(kinds []CallerKind, name string) (CallerKind, bool) {
--- a/internal/settings/lookup_test.go
+++ b/internal/settings/lookup_test.go
@@ -83,8 +83,8 @@
 	team := tree.Teams["sorters"]
 	assert.Equal(t, tree.CallerKind(team, "volunteer"), CallerKind{"volunteer", 3 * time.Second, 8})
 	assert.Equal(t, tree.CallerKind(team, "sorter"), CallerKind{"sorter", 20 * time.Second, 4})
-	assert.Equal(t, tree.CallerKind(team, "unheard-of"), DefaultCallerKind())
-	team.Callers = append(team.Callers, CallerKind{DefaultKind, time.Second, 1})
+	assert.Equal(t, tree.CallerKind(team, "unheard-of"), defaultCallerKind())
+	team.Callers = append(team.Callers, CallerKind{defaultKind, time.Second, 1})
 	assert.Equal(t, tree.CallerKind(team, "unheard-of").Patience, time.Second)
 }
 
--- a/internal/settings/refusal_test.go
+++ b/internal/settings/refusal_test.go
@@ -99,7 +99,7 @@
 
 func TestAllFaultsAtOnce(t *testing.T) {
 	text := strings.NewReplacer("10GB/s", "10Gbps", "max_tokens: 32000", "max_tokens: many", "timeouts:", "tiemouts:").Replace(goodFleet)
-	_, err := ParseSubtree(FleetSubtree, fill(text))
+	_, err := parseSubtree(FleetSubtree, fill(text))
 	assert.Equal(t, len(strings.Split(err.Error(), "\n")), 3)
 }
 
--- a/internal/settings/subtree.go
+++ b/internal/settings/subtree.go
@@ -23,13 +23,13 @@
 // fileSuffix makes the file name that stands in faults out of a subtree name.
 const fileSuffix = ".yaml"
 
-// ParseSubtree reads and checks the YAML of one subtree by itself, without the
+// parseSubtree reads and checks the YAML of one subtree by itself, without the
 // rest of the tree. The error holds strictyaml.Faults with all faults found.
-func ParseSubtree(name string, yaml []byte) (Subtree, error) {
+func parseSubtree(name string, yaml []byte) (Subtree, error) {
 	return ParseSubtreeFile(name+fileSuffix, name, yaml)
 }
 
-// ParseSubtreeFile is ParseSubtree for YAML whose faults are to name file.
+// ParseSubtreeFile is parseSubtree for YAML whose faults are to name file.
 func ParseSubtreeFile(file, name string, yaml []byte) (Subtree, error) {
 	if name == FleetSubtree {
 		return parseFleet(file, yaml)
@@ -45,7 +45,7 @@
 }
 
 func parseFleet(file string, yaml []byte) (Subtree, error) {
-	parsed := DefaultFleet()
+	parsed := defaultFleet()
 	document := strictyaml.Decode(file, yaml, &parsed)
 	if document.Err() == nil {
 		checkFleet(&parsed, document)
@@ -57,7 +57,7 @@
 }
 
 func parseTeam(file string, name fleet.Team, yaml []byte) (Subtree, error) {
-	parsed := DefaultTeam()
+	parsed := defaultTeam()
 	document := strictyaml.Decode(file, yaml, &parsed)
 	if document.Err() == nil {
 		checkTeam(&parsed, name, document)
@@ -74,7 +74,7 @@
 	var head struct {
 		Team string `yaml:"team"`
 	}
-	// A file with faults is reported by ParseSubtree, with lines.
+	// A file with faults is reported by parseSubtree, with lines.
 	_ = yaml.NewDecoder(bytes.NewReader(data)).Decode(&head)
 	if head.Team == "" {
 		return FleetSubtree
