--- a/cmd/hyssopsail/settings_remove.go
+++ b/cmd/hyssopsail/settings_remove.go
@@ -22,7 +22,7 @@
 	command := group.Command("remove", "Remove a team's subtree; its callers are refused from then on. Older versions stay in its history.")
 	command.Arg("subtree", "\"teams/NAME\".").Required().StringVar(&c.name)
 	command.Flag("expect", "Version that you mean to remove.").Required().Uint64Var(&c.version)
-	command.Flag("wait", "Wait until it is in force on each live instance, at most so long.").Default("0s").DurationVar(&c.wait)
+	addWait(command, &c.wait)
 	command.Action(a.do(c.run))
 }
 
@@ -31,9 +31,5 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	result, err := c.app.send(client, &pb.ChangeSubtree{Name: c.name, ExpectedVersion: c.version}, c.wait)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return c.app.showApplied([]applied{result})
+	return c.app.sendAndShow(client, &pb.ChangeSubtree{Name: c.name, ExpectedVersion: c.version}, c.wait)
 }
--- a/cmd/hyssopsail/settings_rollback.go
+++ b/cmd/hyssopsail/settings_rollback.go
@@ -22,7 +22,7 @@
 	command := group.Command("rollback", "Write an older version of a subtree as a new version; versions never go back.")
 	command.Arg("subtree", "\"fleet\" or \"teams/NAME\".").Required().StringVar(&c.name)
 	command.Arg("version", "The version to write again.").Required().Uint64Var(&c.version)
-	command.Flag("wait", "Wait until it is in force on each live instance, at most so long.").Default("0s").DurationVar(&c.wait)
+	addWait(command, &c.wait)
 	command.Action(a.do(c.run))
 }
 
@@ -39,9 +39,5 @@
 		return trace.NotFound("version %d of %s is not kept; see \"settings history %s\"", c.version, c.name, c.name)
 	}
 	change := &pb.ChangeSubtree{Name: c.name, ExpectedVersion: current.GetVersion(), Yaml: old.Documents[0].GetYaml()}
-	result, err := c.app.send(client, change, c.wait)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return c.app.showApplied([]applied{result})
+	return c.app.sendAndShow(client, change, c.wait)
 }
