--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -45,6 +45,7 @@
 	e.newHomes(b, client)
 	e.newProvision(b, client)
 	e.newOutcomes(b)
+	policies := newPolicies(b)
 	e.router = route.New(route.Options{
 		Source:     b.agent,
 		Follower:   e.provision.Follower(),
@@ -52,13 +53,16 @@
 		Ledger:     e.ledger,
 		Guard:      e.guard,
 		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
-		Policies:   newPolicies(b).choose,
+		Policies:   policies.choose,
+		Prefill:    policies.prefill,
+		Links:      policies.links,
 		Recorder:   b.ring,
 		Prefixes:   schedule.Prefixes,
 		Secret:     b.secret[:],
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "route"),
 		Registerer: b.registry,
+		Bounds:     route.Bounds{StreamTime: b.file.Bounds.StreamTime},
 	})
 	return e, trace.Wrap(e.register(b))
 }
--- a/internal/endpoint/predictor.go
+++ b/internal/endpoint/predictor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/leastsquares"
 )
 
 // Predictor learns from finished work how long a hold will last: output
@@ -13,9 +14,11 @@
 // work. Pure but for its injected random source. Not safe for concurrent use.
 type Predictor struct {
 	random  *rand.Rand
-	lengths map[predictorKey]*sample // output tokens
-	busy    map[predictorKey]*sample // ms, for work that isn't decode
-	tokens  map[string]float64       // ms a token, by model
+	lengths map[predictorKey]*sample      // output tokens
+	busy    map[predictorKey]*sample      // ms, for work that isn't decode
+	tokens  map[string]float64            // ms a token, by model
+	leadIns map[string]float64            // ms from the grant of a decode slot to its use, by model
+	service map[string]*leastsquares.Sums // ms of engine work over prompt tokens, by model
 }
 
 type predictorKey struct {
@@ -42,6 +45,8 @@
 		lengths: make(map[predictorKey]*sample),
 		busy:    make(map[predictorKey]*sample),
 		tokens:  make(map[string]float64),
+		leadIns: make(map[string]float64),
+		service: make(map[string]*leastsquares.Sums),
 	}
 }
 
@@ -118,10 +123,62 @@
 	if !ok {
 		total = fallbackLength(expected, done)
 	}
+	if expected > 0 {
+		total = capLength(total, float64(expected), done)
+	}
 	return time.Duration((total - done) * float64(each))
 }
 
-// fallbackLength expects the allowed length, and work beyond it to double.
+// overdueShare of the allowed length is expected of work that should have
+// ended by the learned token time, which was wrong then.
+const overdueShare = 0.05
+
+// capLength bounds a length by what the caller allows.
+func capLength(length, most, done float64) float64 {
+	if done >= most {
+		return done + overdueShare*most
+	}
+	return min(length, most)
+}
+
+// rests appends restParts equally likely remaining times of a hold. A decode
+// slot is taken before its prefill runs, and so its hold begins with a time in
+// which nothing is decoded.
+func (p *Predictor) rests(list []time.Duration, h *hold, now time.Time) []time.Duration {
+	f := h.finished()
+	elapsed, before := now.Sub(h.granted), time.Duration(0)
+	if h.key.kind == fleet.RoleDecode {
+		if h.entered.IsZero() {
+			usual := p.leadIn(f.Model)
+			elapsed, before = max(elapsed-usual, 0), max(usual-elapsed, 0)
+		} else {
+			elapsed = now.Sub(h.entered)
+		}
+	}
+	for part := range restParts {
+		quantile := (float64(part) + 0.5) / restParts
+		list = append(list, before+max(p.Remaining(f, h.expected, elapsed, quantile), time.Millisecond))
+	}
+	return list
+}
+
+// leadIn is the usual time from the grant of a decode slot until the engine
+// holds the request.
+func (p *Predictor) leadIn(model string) time.Duration { return millis(p.leadIns[model]) }
+
+// sawLeadIn learns from one decode that has ended.
+func (p *Predictor) sawLeadIn(model string, took time.Duration) {
+	old, ok := p.leadIns[model]
+	ms := float64(took) / float64(time.Millisecond)
+	switch {
+	case ok:
+		p.leadIns[model] = old + tokenTimeGain*(ms-old)
+	case len(p.leadIns) < maxPredictorKeys:
+		p.leadIns[model] = ms
+	}
+}
+
+// fallbackLength expects the allowed length, and what has none to double.
 func fallbackLength(expected int, done float64) float64 {
 	length := float64(expected)
 	if expected <= 0 {
