standin: plain names for book, nudge, spoil and stale

recorder (of the audit), wakeBatch, corrupt (a chunk) and cancelledSet say what they are; a comment named a method by its earlier name. go test -race passes.

--- a/internal/standin/audit.go
+++ b/internal/standin/audit.go
@@ -62,8 +62,8 @@
 	prefixes []uint64
 }
 
-// book collects the Audit. Standin.mu guards it.
-type book struct {
+// recorder collects the Audit. Standin.mu guards it.
+type recorder struct {
 	audit   Audit
 	most    int
 	facts   map[fleet.AttemptID]*Fact
@@ -72,66 +72,66 @@
 	changed time.Time
 }
 
-func newBook(most int) *book {
-	return &book{most: most, facts: map[fleet.AttemptID]*Fact{}, markers: map[string]int{}}
+func newRecorder(most int) *recorder {
+	return &recorder{most: most, facts: map[fleet.AttemptID]*Fact{}, markers: map[string]int{}}
 }
 
 // fact gives the record of an attempt; over the bound, one that isn't kept.
-func (b *book) fact(zone fleet.AvailabilityZone, w engineapi.Work, marker string, now time.Time) *Fact {
-	if f, ok := b.facts[w.Attempt]; ok {
+func (r *recorder) fact(zone fleet.AvailabilityZone, w engineapi.Work, marker string, now time.Time) *Fact {
+	if f, ok := r.facts[w.Attempt]; ok {
 		f.EndedMs = 0
 		return f
 	}
 	f := &Fact{Attempt: w.Attempt, Owner: w.Owner, Zone: zone, Marker: marker, StartedMs: now.UnixMilli()}
-	if len(b.order) >= b.most {
-		b.audit.Forgotten++
+	if len(r.order) >= r.most {
+		r.audit.Forgotten++
 		return f
 	}
-	b.facts[w.Attempt] = f
-	b.order = append(b.order, f)
+	r.facts[w.Attempt] = f
+	r.order = append(r.order, f)
 	return f
 }
 
 // settle counts the prefill work of a hold that is freed.
-func (b *book) settle(h *hold) {
+func (r *recorder) settle(h *hold) {
 	if h.work == 0 {
 		return
 	}
 	done := ms(h.work - h.left)
-	b.audit.PrefillMs += done
+	r.audit.PrefillMs += done
 	if h.fact.PrefillUsed {
-		b.audit.PrefillUsedMs += done
+		r.audit.PrefillUsedMs += done
 		return
 	}
-	b.audit.PrefillDiscardedMs += done
+	r.audit.PrefillDiscardedMs += done
 }
 
-func (b *book) heldChanged(now time.Time, held int) {
-	b.integrate(now)
-	b.audit.Held = held
-	b.audit.MostHeld = max(b.audit.MostHeld, held)
+func (r *recorder) heldChanged(now time.Time, held int) {
+	r.integrate(now)
+	r.audit.Held = held
+	r.audit.MostHeld = max(r.audit.MostHeld, held)
 }
 
-func (b *book) integrate(now time.Time) {
-	if !b.changed.IsZero() {
-		b.audit.HeldSeconds += float64(b.audit.Held) * now.Sub(b.changed).Seconds()
+func (r *recorder) integrate(now time.Time) {
+	if !r.changed.IsZero() {
+		r.audit.HeldSeconds += float64(r.audit.Held) * now.Sub(r.changed).Seconds()
 	}
-	b.changed = now
+	r.changed = now
 }
 
-func (b *book) startedLeaving(after time.Duration) {
-	b.audit.LastStartAfter = max(b.audit.LastStartAfter, after.Milliseconds(), 1)
+func (r *recorder) startedLeaving(after time.Duration) {
+	r.audit.LastStartAfter = max(r.audit.LastStartAfter, after.Milliseconds(), 1)
 }
 
-func (b *book) call(run CallRun) {
-	if len(b.audit.CallRuns) >= b.most {
-		b.audit.Forgotten++
+func (r *recorder) call(run CallRun) {
+	if len(r.audit.CallRuns) >= r.most {
+		r.audit.Forgotten++
 		return
 	}
-	b.audit.CallRuns = append(b.audit.CallRuns, run)
-	b.markers[run.Marker]++
-	if b.markers[run.Marker] == 2 {
-		b.audit.Repeated = append(b.audit.Repeated, run.Marker)
+	r.audit.CallRuns = append(r.audit.CallRuns, run)
+	r.markers[run.Marker]++
+	if r.markers[run.Marker] == 2 {
+		r.audit.Repeated = append(r.audit.Repeated, run.Marker)
 	}
 }
 
@@ -144,13 +144,13 @@
 
 // auditNow is Audit with mu held.
 func (s *Standin) auditNow() Audit {
-	s.book.integrate(time.Now())
-	a := s.book.audit
+	s.recorder.integrate(time.Now())
+	a := s.recorder.audit
 	a.Endpoint, a.Incarnation, a.Zone = s.options.ID, s.options.Incarnation, s.options.Zone
 	a.Role = s.role
 	a.Leaving = s.leaving
-	a.Attempts = make([]Fact, len(s.book.order))
-	for n, f := range s.book.order {
+	a.Attempts = make([]Fact, len(s.recorder.order))
+	for n, f := range s.recorder.order {
 		a.Attempts[n] = *f
 	}
 	a.CallRuns = append([]CallRun(nil), a.CallRuns...)
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -101,7 +101,7 @@
 func (s *Standin) emit(h *hold) {
 	h.produced++
 	h.fact.Tokens++
-	s.book.audit.Tokens++
+	s.recorder.audit.Tokens++
 	s.grow(h, s.timing.KVToken)
 	if h.produced >= h.total {
 		h.fact.Finish = h.finish()
--- a/internal/standin/cancel.go
+++ b/internal/standin/cancel.go
@@ -33,14 +33,14 @@
 func (s *Standin) cancel(attempt fleet.AttemptID) (freed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stale.add(attempt)
+	s.cancelled.add(attempt)
 	h, ok := s.holds[attempt]
 	if !ok {
 		return false
 	}
 	h.fact.Cancelled = true
 	h.fact.Finish = engineapi.FinishCancelled
-	s.book.audit.Cancelled++
+	s.recorder.audit.Cancelled++
 	s.free(h, errCancelled)
 	return true
 }
--- a/internal/standin/staleset.go
+++ b/internal/standin/cancelledset.go
@@ -2,27 +2,27 @@
 
 import "github.com/hyssopsail/hyssopsail/internal/fleet"
 
-// mostStale bounds the cancelled attempts that are remembered.
-const mostStale = 65536
+// mostCancelled bounds the cancelled attempts that are remembered.
+const mostCancelled = 65536
 
-// staleSet remembers the last cancelled attempts.
-type staleSet struct {
+// cancelledSet remembers the last cancelled attempts.
+type cancelledSet struct {
 	most    int
 	members map[fleet.AttemptID]struct{}
 	ring    []fleet.AttemptID // full: the oldest is at next
 	next    int
 }
 
-func newStaleSet(most int) *staleSet {
-	return &staleSet{most: most, members: map[fleet.AttemptID]struct{}{}}
+func newCancelledSet(most int) *cancelledSet {
+	return &cancelledSet{most: most, members: map[fleet.AttemptID]struct{}{}}
 }
 
-func (s *staleSet) has(a fleet.AttemptID) bool {
+func (s *cancelledSet) has(a fleet.AttemptID) bool {
 	_, ok := s.members[a]
 	return ok
 }
 
-func (s *staleSet) add(a fleet.AttemptID) {
+func (s *cancelledSet) add(a fleet.AttemptID) {
 	if s.has(a) {
 		return
 	}
--- a/internal/standin/decode.go
+++ b/internal/standin/decode.go
@@ -53,9 +53,9 @@
 	h.fact.Decodes++
 	h.fact.Offset = r.Offset
 	h.fact.Marker = Marker(r.Prompt)
-	s.book.audit.Runs++
+	s.recorder.audit.Runs++
 	s.grow(h, int64(r.Offset)*s.timing.KVToken)
-	s.nudge()
+	s.wakeBatch()
 	return h, nil
 }
 
@@ -131,12 +131,12 @@
 		c.fault = ""
 		return true // this chunk never leaves
 	}
-	return c.put(c.spoil(chunk, seed))
+	return c.put(c.corrupt(chunk, seed))
 }
 
-// spoil makes the next chunk wrong, once. A chunk of another attempt or
+// corrupt makes the next chunk wrong, once. A chunk of another attempt or
 // process has another answer's text.
-func (c *chunkWriter) spoil(chunk engineapi.Chunk, seed uint64) engineapi.Chunk {
+func (c *chunkWriter) corrupt(chunk engineapi.Chunk, seed uint64) engineapi.Chunk {
 	switch c.fault {
 	case ChunkCrossed:
 		chunk.Attempt = "ffffffffffffffffffffffffffffffff"
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -48,7 +48,7 @@
 		s.thawed = make(chan struct{})
 	}
 	s.faults = f
-	s.nudge()
+	s.wakeBatch()
 }
 
 // Faults gives the switches as they are now.
--- a/internal/standin/loadhistory.go
+++ b/internal/standin/loadhistory.go
@@ -31,7 +31,7 @@
 	h.samples = append(h.samples, loadSample{at: now, load: l})
 }
 
-// at gives the newest sample that is at least lag old; without one, an idle
+// report gives the newest sample that is at least lag old; without one, an idle
 // engine's load.
 func (h *loadHistory) report(now time.Time, lag time.Duration) engineapi.Load {
 	for n := len(h.samples) - 1; n >= 0; n-- {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Standin) change(o engineapi.Order) {
-	s.book.audit.Orders++
+	s.recorder.audit.Orders++
 	switch o.Kind {
 	case engineapi.OrderLoad:
 		s.models[o.Model] = struct{}{}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -73,7 +73,7 @@
 	if s.role != fleet.RolePlain {
 		return nil, &refusal{engineapi.CodeWrongRole, string(s.role)}
 	}
-	if s.stale.has(run.Attempt) {
+	if s.cancelled.has(run.Attempt) {
 		return nil, &refusal{engineapi.CodeStale, "attempt was cancelled"}
 	}
 	if refused := s.refuseNew(); refused != nil {
@@ -85,7 +85,7 @@
 		return nil, refused
 	}
 	h.fact.Calls++
-	s.book.call(run)
+	s.recorder.call(run)
 	return h, nil
 }
 
--- a/internal/standin/prefill.go
+++ b/internal/standin/prefill.go
@@ -67,8 +67,8 @@
 	h.ready = make(chan struct{})
 	h.fact.Prefills++
 	h.fact.prefixes = prefixes
-	s.book.audit.Runs++
-	s.nudge()
+	s.recorder.audit.Runs++
+	s.wakeBatch()
 	return h, nil
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -34,11 +34,11 @@
 	holds     map[fleet.AttemptID]*hold
 	kvUsed    int64
 	arrivals  uint64
-	stale     *staleSet
+	cancelled *cancelledSet
 	cache     *prefixCache
 	events    eventQueue
 	loads     loadHistory
-	book      *book
+	recorder  *recorder
 	leaving   bool
 	leftAt    time.Time
 	home      string
@@ -47,7 +47,7 @@
 	sequence  uint64
 }
 
-// New makes an endpoint; Run brings it to life.
+// New makes an endpoint; Run starts it.
 func New(o Options) (*Standin, error) {
 	o = o.withDefaults()
 	if err := o.check(); err != nil {
@@ -67,9 +67,9 @@
 		thawed:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		holds:     map[fleet.AttemptID]*hold{},
-		stale:     newStaleSet(mostStale),
+		cancelled: newCancelledSet(mostCancelled),
 		cache:     newPrefixCache(cacheBlocks(o.Timing)),
-		book:      newBook(o.MostFacts),
+		recorder:  newRecorder(o.MostFacts),
 		beat:      defaultBeat,
 	}
 	for _, m := range o.Models {
@@ -81,8 +81,8 @@
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// nudge wakes the batch.
-func (s *Standin) nudge() {
+// wakeBatch lets runBatch plan its next step now.
+func (s *Standin) wakeBatch() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -106,11 +106,11 @@
 	h := &hold{
 		attempt: w.Attempt, owner: w.Owner, stage: stage, priority: w.Priority,
 		since: now, arrival: s.arrivals, kv: kv, ctx: ctx, cancel: cancel,
-		fact: s.book.fact(s.options.Zone, w, marker, now),
+		fact: s.recorder.fact(s.options.Zone, w, marker, now),
 	}
-	s.book.heldChanged(now, len(s.holds)+1)
+	s.recorder.heldChanged(now, len(s.holds)+1)
 	if s.leaving {
-		s.book.startedLeaving(now.Sub(s.leftAt))
+		s.recorder.startedLeaving(now.Sub(s.leftAt))
 	}
 	s.holds[w.Attempt] = h
 	s.kvUsed += kv
@@ -125,11 +125,11 @@
 	delete(s.holds, h.attempt)
 	s.kvUsed -= h.kv
 	now := time.Now()
-	s.book.heldChanged(now, len(s.holds))
-	s.book.settle(h)
+	s.recorder.heldChanged(now, len(s.holds))
+	s.recorder.settle(h)
 	h.fact.EndedMs = now.UnixMilli()
 	h.cancel(cause)
-	s.nudge()
+	s.wakeBatch()
 }
 
 // grow adds KV bytes to a request. mu is held.
@@ -146,7 +146,7 @@
 	if w.Attempt == "" {
 		return &refusal{badRequest, "no attempt"}
 	}
-	if s.stale.has(w.Attempt) {
+	if s.cancelled.has(w.Attempt) {
 		return &refusal{engineapi.CodeStale, "attempt was cancelled"}
 	}
 	if !s.role.Takes(kind) {
--- a/internal/standin/timing_test.go
+++ b/internal/standin/timing_test.go
@@ -146,8 +146,8 @@
 	assert.DeepEqual(t, c.snapshot().Prefixes, []uint64{1, 3})
 }
 
-func TestStaleSetIsBounded(t *testing.T) {
-	s := newStaleSet(3)
+func TestCancelledSetIsBounded(t *testing.T) {
+	s := newCancelledSet(3)
 	for n := range 10 {
 		s.add(fleet.AttemptID(rune('a' + n)))
 	}
