consensus: tests build a core and an acknowledgement in one place each

A Core was made by the same call in three places and the same acknowledgement written out five times; a stranger is a host that is no member, and misfortune is injectFault.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -25,7 +25,12 @@
 
 func newCore(t *testing.T, id string) *Core {
 	t.Helper()
-	c, err := New(Config{ID: id, Random: rand.New(rand.NewPCG(1, 1))}, threeMembers(t), begin)
+	return coreOf(t, id, threeMembers(t))
+}
+
+func coreOf(t *testing.T, id string, state State) *Core {
+	t.Helper()
+	c, err := New(Config{ID: id, Random: rand.New(rand.NewPCG(1, 1))}, state, begin)
 	assert.NilError(t, err)
 	return c
 }
@@ -85,8 +90,7 @@
 	c.syncProgress(begin)
 	c.appendMembership(begin, without)
 	state.Entries = c.log.entries
-	restarted, err := New(Config{ID: "a", Random: rand.New(rand.NewPCG(1, 1))}, state, begin)
-	assert.NilError(t, err)
+	restarted := coreOf(t, "a", state)
 	restarted.Tick(begin.Add(2 * DefaultElectionTimeout))
 	assert.Equal(t, restarted.Status().Role, PreCandidate)
 }
@@ -114,8 +118,7 @@
 	state := threeMembers(t)
 	state.HardState = &pb.HardState{Term: 3, Commit: 1}
 	state.Entries = append(state.Entries, &pb.LogEntry{Index: 2, Term: 2, Kind: pb.EntryKind_ENTRY_KIND_NO_OP})
-	c, err := New(Config{ID: "a", Random: rand.New(rand.NewPCG(1, 1))}, state, begin)
-	assert.NilError(t, err)
+	c := coreOf(t, "a", state)
 	now := begin.Add(2 * DefaultElectionTimeout)
 	c.Tick(now)
 	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: "b", To: "a", Term: 4})
@@ -124,6 +127,11 @@
 	return c, now
 }
 
+// acknowledge lets "b" tell the leader of term 4 that it holds all up to index.
+func acknowledge(c *Core, now time.Time, index uint64) {
+	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: index})
+}
+
 // Two operators change the members at once, or one does when a new leader
 // doesn't know yet which earlier change holds. With both changes under way two
 // quorums without a common member exist: two leaders, and a change lost.
@@ -133,15 +141,12 @@
 		_, err := c.ProposeChange(now, Change{Member: &pb.Member{InstanceId: id, DiskId: id, RpcAddress: id}})
 		return err
 	}
-	acknowledge := func(index uint64) {
-		answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: index})
-	}
 	assert.ErrorIs(t, add("d"), ErrChangePending)
-	acknowledge(3)
+	acknowledge(c, now, 3)
 	assert.NilError(t, add("d"))
 	assert.ErrorIs(t, add("e"), ErrChangePending)
 	c.Advance(now, c.Ready())
-	acknowledge(4)
+	acknowledge(c, now, 4)
 	assert.NilError(t, add("e"))
 }
 
@@ -150,11 +155,9 @@
 // the two wins and overwrites it: a confirmed change is gone.
 func TestEntriesOfEarlierTermsAreNotCommittedByCounting(t *testing.T) {
 	c, now := newLeader(t)
-	acknowledge := &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 2}
-	answers(c, now, acknowledge)
+	acknowledge(c, now, 2)
 	assert.Equal(t, c.Status().Commit, uint64(1))
-	acknowledge.PrevIndex = 3
-	answers(c, now, acknowledge)
+	acknowledge(c, now, 3)
 	assert.Equal(t, c.Status().Commit, uint64(3))
 }
 
@@ -162,7 +165,7 @@
 // successor commits a change, and a user reads the state before it here.
 func TestNoLeaseReadAfterHandOver(t *testing.T) {
 	c, now := newLeader(t)
-	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 3})
+	acknowledge(c, now, 3)
 	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, From: "b", To: "a", Term: 4, ReadRound: 1})
 	assert.NilError(t, c.Read(now, 1))
 	r := c.Ready()
@@ -186,7 +189,7 @@
 	assert.NilError(t, propose(60))
 	assert.ErrorIs(t, propose(60), ErrBusy)
 	c.Advance(now, c.Ready())
-	answers(c, now, &pb.ConsensusMessage{Kind: pb.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: "b", To: "a", Term: 4, PrevIndex: 4})
+	acknowledge(c, now, 4)
 	for range 12 {
 		assert.NilError(t, propose(1))
 	}
--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -5,5 +5,5 @@
 // A Core does no I/O and reads no clock. Its owner feeds it the time,
 // messages and proposals, then takes a Ready: it persists, then sends, then
 // applies, and calls Advance. A member is named by the ID of its disk, so that
-// an instance whose disk was lost comes back as a stranger without a vote.
+// an instance whose disk was lost comes back as an unknown member without a vote.
 package consensus
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// misfortune makes one fault happen.
-func (w *world) misfortune() {
+// injectFault makes one fault happen.
+func (w *world) injectFault() {
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	switch w.random.IntN(10) {
 	case 0, 1:
@@ -152,7 +152,7 @@
 	}
 }
 
-// changeMember adds h when it is a stranger, and removes it now and then.
+// changeMember adds h when it is no member, and removes it now and then.
 func (w *world) changeMember(h *host) {
 	leader := w.newestLeader()
 	if leader == nil {
@@ -169,7 +169,7 @@
 	w.run(leader, func(now time.Time) { _, _ = leader.core.ProposeChange(now, change) })
 }
 
-// repair adds each stranger, as an operator would.
+// repair adds each host that is no member, as an operator would.
 func (w *world) repair() {
 	leader := w.newestLeader()
 	if leader == nil {
--- a/internal/consensus/model_test.go
+++ b/internal/consensus/model_test.go
@@ -63,7 +63,7 @@
 // live runs a world to its end and checks it.
 func (w *world) live() {
 	w.every(20*time.Millisecond, w.client)
-	w.every(500*time.Millisecond, w.misfortune)
+	w.every(500*time.Millisecond, w.injectFault)
 	w.every(2*time.Second, w.repair)
 	w.runUntil(runLength)
 	w.calm = true
@@ -75,7 +75,7 @@
 	}
 }
 
-// every repeats do at random intervals around mean; misfortunes end when the
+// every repeats do at random intervals around mean; faults end when the
 // world is calm.
 func (w *world) every(mean time.Duration, do func()) {
 	w.after(time.Duration(w.random.Int64N(int64(2*mean))), func() {
