--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -79,13 +79,22 @@
 	return recorder
 }
 
+// accepted is the answer to a change that made version 1.
+var accepted = &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 1}}
+
+// serving gives the address of a listener with h, until the test ends.
+func serving(t *testing.T, h http.Handler) string {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
 const changeA = `{"change":{"name":"teams/a","expected_version":"3","change_id":"c1","yaml":"eA==","author":"root"}}`
 
 // What a user sees: someone else's subtree is changed, or read, with a key
 // that was given for one team; or with the fleet's secret long after the
 // fleet has operators of its own.
 func TestWhoMayDoWhat(t *testing.T) {
-	accepted := &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 4}}
 	changeB := strings.Replace(changeA, "teams/a", "teams/b", 1)
 	firstFleet := `{"change":{"name":"fleet","change_id":"c1","yaml":"eA=="}}`
 	laterFleet := `{"change":{"name":"fleet","expected_version":"1","change_id":"c1","yaml":"eA=="}}`
@@ -131,7 +140,6 @@
 // accepted minutes later, through an instance that is cut off from the updates
 // of the settings but not from the leader.
 func TestWithdrawnKeyAtAnInstanceThatLags(t *testing.T) {
-	accepted := &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 4}}
 	s := &stub{reply: accepted}
 	lagging := NewHandler(Options{Control: s, Tree: bootstrapped, Secret: secret, Now: time.Now, Current: func() bool { return false }})
 	for _, path := range []string{"/v1/settings", "/v1/members", "/v1/drain"} {
@@ -154,7 +162,7 @@
 }
 
 func TestAuthorIsNotTheClientsClaim(t *testing.T) {
-	s := &stub{reply: &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED}}}
+	s := &stub{reply: accepted}
 	got := ask(newHandlerFor(s, bootstrapped()), "lead-key", "POST", "/v1/settings", changeA)
 	assert.Equal(t, got.Code, http.StatusOK)
 	assert.Equal(t, s.change.Change.Author, "lead")
@@ -203,19 +211,16 @@
 // What a user sees: the first instance that the tool asks is cut off from the
 // leader, and the change fails although the next instance would take it.
 func TestClientGoesOnToTheNextInstance(t *testing.T) {
-	cutOff := httptest.NewServer(newHandlerFor(&stub{err: trace.ConnectionProblem(nil, "no leader")}, bootstrapped()))
-	defer cutOff.Close()
-	well := httptest.NewServer(newHandlerFor(&stub{}, bootstrapped()))
-	defer well.Close()
-	address := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
-	client := NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", address(cutOff), address(well)}, Key: "lead-key"})
+	cutOff := serving(t, newHandlerFor(&stub{err: trace.ConnectionProblem(nil, "no leader")}, bootstrapped()))
+	well := serving(t, newHandlerFor(&stub{}, bootstrapped()))
+	client := NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", cutOff, well}, Key: "lead-key"})
 	reply, err := client.Status(context.Background(), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, reply.FleetId, "f1")
-	client = NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", address(cutOff)}, Key: "lead-key"})
+	client = NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", cutOff}, Key: "lead-key"})
 	_, err = client.Status(context.Background(), nil)
 	assert.Assert(t, trace.IsConnectionProblem(err))
-	client = NewClient(ClientOptions{Addresses: []string{address(well)}, Key: "wrong"})
+	client = NewClient(ClientOptions{Addresses: []string{well}, Key: "wrong"})
 	_, err = client.Status(context.Background(), nil)
 	var refused *ReplyError
 	assert.Assert(t, errors.As(err, &refused))
@@ -226,13 +231,10 @@
 // "unavailable" and passes when it is run again. Fleet subtree and teams go one
 // right after the other, when no daemon's lease has been confirmed yet.
 func TestClientWaitsUntilAnInstanceIsCurrent(t *testing.T) {
-	accepted := &pb.ChangeReply{Result: &pb.ChangeResult{Status: pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, Version: 1}}
 	asked := 0
 	current := func() bool { asked++; return asked > 3 }
-	s := &stub{reply: accepted}
-	young := httptest.NewServer(NewHandler(Options{Control: s, Tree: bootstrapped, Secret: secret, Now: time.Now, Current: current}))
-	defer young.Close()
-	client := NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", strings.TrimPrefix(young.URL, "http://")}, Key: "root-key"})
+	young := serving(t, NewHandler(Options{Control: &stub{reply: accepted}, Tree: bootstrapped, Secret: secret, Now: time.Now, Current: current}))
+	client := NewClient(ClientOptions{Addresses: []string{"127.0.0.1:1", young}, Key: "root-key"})
 	change := &pb.ChangeRequest{Change: &pb.ChangeSubtree{Name: "teams/a", ChangeId: "c1", Yaml: []byte("x")}}
 	reply, err := client.Change(context.Background(), change)
 	assert.NilError(t, err)
@@ -251,12 +253,8 @@
 	silent, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = silent.Close() }()
-	well := httptest.NewServer(newHandlerFor(&stub{}, bootstrapped()))
-	defer well.Close()
-	client := NewClient(ClientOptions{
-		Addresses: []string{silent.Addr().String(), strings.TrimPrefix(well.URL, "http://")},
-		Key:       "lead-key",
-	})
+	well := serving(t, newHandlerFor(&stub{}, bootstrapped()))
+	client := NewClient(ClientOptions{Addresses: []string{silent.Addr().String(), well}, Key: "lead-key"})
 	client.timeout = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
