--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/hyssopsail/hyssopsail/internal/consensus"
 )
@@ -18,7 +19,15 @@
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
-	m := &metrics{
+	register := promauto.With(registerer) // nil registers nowhere
+	gauge := func(name, help string) prometheus.Gauge {
+		return register.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+	}
+	histogram := func(name, help string) prometheus.Histogram {
+		buckets := prometheus.ExponentialBuckets(0.0001, 2, 16)
+		return register.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets})
+	}
+	return &metrics{
 		term:          gauge("hyssopsail_replica_term_number", "Current term."),
 		leader:        gauge("hyssopsail_replica_leader_info", "1 while this member leads."),
 		committed:     gauge("hyssopsail_replica_commit_index", "Last committed entry."),
@@ -27,21 +36,6 @@
 		save:          histogram("hyssopsail_replica_save_seconds", "Write and sync of one batch."),
 		commit:        histogram("hyssopsail_replica_commit_seconds", "From proposal to applied."),
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.term, m.leader, m.committed, m.applied, m.storageFailed, m.save, m.commit)
-	}
-	return m
-}
-
-func gauge(name, help string) prometheus.Gauge {
-	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
-}
-
-func histogram(name, help string) prometheus.Histogram {
-	return prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: name, Help: help,
-		Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
-	})
 }
 
 func (m *metrics) observe(s consensus.Status) {
