--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
@@ -40,11 +42,9 @@
 }
 
 func (s *Standin) announcement() engineapi.Announcement {
-	models := make([]engineapi.ModelRef, 0, len(s.models))
-	for m := range s.models {
-		models = append(models, m)
-	}
-	sort.Slice(models, func(a, b int) bool { return models[a].String() < models[b].String() })
+	models := slices.SortedFunc(maps.Keys(s.models), func(a, b engineapi.ModelRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
 	return engineapi.Announcement{
 		ID:           s.options.ID,
 		Incarnation:  s.options.Incarnation,
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -4,9 +4,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"maps"
 	"reflect"
 	"regexp"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -134,7 +135,7 @@
 		seen[key.Value] = key.Line
 		field, known := fields[key.Value]
 		if !known || key.Kind != yaml.ScalarNode {
-			d.at(childPath, key.Line, "known keys here: "+strings.Join(names(fields), ", "), "unknown key")
+			d.at(childPath, key.Line, "known keys here: "+strings.Join(slices.Sorted(maps.Keys(fields)), ", "), "unknown key")
 			continue
 		}
 		d.lines[childPath] = key.Line
@@ -157,12 +158,3 @@
 	}
 	return fields
 }
-
-func names(fields map[string]int) []string {
-	out := make([]string, 0, len(fields))
-	for name := range fields {
-		out = append(out, name)
-	}
-	sort.Strings(out)
-	return out
-}
