--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -147,6 +147,6 @@
 	c.lease = lease{}
 	c.syncProgress(now)
 	c.appendEntry(pb.EntryKind_ENTRY_KIND_NO_OP, nil)
-	c.broadcastAppend(now)
+	c.broadcast(now, true)
 	c.startRound(now)
 }
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -29,7 +29,7 @@
 // it once for many proposals makes one message of them.
 func (c *Core) Flush(now time.Time) {
 	if c.role == Leader {
-		c.broadcastNew(now)
+		c.broadcast(now, false)
 	}
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -162,6 +162,6 @@
 	// Answers of the old quorum say nothing about the new one.
 	c.lease.until = time.Time{}
 	c.syncProgress(now)
-	c.broadcastNew(now)
+	c.broadcast(now, false)
 	return index
 }
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -9,21 +9,12 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// broadcastAppend sends every member what it can take, also to say nothing
-// but the commit index.
-func (c *Core) broadcastAppend(now time.Time) {
+// broadcast sends every member the entries it can take; with commitToo also a
+// message without entries, to one for which only the commit index is news.
+func (c *Core) broadcast(now time.Time, commitToo bool) {
 	for _, member := range c.log.membership().Members {
 		if member.DiskId != c.config.ID {
-			c.sendNew(now, member.DiskId, true)
-		}
-	}
-}
-
-// broadcastNew sends every member the entries it can take.
-func (c *Core) broadcastNew(now time.Time) {
-	for _, member := range c.log.membership().Members {
-		if member.DiskId != c.config.ID {
-			c.sendNew(now, member.DiskId, false)
+			c.sendNew(now, member.DiskId, commitToo)
 		}
 	}
 }
@@ -189,7 +180,7 @@
 	if c.log.commit == before {
 		return
 	}
-	c.broadcastAppend(now)
+	c.broadcast(now, true)
 	c.leaveIfRemoved(now)
 }
 
