--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -101,7 +101,7 @@
 			s.options.Part.Debug("announcement failed", "to", to, "err", err)
 			return false
 		}
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home == "" || answer.Home == to {
 			s.setHome(to)
 			return true
@@ -120,8 +120,9 @@
 	}
 }
 
-// obey takes over what a daemon says.
-func (s *Standin) obey(answer engineapi.AnnounceReply) {
+// applyReply carries out what a daemon answered: cancels, the heartbeat
+// interval and addresses.
+func (s *Standin) applyReply(answer engineapi.AnnounceReply) {
 	for _, attempt := range answer.Cancel {
 		s.cancel(attempt)
 	}
@@ -153,7 +154,7 @@
 			continue
 		}
 		misses = 0
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home != "" && answer.Home != home {
 			s.settle(ctx, answer.Home)
 		}
