consensus: what a quorum has reached is worked out once

The commit index and the confirmed heartbeat round were each found by sorting a value of the voters; reachedByQuorum does it for both.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -117,18 +116,7 @@
 // earlier term on a quorum could still be overwritten by a member whose last
 // entry is of a term between the two.
 func (c *Core) advanceCommit() {
-	membership := c.log.membership()
-	matches := make([]uint64, 0, len(membership.Members))
-	for _, member := range membership.Members {
-		if !member.Learner {
-			matches = append(matches, c.members[member.DiskId].match)
-		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	index := matches[len(matches)-quorum(membership)]
+	index := reachedByQuorum(c.log.membership(), func(id string) uint64 { return c.members[id].match })
 	if term, _ := c.log.termAt(index); index <= c.log.commit || term != c.term {
 		return
 	}
--- a/internal/consensus/quorum.go
+++ b/internal/consensus/quorum.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "github.com/hyssopsail/hyssopsail/internal/pb"
+import (
+	"slices"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
 
 // quorum is the size of a majority of voters; 1 when there are none, which no
 // count of members reaches.
@@ -41,3 +45,19 @@
 	}
 	return n
 }
+
+// reachedByQuorum gives the highest value that a quorum of voters has reached,
+// 0 when there is no voter.
+func reachedByQuorum(m *pb.Membership, valueOf func(diskID string) uint64) uint64 {
+	values := make([]uint64, 0, len(m.GetMembers()))
+	for _, member := range m.GetMembers() {
+		if !member.Learner {
+			values = append(values, valueOf(member.DiskId))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-quorum(m)]
+}
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -66,23 +66,13 @@
 
 // confirmRounds finds the newest round that a quorum answered.
 func (c *Core) confirmRounds() {
-	membership := c.log.membership()
-	rounds := make([]uint64, 0, len(membership.Members))
-	for _, member := range membership.Members {
-		if member.Learner {
-			continue
-		}
-		if member.DiskId == c.config.ID {
-			rounds = append(rounds, c.lease.round)
-			continue
+	round := reachedByQuorum(c.log.membership(), func(id string) uint64 {
+		if id == c.config.ID {
+			return c.lease.round
 		}
-		rounds = append(rounds, c.members[member.DiskId].round)
-	}
-	if len(rounds) == 0 {
-		return
-	}
-	slices.Sort(rounds)
-	c.lease.confirm(rounds[len(rounds)-quorum(membership)], c.config.lease())
+		return c.members[id].round
+	})
+	c.lease.confirm(round, c.config.lease())
 	c.releaseReads()
 }
 
