replica: guards say which failure they are against

The check of a message's group had no comment, and that of the disk's timeout didn't say how the failure shows. Two comments lose a figure of speech.

--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -40,6 +40,9 @@
 	if n.group == "" && !n.join(m.Group) {
 		return
 	}
+	// Two groups may name this disk, as after two inits at different instances.
+	// Messages of the second, taken in, would mix two logs, and members would
+	// apply different commands at one index. The disk is the first one's alone.
 	if m.Group != n.group {
 		return
 	}
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -46,9 +46,10 @@
 // slowestDisk is the least rate, bytes a second, of a disk that is not bad.
 const slowestDisk = 10 << 20
 
-// guarded runs a write of size bytes to the disk, and gives up on a disk that takes too
-// long: it would otherwise hold this member between leading and not, with
-// callers waiting. The write may still end later; nothing is built on it.
+// guarded runs a write of size bytes to the disk, and gives up on a disk that
+// takes too long. A stalled disk would otherwise block the loop: the member
+// neither leads nor steps down, and its callers wait. The write may still end
+// later; nothing is built on it, since the caller stops this member for good.
 func (n *Node) guarded(size int, write func() error) error {
 	began := time.Now()
 	limit := n.options.StorageTimeout + time.Duration(size)*time.Second/slowestDisk
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -7,7 +7,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// published is what the loop last told of itself.
+// published is the loop's newest status, for readers on other goroutines.
 type published struct {
 	status consensus.Status
 	group  string
