settings: misuse is mismatch

The type holds what a team's subtree and the fleet's don't agree on; misuse read as a team's fault in both directions. go test -race passes.

--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -123,7 +123,7 @@
 		subtree.document.Fault("", "apply fleet.yaml first", "the tree has no fleet subtree yet")
 		return
 	}
-	for _, m := range declaredBy(&t.Fleet).misusesOf(subtree.Team) {
+	for _, m := range declaredBy(&t.Fleet).mismatches(subtree.Team) {
 		subtree.document.Fault(m.teamPath, m.want, "%s", m.problem)
 	}
 	for n, hash := range subtree.Team.KeyHashes {
@@ -142,7 +142,7 @@
 	offered := declaredBy(&t.Fleet)
 	for _, name := range slices.Sorted(maps.Keys(t.Teams)) {
 		team := t.Teams[name]
-		for _, m := range offered.misusesOf(&team) {
+		for _, m := range offered.mismatches(&team) {
 			document.Fault(m.fleetPath, "change "+TeamSubtree(name)+" first, or keep what it uses",
 				"%s needs what this would take away: %s: %s", TeamSubtree(name), m.teamPath, m.problem)
 		}
--- a/internal/settings/check_use.go
+++ b/internal/settings/check_use.go
@@ -7,7 +7,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
 )
 
-// declared is what a fleet subtree offers to teams, ready to be asked often.
+// declared indexes what a fleet subtree declares, for checks of many teams.
 type declared struct {
 	zones    map[fleet.AvailabilityZone]struct{}
 	models   map[string]Model
@@ -34,37 +34,37 @@
 	return d
 }
 
-// misuse is one thing that a team uses and its fleet doesn't offer.
-type misuse struct {
+// mismatch is one thing of a team that its fleet doesn't declare or allow.
+type mismatch struct {
 	teamPath  string // in the team's subtree
 	fleetPath string // in the fleet's
 	problem   string
 	want      string
 }
 
-// misusesOf compares a team with its fleet. Both directions of a change use
-// it: a team that asks for too much, and a fleet that takes away.
-func (d declared) misusesOf(t *Team) []misuse {
-	var found []misuse
+// mismatches compares a team with its fleet. Changes of either use it: a team's
+// that uses what isn't declared, and a fleet's that removes what teams use.
+func (d declared) mismatches(t *Team) []mismatch {
+	var found []mismatch
 	for n, zone := range t.PermittedZones {
 		if _, ok := d.zones[zone]; !ok {
-			found = append(found, misuse{strictyaml.Index("permitted_zones", n), "availability_zones",
+			found = append(found, mismatch{strictyaml.Index("permitted_zones", n), "availability_zones",
 				"availability zone " + quoted(zone) + " is not declared", "declare it in the fleet's availability_zones"})
 		}
 	}
 	for n, reference := range t.Models {
 		if problem := d.modelProblem(reference); problem != "" {
-			found = append(found, misuse{strictyaml.Index("models", n), "models", problem,
+			found = append(found, mismatch{strictyaml.Index("models", n), "models", problem,
 				`write "model" or "model@version" of the fleet's models`})
 		}
 	}
 	for n, service := range t.Services {
 		if _, ok := d.services[service]; !ok {
-			found = append(found, misuse{strictyaml.Index("services", n), "services",
+			found = append(found, mismatch{strictyaml.Index("services", n), "services",
 				"service " + quoted(service) + " is not declared", "declare it in the fleet's services"})
 		}
 	}
-	return append(found, d.patienceMisuses(t)...)
+	return append(found, d.patienceMismatches(t)...)
 }
 
 func (d declared) modelProblem(reference string) string {
@@ -79,13 +79,13 @@
 	return ""
 }
 
-// patienceMisuses finds callers who wait longer than an outcome record lives;
+// patienceMismatches finds callers who wait longer than an outcome record lives;
 // see checker.recordOutlives.
-func (d declared) patienceMisuses(t *Team) []misuse {
-	var found []misuse
+func (d declared) patienceMismatches(t *Team) []mismatch {
+	var found []mismatch
 	for n, kind := range t.Callers {
 		if kind.Patience >= d.timeouts.RecordLife {
-			found = append(found, misuse{strictyaml.Key(strictyaml.Index("caller_kinds", n), "patience"), "timeouts.record_life",
+			found = append(found, mismatch{strictyaml.Key(strictyaml.Index("caller_kinds", n), "patience"), "timeouts.record_life",
 				"patience " + kind.Patience.String() + " is not under record_life " + d.timeouts.RecordLife.String(),
 				"keep patience under the fleet's timeouts.record_life"})
 		}
