--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -58,12 +58,12 @@
 // defaultCallerKind holds for a caller whose kind neither its team nor the
 // fleet declares.
 func defaultCallerKind() CallerKind {
-	return CallerKind{Kind: defaultKind, Patience: 10 * time.Second, Priority: 5}
+	return CallerKind{Kind: DefaultKind, Patience: 10 * time.Second, Priority: 5}
 }
 
-// defaultKind names the caller kind that holds for each undeclared one. A team
+// DefaultKind names the caller kind that holds for each undeclared one. A team
 // or the fleet may declare it too.
-const defaultKind = "default"
+const DefaultKind = "default"
 
 // SetDefaults implements strictyaml.Defaulter.
 func (s *Service) SetDefaults() { s.Timeout = DefaultServiceTimeout }
--- a/internal/settings/lookup.go
+++ b/internal/settings/lookup.go
@@ -53,10 +53,10 @@
 }
 
 // CallerKind gives the patience and priority of a kind of caller: the
-// team's own, else the fleet's, else the same for defaultKind, else the
+// team's own, else the fleet's, else the same for DefaultKind, else the
 // built-in default.
 func (t *Tree) CallerKind(team Team, kind string) CallerKind {
-	for _, name := range []string{kind, defaultKind} {
+	for _, name := range []string{kind, DefaultKind} {
 		for _, kinds := range [][]CallerKind{team.Callers, t.Fleet.Callers} {
 			if found, ok := kindNamed(kinds, name); ok {
 				return found
--- a/internal/settings/lookup_test.go
+++ b/internal/settings/lookup_test.go
@@ -84,7 +84,7 @@
 	assert.Equal(t, tree.CallerKind(team, "volunteer"), CallerKind{"volunteer", 3 * time.Second, 8})
 	assert.Equal(t, tree.CallerKind(team, "sorter"), CallerKind{"sorter", 20 * time.Second, 4})
 	assert.Equal(t, tree.CallerKind(team, "unheard-of"), defaultCallerKind())
-	team.Callers = append(team.Callers, CallerKind{defaultKind, time.Second, 1})
+	team.Callers = append(team.Callers, CallerKind{DefaultKind, time.Second, 1})
 	assert.Equal(t, tree.CallerKind(team, "unheard-of").Patience, time.Second)
 }
 
