--- a/internal/storage/faultfs/faults.go
+++ b/internal/storage/faultfs/faults.go
@@ -27,13 +27,6 @@
 	return f.used()
 }
 
-// Syncs counts the syncs so far, failed ones too.
-func (f *FS) Syncs() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.syncs
-}
-
 // Stall makes each sync wait until the returned function is called.
 func (f *FS) Stall() (release func()) {
 	f.mu.Lock()
--- a/internal/storage/faultfs/fs.go
+++ b/internal/storage/faultfs/fs.go
@@ -30,7 +30,6 @@
 	capacity int64 // bytes, 0 for no bound
 	failSync int   // syncs still to fail; negative for all
 	stall    chan struct{}
-	syncs    int
 }
 
 // node is a file's content.
@@ -147,7 +146,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.syncs++
 	if f.failSync == 0 {
 		return nil
 	}
