--- a/internal/storage/faultfs/faults.go
+++ b/internal/storage/faultfs/faults.go
@@ -66,15 +66,6 @@
 	}
 }
 
-// Cut shortens a file to length bytes, on the disk too.
-func (f *FS) Cut(path string, length int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := f.names[path]
-	n.data = n.data[:length]
-	n.durable = n.durable[:min(length, len(n.durable))]
-}
-
 // tear leaves a random part of the bytes that were not synced.
 func (n *node) tear(random *rand.Rand) {
 	waiting := len(n.data) - len(n.durable)
