--- a/cmd/hyssopsail-standin/endpoints.go
+++ b/cmd/hyssopsail-standin/endpoints.go
@@ -8,10 +8,11 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"golang.org/x/sync/errgroup"
 )
 
 // endpoints are the emulated endpoints of this process.
@@ -57,12 +58,12 @@
 	case <-running.Done():
 		return trace.Wrap(group.Wait())
 	}
-	left := e.leave(running)
+	leaveErr := e.leave(running)
 	stop()
 	if err := group.Wait(); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(left)
+	return trace.Wrap(leaveErr)
 }
 
 func (e *endpoints) leave(running context.Context) error {
--- a/cmd/hyssopsail-standin/main.go
+++ b/cmd/hyssopsail-standin/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/gravitational/trace"
+
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 )
 
@@ -29,11 +30,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	fleet, err := newEndpoints(c, logging.For(logger, "standin"))
+	all, err := newEndpoints(c, logging.For(logger, "standin"))
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return fleet.run(ctx)
+	return all.run(ctx)
 }
--- a/cmd/hyssopsail-standin/main_test.go
+++ b/cmd/hyssopsail-standin/main_test.go
@@ -11,13 +11,14 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
 	"github.com/hyssopsail/hyssopsail/internal/testkit"
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // asCommand makes the test binary run the command instead of the tests.
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -3,11 +3,10 @@
 import (
 	"encoding/json"
 
+	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/gravitational/trace"
-
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
--- a/internal/standin/announce_test.go
+++ b/internal/standin/announce_test.go
@@ -10,11 +10,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 // daemon is a fake of the endpoint listener.
--- a/internal/standin/cancel_test.go
+++ b/internal/standin/cancel_test.go
@@ -5,10 +5,11 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 // reachFunc brings a request to a stage, and gives the error of the step that
--- a/internal/standin/crash_test.go
+++ b/internal/standin/crash_test.go
@@ -9,9 +9,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 // An engine process ends at once in the middle of a prefill, like a killed
--- a/internal/standin/decode.go
+++ b/internal/standin/decode.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
--- a/internal/standin/export.go
+++ b/internal/standin/export.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
--- a/internal/standin/leave.go
+++ b/internal/standin/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
--- a/internal/standin/mixed_test.go
+++ b/internal/standin/mixed_test.go
@@ -9,10 +9,11 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 // randomFaults gives one or two faults that leave the process alive.
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,10 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"strconv"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
--- a/internal/standin/plain_test.go
+++ b/internal/standin/plain_test.go
@@ -7,11 +7,12 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 func call(t *testing.T, s *standin.Standin, attempt fleet.AttemptID, body string) (*http.Response, error) {
--- a/internal/standin/request_test.go
+++ b/internal/standin/request_test.go
@@ -6,11 +6,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 func TestWholeRequest(t *testing.T) {
--- a/internal/standin/timing_test.go
+++ b/internal/standin/timing_test.go
@@ -6,9 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
-	"gotest.tools/v3/assert"
 )
 
 var testModel = engineapi.ModelRef{Model: "m", Version: "1"}
