--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
@@ -40,11 +42,9 @@
 }
 
 func (s *Standin) announcement() engineapi.Announcement {
-	models := make([]engineapi.ModelRef, 0, len(s.models))
-	for m := range s.models {
-		models = append(models, m)
-	}
-	sort.Slice(models, func(a, b int) bool { return models[a].String() < models[b].String() })
+	models := slices.SortedFunc(maps.Keys(s.models), func(a, b engineapi.ModelRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
 	return engineapi.Announcement{
 		ID:           s.options.ID,
 		Incarnation:  s.options.Incarnation,
@@ -101,7 +101,7 @@
 			s.options.Part.Debug("announcement failed", "to", to, "err", err)
 			return false
 		}
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home == "" || answer.Home == to {
 			s.setHome(to)
 			return true
@@ -120,8 +120,9 @@
 	}
 }
 
-// obey takes over what a daemon says.
-func (s *Standin) obey(answer engineapi.AnnounceReply) {
+// applyReply carries out what a daemon answered: cancels, the heartbeat
+// interval and addresses.
+func (s *Standin) applyReply(answer engineapi.AnnounceReply) {
 	for _, attempt := range answer.Cancel {
 		s.cancel(attempt)
 	}
@@ -153,7 +154,7 @@
 			continue
 		}
 		misses = 0
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home != "" && answer.Home != home {
 			s.settle(ctx, answer.Home)
 		}
--- a/internal/standin/timing_test.go
+++ b/internal/standin/timing_test.go
@@ -6,9 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
-	"gotest.tools/v3/assert"
 )
 
 var testModel = engineapi.ModelRef{Model: "m", Version: "1"}
@@ -146,8 +147,8 @@
 	assert.DeepEqual(t, c.snapshot().Prefixes, []uint64{1, 3})
 }
 
-func TestStaleSetIsBounded(t *testing.T) {
-	s := newStaleSet(3)
+func TestCancelledSetIsBounded(t *testing.T) {
+	s := newCancelledSet(3)
 	for n := range 10 {
 		s.add(fleet.AttemptID(rune('a' + n)))
 	}
