A slow caller no longer makes its engine look silent; fewer timers a token

Cause: the client's timer for silent streams ran on while the caller's side wrote to a slow caller; after 3 s the stream was ended as ErrIdle, the engine blamed and the rest of the answer made again elsewhere. engine.Watch counts the time inside Next alone. It leaves its timer alone and looks, when that fires, how long the wait has lasted, so that a token costs atomic stores where it cost three timer operations (two of them in route).

TestSlowReaderIsNoSilence fails with the pause taken out ('decode at endpoint engine-1: endpoint silent too long') and passes with it; go test -race of engine and route passes.

The benchmark's flags did not reach the peer process; they do now.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -24,16 +24,16 @@
 	caller := ctx
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	follow := context.AfterFunc(caller, func() { cancel(context.Cause(caller)) })
-	silence := time.AfterFunc(c.options.HeaderTimeout, func() { cancel(ErrIdle) })
+	silence := NewWatch(c.options.HeaderTimeout, func() { cancel(ErrIdle) })
 	x := exchange{op: opDecode, method: http.MethodPost, path: "/v1/decode"}
 	response, failure := c.open(ctx, t, gate, x, body)
 	if failure != nil {
 		follow()
-		silence.Stop()
+		silence.Close()
 		cancel(failure)
 		return nil, c.finish(opDecode, failure)
 	}
-	silence.Reset(c.firstTimeout(r.DeadlineMs))
+	silence.SetLimit(c.firstTimeout(r.DeadlineMs))
 	c.metrics.streams.Inc()
 	return &decodeStream{
 		client:   c,
@@ -78,10 +78,11 @@
 	ctx      context.Context // of the HTTP request
 	cancel   context.CancelCauseFunc
 	unfollow func() bool // ctx no longer ends with the caller's
-	silence  *time.Timer // ends ctx when no chunk comes
+	silence  *Watch      // ends ctx when no chunk comes
 	body     io.ReadCloser
 	chunks   *chunkReader
 	position position
+	began    bool  // the first chunk has come
 	err      error // what Next gives from now on
 	once     sync.Once
 }
@@ -91,6 +92,9 @@
 	if s.err != nil {
 		return engineapi.Chunk{}, s.err
 	}
+	if s.began {
+		s.silence.Begin()
+	}
 	chunk, err := s.chunks.next()
 	if err == nil {
 		err = s.position.take(chunk)
@@ -105,10 +109,23 @@
 		s.once.Do(s.startDrain)
 		return chunk, nil
 	}
-	s.silence.Reset(s.client.options.IdleTimeout)
+	s.pause()
 	return chunk, nil
 }
 
+// pause ends the wait for a chunk until Next is called again.
+//
+// Failure: a caller reads slowly, so that its answer's next token waits here.
+// Were that time counted, an engine that has sent all that it has would be
+// given up on as silent and blamed.
+func (s *decodeStream) pause() {
+	if !s.began {
+		s.began = true
+		s.silence.SetLimit(s.client.options.IdleTimeout)
+	}
+	s.silence.End()
+}
+
 // fail keeps the first error: nothing that comes after it is passed on.
 func (s *decodeStream) fail(err error) {
 	if because := context.Cause(s.ctx); because != nil {
@@ -139,7 +156,7 @@
 // usually ends it at once, which would close the connection.
 func (s *decodeStream) startDrain() {
 	s.unfollow()
-	s.silence.Reset(drainTimeout)
+	s.silence.SetLimit(drainTimeout)
 	go s.drain()
 }
 
@@ -157,7 +174,7 @@
 
 func (s *decodeStream) end() {
 	s.unfollow()
-	s.silence.Stop()
+	s.silence.Close()
 	s.cancel(context.Canceled)
 	s.body.Close()
 	s.client.metrics.streams.Dec()
--- /dev/null
+++ b/internal/engine/watch_test.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
+)
+
+func TestWatchCountsWaitsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		var after time.Duration
+		w := NewWatch(10*time.Second, func() { after = time.Since(began) })
+		for range 20 {
+			time.Sleep(9 * time.Second)
+			w.End()
+			time.Sleep(30 * time.Second) // nobody waits
+			w.Begin()
+		}
+		assert.Equal(t, after, time.Duration(0))
+		began = time.Now()
+		w.SetLimit(3 * time.Second)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Equal(t, after, 3*time.Second)
+		w.Close()
+	})
+}
+
+func TestClosedWatchIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWatch(time.Second, func() { t.Error("called") })
+		w.End()
+		time.Sleep(1500 * time.Millisecond)
+		w.Begin()
+		w.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// A caller on a slow line takes ten seconds for a token. All of the answer has
+// come by then; an engine that has nothing left to send must not be given up on
+// as silent, which would run the rest of the answer again elsewhere.
+func TestSlowReaderIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go answerStream(far)
+			return near, nil
+		}})
+		stream, err := client.Decode(t.Context(), targetAt("127.0.0.1:1"), open, decodeRequest())
+		assert.NilError(t, err)
+		count := 0
+		for ; err == nil; count++ {
+			_, err = stream.Next()
+			time.Sleep(10 * time.Second)
+		}
+		assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+		assert.Equal(t, count, 4)
+		assert.NilError(t, stream.Close())
+		client.transport.CloseIdleConnections()
+	})
+}
+
+func answerStream(conn net.Conn) {
+	defer conn.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	for _, part := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: " + engineapi.MediaEvents + "\r\nConnection: close\r\n\r\n",
+		event(chunk(0, 1, "")), event(chunk(1, 1, "")), event(chunk(2, 1, engineapi.FinishStop)),
+	} {
+		_, _ = io.WriteString(conn, part) // waits until it is read
+	}
+}
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -19,8 +19,8 @@
 	m := a.run
 	local, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := time.AfterFunc(m.remaining(), cancel)
-	defer watch.Stop()
+	watch := engine.NewWatch(m.remaining(), cancel)
+	defer watch.Close()
 	a.noteDecodeStart()
 	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.router.gateUnder(a.decode, m.gate), a.decodeRequest())
 	a.touch(a.decode, err)
@@ -52,22 +52,25 @@
 }
 
 // relay passes chunks on until the last one.
-func (a *attempt) relay(ctx, local context.Context, stream engine.Stream, watch *time.Timer) *setback {
-	for {
+func (a *attempt) relay(ctx, local context.Context, stream engine.Stream, watch *engine.Watch) *setback {
+	for first := true; ; first = false {
 		c, err := stream.Next()
 		if err != nil {
 			return a.decodeFailed(ctx, local, err)
 		}
 		// A caller that reads slowly is no fault of the engine.
-		watch.Stop()
+		watch.End()
 		if s := a.placeHeld(); s != nil {
 			return s
 		}
 		ended, s := a.pass(c)
-		watch.Reset(streamStall)
 		if ended || s != nil {
 			return s
 		}
+		if first {
+			watch.SetLimit(streamStall)
+		}
+		watch.Begin()
 	}
 }
 
--- a/internal/route/relaycost_test.go
+++ b/internal/route/relaycost_test.go
@@ -38,6 +38,7 @@
 const peerMode = "HYSSOPSAIL_RELAY_PEER"
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	if os.Getenv(peerMode) != "" {
 		runPeer()
 		return
