A daemon runs on four threads at most

Cause: in a profile of BenchmarkRelayProcess at 15,000 tokens/s the scheduler's search for work (findRunnable) had 23% and futexes 12% of the processor time: on 12 cores each token wakes threads that find nothing. GOMAXPROCS in the environment still decides where it is set.

GOMAXPROCS=4 go test -bench RelayProcess -benchtime 1x ./internal/route

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 // listeners are completed by the ports that the kernel chose, so that a later
 // New listens on the same ones.
 func New(file *config.Daemon, logger log.Logger) (*Daemon, error) {
+	limitProcessors()
 	opened, err := openListeners(file)
 	if err != nil {
 		return nil, trace.Wrap(err)
