Try: one wake-up channel for each reader of a keyed answer

Cause looked for: a keyed answer costs more for a token than one without key (a second goroutine, and a channel made and closed for each token).

--- a/internal/route/broadcast.go
+++ b/internal/route/broadcast.go
@@ -21,19 +21,32 @@
 	full    bool // the run waits for a reader
 	readers map[*reader]struct{}
 	answer  *Answer       // set when the run has ended
-	changed chan struct{} // closed and replaced at each change
+	room    chan struct{} // has a value when a full broadcast may have room
 }
 
-// reader is one caller's place in the answer.
-type reader struct{ next int }
+// reader is one caller's place in the answer. wake has a value when there may
+// be something new: a channel for each token would cost its allocation.
+type reader struct {
+	next int
+	wake chan struct{}
+}
 
 func newBroadcast(limit int) *broadcast {
-	return &broadcast{limit: limit, readers: map[*reader]struct{}{}, changed: make(chan struct{})}
+	return &broadcast{limit: limit, readers: map[*reader]struct{}{}, room: make(chan struct{}, 1)}
 }
 
 func (b *broadcast) wakeLocked() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+	for r := range b.readers {
+		signal(r.wake)
+	}
+}
+
+// signal leaves a value in a channel of size one.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // join adds a reader from the start; false when the start is gone.
@@ -43,7 +56,7 @@
 	if b.dropped > 0 {
 		return nil, false
 	}
-	r := &reader{}
+	r := &reader{wake: make(chan struct{}, 1)}
 	b.readers[r] = struct{}{}
 	return r, true
 }
@@ -53,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.readers, r)
-	b.wakeLocked()
+	signal(b.room)
 	return len(b.readers) == 0
 }
 
@@ -61,19 +74,18 @@
 // slowest reader.
 func (b *broadcast) pass(ctx context.Context, c engineapi.Chunk) error {
 	for {
-		changed, room := b.tryAdd(c)
-		if room {
+		if b.tryAdd(c) {
 			return nil
 		}
 		select {
-		case <-changed:
+		case <-b.room:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (b *broadcast) tryAdd(c engineapi.Chunk) (changed <-chan struct{}, added bool) {
+func (b *broadcast) tryAdd(c engineapi.Chunk) (added bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.bytes+len(c.Text) > b.limit {
@@ -81,12 +93,12 @@
 	}
 	if b.bytes+len(c.Text) > b.limit && len(b.chunks) > 0 {
 		b.full = true
-		return b.changed, false
+		return false
 	}
 	b.chunks = append(b.chunks, c)
 	b.bytes += len(c.Text)
 	b.wakeLocked()
-	return nil, true
+	return true
 }
 
 // dropReadLocked drops what every reader has.
@@ -119,9 +131,8 @@
 
 // batch is what a reader gets at once.
 type batch struct {
-	chunks  []engineapi.Chunk
-	answer  *Answer
-	changed <-chan struct{}
+	chunks []engineapi.Chunk
+	answer *Answer
 }
 
 func (b *broadcast) read(r *reader) batch {
@@ -131,7 +142,7 @@
 	r.next += len(fresh)
 	if b.full && len(fresh) > 0 {
 		b.full = false
-		b.wakeLocked()
+		signal(b.room)
 	}
-	return batch{chunks: fresh[:len(fresh):len(fresh)], answer: b.answer, changed: b.changed}
+	return batch{chunks: fresh[:len(fresh):len(fresh)], answer: b.answer}
 }
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -215,7 +215,7 @@
 			continue
 		}
 		select {
-		case <-b.changed:
+		case <-place.wake:
 		case <-ctx.Done():
 			return Answer{Failure: endOf(ctx)}
 		}
--- a/internal/route/relaycost_test.go
+++ b/internal/route/relaycost_test.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/entry"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
+	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
@@ -31,6 +32,7 @@
 	relayStreams = flag.Int("relay.streams", 340, "concurrent streams of BenchmarkRelayProcess")
 	relayTokens  = flag.Int("relay.tokens", 150, "tokens of each stream")
 	relayStep    = flag.Duration("relay.step", 20*time.Millisecond, "time between two tokens of a stream")
+	relayKeyed   = flag.Bool("relay.keyed", false, "each request has an Idempotency-Key")
 	relayRounds  = flag.Int("relay.rounds", 2, "answers of each stream, one after another")
 )
 
@@ -96,7 +98,7 @@
 	}
 	command := exec.CommandContext(b.Context(), os.Args[0],
 		fmt.Sprintf("-relay.streams=%d", *relayStreams), fmt.Sprintf("-relay.tokens=%d", *relayTokens),
-		fmt.Sprintf("-relay.step=%s", *relayStep), fmt.Sprintf("-relay.rounds=%d", *relayRounds))
+		fmt.Sprintf("-relay.step=%s", *relayStep), fmt.Sprintf("-relay.rounds=%d", *relayRounds), fmt.Sprintf("-relay.keyed=%t", *relayKeyed))
 	command.Env = append(os.Environ(), peerMode+"=1", "GOMAXPROCS=")
 	command.Stdin, command.Stderr = reader, os.Stderr
 	out, err := command.StdoutPipe()
@@ -128,7 +130,7 @@
 }
 
 func relayHandler(engineAddress string) http.Handler {
-	f := &relayFleet{world: world{}, engine: engineAddress}
+	f := &relayFleet{world: world{records: map[outcome.Key]*ledgerRecord{}}, engine: engineAddress}
 	f.state.Store(newWorld().state)
 	router := route.New(route.Options{
 		Source: f, Follower: f, Engine: engine.NewClient(engine.Options{MaxIdle: 1024}), Ledger: f, Guard: f, Admission: f, Recorder: f,
--- a/internal/route/relaypeer_test.go
+++ b/internal/route/relaypeer_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -196,6 +197,9 @@
 		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer "+teamKey)
+	if *relayKeyed {
+		request.Header.Set("Idempotency-Key", strconv.FormatUint(rand.Uint64(), 36))
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
