--- a/internal/route/broadcast.go
+++ b/internal/route/broadcast.go
@@ -21,32 +21,19 @@
 	full    bool // the run waits for a reader
 	readers map[*reader]struct{}
 	answer  *Answer       // set when the run has ended
-	room    chan struct{} // has a value when a full broadcast may have room
+	changed chan struct{} // closed and replaced at each change
 }
 
-// reader is one caller's place in the answer. wake has a value when there may
-// be something new: a channel for each token would cost its allocation.
-type reader struct {
-	next int
-	wake chan struct{}
-}
+// reader is one caller's place in the answer.
+type reader struct{ next int }
 
 func newBroadcast(limit int) *broadcast {
-	return &broadcast{limit: limit, readers: map[*reader]struct{}{}, room: make(chan struct{}, 1)}
+	return &broadcast{limit: limit, readers: map[*reader]struct{}{}, changed: make(chan struct{})}
 }
 
 func (b *broadcast) wakeLocked() {
-	for r := range b.readers {
-		signal(r.wake)
-	}
-}
-
-// signal leaves a value in a channel of size one.
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
 
 // join adds a reader from the start; false when the start is gone.
@@ -56,7 +43,7 @@
 	if b.dropped > 0 {
 		return nil, false
 	}
-	r := &reader{wake: make(chan struct{}, 1)}
+	r := &reader{}
 	b.readers[r] = struct{}{}
 	return r, true
 }
@@ -66,7 +53,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.readers, r)
-	signal(b.room)
+	b.wakeLocked()
 	return len(b.readers) == 0
 }
 
@@ -74,18 +61,19 @@
 // slowest reader.
 func (b *broadcast) pass(ctx context.Context, c engineapi.Chunk) error {
 	for {
-		if b.tryAdd(c) {
+		changed, room := b.tryAdd(c)
+		if room {
 			return nil
 		}
 		select {
-		case <-b.room:
+		case <-changed:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (b *broadcast) tryAdd(c engineapi.Chunk) (added bool) {
+func (b *broadcast) tryAdd(c engineapi.Chunk) (changed <-chan struct{}, added bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.bytes+len(c.Text) > b.limit {
@@ -93,12 +81,12 @@
 	}
 	if b.bytes+len(c.Text) > b.limit && len(b.chunks) > 0 {
 		b.full = true
-		return false
+		return b.changed, false
 	}
 	b.chunks = append(b.chunks, c)
 	b.bytes += len(c.Text)
 	b.wakeLocked()
-	return true
+	return nil, true
 }
 
 // dropReadLocked drops what every reader has.
@@ -131,8 +119,9 @@
 
 // batch is what a reader gets at once.
 type batch struct {
-	chunks []engineapi.Chunk
-	answer *Answer
+	chunks  []engineapi.Chunk
+	answer  *Answer
+	changed <-chan struct{}
 }
 
 func (b *broadcast) read(r *reader) batch {
@@ -142,7 +131,7 @@
 	r.next += len(fresh)
 	if b.full && len(fresh) > 0 {
 		b.full = false
-		signal(b.room)
+		b.wakeLocked()
 	}
-	return batch{chunks: fresh[:len(fresh):len(fresh)], answer: b.answer}
+	return batch{chunks: fresh[:len(fresh):len(fresh)], answer: b.answer, changed: b.changed}
 }
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -215,7 +215,7 @@
 			continue
 		}
 		select {
-		case <-place.wake:
+		case <-b.changed:
 		case <-ctx.Done():
 			return Answer{Failure: endOf(ctx)}
 		}
