Try: tokens that are at hand together go out in one write

Cause looked for: an entry that has fallen behind pays one write for each token of a stream, though the next one is in its read buffer already. Sinks could hold a chunk where the stream said that the next one was whole in the buffer.

--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -201,12 +201,11 @@
 			c.cancel()
 		}
 	}()
+	holder := holding(sink)
 	for {
 		b := c.out.read(place)
-		for _, chunk := range b.chunks {
-			if err := sink.Pass(chunk); err != nil {
-				return Answer{Failure: callerGone()}
-			}
+		if passAll(holder, b.chunks) != nil {
+			return Answer{Failure: callerGone()}
 		}
 		if b.answer != nil && len(b.chunks) == 0 {
 			return *b.answer
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -59,3 +59,42 @@
 type Sink interface {
 	Pass(c engineapi.Chunk) error
 }
+
+// Holder is a Sink that can keep a chunk back from the wire. Hold is used only
+// when the next chunk is at hand already, so that it delays nothing; Flush
+// sends what is kept.
+type Holder interface {
+	Sink
+	Hold(c engineapi.Chunk) error
+	Flush() error
+}
+
+// holding gives any Sink as a Holder; one that can't hold passes at once.
+func holding(s Sink) Holder {
+	if h, ok := s.(Holder); ok {
+		return h
+	}
+	return passing{s}
+}
+
+type passing struct{ Sink }
+
+// Hold implements Holder.
+func (p passing) Hold(c engineapi.Chunk) error { return p.Pass(c) }
+
+// Flush implements Holder.
+func (p passing) Flush() error { return nil }
+
+// passAll passes chunks that are all at hand.
+func passAll(to Holder, chunks []engineapi.Chunk) error {
+	for n, c := range chunks {
+		pass := to.Hold
+		if n == len(chunks)-1 {
+			pass = to.Pass
+		}
+		if err := pass(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
