--- a/internal/engine/contract.go
+++ b/internal/engine/contract.go
@@ -43,8 +43,6 @@
 	// Next gives the next chunk; after one with Finish set it gives io.EOF. A
 	// stream that breaks before gives an *Error.
 	Next() (engineapi.Chunk, error)
-	// Ready tells whether Next would give its result without waiting.
-	Ready() bool
 	Close() error
 }
 
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -52,14 +52,6 @@
 	}
 }
 
-// ready tells whether the next line that isn't empty is a whole data line in
-// the buffer.
-func (r *chunkReader) ready() bool {
-	buffered, _ := r.buffer.Peek(r.buffer.Buffered())
-	line := bytes.TrimLeft(buffered, "\r\n")
-	return bytes.HasPrefix(line, dataField) && bytes.IndexByte(line, '\n') >= 0
-}
-
 // line gives one line without its end; it is valid until the next call.
 func (r *chunkReader) line() ([]byte, error) {
 	line, err := r.buffer.ReadSlice('\n')
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -113,9 +113,6 @@
 	return chunk, nil
 }
 
-// Ready implements Stream.
-func (s *decodeStream) Ready() bool { return s.err != nil || s.chunks.ready() }
-
 // pause ends the wait for a chunk until Next is called again.
 //
 // Failure: a caller reads slowly, so that its answer's next token waits here.
--- a/internal/engine/watch_test.go
+++ b/internal/engine/watch_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,21 +84,3 @@
 		_, _ = io.WriteString(conn, part) // waits until it is read
 	}
 }
-
-// A chunk may be kept back for the next one only where that is here whole.
-func TestReadyMeansAWholeChunk(t *testing.T) {
-	for rest, want := range map[string]bool{
-		"":                                   false,
-		"\n":                                 false,
-		"\ndata: {":                          false,
-		"\n: data: a comment\n":              false,
-		"\nid: 7\n" + event(chunk(1, 1, "")): false,
-		"\r\n" + event(chunk(1, 1, "")):      true,
-	} {
-		first := event(chunk(0, 1, ""))
-		reader := newChunkReader(strings.NewReader(first[:len(first)-1]+rest), 6000, testAttempt)
-		_, err := reader.next()
-		assert.NilError(t, err)
-		assert.Equal(t, reader.ready(), want, "%q", rest)
-	}
-}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -23,26 +23,12 @@
 // Pass implements route.Sink. Each chunk is flushed: a token kept back counts
 // against the caller's time between tokens.
 func (s *streamSink) Pass(c engineapi.Chunk) error {
-	if err := s.Hold(c); err != nil {
-		return err
-	}
-	return s.Flush()
-}
-
-// Hold implements route.Holder: the server's buffer keeps the event.
-func (s *streamSink) Hold(c engineapi.Chunk) error {
 	if !s.x.began {
 		s.x.startStream()
 	}
 	s.arm()
-	_, err := s.x.w.Write(s.events.chunk(c))
-	return err
-}
-
-// Flush implements route.Holder.
-func (s *streamSink) Flush() error {
-	if !s.x.began {
-		return nil
+	if _, err := s.x.w.Write(s.events.chunk(c)); err != nil {
+		return err
 	}
 	return s.x.control.Flush()
 }
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -48,8 +48,6 @@
 	return c, nil
 }
 
-func (s *fastStream) Ready() bool { return false }
-
 func (s *fastStream) Close() error { return nil }
 
 type discard struct{}
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -53,9 +53,6 @@
 
 // relay passes chunks on until the last one.
 func (a *attempt) relay(ctx, local context.Context, stream engine.Stream, watch *engine.Watch) *setback {
-	// What is held must not wait for a retry; a sink that can't flush fails at
-	// the next Pass.
-	defer func() { _ = a.run.sink.Flush() }()
 	for first := true; ; first = false {
 		c, err := stream.Next()
 		if err != nil {
@@ -66,7 +63,7 @@
 		if s := a.placeHeld(); s != nil {
 			return s
 		}
-		ended, s := a.pass(c, stream.Ready())
+		ended, s := a.pass(c)
 		if ended || s != nil {
 			return s
 		}
@@ -91,7 +88,7 @@
 
 // pass checks one chunk and gives it to the sink. ended is true after the
 // last one of a whole answer.
-func (a *attempt) pass(c engineapi.Chunk, more bool) (ended bool, s *setback) {
+func (a *attempt) pass(c engineapi.Chunk) (ended bool, s *setback) {
 	m := a.run
 	switch judgeChunk(c, a.id, a.decode.target.Incarnation, m.passed) {
 	case chunkRepeated:
@@ -103,7 +100,7 @@
 		return false, &setback{cause: causeRefused, endpoint: a.decode.target.ID}
 	}
 	a.firstToken(c)
-	if err := a.handOn(c, more); err != nil {
+	if err := m.sink.Pass(c); err != nil {
 		return false, &setback{cause: causeCallerGone}
 	}
 	m.passed += c.Tokens
@@ -117,15 +114,6 @@
 	return true, nil
 }
 
-// handOn keeps a chunk back only where the next one is at hand already: one
-// write then takes both, which is what an entry that has fallen behind needs.
-func (a *attempt) handOn(c engineapi.Chunk, more bool) error {
-	if more && c.Finish == engineapi.FinishNone {
-		return a.run.sink.Hold(c)
-	}
-	return a.run.sink.Pass(c)
-}
-
 func (a *attempt) firstToken(c engineapi.Chunk) {
 	if a.run.passed > 0 || c.Tokens == 0 {
 		return
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -219,8 +219,6 @@
 	return e
 }
 
-func (s *stream) Ready() bool { return s.w.ready }
-
 func (s *stream) Close() error { return nil }
 
 func (w *world) Cancel(t engine.Target, a fleet.AttemptID) {
--- a/internal/route/keyed.go
+++ b/internal/route/keyed.go
@@ -201,11 +201,12 @@
 			c.cancel()
 		}
 	}()
-	holder := holding(sink)
 	for {
 		b := c.out.read(place)
-		if passAll(holder, b.chunks) != nil {
-			return Answer{Failure: callerGone()}
+		for _, chunk := range b.chunks {
+			if err := sink.Pass(chunk); err != nil {
+				return Answer{Failure: callerGone()}
+			}
 		}
 		if b.answer != nil && len(b.chunks) == 0 {
 			return *b.answer
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -20,7 +20,7 @@
 	class       class
 	fingerprint fleet.Fingerprint
 	gate        engine.Gate
-	sink        Holder
+	sink        Sink
 
 	policies     Policies
 	admitted     admission.Request
@@ -46,7 +46,7 @@
 		class:       c,
 		fingerprint: f,
 		gate:        placement.Gate(r.opts.Source, req.Team, r.opts.Recorder),
-		sink:        holding(sink),
+		sink:        sink,
 		avoid:       endpointSet{},
 		deadline:    req.Arrived.Add(c.patience),
 	}
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -60,7 +60,6 @@
 	freezeBefore string
 	ranOut       map[string]bool
 	lateSends    int
-	ready        bool // streams say that their next chunk is at hand
 }
 
 type guardEnd struct{ completed, crashed bool }
