Forecasts learn whether answers are as long as is allowed

The share of outputs as long as allowed is learned for each team and model; that part of the forecast takes the allowed length.

TestOutputsAsLongAsAllowed.

--- a/internal/endpoint/core_release.go
+++ b/internal/endpoint/core_release.go
@@ -79,6 +79,7 @@
 		f.Busy -= ahead
 	}
 	c.predictor.Observe(f)
+	c.predictor.sawAllowed(f, h.expected)
 	c.learnService(now, r, h)
 }
 
--- a/internal/endpoint/forecast_test.go
+++ b/internal/endpoint/forecast_test.go
@@ -136,3 +136,26 @@
 	p.sawLeadIn("m@1", 11*time.Second)
 	assert.Equal(t, rest(hold{}), 2500*time.Millisecond, "begins in half a second")
 }
+
+// Callers of one team allow just what they take. Learned from all lengths, the
+// rest of a long answer is put too low, always; promises on slots come early.
+func TestOutputsAsLongAsAllowed(t *testing.T) {
+	p := NewPredictor(rand.New(rand.NewPCG(1, 1)))
+	f := Finished{Team: "sorters", Model: "m@1", Kind: fleet.RoleDecode}
+	see := func(allowed, tokens int) {
+		done := f
+		done.OutputTokens, done.Busy = tokens, time.Duration(tokens)*10*time.Millisecond
+		p.Observe(done)
+		p.sawAllowed(done, allowed)
+	}
+	for range 40 {
+		see(150, 150)
+		see(350, 350)
+	}
+	assert.Equal(t, p.Remaining(f, 350, 0, 0.1), 3500*time.Millisecond)
+	assert.Equal(t, p.Remaining(f, 200, 0, 0.9), 2*time.Second)
+	for range 80 {
+		see(1000, 150)
+	}
+	assert.Equal(t, p.Remaining(f, 1000, 0, medianQuantile), 1500*time.Millisecond, "others allow more than they take")
+}
--- a/internal/endpoint/predictor.go
+++ b/internal/endpoint/predictor.go
@@ -17,6 +17,7 @@
 	lengths map[predictorKey]*sample      // output tokens
 	busy    map[predictorKey]*sample      // ms, for work that isn't decode
 	tokens  map[string]float64            // ms a token, by model
+	usedUp  map[predictorKey]float64      // share of outputs as long as is allowed
 	leadIns map[string]float64            // ms from the grant of a decode slot to its use, by model
 	service map[string]*leastsquares.Sums // ms of engine work over prompt tokens, by model
 }
@@ -45,6 +46,7 @@
 		lengths: make(map[predictorKey]*sample),
 		busy:    make(map[predictorKey]*sample),
 		tokens:  make(map[string]float64),
+		usedUp:  make(map[predictorKey]float64),
 		leadIns: make(map[string]float64),
 		service: make(map[string]*leastsquares.Sums),
 	}
@@ -124,6 +126,9 @@
 		total = fallbackLength(expected, done)
 	}
 	if expected > 0 {
+		if quantile >= 1-p.usedUp[predictorKey{f.Team, f.Model, f.Kind}] {
+			total = float64(expected)
+		}
 		total = capLength(total, float64(expected), done)
 	}
 	return time.Duration((total - done) * float64(each))
@@ -162,6 +167,24 @@
 	return list
 }
 
+// sawAllowed learns how often outputs are as long as is allowed. Where nearly
+// all are, what a caller allows tells the length better than other lengths do.
+func (p *Predictor) sawAllowed(f Finished, allowed int) {
+	if f.OutputTokens <= 0 || allowed <= 0 {
+		return
+	}
+	key := predictorKey{f.Team, f.Model, f.Kind}
+	old, ok := p.usedUp[key]
+	if !ok && len(p.usedUp) >= maxPredictorKeys {
+		return
+	}
+	used := 0.0
+	if f.OutputTokens >= allowed {
+		used = 1
+	}
+	p.usedUp[key] = old + tokenTimeGain*(used-old)
+}
+
 // leadIn is the usual time from the grant of a decode slot until the engine
 // holds the request.
 func (p *Predictor) leadIn(model string) time.Duration { return millis(p.leadIns[model]) }
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -5,6 +5,8 @@
 declare -A STANDIN_PID=() STANDIN_ARGS=() DAEMON_PID=()
 STANDINS=()
 DAEMONS=(e1 e2 e3 e4 e5 e6 e7 e8 e9)
+ENGINE_FLAGS=()
+DIRECT_ENGINES=()
 
 # layout DEPLOYMENT sets ZONES, MODEL, SERVICE and the numbers of endpoints.
 layout() {
@@ -17,6 +19,11 @@
 		ZONES=(anping-hall rende-hall yongkang-hall)
 		MODEL=lyric SERVICE=catalogue PREFILL=5 DECODE=7 PLAIN=3
 		;;
+	added-delay)
+		ZONES=(howrah) DAEMONS=(e1 e2 e3)
+		MODEL=fibre SERVICE="" PREFILL=4 DECODE=4 PLAIN=0
+		ENGINE_FLAGS=(--slots 100 --prefill-base 10ms --prefill-token 1us --step-base 10ms --step-per-request 1us --kv-token 1024)
+		;;
 	*)
 		printf 'no deployment %s\n' "$1" >&2
 		return 2
@@ -70,11 +77,27 @@
 	for ((n = 0; n < PREFILL; n++)); do start_endpoint "prefill-$n" "$n" --role prefill --model "$MODEL@1"; done
 	for ((n = 0; n < DECODE; n++)); do start_endpoint "decode-$n" "$n" --role decode --model "$MODEL@1"; done
 	for ((n = 0; n < PLAIN; n++)); do start_endpoint "plain-$n" "$n" --role plain --service "$SERVICE"; done
+	[ "$deployment" != added-delay ] || start_direct_engines
 	wait_for 20 all_listed
 }
 
 all_listed() { [ "$(tool endpoints | grep -c -e prefill- -e decode- -e plain-)" -ge "${#STANDINS[@]}" ]; }
 
+# start_direct_engines starts engines that no daemon knows, for direct calls.
+start_direct_engines() {
+	local n role
+	for role in prefill decode; do
+		for ((n = 0; n < 4; n++)); do
+			mkdir -p "$FLEET/direct-$role-$n"
+			DIRECT_ENGINES+=("direct-$role-$n")
+			"$BIN/hyssopsail-standin" --id "direct-$role-$n" --zone howrah --role "$role" --model "$MODEL@1" --link-rate 5000000000 \
+				"${ENGINE_FLAGS[@]}" --address-file "$FLEET/direct-$role-$n/address" 2>>"$FLEET/direct-$role-$n/log" &
+			PIDS+=($!)
+			wait_for 10 test -s "$FLEET/direct-$role-$n/address"
+		done
+	done
+}
+
 # start_endpoint ID NUMBER ARGS... starts an emulated endpoint, which keeps its
 # place and arguments when it is started again.
 start_endpoint() {
@@ -91,7 +114,7 @@
 	rm -f "$FLEET/$id/address"
 	# shellcheck disable=SC2086 # the arguments hold no spaces of their own
 	"$BIN/hyssopsail-standin" --id "$id" --leave-grace 500ms --link-rate 5000000000 --address-file "$FLEET/$id/address" --audit-folder "$FLEET/audits" \
-		"${entries[@]}" ${STANDIN_ARGS[$id]} 2>>"$FLEET/$id/log" &
+		"${ENGINE_FLAGS[@]}" "${entries[@]}" ${STANDIN_ARGS[$id]} 2>>"$FLEET/$id/log" &
 	PIDS+=($!)
 	STANDIN_PID[$id]=$!
 	wait_for 10 test -s "$FLEET/$id/address"
@@ -109,8 +132,22 @@
 	for id in "${STANDINS[@]}"; do [[ $id != plain-* ]] || printf '%s,' "$(address_of "$id")"; done
 }
 
+direct_engine_list() {
+	local id
+	for id in "${DIRECT_ENGINES[@]}"; do printf '%s,' "$(address_of "$id")"; done
+}
+
+# cpu_seconds PID gives the processor time that a process has used.
+cpu_seconds() {
+	awk -v ticks="$(getconf CLK_TCK)" '{sub(/.*\) /, ""); print ($12 + $13) / ticks}' "/proc/$1/stat"
+}
+
 callers_list() {
 	local n
+	if [ "$deployment" = added-delay ]; then
+		printf '127.0.0.1:%s' "$(port 0 1)"
+		return
+	fi
 	for n in "${!DAEMONS[@]}"; do printf '127.0.0.1:%s,' "$(port "$n" 1)"; done
 }
 
