--- a/internal/endpoint/believed.go
+++ b/internal/endpoint/believed.go
@@ -39,8 +39,18 @@
 	d[key]++
 }
 
-// mostAhead gives the bound for a take; 0: none.
+// mostAhead gives the bound for a take: the smaller of what the caller of Take
+// says and what is believed; 0: none.
 func (f *HomeClient) mostAhead(now time.Time, x *index, known *row, r GrantRequest) time.Duration {
+	believed := f.believed(now, x, known, r)
+	if believed == 0 || (r.MostAhead > 0 && r.MostAhead < believed) {
+		return r.MostAhead
+	}
+	return believed
+}
+
+// believed gives the bound by this daemon's view; 0: none.
+func (f *HomeClient) believed(now time.Time, x *index, known *row, r GrantRequest) time.Duration {
 	if r.Kind == fleet.RolePlain || r.Alone {
 		return 0
 	}
@@ -50,11 +60,11 @@
 	if refused >= beliefTries || x.others(r, f.permitted(r.Team)) < beliefTries+beliefSpare {
 		return 0
 	}
-	var believed Candidate
-	if !known.fill(now, &believed) {
+	var seen Candidate
+	if !known.fill(now, &seen) {
 		return 0
 	}
-	return believed.NextFree + believed.QueuedWork + beliefSlack
+	return seen.NextFree + seen.QueuedWork + beliefSlack
 }
 
 func (f *HomeClient) permitted(team fleet.Team) fleet.ZoneSet {
--- a/internal/endpoint/believed_test.go
+++ b/internal/endpoint/believed_test.go
@@ -69,6 +69,9 @@
 		time.Sleep(pollEvery + 10*time.Millisecond)
 		x := other.client.index.Load()
 		assert.Equal(t, other.client.mostAhead(time.Now(), x, x.byID["e1"], take("e1", "x", 0)), time.Duration(0))
+		bounded := take("e1", "x", 0)
+		bounded.MostAhead = time.Second
+		assert.Equal(t, other.client.mostAhead(time.Now(), x, x.byID["e1"], bounded), time.Second)
 	})
 }
 
--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -48,10 +48,13 @@
 	ExpectedTokens int
 	Wait           time.Duration // longest wait in the home's queue
 	Lead           time.Duration // grant so long before the slot is free
-	Share          float64
-	Priority       int
-	Fingerprint    fleet.Fingerprint
-	Alone          bool
+	// MostAhead has the home refuse when more is predicted to be ahead: a slot's
+	// wait, and for a prefill the work before it. 0: the follower alone decides.
+	MostAhead   time.Duration
+	Share       float64
+	Priority    int
+	Fingerprint fleet.Fingerprint
+	Alone       bool
 }
 
 // Grant is a slot at an endpoint, held until released or its life ends.
