--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/provision"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
 	"github.com/hyssopsail/hyssopsail/internal/route"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 )
 
@@ -31,7 +32,12 @@
 
 func newEntryRole(b *base) (*entryRole, error) {
 	e := &entryRole{}
+	secure, err := rpc.TrustingTLS(b.file.EndpointAuthority)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	client := engine.NewClient(engine.Options{
+		TLS:        secure,
 		Owner:      b.self.Owner(),
 		Part:       newPart(b.logger, "engine"),
 		Registerer: b.registry,
@@ -39,6 +45,7 @@
 	e.newHomes(b, client)
 	e.newProvision(b, client)
 	e.newOutcomes(b)
+	policies := newPolicies(b)
 	e.router = route.New(route.Options{
 		Source:     b.agent,
 		Follower:   e.provision.Follower(),
@@ -46,13 +53,16 @@
 		Ledger:     e.ledger,
 		Guard:      e.guard,
 		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
-		Policies:   newPolicies(b).choose,
+		Policies:   policies.choose,
+		Prefill:    policies.prefill,
+		Links:      policies.links,
 		Recorder:   b.ring,
 		Prefixes:   schedule.Prefixes,
 		Secret:     b.secret[:],
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "route"),
 		Registerer: b.registry,
+		Bounds:     route.Bounds{StreamTime: b.file.Bounds.StreamTime},
 	})
 	return e, trace.Wrap(e.register(b))
 }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -52,7 +52,9 @@
 	t.Helper()
 	command := exec.Command(program("hyssopsaild"), "--config", filepath.Join(i.folder, "daemon.yaml"))
 	i.mu.Lock()
-	i.log = &bytes.Buffer{}
+	if i.log == nil {
+		i.log = &bytes.Buffer{}
+	}
 	i.command = command
 	i.ended = make(chan struct{})
 	ended := i.ended
@@ -86,11 +88,19 @@
 // stop ends the process gracefully and gives its exit status.
 func (i *instance) stop(t *testing.T, within time.Duration) error {
 	t.Helper()
-	i.signal(t, syscall.SIGTERM)
+	i.terminate(t)
+	return i.awaitEnd(within)
+}
+
+// terminate begins a graceful stop.
+func (i *instance) terminate(t *testing.T) { t.Helper(); i.signal(t, syscall.SIGTERM) }
+
+// awaitEnd gives the exit status of a process that was told to end.
+func (i *instance) awaitEnd(within time.Duration) error {
 	select {
 	case <-i.ended:
 	case <-time.After(within):
-		t.Fatalf("%s did not stop within %s:\n%s", i.id, within, i.tail())
+		return fmt.Errorf("%s did not stop within %s", i.id, within)
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -108,6 +118,11 @@
 		_ = i.command.Process.Signal(syscall.SIGKILL)
 		<-i.ended
 	}
+	for _, fault := range []string{"WARNING: DATA RACE", "panic: ", "fatal error: "} {
+		if n := bytes.Index(i.log.Bytes(), []byte(fault)); n >= 0 {
+			t.Errorf("%s: %s", i.id, i.log.Bytes()[n:min(n+tailBytes, i.log.Len())])
+		}
+	}
 	if t.Failed() {
 		t.Logf("log of %s:\n%s", i.id, i.tail())
 	}
@@ -131,17 +146,27 @@
 	assert.NilError(t, os.RemoveAll(filepath.Join(i.folder, "data")))
 }
 
-// eventually polls until check is nil, and fails the test after within.
+// eventually polls until check is nil, and ends the test after within.
 func eventually(t *testing.T, within time.Duration, check func() error) {
+	t.Helper()
+	if !poll(t, within, check) {
+		t.FailNow()
+	}
+}
+
+// poll is eventually for goroutines beside the test's own, which must not end
+// it: they mark it as failed.
+func poll(t *testing.T, within time.Duration, check func() error) bool {
 	t.Helper()
 	deadline := time.Now().Add(within)
 	for {
 		err := check()
 		if err == nil {
-			return
+			return true
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("not so within %s: %v", within, err)
+			t.Errorf("not so within %s: %v", within, err)
+			return false
 		}
 		<-time.After(pollEvery)
 	}
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -78,7 +78,10 @@
 // A prefill engine dies while it computes; the request is computed elsewhere.
 func TestPrefillEngineKilled(t *testing.T) {
 	f, e := models(t, 3)
-	r := request{prompt: strings.Repeat("bale photographs ", 4000), maxTokens: 20, stream: true}
+	for _, m := range e.all[:2] {
+		m.faults(t, standin.Faults{Slow: 20}) // the prefill takes long enough to be met
+	}
+	r := request{prompt: strings.Repeat("bale photographs ", 250), maxTokens: 20, stream: true}
 	got := make(chan answer, 1)
 	go func() {
 		a, _ := ask(callContext(t), f.instances[1], r)
@@ -86,12 +89,17 @@
 	}()
 	var busy *emulated
 	eventually(t, callTime, func() error {
-		for _, m := range e.all {
+		for _, m := range e.all[:2] {
 			if m.audit(t).Held > 0 {
 				busy = m
 				return nil
 			}
 		}
+		select {
+		case a := <-got:
+			t.Fatalf("answered before it ran: %+v", a)
+		default:
+		}
 		return fmt.Errorf("nothing runs")
 	})
 	busy.kill()
@@ -180,12 +188,18 @@
 // caller that asked an address that it was given loses its answer.
 func TestGracefulStopOfEachDaemonUnderLoad(t *testing.T) {
 	f, e := models(t, 4)
+	e.add(t, "s1", "a", fleet.RolePlain)
+	e.add(t, "s2", "a", fleet.RolePlain)
+	e.awaitService(t)
 	stop := make(chan struct{})
 	lost := &complaints{}
 	var group sync.WaitGroup
 	for n := range 8 {
 		group.Go(func() { loadUntil(t, f, n, stop, lost) })
 	}
+	for n := range 4 {
+		group.Go(func() { slipsUntil(t, f, n, stop, lost) })
+	}
 	for _, i := range f.instances {
 		t.Logf("%s stopping %s", time.Now().Format(time.TimeOnly), i.id)
 		assert.NilError(t, i.stop(t, 60*time.Second), "%s", i.tail())
@@ -196,9 +210,42 @@
 	close(stop)
 	group.Wait()
 	lost.report(t)
+	e.ranOnce(t, "stop-")
 	e.awaitNothingHeld(t, 10*time.Second)
 }
 
+// ranOnce checks that no plain call whose marker begins so ran more than once.
+func (e *engines) ranOnce(t *testing.T, markers string) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, m := range e.all {
+		for _, r := range m.Audit().CallRuns {
+			runs[r.Marker]++
+		}
+	}
+	for marker, count := range runs {
+		assert.Check(t, count == 1 || !strings.HasPrefix(marker, markers), "%s ran %d times", marker, count)
+	}
+}
+
+// slipsUntil sends slips, each once, to addresses that are kept.
+func slipsUntil(t *testing.T, f *testFleet, worker int, stop <-chan struct{}, lost *complaints) {
+	addresses := newAddressBook(f)
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pollEvery):
+		}
+		marker := fmt.Sprintf("stop-%d-%d", worker, n)
+		entry := addresses.pick(t, worker+n)
+		a, err := call(callContext(t), entry, "/once", marker, body(marker))
+		if err != nil || !a.whole() {
+			lost.add("%s %s: %s: %+v %v", time.Now().Format(time.TimeOnly), entry.id, marker, a, err)
+		}
+	}
+}
+
 // complaints counts what callers lost and keeps the first few.
 type complaints struct {
 	mu    sync.Mutex
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,11 +21,13 @@
 	bounds   Bounds
 	hash     hasher
 	policies *policyCache
-	speeds   *speeds
+	links    *links
 	calls    *callTable
 	flight   *flight
 	seen     *seen
 	metrics  *metrics
+	life     context.Context // ended by abort
+	abort    context.CancelCauseFunc
 
 	admissionMu sync.Mutex // serialises opts.Admission
 
@@ -39,11 +42,15 @@
 		bounds:   o.Bounds.withDefaults(),
 		hash:     hasher{secret: o.Secret},
 		policies: newPolicyCache(o.Policies),
-		speeds:   newSpeeds(),
 		calls:    newCallTable(),
 		seen:     newSeen(),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 	}
+	r.life, r.abort = context.WithCancelCause(context.Background())
+	if o.Prefill == nil {
+		r.opts.Prefill = schedule.NewPrefillPredictor()
+	}
+	r.links = newLinks(o.Links)
 	r.flight = newFlight(r.bounds.Running)
 	r.metrics = newMetrics(o.Registerer, r.flight)
 	return r
@@ -122,6 +129,12 @@
 	return r.opts.Admission.MayRetry(time.Now(), team, failed)
 }
 
+// mayTryAgain spends a retry. One after a grant that ran out is free: no byte
+// left under it, and the tries of a request are bounded all the same.
+func (r *Router) mayTryAgain(team fleet.Team, s *setback) bool {
+	return s.cause == causeGrantOver || r.mayRetry(team, s.endpoint)
+}
+
 func (r *Router) succeeded(team fleet.Team, by fleet.EndpointID) {
 	r.admissionMu.Lock()
 	defer r.admissionMu.Unlock()
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -25,14 +25,17 @@
 	policies     Policies
 	admitted     admission.Request
 	avoid        endpointSet
+	stalled      stall
 	deadline     time.Time // for the next token
 	attempts     int
 	passed       int // output tokens that the sink has
 	text         strings.Builder
 	promptTokens int
-	touched      bool // a byte may have reached an endpoint
-	freeRetry    bool // the free retry is used up
-	resuming     bool // a stream has broken after its first token
+	firstAt      time.Time // of the first chunk; zero: none yet
+	firstTokens  int       // in the first chunk
+	touched      bool      // a byte may have reached an endpoint
+	freeRetry    bool      // the free retry is used up
+	resuming     bool      // a stream has broken after its first token
 	cancelled    []leftover
 	finish       engineapi.Finish
 }
@@ -110,7 +113,7 @@
 		m.freeRetry = true
 		return true
 	}
-	return m.router.mayRetry(m.req.Team, s.endpoint)
+	return m.router.mayTryAgain(m.req.Team, s)
 }
 
 func (m *modelRun) event(k timeline.Kind, a fleet.AttemptID, at fleet.EndpointID) {
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -26,6 +26,8 @@
 	causeBroken           // the connection broke: the endpoint may have died
 	causeStalled          // the transfer or the stream stood still
 	causeLost             // KV expired before it could be used
+	causeGrantOver        // the grant ran out before the send; no one is to blame
+	causeAborted          // this entry lost its place
 	causeFinal            // failure says all
 )
 
@@ -38,6 +40,11 @@
 	failure    *Failure // with causeFinal
 }
 
+// faultless tells whether the endpoint has nothing to do with it.
+func (c cause) faultless() bool {
+	return c == causeCallerGone || c == causeAborted || c == causeGrantOver
+}
+
 // crashed tells whether the endpoint may have died under the request.
 func (s *setback) crashed() bool { return s != nil && s.cause == causeBroken }
 
@@ -54,6 +61,9 @@
 	if cause, ok := placement.IsRefusal(err); ok {
 		return forbidden(cause)
 	}
+	if errors.Is(err, errGrantOver) && parent.Err() == nil {
+		return &setback{cause: causeGrantOver}
+	}
 	s := &setback{cause: causeBroken}
 	var e *engine.Error
 	if errors.As(err, &e) {
@@ -76,7 +86,7 @@
 
 // spoiled tells whether the endpoint lives but sent what can't be used.
 func spoiled(err error) bool {
-	for _, bad := range []error{engine.ErrGap, engine.ErrRepeat, engine.ErrMalformed, engine.ErrOversized} {
+	for _, bad := range []error{engine.ErrEarlier, engine.ErrGap, engine.ErrRepeat, engine.ErrMalformed, engine.ErrOversized} {
 		if errors.Is(err, bad) {
 			return true
 		}
@@ -92,6 +102,9 @@
 }
 
 func fromContext(ctx context.Context) cause {
+	if isAborted(ctx) {
+		return causeAborted
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return causeDeadline
 	}
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -62,28 +62,47 @@
 	}
 	a.run.noteLeftover(a.decode)
 	a.run.router.free(a.decode, s, 0)
-	a.run.avoid.add(a.decode.grant.Endpoint)
+	failed := a.decode.grant.Endpoint
 	a.decode = nil
-	if !a.run.router.mayRetry(a.run.req.Team, s.endpoint) {
+	if !a.run.router.mayTryAgain(a.run.req.Team, s) {
 		return false
 	}
+	// Its home may get this attempt's release after a second take there.
+	a.run.avoid.add(failed)
 	h, refusal := a.take(ctx, a.wantDecode(left/2))
+	if s.cause == causeGrantOver {
+		delete(a.run.avoid, failed)
+	}
 	if refusal != nil {
+		a.blameSource(s, refusal)
 		return false
 	}
 	a.decode = h
 	return true
 }
 
+// blameSource suspects the prefill engine when there is no other decode engine
+// to send to: the same one can be tried with another source.
+func (a *attempt) blameSource(s, refusal *setback) {
+	if s.cause == causeStalled && refusal.cause == causeExhausted {
+		a.run.clearStalled()
+		s.endpoint = a.prefill.target.ID
+	}
+}
+
 func (a *attempt) importOnce(ctx context.Context) *setback {
 	m := a.run
 	m.event(timeline.KindTransferStart, a.id, a.decode.target.ID)
 	local, cancel := context.WithTimeout(ctx, a.transferBound())
 	defer cancel()
+	gate := m.router.gateUnder(a.decode, m.gate)
+	a.bookLink(time.Now(), a.kv.reply.KVBytes)
+	defer a.leaveLink(0)
 	for {
-		_, err := m.router.opts.Engine.Import(local, a.decode.target, m.gate, a.importRequest())
+		reply, err := m.router.opts.Engine.Import(local, a.decode.target, gate, a.importRequest())
 		a.touch(a.decode, err)
 		if err == nil {
+			a.leaveLink(millis(reply.TransferMs))
 			m.event(timeline.KindTransferEnd, a.id, a.decode.target.ID)
 			return nil
 		}
@@ -102,8 +121,11 @@
 // fetch failed lives, so the other end is suspected.
 func (a *attempt) blame(s *setback) {
 	switch {
+	case s.cause == causeGrantOver:
 	case s.code == engineapi.CodeTransfer || s.code == engineapi.CodeGone:
 		s.endpoint = a.prefill.target.ID
+	case s.cause == causeStalled:
+		s.endpoint = a.run.blameStall(a.prefill.target.ID, a.decode.target.ID)
 	case s.endpoint == "":
 		s.endpoint = a.decode.target.ID
 	}
@@ -111,7 +133,7 @@
 
 // anotherDecode tells whether the KV cache may go to another decode engine.
 func (a *attempt) anotherDecode(s *setback) bool {
-	stuck := s.cause == causeStalled || s.cause == causeBroken
+	stuck := s.cause == causeStalled || s.cause == causeBroken || s.cause == causeGrantOver
 	return stuck && s.endpoint != a.prefill.target.ID
 }
 
