outcome: tests share their set-up and checks of verdicts

The same three lines (call, no error, verdict) stood for each claim, lookup and forbid; they are claims, looksUp and forbids now. Each test fleet began with the same groups; newTestFleet sets them. Requests are held by onRequest instead of a filter written in each test; no test held a reply. A second static source and a second certificate maker are gone for membership.Static and testkit.Keys. No test, case, seed or bound is gone; claims in service_test.go have the 5 s timeout of the others now.

No test moved level and none was merged.

--- a/internal/outcome/bench_test.go
+++ b/internal/outcome/bench_test.go
@@ -2,13 +2,7 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
 	"fmt"
-	"math/big"
 	"net"
 	"runtime"
 	"testing"
@@ -24,31 +18,10 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
-// benchTLS makes a certificate that is its own authority.
-func benchTLS(b *testing.B) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(b, err)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		DNSNames:              []string{rpc.ServerName},
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	assert.NilError(b, err)
-	leaf, err := x509.ParseCertificate(der)
-	assert.NilError(b, err)
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	return rpc.MutualTLS(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool)
-}
-
 // directDialer calls services of this process.
 type directDialer map[string]*Service
 
@@ -80,7 +53,8 @@
 	state := &membership.State{View: view, Groups: group, Tree: treeOf(testZones), Former: map[fleet.Team][]string{testTeam: former}}
 	direct := directDialer{}
 	var dialer rpc.Dialer = direct
-	config := benchTLS(b)
+	config, err := rpc.LoadTLS(testkit.Keys(b, b.TempDir(), "entry-0"))
+	assert.NilError(b, err)
 	clock := timeline.NewClock(time.Now)
 	if overNetwork {
 		pool := rpc.NewPool(config, clock)
@@ -95,7 +69,7 @@
 		assert.NilError(b, err)
 		self.RPCAddress = listener.Addr().String()
 		view.Instances[self.ID] = self
-		o := Options{Source: staticSource{state: state, self: self}, Dialer: dialer, NoFast: !fast, Limits: Limits{MaxRecords: 10_000_000}}
+		o := Options{Source: &membership.Static{Fixed: state, Instance: self}, Dialer: dialer, NoFast: !fast, Limits: Limits{MaxRecords: 10_000_000}}
 		if n == 3 {
 			o.Registerer = registry
 		} else {
@@ -120,15 +94,20 @@
 	return services[3]
 }
 
+func claimNumber(b *testing.B, entry *Service, n int) Claim {
+	c := claimOf(fmt.Sprint(n), fmt.Sprintf("%032x", n))
+	verdict, _, err := entry.Claim(b.Context(), c)
+	if err != nil || verdict != VerdictRun {
+		b.Fatalf("claim %d: %v %v", n, verdict, err)
+	}
+	return c
+}
+
 func benchmarkClaim(b *testing.B, overNetwork, fast bool) {
 	registry := prometheus.NewRegistry()
 	entry := benchEntry(b, overNetwork, fast, registry)
 	run := func(n int) {
-		c := Claim{Key: KeyFor([]byte("s"), testTeam, fmt.Sprint(n)), Team: testTeam, Permitted: testZones, Attempt: fleet.AttemptID(fmt.Sprintf("%032x", n)), Endpoint: "bank-1"}
-		verdict, _, err := entry.Claim(b.Context(), c)
-		if err != nil || verdict != VerdictRun {
-			b.Fatalf("claim %d: %v %v", n, verdict, err)
-		}
+		c := claimNumber(b, entry, n)
 		if err := entry.Finish(b.Context(), c, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200); err != nil {
 			b.Fatal(err)
 		}
@@ -173,10 +152,7 @@
 		b.Run(name, func(b *testing.B) {
 			entry := benchEntry(b, true, name != "two-phases", nil, former...)
 			for n := range b.N {
-				c := Claim{Key: KeyFor([]byte("s"), testTeam, fmt.Sprint(n)), Team: testTeam, Permitted: testZones, Attempt: fleet.AttemptID(fmt.Sprintf("%032x", n)), Endpoint: "bank-1"}
-				if verdict, _, err := entry.Claim(b.Context(), c); err != nil || verdict != VerdictRun {
-					b.Fatalf("claim %d: %v %v", n, verdict, err)
-				}
+				claimNumber(b, entry, n)
 			}
 		})
 	}
--- a/internal/outcome/failure_test.go
+++ b/internal/outcome/failure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,35 +19,28 @@
 var twoPhases = Options{NoFast: true, Call: 50 * time.Millisecond}
 
 func newFive(t *testing.T, o Options) *testFleet {
-	f := newTestFleet(t, o, "a", "b", "c", "d", "e")
-	f.setGroups("a", "b", "c")
-	f.awaitReady(t, 3)
-	return f
+	return newTestFleet(t, o, "a", "b", "c", "d", "e")
 }
 
-func (f *testFleet) claim(t *testing.T, entry fleet.InstanceID, c Claim) (Verdict, Record) {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	verdict, record, err := f.ledger(entry).Claim(ctx, c)
-	assert.NilError(t, err)
-	return verdict, record
+// cutReplicas loses what goes from and to the entry at the group of newFive.
+func (f *testFleet) cutReplicas(entry fleet.InstanceID, there, back bool) {
+	for _, replica := range []fleet.InstanceID{"a", "b", "c"} {
+		f.setCut(entry, replica, there)
+		f.setCut(replica, entry, back)
+	}
 }
 
 // An entry dies before its claim has reached a replica. The caller repeats at
 // another entry, and its request runs there.
 func TestEntryKilledBeforeIntent(t *testing.T) {
 	f := newFive(t, twoPhases)
-	for _, to := range []fleet.InstanceID{"a", "b", "c"} {
-		f.setCut("d", to, true)
-	}
+	f.cutReplicas("d", true, false)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	_, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
 	assert.Assert(t, err != nil)
 	f.kill("d")
-	verdict, _ := f.claim(t, "e", claimOf("slip", "attempt-2"))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictRun)
 }
 
 // An entry has its intent decided and dies: before it dispatched, while the
@@ -59,17 +51,13 @@
 	for _, o := range []Options{{}, twoPhases} {
 		f := newFive(t, o)
 		f.claim(t, "d", claimOf("warm-up", "attempt-0"))
-		verdict, _ := f.claim(t, "d", claimOf("slip", "attempt-1"))
-		assert.Equal(t, verdict, VerdictRun)
+		f.claims(t, "d", claimOf("slip", "attempt-1"), VerdictRun)
 		f.kill("d")
 		for _, entry := range []fleet.InstanceID{"a", "b", "e", "a"} {
-			verdict, record := f.claim(t, entry, claimOf("slip", "attempt-2"))
-			assert.Equal(t, verdict, VerdictUnknown)
+			record := f.claims(t, entry, claimOf("slip", "attempt-2"), VerdictUnknown)
 			assert.Equal(t, record.Attempt, fleet.AttemptID("attempt-1"))
 		}
-		verdict, _, err := f.ledger("c").Forbid(t.Context(), claimOf("slip", "attempt-3"))
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictUnknown)
+		f.forbids(t, "c", claimOf("slip", "attempt-3"), VerdictUnknown)
 	}
 }
 
@@ -79,11 +67,7 @@
 func TestEntryKilledInAccept(t *testing.T) {
 	for _, reached := range []fleet.InstanceID{"a", "b", "c"} {
 		f := newFive(t, twoPhases)
-		f.setHold(func(from, to fleet.InstanceID, rpc string, reply bool) {
-			if from == "d" && to != reached && strings.HasSuffix(rpc, "/Accept") {
-				f.setCut("d", to, true)
-			}
-		})
+		f.onRequest("d", "/Accept", func(to fleet.InstanceID) { f.setCut("d", to, to != reached) })
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
 		cancel()
@@ -107,11 +91,9 @@
 	wake := make(chan struct{})
 	frozen := make(chan struct{})
 	var once sync.Once
-	f.setHold(func(from, _ fleet.InstanceID, rpc string, reply bool) {
-		if from == "a" && !reply && strings.HasSuffix(rpc, "/Accept") {
-			once.Do(func() { close(frozen) })
-			<-wake
-		}
+	f.onRequest("a", "/Accept", func(fleet.InstanceID) {
+		once.Do(func() { close(frozen) })
+		<-wake
 	})
 	late := make(chan Verdict, 1)
 	go func() {
@@ -122,10 +104,9 @@
 	}()
 	<-frozen
 	f.lose("a")
-	f.setGroups("b", "c", "d")
+	f.setGroups(testZones, "b", "c", "d")
 	f.awaitReady(t, 3)
-	verdict, _ := f.claim(t, "e", claimOf("slip", "attempt-2"))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictRun)
 	close(wake)
 	assert.Assert(t, <-late != VerdictRun)
 }
@@ -136,17 +117,15 @@
 func TestSecondReplicaLostAfterRepair(t *testing.T) {
 	f := newFive(t, twoPhases)
 	f.setCut("d", "c", true)
-	verdict, _ := f.claim(t, "d", claimOf("slip", "attempt-1"))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "d", claimOf("slip", "attempt-1"), VerdictRun)
 	f.setCut("d", "c", false)
 	f.kill("a")
-	f.setGroups("b", "c", "e")
+	f.setGroups(testZones, "b", "c", "e")
 	f.awaitReady(t, 3)
 	f.kill("b")
-	f.setGroups("c", "e", "d")
+	f.setGroups(testZones, "c", "e", "d")
 	f.awaitReady(t, 3)
-	verdict, record := f.claim(t, "e", claimOf("slip", "attempt-2"))
-	assert.Equal(t, verdict, VerdictInFlight)
+	record := f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictInFlight)
 	assert.Equal(t, record.Attempt, fleet.AttemptID("attempt-1"))
 }
 
@@ -156,17 +135,13 @@
 func TestHistoryLost(t *testing.T) {
 	f := newFive(t, twoPhases)
 	f.setCut("d", "c", true)
-	verdict, _ := f.claim(t, "d", claimOf("slip", "attempt-1"))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "d", claimOf("slip", "attempt-1"), VerdictRun)
 	f.kill("a")
 	f.kill("b")
-	f.setGroups("c", "d", "e")
+	f.setGroups(testZones, "c", "d", "e")
 	f.awaitReady(t, 3)
-	verdict, _ = f.claim(t, "e", claimOf("slip", "attempt-2"))
-	assert.Equal(t, verdict, VerdictUnknown)
-	verdict, _, err := f.ledger("c").Forbid(t.Context(), claimOf("slip", "attempt-3"))
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictUnknown)
+	f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictUnknown)
+	f.forbids(t, "c", claimOf("slip", "attempt-3"), VerdictUnknown)
 }
 
 // A history was lost just now, and the entry's clock is hours ahead of the
@@ -176,11 +151,10 @@
 	f := newFive(t, Options{})
 	c := claimOf("slip", "attempt-1")
 	f.mu.Lock()
-	f.groups[ShardOf(c.Key, testZones)].current.HistoryLostMs = time.Now().Add(-5 * time.Hour).UnixMilli()
+	f.groups[ShardOf(c.Key, testZones)].HistoryLostMs = time.Now().Add(-5 * time.Hour).UnixMilli()
 	f.mu.Unlock()
 	f.change(func(*membership.State) {})
-	verdict, _ := f.claim(t, "d", c)
-	assert.Equal(t, verdict, VerdictUnknown)
+	f.claims(t, "d", c, VerdictUnknown)
 }
 
 // The network between an entry and two replicas fails in one direction or
@@ -204,27 +178,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFive(t, twoPhases)
-			cutOff := func(cut bool) {
-				for _, other := range []fleet.InstanceID{"a", "b", "c"} {
-					f.setCut("d", other, cut && c.there)
-					f.setCut(other, "d", cut && c.back)
-				}
-			}
-			f.setHold(func(from, _ fleet.InstanceID, rpc string, reply bool) {
-				if from == "d" && !reply && strings.HasSuffix(rpc, c.at) {
-					cutOff(true)
-				}
-			})
+			f.onRequest("d", c.at, func(fleet.InstanceID) { f.cutReplicas("d", c.there, c.back) })
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
 			assert.Equal(t, verdict, c.want)
 			assert.Equal(t, err != nil, c.want == VerdictUnset)
-			f.setHold(nil)
-			cutOff(false)
+			f.onRequest("", "", nil)
+			f.cutReplicas("d", false, false)
 			if c.want == VerdictUnset {
-				verdict, _ = f.claim(t, "e", claimOf("slip", "attempt-2"))
-				assert.Equal(t, verdict, VerdictRun)
+				f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictRun)
 				return
 			}
 			f.awaitSettled(t, "slip")
@@ -253,8 +216,11 @@
 	f := newFive(t, Options{})
 	const keys = 60
 	var mu sync.Mutex
-	runs := make(map[string]int)
-	notRun := make(map[string]int)
+	type answer struct {
+		key     string
+		verdict Verdict
+	}
+	answers := make(map[answer]int)
 	var group sync.WaitGroup
 	for n := range keys {
 		key := fmt.Sprint("slip-", n)
@@ -271,24 +237,18 @@
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				if err != nil {
-					t.Errorf("key %s at %s: %v", key, entry, err)
-				}
-				if verdict == VerdictRun {
-					runs[key]++
-				}
-				if verdict == VerdictNotRun {
-					notRun[key]++
-				}
+				assert.Check(t, err, "key %s at %s", key, entry)
+				answers[answer{key, verdict}]++
 			})
 		}
 	}
 	group.Wait()
 	for n := range keys {
 		key := fmt.Sprint("slip-", n)
-		assert.Assert(t, runs[key] <= 1, "%d attempts of %s may run", runs[key], key)
-		assert.Assert(t, runs[key] == 0 || notRun[key] == 0, "%s runs and was answered not run", key)
-		assert.Assert(t, runs[key] == 1 || notRun[key] > 0, "%s was never decided", key)
+		runs, notRun := answers[answer{key, VerdictRun}], answers[answer{key, VerdictNotRun}]
+		assert.Assert(t, runs <= 1, "%d attempts of %s may run", runs, key)
+		assert.Assert(t, runs == 0 || notRun == 0, "%s runs and was answered not run", key)
+		assert.Assert(t, runs == 1 || notRun > 0, "%s was never decided", key)
 	}
 }
 
@@ -301,17 +261,10 @@
 		moved.Zone = "yongkang-hall"
 		s.View.Instances["c"] = moved
 	})
-	f.mu.Lock()
-	f.calls["c"] = 0
-	f.mu.Unlock()
+	before := f.called("c")
 	c := claimOf("slip", "attempt-1")
-	verdict, _ := f.claim(t, "d", c)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "d", c, VerdictRun)
 	assert.NilError(t, f.ledger("d").Finish(t.Context(), c, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200))
-	verdict, _, err := f.ledger("e").Lookup(t.Context(), testTeam, c.Key, testZones)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictRecorded)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	assert.Equal(t, f.calls["c"], 0)
+	f.looksUp(t, "e", c, VerdictRecorded)
+	assert.Equal(t, f.called("c"), before)
 }
--- a/internal/outcome/fleet_test.go
+++ b/internal/outcome/fleet_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,27 +34,21 @@
 type testFleet struct {
 	mu     sync.Mutex
 	state  *membership.State
-	groups map[fleet.LedgerShard]*testGroup
+	groups map[fleet.LedgerShard]*fleet.LedgerGroup
 	nodes  map[fleet.InstanceID]*testNode
-	cut    map[[2]fleet.InstanceID]bool // requests or replies from one to the other are lost
-	calls  map[fleet.InstanceID]int     // over the network, by receiver
-	// hold, if set, may stop a call on its way in or its reply on its way out.
-	hold func(from, to fleet.InstanceID, rpc string, reply bool)
-}
-
-type testGroup struct {
-	current fleet.LedgerGroup
+	cut    map[[2]fleet.InstanceID]bool                // requests or replies from one to the other are lost
+	calls  map[fleet.InstanceID]int                    // over the network, by receiver
+	hold   func(from, to fleet.InstanceID, rpc string) // may stop a call on its way in
 }
 
 // testNode is one process: its source of state and its service.
 type testNode struct {
+	membership.Static
 	fleet   *testFleet
-	self    fleet.Instance
 	service *Service
 	stop    context.CancelFunc
 
-	mu      sync.Mutex
-	state   *membership.State
+	mu      sync.Mutex // of Fixed and what follows
 	changed chan struct{}
 	stale   bool // no longer told of changes
 }
@@ -60,10 +56,9 @@
 func (n *testNode) State() *membership.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state
+	return n.Fixed
 }
-func (n *testNode) Current(time.Time) bool { return true }
-func (n *testNode) Self() fleet.Instance   { return n.self }
+
 func (n *testNode) Changed() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -82,15 +77,16 @@
 	if n.stale {
 		return
 	}
-	n.state = s
+	n.Fixed = s
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// newTestFleet starts processes, of which a, b and c hold the records.
 func newTestFleet(t *testing.T, options Options, names ...fleet.InstanceID) *testFleet {
 	f := &testFleet{
 		state:  &membership.State{View: fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}}, Tree: treeOf(testZones)},
-		groups: make(map[fleet.LedgerShard]*testGroup),
+		groups: make(map[fleet.LedgerShard]*fleet.LedgerGroup),
 		nodes:  make(map[fleet.InstanceID]*testNode),
 		cut:    make(map[[2]fleet.InstanceID]bool),
 		calls:  make(map[fleet.InstanceID]int),
@@ -98,11 +94,13 @@
 	for n, name := range names {
 		f.start(t, name, fleet.Incarnation(n+1), options)
 	}
+	f.setGroups(testZones, "a", "b", "c")
+	f.awaitReady(t, 3)
 	return f
 }
 
 // start starts a process, which joins the view.
-func (f *testFleet) start(t *testing.T, name fleet.InstanceID, incarnation fleet.Incarnation, o Options) *testNode {
+func (f *testFleet) start(t *testing.T, name fleet.InstanceID, incarnation fleet.Incarnation, o Options) {
 	zones := testZones.Zones()
 	self := fleet.Instance{
 		ID:          name,
@@ -111,12 +109,10 @@
 		RPCAddress:  string(name),
 		Entry:       true,
 	}
-	n := &testNode{fleet: f, self: self, state: f.state, changed: make(chan struct{})}
+	n := &testNode{fleet: f, Static: membership.Static{Fixed: f.state, Instance: self}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	n.stop = cancel
-	o.Source = n
-	o.Dialer = n
-	o.Ready = f.ready
+	o.Source, o.Dialer, o.Ready = n, n, f.ready
 	n.service = NewService(o)
 	f.mu.Lock()
 	f.nodes[name] = n
@@ -131,7 +127,6 @@
 		cancel()
 		<-done
 	})
-	return n
 }
 
 // change makes a new state and tells all nodes.
@@ -148,12 +143,10 @@
 		Tree:   f.state.Tree,
 		Former: f.state.Former,
 	}
-	for id, i := range f.state.View.Instances {
-		next.View.Instances[id] = i
-	}
+	maps.Copy(next.View.Instances, f.state.View.Instances)
 	edit(next)
 	for name, g := range f.groups {
-		next.Groups[name] = g.current
+		next.Groups[name] = *g
 	}
 	f.state = next
 	for _, n := range f.nodes {
@@ -168,13 +161,13 @@
 	f.change(func(s *membership.State) {
 		g := f.groups[shard]
 		if g == nil {
-			g = &testGroup{}
+			g = &fleet.LedgerGroup{}
 			f.groups[shard] = g
 		}
-		next := fleet.LedgerGroup{Shard: shard, Epoch: g.current.Epoch + 1, HistoryLostMs: g.current.HistoryLostMs}
+		next := fleet.LedgerGroup{Shard: shard, Epoch: g.Epoch + 1, HistoryLostMs: g.HistoryLostMs}
 		ready := make(map[fleet.Owner]bool)
 		left := 0
-		for _, r := range g.current.Replicas {
+		for _, r := range g.Replicas {
 			if r.Ready {
 				ready[r.Owner] = true
 				next.Sources = append(next.Sources, r)
@@ -187,7 +180,7 @@
 			o := s.View.Instances[name].Owner()
 			next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: o, Ready: ready[o]})
 		}
-		fresh := len(g.current.Replicas) == 0
+		fresh := len(g.Replicas) == 0
 		if !fresh && left <= len(next.Sources)/2 {
 			next.HistoryLostMs = time.Now().UnixMilli()
 			fresh = true
@@ -198,22 +191,20 @@
 				next.Replicas[n].Ready = true
 			}
 		}
-		g.current = next
+		*g = next
 	})
 }
 
-func (f *testFleet) setGroups(names ...fleet.InstanceID) {
+func (f *testFleet) setGroups(zones fleet.ZoneSet, names ...fleet.InstanceID) {
 	for n := range uint32(fleet.LedgerShards) {
-		f.setGroup(fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}, names...)
+		f.setGroup(fleet.LedgerShard{ZoneClass: zones.Class(), Shard: n}, names...)
 	}
 }
 
 // setZones changes the team's permitted zones, as the control group does, and
 // gives the new class its groups.
 func (f *testFleet) setZones(zones fleet.ZoneSet, names ...fleet.InstanceID) {
-	for n := range uint32(fleet.LedgerShards) {
-		f.setGroup(fleet.LedgerShard{ZoneClass: zones.Class(), Shard: n}, names...)
-	}
+	f.setGroups(zones, names...)
 	f.change(func(s *membership.State) {
 		old := s.Tree.Teams[testTeam].Permitted().Class()
 		left := slices.DeleteFunc(slices.Clone(s.Former[testTeam]), func(c string) bool { return c == old })
@@ -247,21 +238,20 @@
 	f.change(func(*membership.State) {
 		for _, e := range ready.GetShards() {
 			shard := fleet.LedgerShard{ZoneClass: e.GetZoneClass(), Shard: e.GetShard()}
-			if g := f.groups[shard]; g != nil && g.current.Epoch == e.GetEpoch() {
-				g.markReady(who)
+			if g := f.groups[shard]; g != nil && g.Epoch == e.GetEpoch() {
+				g.Replicas = markedReady(g.Replicas, who)
 			}
 		}
 	})
 	return nil
 }
 
-func (g *testGroup) markReady(who fleet.Owner) {
-	replicas := make([]fleet.LedgerReplica, len(g.current.Replicas))
-	for n, m := range g.current.Replicas {
-		m.Ready = m.Ready || m.Owner == who
-		replicas[n] = m
+func markedReady(replicas []fleet.LedgerReplica, who fleet.Owner) []fleet.LedgerReplica {
+	marked := slices.Clone(replicas)
+	for n := range marked {
+		marked[n].Ready = marked[n].Ready || marked[n].Owner == who
 	}
-	g.current.Replicas = replicas
+	return marked
 }
 
 // awaitReady waits until all groups have the given number of ready replicas.
@@ -269,13 +259,8 @@
 	t.Helper()
 	f.await(t, fmt.Sprintf("%d ready replicas", want), func() bool {
 		for _, g := range f.groups {
-			ready := 0
-			for _, m := range g.current.Replicas {
-				if m.Ready {
-					ready++
-				}
-			}
-			if ready < want {
+			waiting := func(r fleet.LedgerReplica) bool { return !r.Ready }
+			if len(slices.DeleteFunc(slices.Clone(g.Replicas), waiting)) < want {
 				return false
 			}
 		}
@@ -305,10 +290,15 @@
 	f.cut[[2]fleet.InstanceID{from, to}] = cut
 }
 
-func (f *testFleet) setHold(hold func(from, to fleet.InstanceID, rpc string, reply bool)) {
+// onRequest calls do before each request of this kind leaves from; nil: no more.
+func (f *testFleet) onRequest(from fleet.InstanceID, rpc string, do func(to fleet.InstanceID)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hold = hold
+	f.hold = func(sender, to fleet.InstanceID, name string) {
+		if do != nil && sender == from && strings.HasSuffix(name, rpc) {
+			do(to)
+		}
+	}
 }
 
 func (f *testFleet) isCut(from, to fleet.InstanceID) bool {
@@ -337,20 +327,18 @@
 	target := f.nodes[c.to]
 	hold := f.hold
 	f.mu.Unlock()
-	if hold == nil {
-		hold = func(fleet.InstanceID, fleet.InstanceID, string, bool) {}
-	}
 	if target == nil {
 		return errors.New("no such process")
 	}
-	hold(c.from.self.ID, c.to, name, false)
-	if f.isCut(c.from.self.ID, c.to) {
+	if hold != nil {
+		hold(c.from.Instance.ID, c.to, name)
+	}
+	if f.isCut(c.from.Instance.ID, c.to) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	reply, err := dispatch(ctx, target.service.Server(), name, proto.Clone(in.(proto.Message)))
-	hold(c.from.self.ID, c.to, name, true)
-	if f.isCut(c.to, c.from.self.ID) {
+	if f.isCut(c.to, c.from.Instance.ID) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/internal/outcome/fuzz_test.go
+++ b/internal/outcome/fuzz_test.go
@@ -5,23 +5,13 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// staticSource is a process whose state never changes.
-type staticSource struct {
-	state *membership.State
-	self  fleet.Instance
-}
-
-func (s staticSource) State() *membership.State { return s.state }
-func (s staticSource) Current(time.Time) bool   { return true }
-func (s staticSource) Self() fleet.Instance     { return s.self }
-func (s staticSource) Changed() <-chan struct{} { return nil }
-
 // soloService is a replica of shard 0 at epoch 1.
 func soloService() *Service {
 	self := fleet.Instance{ID: "a", Incarnation: 1, Zone: "howrah", Entry: true}
@@ -34,7 +24,7 @@
 			Replicas: []fleet.LedgerReplica{{Owner: self.Owner(), Ready: true}},
 		}},
 	}
-	s := NewService(Options{Source: staticSource{state: state, self: self}, Limits: Limits{MaxRecords: 50, RecordLife: time.Hour}})
+	s := NewService(Options{Source: &membership.Static{Fixed: state, Instance: self}, Limits: Limits{MaxRecords: 50, RecordLife: time.Hour}})
 	s.apply()
 	return s
 }
@@ -57,9 +47,7 @@
 	}
 	for n, m := range seeds {
 		data, err := proto.Marshal(m)
-		if err != nil {
-			f.Fatal(err)
-		}
+		assert.NilError(f, err)
 		f.Add(uint8(n), data)
 	}
 	service := soloService()
@@ -73,12 +61,8 @@
 			return
 		}
 		reply, err := receiver(service.Server(), t.Context(), request, nil)
-		if err == nil && reply == nil {
-			t.Fatalf("%s gave neither a reply nor an error", name)
-		}
-		if records := service.replica.Records(); records > 50 {
-			t.Fatalf("%d records", records)
-		}
+		assert.Assert(t, err != nil || reply != nil, "%s gave neither a reply nor an error", name)
+		assert.Assert(t, service.replica.Records() <= 50)
 	})
 }
 
@@ -86,9 +70,7 @@
 func FuzzReplies(f *testing.F) {
 	f.Add([]byte{}, []byte{})
 	reply, err := proto.Marshal(Reply{Status: ReplyOK, Held: Held{Decision: tombstone(), Accepted: classic(1)}}.proto(Key{}))
-	if err != nil {
-		f.Fatal(err)
-	}
+	assert.NilError(f, err)
 	f.Add(reply, reply)
 	f.Fuzz(func(t *testing.T, verdict, page []byte) {
 		var v pb.LedgerVerdict
@@ -108,9 +90,7 @@
 			for _, r := range pageFromProto(&c).Records {
 				a.Merge(testStart, r)
 			}
-			if a.Len() > 10 {
-				t.Fatalf("%d records", a.Len())
-			}
+			assert.Assert(t, a.Len() <= 10)
 		}
 	})
 }
--- a/internal/outcome/model_control_test.go
+++ b/internal/outcome/model_control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -40,9 +41,7 @@
 func (w *world) publish(edit func(*modelState)) {
 	next := &modelState{index: w.state.index + 1, groups: w.state.groups, class: w.state.class, former: w.state.former}
 	next.view = fleet.View{Number: next.index, Instances: make(map[fleet.InstanceID]fleet.Instance)}
-	for id, i := range w.state.view.Instances {
-		next.view.Instances[id] = i
-	}
+	maps.Copy(next.view.Instances, w.state.view.Instances)
 	edit(next)
 	w.state = next
 }
@@ -130,12 +129,11 @@
 }
 
 func holds(replicas []fleet.LedgerReplica, o fleet.Owner) bool {
-	for _, r := range replicas {
-		if r.Owner == o {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(replicas, func(r fleet.LedgerReplica) bool { return r.Owner == o })
+}
+
+func allReady(replicas []fleet.LedgerReplica) bool {
+	return !slices.ContainsFunc(replicas, func(r fleet.LedgerReplica) bool { return !r.Ready })
 }
 
 func (w *world) markReady(o fleet.Owner, class int, epoch uint64) {
@@ -143,11 +141,7 @@
 		return
 	}
 	w.publish(func(s *modelState) {
-		replicas := append([]fleet.LedgerReplica(nil), s.groups[class].Replicas...)
-		for n := range replicas {
-			replicas[n].Ready = replicas[n].Ready || replicas[n].Owner == o
-		}
-		s.groups[class].Replicas = replicas
+		s.groups[class].Replicas = markedReady(s.groups[class].Replicas, o)
 	})
 }
 
@@ -155,14 +149,9 @@
 func (w *world) drain() {
 	class := w.state.class
 	g := w.state.groups[class]
-	if len(g.Replicas) < fleet.LedgerReplicas || len(w.state.view.Instances) <= fleet.LedgerReplicas {
+	if len(g.Replicas) < fleet.LedgerReplicas || len(w.state.view.Instances) <= fleet.LedgerReplicas || !allReady(g.Replicas) {
 		return
 	}
-	for _, r := range g.Replicas {
-		if !r.Ready {
-			return
-		}
-	}
 	w.regroup(class, g.Replicas[w.random.IntN(len(g.Replicas))].Owner)
 }
 
--- a/internal/outcome/model_world_test.go
+++ b/internal/outcome/model_world_test.go
@@ -234,15 +234,11 @@
 	m.group = m.node.state.groups[m.at()]
 	m.epoch = m.group.Epoch
 	view := m.node.state.view
-	all := true
-	for _, r := range m.group.Replicas {
-		all = all && r.Ready
-	}
 	w.take(m, m.p.Start(Circumstances{
 		Shard:       modelShard(m.at()),
 		Epoch:       m.epoch,
 		Replicas:    len(m.group.Replicas),
-		Fast:        all && w.random.IntN(3) > 0,
+		Fast:        allReady(m.group.Replicas) && w.random.IntN(3) > 0,
 		RecordLife:  time.Hour,
 		HistoryLost: m.group.HistoryLostMs != 0 && w.fault != faultForgetHistoryLoss,
 		Alive:       view.Holds,
--- a/internal/outcome/service_test.go
+++ b/internal/outcome/service_test.go
@@ -22,70 +22,78 @@
 	}
 }
 
-func newTrio(t *testing.T) *testFleet {
-	f := newTestFleet(t, Options{}, "a", "b", "c")
-	f.setGroups("a", "b", "c")
-	f.awaitReady(t, 3)
-	return f
+func (f *testFleet) ledger(name fleet.InstanceID) *Service { return f.nodes[name].service }
+
+func (f *testFleet) claim(t *testing.T, entry fleet.InstanceID, c Claim) (Verdict, Record) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	verdict, record, err := f.ledger(entry).Claim(ctx, c)
+	assert.NilError(t, err)
+	return verdict, record
 }
 
-func (f *testFleet) ledger(name fleet.InstanceID) *Service { return f.nodes[name].service }
+// claims checks the verdict of a claim.
+func (f *testFleet) claims(t *testing.T, entry fleet.InstanceID, c Claim, want Verdict) Record {
+	t.Helper()
+	verdict, record := f.claim(t, entry, c)
+	assert.Equal(t, verdict, want)
+	return record
+}
+
+// looksUp checks the verdict of a lookup of the claim's key.
+func (f *testFleet) looksUp(t *testing.T, entry fleet.InstanceID, c Claim, want Verdict) {
+	t.Helper()
+	verdict, _, err := f.ledger(entry).Lookup(t.Context(), c.Team, c.Key, c.Permitted)
+	assert.NilError(t, err)
+	assert.Equal(t, verdict, want)
+}
+
+// forbids checks the verdict of forbidding the claim's key.
+func (f *testFleet) forbids(t *testing.T, entry fleet.InstanceID, c Claim, want Verdict) {
+	t.Helper()
+	verdict, _, err := f.ledger(entry).Forbid(t.Context(), c)
+	assert.NilError(t, err)
+	assert.Equal(t, verdict, want)
+}
 
 // A caller sends its pickup slip, and sends it again to another entry before
 // and after the first run has ended. Only the first may run; the repeat is
 // told that it is in flight, then its recorded outcome.
 func TestRepeatAtAnotherEntry(t *testing.T) {
-	f := newTrio(t)
+	f := newTestFleet(t, Options{}, "a", "b", "c")
 	first := claimOf("slip", "attempt-1")
-	verdict, _, err := f.ledger("a").Claim(t.Context(), first)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "a", first, VerdictRun)
 
-	verdict, record, err := f.ledger("b").Claim(t.Context(), claimOf("slip", "attempt-2"))
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictInFlight)
+	record := f.claims(t, "b", claimOf("slip", "attempt-2"), VerdictInFlight)
 	assert.Equal(t, record.Attempt, first.Attempt)
 
-	err = f.ledger("a").Finish(t.Context(), first, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 201)
+	err := f.ledger("a").Finish(t.Context(), first, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 201)
 	assert.NilError(t, err)
 	for _, entry := range []fleet.InstanceID{"a", "b", "c"} {
-		verdict, record, err = f.ledger(entry).Claim(t.Context(), claimOf("slip", fmt.Sprintf("later-%s", entry)))
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictRecorded)
+		record := f.claims(t, entry, claimOf("slip", fmt.Sprintf("later-%s", entry)), VerdictRecorded)
 		assert.Equal(t, record.Outcome, pb.OutcomeKind_OUTCOME_KIND_COMPLETED)
 		assert.Equal(t, record.StatusCode, 201)
-		verdict, _, err = f.ledger(entry).Lookup(t.Context(), testTeam, first.Key, testZones)
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictRecorded)
+		f.looksUp(t, entry, first, VerdictRecorded)
 	}
 }
 
 // A caller asks after a key that nobody claimed, then an operator forbids it.
 // The lookup leaves no record; after the tombstone no attempt may run.
 func TestForbiddenNeverRuns(t *testing.T) {
-	f := newTrio(t)
+	f := newTestFleet(t, Options{}, "a", "b", "c")
 	c := claimOf("slip", "attempt-1")
-	verdict, _, err := f.ledger("a").Lookup(t.Context(), testTeam, c.Key, testZones)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictUnset)
+	f.looksUp(t, "a", c, VerdictUnset)
 
-	verdict, _, err = f.ledger("b").Forbid(t.Context(), c)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictNotRun)
-	verdict, _, err = f.ledger("a").Claim(t.Context(), c)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictNotRun)
-	verdict, _, err = f.ledger("c").Lookup(t.Context(), testTeam, c.Key, testZones)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictNotRun)
+	f.forbids(t, "b", c, VerdictNotRun)
+	f.claims(t, "a", c, VerdictNotRun)
+	f.looksUp(t, "c", c, VerdictNotRun)
 }
 
 // An entry is cut off from the two other replicas and a caller sends it a
 // request. No accept has left, so the answer is an error: truly not run.
 func TestCutOffBeforeAccept(t *testing.T) {
 	f := newTestFleet(t, Options{NoFast: true, Call: 20 * time.Millisecond}, "a", "b", "c")
-	f.setGroups("a", "b", "c")
-	f.awaitReady(t, 3)
 	for _, other := range []fleet.InstanceID{"b", "c"} {
 		f.setCut("a", other, true)
 	}
@@ -93,7 +101,5 @@
 	defer cancel()
 	_, _, err := f.ledger("a").Claim(ctx, claimOf("slip", "attempt-1"))
 	assert.Assert(t, err != nil)
-	verdict, _, err := f.ledger("b").Claim(t.Context(), claimOf("slip", "attempt-2"))
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "b", claimOf("slip", "attempt-2"), VerdictRun)
 }
--- a/internal/outcome/zonechange_test.go
+++ b/internal/outcome/zonechange_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"testing"
 	"time"
 
@@ -31,30 +30,21 @@
 func TestRepeatAfterZoneChanges(t *testing.T) {
 	f := newFive(t, Options{})
 	first := claimOf("slip", "attempt-1")
-	verdict, _ := f.claim(t, "a", first)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "a", first, VerdictRun)
 	assert.NilError(t, f.ledger("a").Finish(t.Context(), first, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 201))
 
 	f.setZones(twoZones, "b", "c", "e")
 	f.recorded(t, twoZones, "b", "c", "e")
-	verdict, _ = f.claim(t, "b", under(twoZones, claimOf("second slip", "attempt-2")))
-	assert.Equal(t, verdict, VerdictRun)
-	verdict, _ = f.claim(t, "e", under(twoZones, claimOf("second slip", "attempt-3")))
-	assert.Equal(t, verdict, VerdictInFlight)
+	f.claims(t, "b", under(twoZones, claimOf("second slip", "attempt-2")), VerdictRun)
+	f.claims(t, "e", under(twoZones, claimOf("second slip", "attempt-3")), VerdictInFlight)
 
 	f.setZones(testZones, "a", "b", "c")
 	f.recorded(t, testZones, "a", "b", "d")
-	verdict, record := f.claim(t, "d", claimOf("second slip", "attempt-4"))
-	assert.Equal(t, verdict, VerdictInFlight)
+	record := f.claims(t, "d", claimOf("second slip", "attempt-4"), VerdictInFlight)
 	assert.Equal(t, record.Attempt, fleet.AttemptID("attempt-2"))
-	verdict, _, err := f.ledger("d").Forbid(t.Context(), claimOf("third slip", "attempt-5"))
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictNotRun)
-	verdict, _, err = f.ledger("d").Lookup(t.Context(), testTeam, claimOf("fourth slip", "any").Key, testZones)
-	assert.NilError(t, err)
-	assert.Equal(t, verdict, VerdictUnset)
-	verdict, _ = f.claim(t, "d", claimOf("fourth slip", "attempt-6"))
-	assert.Equal(t, verdict, VerdictRun)
+	f.forbids(t, "d", claimOf("third slip", "attempt-5"), VerdictNotRun)
+	f.looksUp(t, "d", claimOf("fourth slip", "any"), VerdictUnset)
+	f.claims(t, "d", claimOf("fourth slip", "attempt-6"), VerdictRun)
 }
 
 // recorded tells that the first slip's record is known at the entries.
@@ -62,15 +52,10 @@
 	t.Helper()
 	for _, entry := range entries {
 		c := under(zones, claimOf("slip", "later-"+string(entry)))
-		verdict, record := f.claim(t, entry, c)
-		assert.Equal(t, verdict, VerdictRecorded)
+		record := f.claims(t, entry, c, VerdictRecorded)
 		assert.Equal(t, record.StatusCode, 201)
-		verdict, _, err := f.ledger(entry).Lookup(t.Context(), testTeam, c.Key, zones)
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictRecorded)
-		verdict, _, err = f.ledger(entry).Forbid(t.Context(), c)
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictRecorded)
+		f.looksUp(t, entry, c, VerdictRecorded)
+		f.forbids(t, entry, c, VerdictRecorded)
 	}
 }
 
@@ -83,11 +68,9 @@
 	f.setZones(twoZones, "b", "c", "e")
 	held := make(chan struct{}, 3)
 	release := make(chan struct{})
-	f.setHold(func(from, _ fleet.InstanceID, rpc string, reply bool) {
-		if from == "a" && strings.HasSuffix(rpc, "Accept") && !reply {
-			held <- struct{}{}
-			<-release
-		}
+	f.onRequest("a", "/Accept", func(fleet.InstanceID) {
+		held <- struct{}{}
+		<-release
 	})
 	old := make(chan Verdict, 1)
 	go func() {
@@ -95,12 +78,10 @@
 		old <- verdict
 	}()
 	<-held
-	verdict, _ := f.claim(t, "e", under(twoZones, claimOf("slip", "attempt-new")))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "e", under(twoZones, claimOf("slip", "attempt-new")), VerdictRun)
 	close(release)
 	assert.Equal(t, <-old, VerdictUnknown)
-	verdict, _ = f.claim(t, "b", under(twoZones, claimOf("slip", "attempt-late")))
-	assert.Equal(t, verdict, VerdictInFlight)
+	f.claims(t, "b", under(twoZones, claimOf("slip", "attempt-late")), VerdictInFlight)
 }
 
 // A team's zones are narrowed so far that most replicas of its former records
@@ -109,28 +90,21 @@
 func TestFormerRecordsOutsideTheZones(t *testing.T) {
 	f := newFive(t, Options{})
 	first := claimOf("slip", "attempt-1")
-	verdict, _ := f.claim(t, "a", first)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "a", first, VerdictRun)
 	f.setZones(oneZone, "b", "e")
 	before := f.called("a") + f.called("c") + f.called("d")
 	for _, key := range []string{"slip", "new slip"} {
 		c := under(oneZone, claimOf(key, "attempt-"+key))
-		verdict, record := f.claim(t, "b", c)
-		assert.Equal(t, verdict, VerdictUnknown)
+		record := f.claims(t, "b", c, VerdictUnknown)
 		assert.Equal(t, record.Attempt, fleet.AttemptID(""))
-		verdict, _, err := f.ledger("e").Lookup(t.Context(), testTeam, c.Key, oneZone)
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictUnknown)
-		verdict, _, err = f.ledger("e").Forbid(t.Context(), c)
-		assert.NilError(t, err)
-		assert.Equal(t, verdict, VerdictUnknown)
+		f.looksUp(t, "e", c, VerdictUnknown)
+		f.forbids(t, "e", c, VerdictUnknown)
 	}
 	fresh := under(oneZone, claimOf("own key", "attempt-own"))
 	fresh.Fresh = true
-	verdict, _ = f.claim(t, "b", fresh)
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "b", fresh, VerdictRun)
 	// The first call ends: its outcome goes to no replica outside either.
-	short, cancel := contextFor(t, 100*time.Millisecond)
+	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	assert.Assert(t, f.ledger("b").Finish(short, first, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200) != nil)
 	assert.Equal(t, f.called("a")+f.called("c")+f.called("d"), before)
@@ -143,8 +117,7 @@
 	f := newFive(t, Options{})
 	f.setZones(otherZone)
 	f.setZones(twoZones, "b", "c", "e")
-	verdict, _ := f.claim(t, "b", under(twoZones, claimOf("slip", "attempt-1")))
-	assert.Equal(t, verdict, VerdictRun)
+	f.claims(t, "b", under(twoZones, claimOf("slip", "attempt-1")), VerdictRun)
 	_, _, err := f.ledger("b").Claim(t.Context(), under(otherZone, claimOf("other slip", "attempt-2")))
 	assert.ErrorContains(t, err, "no longer")
 }
@@ -165,9 +138,7 @@
 	d := f.ledger("d")
 	f.await(t, "claim under way", func() bool { return d.numbers.Load() > 0 })
 	f.setZones(fleet.NewZoneSet("durgapur", "howrah"), "a", "b", "e")
-	for n := range uint32(fleet.LedgerShards) {
-		f.setGroup(fleet.LedgerShard{ZoneClass: otherZone.Class(), Shard: n}, "a", "d")
-	}
+	f.setGroups(otherZone, "a", "d")
 	assert.ErrorContains(t, <-waiting, "no longer")
 }
 
@@ -176,7 +147,3 @@
 	defer f.mu.Unlock()
 	return f.calls[name]
 }
-
-func contextFor(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(t.Context(), d)
-}
