--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -29,8 +27,7 @@
 		s.Instances = append(s.Instances, &pb.InstanceRecord{Id: fmt.Sprint("e", n), Incarnation: 1, AvailabilityZone: "howrah", Entry: true})
 	}
 	f := newFollower(Options{Build: settings.Build, Change: settings.CheckChange})
-	_, err := f.take(0, &pb.PullReply{Snapshot: s, ThroughIndex: 1})
-	assert.NilError(b, err)
+	f.takes(b, 0, &pb.PullReply{Snapshot: s, ThroughIndex: 1})
 	return f
 }
 
@@ -47,8 +44,7 @@
 	for n := range b.N {
 		d := delta(n)
 		d.Index = f.state.Index + 1
-		_, err := f.take(f.state.Index, &pb.PullReply{Deltas: []*pb.Delta{d}, ThroughIndex: d.Index})
-		assert.NilError(b, err)
+		f.takes(b, f.state.Index, pulled(d))
 	}
 }
 
--- a/internal/membership/follow_test.go
+++ b/internal/membership/follow_test.go
@@ -20,6 +20,18 @@
 
 func newTestFollower() *follower { return newFollower(Options{Build: fakeBuild}) }
 
+// takes takes an answer that must be taken.
+func (f *follower) takes(t testing.TB, after uint64, reply *pb.PullReply) {
+	t.Helper()
+	_, err := f.take(after, reply)
+	assert.NilError(t, err)
+}
+
+// pulled is an answer of one delta.
+func pulled(d *pb.Delta) *pb.PullReply {
+	return &pb.PullReply{Deltas: []*pb.Delta{d}, ThroughIndex: d.Index}
+}
+
 // history makes n deltas: at index i the subtree has version i.
 func history(n int) []*pb.Delta {
 	var all []*pb.Delta
@@ -70,22 +82,12 @@
 			assert.Equal(t, len(f.state.View.Instances), int(f.state.Index/10))
 			highest = version
 		}
-		_, err := f.take(0, snapshotAt(length))
-		assert.NilError(t, err)
+		f.takes(t, 0, snapshotAt(length))
 		assert.Equal(t, f.state.Tree.Versions["teams/a"], uint64(length))
 	}
 }
 
 func TestTakeTable(t *testing.T) {
-	base := func() *follower {
-		f := newTestFollower()
-		_, err := f.take(0, snapshotAt(20))
-		assert.NilError(t, err)
-		return f
-	}
-	delta := func(d *pb.Delta) *pb.PullReply {
-		return &pb.PullReply{Deltas: []*pb.Delta{d}, ThroughIndex: d.Index}
-	}
 	other := snapshotAt(30)
 	other.Snapshot.FleetId = "another"
 	cases := []struct {
@@ -96,18 +98,19 @@
 		fails bool
 		index uint64
 	}{
-		{"next", 20, delta(&pb.Delta{Index: 21, Subtrees: []*pb.SubtreeDocument{document(21)}}), false, false, 21},
+		{"next", 20, pulled(&pb.Delta{Index: 21, Subtrees: []*pb.SubtreeDocument{document(21)}}), false, false, 21},
 		{"overlapping", 18, &pb.PullReply{Deltas: history(22)[18:], ThroughIndex: 22}, false, false, 22},
 		{"nothing new", 20, &pb.PullReply{ThroughIndex: 20}, false, false, 20},
 		{"entries without effect", 20, &pb.PullReply{ThroughIndex: 25}, false, false, 25},
-		{"starts after the state", 22, delta(&pb.Delta{Index: 23}), true, true, 20},
-		{"subtree version skipped", 20, delta(&pb.Delta{Index: 22, Subtrees: []*pb.SubtreeDocument{document(22)}}), true, true, 20},
-		{"view skipped", 20, delta(&pb.Delta{Index: 22, ViewNumber: 4, Joined: []*pb.InstanceRecord{{Id: "x"}}}), true, true, 20},
+		{"starts after the state", 22, pulled(&pb.Delta{Index: 23}), true, true, 20},
+		{"subtree version skipped", 20, pulled(&pb.Delta{Index: 22, Subtrees: []*pb.SubtreeDocument{document(22)}}), true, true, 20},
+		{"view skipped", 20, pulled(&pb.Delta{Index: 22, ViewNumber: 4, Joined: []*pb.InstanceRecord{{Id: "x"}}}), true, true, 20},
 		{"another fleet", 0, other, false, true, 20},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := base()
+			f := newTestFollower()
+			f.takes(t, 0, snapshotAt(20))
 			_, err := f.take(c.after, c.reply)
 			assert.Equal(t, err != nil, c.fails)
 			assert.Equal(t, errors.Is(err, errGap), c.gap)
@@ -118,35 +121,29 @@
 
 func TestStatesNeverChangeOnceGiven(t *testing.T) {
 	f := newTestFollower()
-	_, err := f.take(0, snapshotAt(9))
-	assert.NilError(t, err)
+	f.takes(t, 0, snapshotAt(9))
 	given := f.state
 	fingerprint := fleet.Fingerprint{1}
-	_, err = f.take(9, &pb.PullReply{ThroughIndex: 10, Deltas: []*pb.Delta{{
+	f.takes(t, 9, pulled(&pb.Delta{
 		Index: 10, ViewNumber: 1, Joined: []*pb.InstanceRecord{{Id: "x", Incarnation: 1}},
-		Subtrees:     []*pb.SubtreeDocument{document(10)},
-		LedgerGroups: []*pb.LedgerGroup{{ZoneClass: "z", Epoch: 1}},
-		Suspects:     []*pb.SuspectRecord{{Fingerprint: fingerprint[:], Crashes: 1}},
-
+		Subtrees:      []*pb.SubtreeDocument{document(10)},
+		LedgerGroups:  []*pb.LedgerGroup{{ZoneClass: "z", Epoch: 1}},
+		Suspects:      []*pb.SuspectRecord{{Fingerprint: fingerprint[:], Crashes: 1}},
 		FormerClasses: []*pb.FormerClass{{Team: "a", ZoneClass: "y"}, {Team: "a", ZoneClass: "x"}},
-	}}})
-	assert.NilError(t, err)
+	}))
 	assert.Equal(t, len(given.View.Instances)+len(given.Groups)+len(given.Suspects)+len(given.Former), 0)
 	assert.Equal(t, given.Tree.Versions["teams/a"], uint64(9))
 	assert.Equal(t, len(f.state.View.Instances)+len(f.state.Groups)+len(f.state.Suspects), 3)
 	middle := f.state
-	_, err = f.take(10, &pb.PullReply{ThroughIndex: 11, Deltas: []*pb.Delta{{
+	f.takes(t, 10, pulled(&pb.Delta{
 		Index: 11, LedgerGroups: []*pb.LedgerGroup{{ZoneClass: "z", Removed: true}},
-		Suspects: []*pb.SuspectRecord{{Fingerprint: fingerprint[:]}},
-
+		Suspects:      []*pb.SuspectRecord{{Fingerprint: fingerprint[:]}},
 		FormerClasses: []*pb.FormerClass{{Team: "a", ZoneClass: "y", Removed: true}, {Team: "a", ZoneClass: "x", ChangedUnixMs: 2}},
-	}}})
-	assert.NilError(t, err)
+	}))
 	assert.DeepEqual(t, middle.Former["a"], []string{"x", "y"})
 	assert.DeepEqual(t, f.state.Former["a"], []string{"x"})
 	whole := &pb.FleetState{Index: 12, FleetId: "trust", FormerClasses: []*pb.FormerClass{{Team: "b", ZoneClass: "z"}}}
-	_, err = f.take(0, &pb.PullReply{ThroughIndex: 12, Snapshot: whole})
-	assert.NilError(t, err)
+	f.takes(t, 0, &pb.PullReply{ThroughIndex: 12, Snapshot: whole})
 	assert.DeepEqual(t, f.state.Former, map[fleet.Team][]string{"b": {"z"}})
 	assert.Equal(t, len(f.state.Groups)+len(f.state.Suspects), 0)
 }
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"storj.io/drpc"
 
@@ -18,18 +19,12 @@
 
 // testEntry is a process whose state the test sets, and its way to the others.
 type testEntry struct {
-	self    fleet.Instance
-	state   *membership.State
+	membership.Static
 	service *Service
 	others  map[string]*testEntry
 	calls   int
 }
 
-func (e *testEntry) State() *membership.State { return e.state }
-func (e *testEntry) Current(time.Time) bool   { return true }
-func (e *testEntry) Self() fleet.Instance     { return e.self }
-func (e *testEntry) Changed() <-chan struct{} { return nil }
-
 func (e *testEntry) Conn(_ context.Context, address string) (drpc.Conn, error) {
 	other, ok := e.others[address]
 	if !ok {
@@ -48,12 +43,8 @@
 	switch q := in.(type) {
 	case *pb.BeginRunRequest:
 		reply, err := c.to.service.BeginRun(ctx, q)
-		if err != nil {
-			return err
-		}
-		out.(*pb.BeginRunReply).Verdict = reply.Verdict
-		out.(*pb.BeginRunReply).RetryAfterMs = reply.RetryAfterMs
-		return nil
+		proto.Merge(out.(proto.Message), reply)
+		return err
 	case *pb.EndRunRequest:
 		_, err := c.to.service.EndRun(ctx, q)
 		return err
@@ -69,18 +60,18 @@
 	others := make(map[string]*testEntry)
 	var entries []*testEntry
 	for _, name := range []fleet.InstanceID{"a", "b"} {
-		e := &testEntry{state: state, others: others}
-		e.self = fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
+		self := fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
+		e := &testEntry{Static: membership.Static{Fixed: state, Instance: self}, others: others}
 		e.service = NewService(Options{Source: e, Dialer: e})
-		view.Instances[name] = e.self
+		view.Instances[name] = self
 		others[string(name)] = e
 		entries = append(entries, e)
 	}
 	for n := range uint32(fleet.LedgerShards) {
 		shard := fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}
 		groups[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: []fleet.LedgerReplica{
-			{Owner: entries[1].self.Owner()},
-			{Owner: entries[0].self.Owner(), Ready: true},
+			{Owner: entries[1].Instance.Owner()},
+			{Owner: entries[0].Instance.Owner(), Ready: true},
 		}}
 	}
 	return entries[0], entries[1]
@@ -119,10 +110,9 @@
 	guard, other := newPair()
 	delete(other.others, "a")
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
-	now := time.Now()
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: now}
+	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "2"), verdictAlone)
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: now}
+	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "3"), verdictQuarantined)
 	assert.Equal(t, guard.calls, 0)
 }
@@ -137,7 +127,7 @@
 		{Fingerprint: testPrint, Crashes: 1, Updated: old},
 	} {
 		guard, other := newPair()
-		other.state.Suspects[testPrint] = suspect
+		other.Fixed.Suspects[testPrint] = suspect
 		assert.Equal(t, other.begin(t, "1"), verdictGo)
 		assert.Equal(t, guard.begin(t, "1"), verdictGo)
 		delete(other.others, "a")
@@ -149,9 +139,9 @@
 // may be sent there.
 func TestGuardOutsideTheZones(t *testing.T) {
 	guard, other := newPair()
-	moved := guard.self
+	moved := guard.Instance
 	moved.Zone = "rende-hall"
-	other.state.View.Instances["a"] = moved
+	other.Fixed.View.Instances["a"] = moved
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
 	other.service.End(testPrint, testZones, "1", true, false)
 	other.drain(t)
@@ -168,8 +158,6 @@
 		_, begun := guard.service.BeginRun(ctx, &pb.BeginRunRequest{Fingerprint: print, AttemptId: attempt, Owner: &pb.Owner{InstanceId: owner}})
 		_, ended := guard.service.EndRun(ctx, &pb.EndRunRequest{Fingerprint: print, AttemptId: attempt, Completed: completed, EndpointCrashed: crashed})
 		wellFormed := len(print) == len(testPrint)
-		if !wellFormed && (begun == nil || ended == nil) {
-			t.Fatal("a malformed fingerprint was taken")
-		}
+		assert.Assert(t, wellFormed || begun != nil && ended != nil, "a malformed fingerprint was taken")
 	})
 }
--- a/internal/quarantine/sim_test.go
+++ b/internal/quarantine/sim_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/suspect"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 const simTick = 10 * time.Millisecond
@@ -99,12 +101,7 @@
 }
 
 func (s *sim) settled() bool {
-	for _, r := range s.requests {
-		if !r.served && !r.refused {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(s.requests, func(r *simRequest) bool { return !r.served && !r.refused })
 }
 
 func (s *sim) events() {
@@ -163,12 +160,7 @@
 }
 
 func (e *simEndpoint) hasAlone() bool {
-	for _, r := range e.running {
-		if r.alone {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.running, func(r *simRequest) bool { return r.alone })
 }
 
 func (s *sim) progress(r *simRequest) {
@@ -180,12 +172,7 @@
 		return
 	}
 	e := r.endpoint
-	for n, o := range e.running {
-		if o == r {
-			e.running = append(e.running[:n:n], e.running[n+1:]...)
-			break
-		}
-	}
+	e.running = slices.DeleteFunc(e.running, func(o *simRequest) bool { return o == r })
 	r.served = true
 	s.register.End(s.now, r.fingerprint, r.attempt, true, false, s.shared())
 }
@@ -209,16 +196,6 @@
 
 func (s *sim) reported(report *pb.ReportCrash) {
 	changed := suspect.Apply(s.truth, report, s.now, suspect.DefaultLimits)
-	put(s.truth, changed)
-	s.later = append(s.later, simEvent{at: s.soon(100), do: func() { put(s.seen, changed) }})
-}
-
-func put(suspects map[fleet.Fingerprint]fleet.Suspect, changed []fleet.Suspect) {
-	for _, c := range changed {
-		if c.Crashes == 0 {
-			delete(suspects, c.Fingerprint)
-			continue
-		}
-		suspects[c.Fingerprint] = c
-	}
+	testkit.PutSuspects(s.truth, changed)
+	s.later = append(s.later, simEvent{at: s.soon(100), do: func() { testkit.PutSuspects(s.seen, changed) }})
 }
--- a/internal/suspect/apply_test.go
+++ b/internal/suspect/apply_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 func reportOf(ran ...byte) *pb.ReportCrash {
@@ -21,51 +22,36 @@
 
 func TestApply(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	fresh := now.Add(-time.Minute)
-	stale := now.Add(-2 * time.Hour)
+	fresh, stale := now.Add(-time.Minute), now.Add(-2*time.Hour)
 	suspect := func(n byte, crashes int, quarantined bool, at time.Time) fleet.Suspect {
 		return fleet.Suspect{Fingerprint: fleet.Fingerprint{n}, Crashes: crashes, Quarantined: quarantined, Updated: at}
 	}
+	type list = []fleet.Suspect
 	cases := map[string]struct {
-		before []fleet.Suspect
+		before list
 		ran    []byte
-		want   []fleet.Suspect
+		want   list
 	}{
-		"none was a suspect": {
-			ran:  []byte{2, 1, 2},
-			want: []fleet.Suspect{suspect(1, 1, false, now), suspect(2, 1, false, now)},
-		},
-		"one was": {
-			before: []fleet.Suspect{suspect(1, 1, false, fresh)},
-			ran:    []byte{1, 2, 3},
-			want:   []fleet.Suspect{suspect(1, 2, true, now)},
-		},
+		"none was a suspect": {nil, []byte{2, 1, 2}, list{suspect(1, 1, false, now), suspect(2, 1, false, now)}},
+		"one was":            {list{suspect(1, 1, false, fresh)}, []byte{1, 2, 3}, list{suspect(1, 2, true, now)}},
 		"two were": {
-			before: []fleet.Suspect{suspect(1, 1, false, fresh), suspect(2, 1, false, fresh)},
+			before: list{suspect(1, 1, false, fresh), suspect(2, 1, false, fresh)},
 			ran:    []byte{1, 2, 3},
-			want:   []fleet.Suspect{suspect(1, 2, false, now), suspect(2, 2, false, now)},
+			want:   list{suspect(1, 2, false, now), suspect(2, 2, false, now)},
 		},
 		"two were, for the third time": {
-			before: []fleet.Suspect{suspect(1, 2, false, fresh), suspect(2, 1, false, fresh)},
+			before: list{suspect(1, 2, false, fresh), suspect(2, 1, false, fresh)},
 			ran:    []byte{1, 2, 3},
-			want:   []fleet.Suspect{suspect(1, 3, true, now), suspect(2, 2, false, now)},
-		},
-		"one was long ago": {
-			before: []fleet.Suspect{suspect(1, 1, false, stale)},
-			ran:    []byte{1, 2},
-			want:   []fleet.Suspect{suspect(1, 1, false, now), suspect(2, 1, false, now)},
+			want:   list{suspect(1, 3, true, now), suspect(2, 2, false, now)},
 		},
-		"an old one goes": {
-			before: []fleet.Suspect{suspect(9, 2, true, stale)},
-			ran:    []byte{1},
-			want:   []fleet.Suspect{suspect(1, 1, false, now), {Fingerprint: fleet.Fingerprint{9}}},
-		},
-		"nothing ran": {},
+		"one was long ago": {list{suspect(1, 1, false, stale)}, []byte{1, 2}, list{suspect(1, 1, false, now), suspect(2, 1, false, now)}},
+		"an old one goes":  {list{suspect(9, 2, true, stale)}, []byte{1}, list{suspect(1, 1, false, now), {Fingerprint: fleet.Fingerprint{9}}}},
+		"nothing ran":      {},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			before := make(map[fleet.Fingerprint]fleet.Suspect)
-			put(before, c.before)
+			testkit.PutSuspects(before, c.before)
 			assert.DeepEqual(t, Apply(before, reportOf(c.ran...), now, DefaultLimits), c.want)
 		})
 	}
@@ -78,21 +64,11 @@
 	limits.Most = 10
 	now := time.Unix(1_000_000, 0)
 	suspects := make(map[fleet.Fingerprint]fleet.Suspect)
-	put(suspects, []fleet.Suspect{{Fingerprint: fleet.Fingerprint{255}, Crashes: 2, Quarantined: true, Updated: now}})
+	testkit.PutSuspects(suspects, []fleet.Suspect{{Fingerprint: fleet.Fingerprint{255}, Crashes: 2, Quarantined: true, Updated: now}})
 	for n := range byte(50) {
 		now = now.Add(time.Second)
-		put(suspects, Apply(suspects, reportOf(3*n, 3*n+1, 3*n+2), now, limits))
+		testkit.PutSuspects(suspects, Apply(suspects, reportOf(3*n, 3*n+1, 3*n+2), now, limits))
 		assert.Assert(t, len(suspects) <= limits.Most)
 	}
 	assert.Assert(t, suspects[fleet.Fingerprint{255}].Quarantined)
 }
-
-func put(suspects map[fleet.Fingerprint]fleet.Suspect, changed []fleet.Suspect) {
-	for _, c := range changed {
-		if c.Crashes == 0 {
-			delete(suspects, c.Fingerprint)
-			continue
-		}
-		suspects[c.Fingerprint] = c
-	}
-}
