control: tests share their set-up

Changes, agents and reports of a copy are made in one place each for both groups of the tests; the network in memory keeps its tables in sync.Map and no longer counts messages, which nobody read. No test, case, seed or bound is gone or merged.

--- a/internal/control/aging_test.go
+++ b/internal/control/aging_test.go
@@ -11,7 +11,7 @@
 // calls must not be held up by the old zones for longer than their records
 // live, although no command comes that would carry the time.
 func TestQuietFleetForgetsFormerZones(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		d := b.start("e0", 1)
 		time.Sleep(time.Second)
 		b.apply("teams/sorters", 1, teamYAML("sorters", "howrah"))
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -24,15 +24,14 @@
 	b.Helper()
 	l := newLog(b)
 	l.accept("fleet", 0, []byte(fleetYAML))
-	zones := []string{"howrah", "barasat", "durgapur"}
 	for n := range benchInstances {
-		assert.Equal(b, l.join(fmt.Sprint("e", n), 1, zones[n%3]), "")
+		assert.Equal(b, l.join(fmt.Sprint("e", n), 1, allZones[n%3]), "")
 	}
 	for n := range benchTeams {
 		var permitted []string
-		for z := range zones {
+		for z := range allZones {
 			if (n%7+1)>>z&1 == 1 {
-				permitted = append(permitted, zones[z])
+				permitted = append(permitted, allZones[z])
 			}
 		}
 		name := fmt.Sprint("team", n)
@@ -57,8 +56,7 @@
 	b.ResetTimer()
 	for n := range b.N {
 		i := n % benchInstances
-		zone := []string{"howrah", "barasat", "durgapur"}[i%3]
-		assert.Equal(b, l.join(fmt.Sprint("e", i), uint64(n/benchInstances+2), zone), "")
+		assert.Equal(b, l.join(fmt.Sprint("e", i), uint64(n/benchInstances+2), allZones[i%3]), "")
 		groups += len(l.machine.delta.LedgerGroups)
 	}
 	b.ReportMetric(float64(groups)/float64(b.N), "groups/op")
--- a/internal/control/bytes_test.go
+++ b/internal/control/bytes_test.go
@@ -13,20 +13,20 @@
 // beside 2 daemons as beside 24.
 func TestBytesOfADaemon(t *testing.T) {
 	measure := func(daemons, changes int) (perDaemon float64) {
-		inBubble(t, 3, func(b *bench) {
+		inBubble(t, func(b *bench) {
 			for n := range daemons {
 				b.start(fmt.Sprint("e", n), 1)
 			}
 			time.Sleep(5 * time.Second)
 			const span = time.Minute
-			before, _ := b.cluster.net.sums()
+			before := b.cluster.net.bytes.Load()
 			end := time.Now().Add(span)
 			for n := range changes {
 				b.apply("teams/sorters", uint64(n+1), teamYAML("sorters", "howrah"))
 				time.Sleep(span / time.Duration(changes))
 			}
 			time.Sleep(time.Until(end))
-			after, _ := b.cluster.net.sums()
+			after := b.cluster.net.bytes.Load()
 			perDaemon = float64(after-before) / span.Seconds() / float64(daemons)
 		})
 		return perDaemon
--- a/internal/control/change_test.go
+++ b/internal/control/change_test.go
@@ -10,37 +10,39 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
+const (
+	accepted    = pb.ChangeStatus_CHANGE_STATUS_ACCEPTED
+	conflicting = pb.ChangeStatus_CHANGE_STATUS_CONFLICT
+	notTaken    = pb.ChangeStatus_CHANGE_STATUS_INVALID
+)
+
 func TestChangeTable(t *testing.T) {
-	good := teamYAML("clerks", "howrah")
-	change := func(edit func(*pb.ChangeSubtree)) *pb.ChangeSubtree {
-		c := &pb.ChangeSubtree{Name: "teams/clerks", ChangeId: "c1", Yaml: good, Author: "mina"}
-		edit(c)
-		return c
-	}
+	clerks, sorters := teamYAML("clerks", "howrah"), teamYAML("sorters", "howrah")
 	cases := []struct {
 		name    string
 		change  *pb.ChangeSubtree
 		status  pb.ChangeStatus
 		version uint64
 	}{
-		{"create", change(func(*pb.ChangeSubtree) {}), pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, 1},
-		{"create with a version", change(func(c *pb.ChangeSubtree) { c.ExpectedVersion = 1 }), pb.ChangeStatus_CHANGE_STATUS_CONFLICT, 0},
-		{"no change ID", change(func(c *pb.ChangeSubtree) { c.ChangeId = "" }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
-		{"no name", change(func(c *pb.ChangeSubtree) { c.Name = "" }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
-		{"unknown zone", change(func(c *pb.ChangeSubtree) { c.Yaml = teamYAML("clerks", "nowhere") }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
-		{"not YAML", change(func(c *pb.ChangeSubtree) { c.Yaml = []byte("{\xff") }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
-		{"too large", change(func(c *pb.ChangeSubtree) { c.Yaml = make([]byte, maxYAMLBytes+1) }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 0},
-		{"existing, version 0", change(func(c *pb.ChangeSubtree) { c.Name = "teams/sorters"; c.Yaml = teamYAML("sorters", "howrah") }), pb.ChangeStatus_CHANGE_STATUS_CONFLICT, 1},
-		{"remove", change(func(c *pb.ChangeSubtree) { c.Name = "teams/sorters"; c.ExpectedVersion = 1; c.Yaml = nil }), pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, 2},
-		{"remove the fleet", change(func(c *pb.ChangeSubtree) { c.Name = "fleet"; c.ExpectedVersion = 1; c.Yaml = nil }), pb.ChangeStatus_CHANGE_STATUS_INVALID, 1},
+		{"create", subtree("teams/clerks", 0, "c1", clerks), accepted, 1},
+		{"create with a version", subtree("teams/clerks", 1, "c1", clerks), conflicting, 0},
+		{"no change ID", subtree("teams/clerks", 0, "", clerks), notTaken, 0},
+		{"no name", subtree("", 0, "c1", clerks), notTaken, 0},
+		{"unknown zone", subtree("teams/clerks", 0, "c1", teamYAML("clerks", "nowhere")), notTaken, 0},
+		{"not YAML", subtree("teams/clerks", 0, "c1", []byte("{\xff")), notTaken, 0},
+		{"too large", subtree("teams/clerks", 0, "c1", make([]byte, maxYAMLBytes+1)), notTaken, 0},
+		{"existing, version 0", subtree("teams/sorters", 0, "c1", sorters), conflicting, 1},
+		{"remove", subtree("teams/sorters", 1, "c1", nil), accepted, 2},
+		{"remove the fleet", subtree("fleet", 1, "c1", nil), notTaken, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			l := newFleet(t)
+			c.change.Author = "mina"
 			result := l.change(c.change)
 			assert.Equal(t, result.Status, c.status, result.Detail)
 			assert.Equal(t, result.Version, c.version)
-			if c.status == pb.ChangeStatus_CHANGE_STATUS_CONFLICT {
+			if c.status == conflicting {
 				assert.Equal(t, result.Current.GetVersion(), c.version)
 			}
 		})
@@ -53,15 +55,14 @@
 // each time and the change is applied once.
 func TestResentChangeGetsItsFirstResult(t *testing.T) {
 	l := newFleet(t)
-	change := &pb.ChangeSubtree{
-		Name: "teams/sorters", ExpectedVersion: 1, ChangeId: "mine", Yaml: teamYAML("sorters", "howrah"), Author: "mina",
-	}
+	change := subtree("teams/sorters", 1, "mine", teamYAML("sorters", "howrah"))
+	change.Author = "mina"
 	first := l.change(change)
-	assert.Equal(t, first.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
+	assert.Equal(t, first.Status, accepted)
 	lost := proto.Clone(change).(*pb.ChangeSubtree)
 	lost.ChangeId = "theirs"
 	conflict := l.change(lost)
-	assert.Equal(t, conflict.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+	assert.Equal(t, conflict.Status, conflicting)
 	for round := range 3 {
 		l.accept("teams/sorters", uint64(2+round), teamYAML("sorters", "barasat"))
 		l.restart()
@@ -72,11 +73,11 @@
 		assert.Equal(t, again.Version, first.Version)
 		assert.Equal(t, l.machine.current["teams/sorters"].Version, uint64(3+round))
 		againLost := l.change(lost)
-		assert.Equal(t, againLost.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+		assert.Equal(t, againLost.Status, conflicting)
 		assert.Equal(t, againLost.Current.Version, uint64(2))
 	}
 	change.Yaml = teamYAML("sorters", "durgapur")
-	assert.Equal(t, l.change(change).Status, pb.ChangeStatus_CHANGE_STATUS_INVALID)
+	assert.Equal(t, l.change(change).Status, notTaken)
 }
 
 // Two operators read the same version and both change it, a thousand times.
@@ -86,17 +87,17 @@
 	l := newFleet(t)
 	l.accept("teams/clerks", 0, teamYAML("clerks", "howrah"))
 	for round := range uint64(1000) {
-		a := &pb.ChangeSubtree{Name: "teams/sorters", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("a", round), Yaml: teamYAML("sorters", "howrah")}
-		b := &pb.ChangeSubtree{Name: "teams/sorters", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("b", round), Yaml: teamYAML("sorters", "barasat")}
-		other := &pb.ChangeSubtree{Name: "teams/clerks", ExpectedVersion: round + 1, ChangeId: fmt.Sprint("c", round), Yaml: teamYAML("clerks", "howrah")}
+		a := subtree("teams/sorters", round+1, fmt.Sprint("a", round), teamYAML("sorters", "howrah"))
+		b := subtree("teams/sorters", round+1, fmt.Sprint("b", round), teamYAML("sorters", "barasat"))
+		other := subtree("teams/clerks", round+1, fmt.Sprint("c", round), teamYAML("clerks", "howrah"))
 		if round%2 == 1 {
 			a, b = b, a
 		}
 		won := l.change(a)
-		assert.Equal(t, l.change(other).Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
+		assert.Equal(t, l.change(other).Status, accepted)
 		lost := l.change(b)
-		assert.Equal(t, won.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED)
-		assert.Equal(t, lost.Status, pb.ChangeStatus_CHANGE_STATUS_CONFLICT)
+		assert.Equal(t, won.Status, accepted)
+		assert.Equal(t, lost.Status, conflicting)
 		assert.DeepEqual(t, lost.Current.Yaml, a.Yaml)
 		assert.Equal(t, lost.Current.ChangeId, a.ChangeId)
 	}
--- a/internal/control/daemonbench_test.go
+++ b/internal/control/daemonbench_test.go
@@ -32,21 +32,30 @@
 	client *Client
 }
 
-func inBubble(t *testing.T, members int, f func(*bench)) {
+func inBubble(t *testing.T, f func(*bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := newCluster(t, members)
+		c := newCluster(t, 3)
 		c.run(ctx)
 		b := &bench{t: t, ctx: ctx, cluster: c}
 		b.admin = NewClient(c.net.from("admin"), c.addresses, logging.Part{})
 		b.apply("fleet", 0, []byte(fleetYAML))
-		b.apply("teams/sorters", 0, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+		b.apply("teams/sorters", 0, teamYAML("sorters", allZones...))
 		f(b)
 		cancel()
 		synctest.Wait()
 	})
 }
 
+// withEntry runs f five seconds after entry e0 has been started.
+func withEntry(t *testing.T, f func(*bench, *daemon)) {
+	inBubble(t, func(b *bench) {
+		d := b.start("e0", 1)
+		time.Sleep(5 * time.Second)
+		f(b, d)
+	})
+}
+
 func (b *bench) apply(name string, version uint64, yaml []byte) *pb.ChangeReply {
 	b.t.Helper()
 	return b.change(name, version, yaml, 0)
@@ -54,14 +63,18 @@
 
 func (b *bench) change(name string, version uint64, yaml []byte, wait time.Duration) *pb.ChangeReply {
 	b.t.Helper()
-	ctx, cancel := context.WithTimeout(b.ctx, 30*time.Second)
+	return changeWith(b.t, b.admin, subtree(name, version, fmt.Sprint(name, version), yaml), wait)
+}
+
+// changeWith makes a change that must be accepted and waits until it is in
+// force everywhere.
+func changeWith(t testing.TB, admin *Client, c *pb.ChangeSubtree, wait time.Duration) *pb.ChangeReply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	reply, err := b.admin.Change(ctx, &pb.ChangeRequest{
-		Change:        &pb.ChangeSubtree{Name: name, ExpectedVersion: version, ChangeId: fmt.Sprint(name, version), Yaml: yaml},
-		WaitInForceMs: uint64(wait.Milliseconds()),
-	})
-	assert.NilError(b.t, err)
-	assert.Equal(b.t, reply.Result.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, reply.Result.Detail)
+	reply, err := admin.Change(ctx, &pb.ChangeRequest{Change: c, WaitInForceMs: uint64(wait.Milliseconds())})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Result.Status, accepted, reply.Result.Detail)
 	return reply
 }
 
@@ -73,19 +86,18 @@
 		d.agent.State()
 		return b.cluster.addresses()
 	}, logging.Part{})
-	d.agent = membership.NewAgent(membership.Options{
-		Client: d.client,
-		Self: fleet.Instance{
-			ID: fleet.InstanceID(id), Incarnation: incarnation, Zone: "howrah", Entry: true,
-			RPCAddress: "10.0.0.1:7000", CallerAddress: "10.0.0.1:7001", EndpointAddress: "10.0.0.1:7002", OperatorAddress: "10.0.0.1:7003",
-		},
-		Build:  settings.Build,
-		Change: settings.CheckChange,
+	d.agent = newAgent(d.client, fleet.Instance{
+		ID: fleet.InstanceID(id), Incarnation: incarnation, Zone: "howrah", Entry: true,
+		RPCAddress: "10.0.0.1:7000", CallerAddress: "10.0.0.1:7001", EndpointAddress: "10.0.0.1:7002", OperatorAddress: "10.0.0.1:7003",
 	})
 	go func() { d.ended <- d.agent.Run(ctx) }()
 	return d
 }
 
+func newAgent(c *Client, self fleet.Instance) *membership.Agent {
+	return membership.NewAgent(membership.Options{Client: c, Self: self, Build: settings.Build, Change: settings.CheckChange})
+}
+
 func (d *daemon) current() bool { return d.agent.Current(time.Now()) }
 
 func (b *bench) view() map[string]uint64 {
@@ -119,10 +131,7 @@
 				if r.Ready {
 					continue
 				}
-				_, err := b.admin.Ready(b.ctx, &pb.LedgerReady{
-					InstanceId: r.InstanceId, Incarnation: r.Incarnation,
-					Shards: []*pb.LedgerShardEpoch{{ZoneClass: g.ZoneClass, Shard: g.Shard, Epoch: g.Epoch}},
-				})
+				_, err := b.admin.Ready(b.ctx, readyOf(r, g))
 				assert.NilError(b.t, err)
 			}
 		}
--- a/internal/control/daemons_test.go
+++ b/internal/control/daemons_test.go
@@ -21,7 +21,7 @@
 )
 
 func TestDaemonJoinsFollowsAndLeaves(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		d := b.start("e0", 1)
 		assert.Assert(t, !d.current())
 		time.Sleep(time.Second)
@@ -46,7 +46,7 @@
 // has passed; the view drops it only after that. When the link heals, it
 // learns that its place is lost.
 func TestCutOffEntryStopsBeforeTheViewDropsIt(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		d := b.start("e0", 1)
 		other := b.start("e1", 1)
 		time.Sleep(5 * time.Second)
@@ -68,9 +68,7 @@
 }
 
 func TestShortCutCostsNothing(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
-		d := b.start("e0", 1)
-		time.Sleep(5 * time.Second)
+	withEntry(t, func(b *bench, d *daemon) {
 		b.cutOff("e0", true)
 		time.Sleep(instanceLease / 2)
 		b.cutOff("e0", false)
@@ -85,9 +83,7 @@
 // the incarnation that it had, and its settings and view are the newest.
 func TestFarBehindEntryCatchesUp(t *testing.T) {
 	for _, changes := range []uint64{600, recentDeltas + 100} {
-		inBubble(t, 3, func(b *bench) {
-			d := b.start("e0", 1)
-			time.Sleep(5 * time.Second)
+		withEntry(t, func(b *bench, d *daemon) {
 			b.cutOff("e0", true)
 			for n := range changes {
 				b.apply("teams/sorters", n+1, teamYAML("sorters", "barasat"))
@@ -106,9 +102,7 @@
 // Only answers get lost on the way to the entry. The leader sees renewals and
 // keeps the entry in the view, but the entry can't know: it stops.
 func TestOneWayCutStopsTheEntry(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
-		d := b.start("e0", 1)
-		time.Sleep(5 * time.Second)
+	withEntry(t, func(b *bench, d *daemon) {
 		for _, a := range b.cluster.addresses() {
 			b.cluster.net.setCut(true, a, "e0")
 		}
@@ -122,9 +116,7 @@
 // nothing new. Renewals at the leader tell the entry that it lags: it asks
 // another member and stays current, with the newest settings.
 func TestEntryLeavesALaggingMember(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
-		d := b.start("e0", 1)
-		time.Sleep(5 * time.Second)
+	withEntry(t, func(b *bench, d *daemon) {
 		for n := 1; n < 3; n++ {
 			b.cluster.setCut(n, true)
 		}
@@ -143,9 +135,7 @@
 // change. The entry renews its instance lease all the while, but can't get the
 // change: it must stop within the settings lease, not serve on old settings.
 func TestEntryOnOldSettingsStops(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
-		d := b.start("e0", 1)
-		time.Sleep(5 * time.Second)
+	withEntry(t, func(b *bench, d *daemon) {
 		for _, m := range b.cluster.members {
 			b.cluster.net.add(m.address(), noPulls{m.server})
 		}
@@ -169,7 +159,7 @@
 // was frozen. The new incarnation takes the place; the old one's next renewal
 // tells it so, and it is not current from then on.
 func TestRestartFencesTheOldProcess(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		old := b.start("e0", 1)
 		time.Sleep(time.Second)
 		assert.Assert(t, old.current())
@@ -183,7 +173,7 @@
 // The leader changes right after an entry has died. The new leader knows no
 // renewals: it expires nobody before a full lease, and the dead one after it.
 func TestNewLeaderWaitsAFullLease(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		alive := b.start("e0", 1)
 		b.start("e1", 1)
 		time.Sleep(5 * time.Second)
@@ -204,9 +194,7 @@
 // No leader for long: all entries stop, none is expired, and all go on with
 // their incarnations once there is a leader.
 func TestTimeWithoutLeaderExpiresNobody(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
-		d := b.start("e0", 1)
-		time.Sleep(5 * time.Second)
+	withEntry(t, func(b *bench, d *daemon) {
 		b.cluster.elect(-1)
 		time.Sleep(10 * time.Second)
 		assert.Assert(t, !d.current())
@@ -220,7 +208,7 @@
 // The leader dies after the change is synced and before it answers. The
 // operator's tool resends to the next leader and gets the first result.
 func TestChangeResentToTheNextLeader(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		b.cluster.mu.Lock()
 		b.cluster.loseReply = true
 		b.cluster.mu.Unlock()
@@ -237,7 +225,7 @@
 // only when that entry has stopped: at no time is the older version in force
 // anywhere after it.
 func TestWaitEndsWhenNobodyServesTheOldVersion(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		d := b.start("e0", 1)
 		cut := b.start("e1", 1)
 		time.Sleep(5 * time.Second)
@@ -260,7 +248,7 @@
 // An operator drains an entry: it learns of it, its ledger shards move, and
 // it may leave with nothing lost.
 func TestDrainHandsOver(t *testing.T) {
-	inBubble(t, 3, func(b *bench) {
+	inBubble(t, func(b *bench) {
 		d := b.start("e0", 1)
 		time.Sleep(time.Second) // first of all, so that it has shards
 		for n := 1; n < 4; n++ {
--- a/internal/control/fakegroup_test.go
+++ b/internal/control/fakegroup_test.go
@@ -37,7 +37,7 @@
 var _ replica.Group = (*fakeMember)(nil)
 
 func newCluster(t testing.TB, members int) *cluster {
-	c := &cluster{net: newNetwork(), term: 1}
+	c := &cluster{net: &network{}, term: 1}
 	for n := range members {
 		m := &fakeMember{cluster: c, number: n, machine: NewMachine(testOptions())}
 		m.server = NewServer(ServerOptions{Group: m, Machine: m.machine, Self: m.instance(), Dialer: c.net.from(m.address())})
--- a/internal/control/fixture_test.go
+++ b/internal/control/fixture_test.go
@@ -23,6 +23,8 @@
   - {name: root, key_hash: "sha256:0000000000000000000000000000000000000000000000000000000000000001", subtrees: ["*"]}
 `
 
+var allZones = []string{"howrah", "barasat", "durgapur"}
+
 func teamYAML(name string, zones ...string) []byte {
 	text := "team: %s\nkey_hashes: [%q]\npermitted_zones: [%s]\nmodels: [fibre]\n"
 	return fmt.Appendf(nil, text, name, settings.HashKey(name), strings.Join(zones, ", "))
@@ -60,14 +62,13 @@
 	return l.apply(&pb.Command{Body: &pb.Command_ChangeSubtree{ChangeSubtree: c}}).Change
 }
 
+func subtree(name string, version uint64, changeID string, yaml []byte) *pb.ChangeSubtree {
+	return &pb.ChangeSubtree{Name: name, ExpectedVersion: version, ChangeId: changeID, Yaml: yaml}
+}
+
 func (l *log) accept(name string, version uint64, yaml []byte) *pb.ChangeResult {
 	l.t.Helper()
-	result := l.change(&pb.ChangeSubtree{
-		Name:            name,
-		ExpectedVersion: version,
-		ChangeId:        fmt.Sprintf("%s-%d-%d", name, version, l.index),
-		Yaml:            yaml,
-	})
+	result := l.change(subtree(name, version, fmt.Sprintf("%s-%d-%d", name, version, l.index), yaml))
 	assert.Equal(l.t, result.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, result.Detail)
 	return result
 }
@@ -91,11 +92,13 @@
 
 func (l *log) ready(r *pb.LedgerReplica, g *pb.LedgerGroup) string {
 	l.t.Helper()
-	return l.apply(&pb.Command{Body: &pb.Command_LedgerReady{LedgerReady: &pb.LedgerReady{
-		InstanceId:  r.InstanceId,
-		Incarnation: r.Incarnation,
-		Shards:      []*pb.LedgerShardEpoch{{ZoneClass: g.ZoneClass, Shard: g.Shard, Epoch: g.Epoch}},
-	}}}).Refusal
+	return l.apply(&pb.Command{Body: &pb.Command_LedgerReady{LedgerReady: readyOf(r, g)}}).Refusal
+}
+
+// readyOf reports a replica's copy of the group's records as done.
+func readyOf(r *pb.LedgerReplica, g *pb.LedgerGroup) *pb.LedgerReady {
+	shards := []*pb.LedgerShardEpoch{{ZoneClass: g.ZoneClass, Shard: g.Shard, Epoch: g.Epoch}}
+	return &pb.LedgerReady{InstanceId: r.InstanceId, Incarnation: r.Incarnation, Shards: shards}
 }
 
 func (l *log) order(o *pb.IssueOrder) *pb.CommandResult {
@@ -117,6 +120,6 @@
 	t.Helper()
 	l := newLog(t)
 	l.accept("fleet", 0, []byte(fleetYAML))
-	l.accept("teams/sorters", 0, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+	l.accept("teams/sorters", 0, teamYAML("sorters", allZones...))
 	return l
 }
--- a/internal/control/former_test.go
+++ b/internal/control/former_test.go
@@ -28,7 +28,7 @@
 func TestFormerClassesTable(t *testing.T) {
 	const all, one = "barasat+durgapur+howrah", "howrah"
 	l := newFleet(t)
-	l.accept("teams/sorters", 1, append(teamYAML("sorters", "howrah", "barasat", "durgapur"), "share: 2\n"...))
+	l.accept("teams/sorters", 1, append(teamYAML("sorters", allZones...), "share: 2\n"...))
 	assert.DeepEqual(t, l.formerOf(), []string{})
 	l.accept("teams/sorters", 2, teamYAML("sorters", "howrah"))
 	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + all})
@@ -37,7 +37,7 @@
 	l.clock += 1000
 	l.accept("teams/sorters", 3, nil) // removed
 	l.restart()
-	l.accept("teams/sorters", 4, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+	l.accept("teams/sorters", 4, teamYAML("sorters", allZones...))
 	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + all, "sorters " + one})
 	life := formerLives * defaultRecordLife.Milliseconds()
 	l.clock += life - 1000
@@ -61,10 +61,10 @@
 	for n := range maxTeamFormer {
 		l.machine.former.set("sorters", fmt.Sprint("class-", n), l.clock)
 	}
-	refused := l.change(&pb.ChangeSubtree{Name: "teams/sorters", ExpectedVersion: 1, ChangeId: "x", Yaml: teamYAML("sorters", "howrah")})
+	refused := l.change(subtree("teams/sorters", 1, "x", teamYAML("sorters", "howrah")))
 	assert.Equal(t, refused.Status, pb.ChangeStatus_CHANGE_STATUS_INVALID)
 	assert.Equal(t, l.machine.Tree().Teams["sorters"].Permitted().Len(), 3)
-	l.accept("teams/sorters", 1, append(teamYAML("sorters", "howrah", "barasat", "durgapur"), "share: 2\n"...))
+	l.accept("teams/sorters", 1, append(teamYAML("sorters", allZones...), "share: 2\n"...))
 }
 
 // A call runs while its team's zones change, and ends minutes later. Its record
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -20,9 +20,8 @@
 // whole.
 func grown(t testing.TB, n int) *log {
 	l := newFleet(t)
-	zones := []string{"howrah", "barasat", "durgapur"}
 	for i := range n {
-		assert.Equal(t, l.join(fmt.Sprint("e", i), 1, zones[i%3]), "")
+		assert.Equal(t, l.join(fmt.Sprint("e", i), 1, allZones[i%3]), "")
 	}
 	l.repairAll()
 	return l
@@ -60,10 +59,10 @@
 func TestCreationIsReadyAtOnce(t *testing.T) {
 	l := newLog(t)
 	l.accept("fleet", 0, []byte(fleetYAML))
-	for n, zone := range []string{"howrah", "barasat", "durgapur", "howrah"} {
-		l.join(fmt.Sprint("e", n), 1, zone)
+	for n := range 4 {
+		l.join(fmt.Sprint("e", n), 1, allZones[n%3])
 	}
-	l.accept("teams/sorters", 0, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+	l.accept("teams/sorters", 0, teamYAML("sorters", allZones...))
 	g := l.group(0)
 	assert.Assert(t, wholeGroup(g))
 	assert.Equal(t, len(g.Sources), 0)
@@ -183,6 +182,6 @@
 	l.drain("nobody")
 	assert.Assert(t, l.group(0) == nil)
 	l.restart()
-	l.accept("teams/sorters", 2, teamYAML("sorters", "howrah", "barasat", "durgapur"))
+	l.accept("teams/sorters", 2, teamYAML("sorters", allZones...))
 	assert.Assert(t, l.group(0).Epoch > old.Epoch)
 }
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -28,11 +28,16 @@
 	return -1
 }
 
+// renews tells whether a1's renewal is granted.
+func renews(l *leases, term uint64, at time.Time) bool {
+	_, ok := l.renew(a1, term, 0, at)
+	return ok
+}
+
 func TestLeaseEndsAfterItsLastRenewal(t *testing.T) {
 	l := newLeases()
 	assert.Equal(t, ticks(l, 0, time.Second, instanceLease), time.Duration(-1))
-	_, ok := l.renew(a1, 1, 0, epoch.Add(time.Second))
-	assert.Assert(t, ok)
+	assert.Assert(t, renews(l, 1, epoch.Add(time.Second)))
 	assert.Equal(t, ticks(l, time.Second, time.Minute, instanceLease), time.Second+instanceLease)
 }
 
@@ -54,11 +59,9 @@
 	now := epoch.Add(due)
 	assert.Assert(t, l.condemn(a1, now))
 	assert.Assert(t, !l.condemn(a1, now))
-	_, ok := l.renew(a1, 1, 0, now)
-	assert.Assert(t, !ok)
+	assert.Assert(t, !renews(l, 1, now))
 	l.proposed(a1) // failed: it stays condemned and is proposed again
-	_, ok = l.renew(a1, 1, 0, now)
-	assert.Assert(t, !ok)
+	assert.Assert(t, !renews(l, 1, now))
 	assert.Assert(t, l.condemn(a1, now))
 }
 
@@ -67,8 +70,7 @@
 func TestRenewalBeforeCondemnationWins(t *testing.T) {
 	l := newLeases()
 	now := epoch.Add(ticks(l, 0, time.Minute, instanceLease))
-	_, ok := l.renew(a1, 1, 0, now)
-	assert.Assert(t, ok)
+	assert.Assert(t, renews(l, 1, now))
 	assert.Assert(t, !l.condemn(a1, now))
 }
 
@@ -100,11 +102,9 @@
 func TestRenewNeedsTheSameTerm(t *testing.T) {
 	l := newLeases()
 	l.tick(epoch, 2, instanceLease, live)
-	_, ok := l.renew(a1, 1, 0, epoch)
-	assert.Assert(t, !ok)
+	assert.Assert(t, !renews(l, 1, epoch))
 	l.resign()
-	_, ok = l.renew(a1, 2, 0, epoch)
-	assert.Assert(t, !ok)
+	assert.Assert(t, !renews(l, 2, epoch))
 }
 
 func TestBehindCountsTheLiveProcessOnly(t *testing.T) {
--- a/internal/control/ledgermodel_test.go
+++ b/internal/control/ledgermodel_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -113,24 +115,19 @@
 func (m *ledgerModel) read() {
 	g := m.someVersion()
 	seen := map[*modelRecord]bool{}
-	answers := 0
 	var answered []fleet.Owner
 	for _, o := range m.shuffled(g.Replicas) {
-		if answers <= len(g.Replicas)/2 && m.serves(o, g.Epoch) {
-			answers++
+		if len(answered) <= len(g.Replicas)/2 && m.serves(o, g.Epoch) {
 			answered = append(answered, o)
-			for r := range m.replicas[o].records {
-				seen[r] = true
-			}
+			maps.Copy(seen, m.replicas[o].records)
 		}
 	}
-	if answers <= len(g.Replicas)/2 {
+	if len(answered) <= len(g.Replicas)/2 {
 		return
 	}
 	m.reads++
 	for _, r := range m.records {
-		excused := m.lostSince(r.group.Epoch, g)
-		if seen[r] || excused || r.group.Epoch > g.Epoch {
+		if seen[r] || m.lostSince(r.group.Epoch, g) || r.group.Epoch > g.Epoch {
 			continue
 		}
 		if r.decided {
@@ -193,9 +190,7 @@
 			continue
 		}
 		from.sealed = g.Epoch
-		for record := range from.records {
-			r.records[record] = true
-		}
+		maps.Copy(r.records, from.records)
 		r.copied[source] = true
 		if len(r.copied) > len(g.Sources)/2 {
 			m.log.ready(p, g)
@@ -209,19 +204,18 @@
 }
 
 func (m *ledgerModel) disturb() {
-	ids := []string{"e0", "e1", "e2", "e3", "e4"}
-	zones := []string{"howrah", "barasat", "durgapur", "howrah", "barasat"}
-	n := m.random.IntN(len(ids))
-	live := m.log.machine.Instance(fleet.InstanceID(ids[n]))
+	n := m.random.IntN(5)
+	id := fmt.Sprint("e", n)
+	live := m.log.machine.Instance(fleet.InstanceID(id))
 	m.log.clock++
 	switch {
 	case live == nil || m.random.IntN(3) == 0:
 		m.next++
-		m.log.join(ids[n], m.next, zones[n])
+		m.log.join(id, m.next, allZones[n%3])
 	case m.random.IntN(2) == 0:
-		m.log.drain(ids[n])
+		m.log.drain(id)
 	default:
-		m.log.expire(ids[n], live.Incarnation)
+		m.log.expire(id, live.Incarnation)
 	}
 }
 
--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
@@ -15,81 +16,47 @@
 // network carries control calls in memory. A cut direction swallows what goes
 // that way without a word, as a silent partition does.
 type network struct {
-	mu      sync.Mutex
-	servers map[string]pb.DRPCControlServer
-	cut     map[direction]bool
-	bytes   int
-	calls   int
+	servers sync.Map     // of pb.DRPCControlServer, by address
+	cut     sync.Map     // of bool, by direction
+	bytes   atomic.Int64 // carried so far, without the members' own
 }
 
 type direction struct{ from, to string }
 
-func newNetwork() *network {
-	return &network{servers: map[string]pb.DRPCControlServer{}, cut: map[direction]bool{}}
-}
-
-func (n *network) add(address string, s pb.DRPCControlServer) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.servers[address] = s
-}
+func (n *network) add(address string, s pb.DRPCControlServer) { n.servers.Store(address, s) }
 
 // remove makes a server's process dead: its port refuses.
-func (n *network) remove(address string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.servers, address)
-}
-
-func (n *network) server(address string) pb.DRPCControlServer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.servers[address]
-}
+func (n *network) remove(address string) { n.servers.Delete(address) }
 
 // setCut cuts or heals one direction of each pair.
 func (n *network) setCut(cut bool, from string, to ...string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	for _, t := range to {
-		n.cut[direction{from, t}] = cut
+		n.cut.Store(direction{from, t}, cut)
 	}
 }
 
-// sums gives the bytes and messages carried so far.
-func (n *network) sums() (bytes, messages int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.bytes, n.calls
-}
-
 func (n *network) isCut(from, to string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cut[direction{from, to}]
+	cut, _ := n.cut.Load(direction{from, to})
+	return cut == true
 }
 
-func (n *network) from(address string) rpc.Dialer { return &link{net: n, from: address} }
+func (n *network) from(address string) rpc.Dialer { return &port{net: n, from: address} }
 
-type link struct {
-	net      *network
-	from, to string
+// port is one process' way into the network.
+type port struct {
+	net  *network
+	from string
 }
 
-// Conn implements rpc.Dialer.
-func (l *link) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	return &link{net: l.net, from: l.from, to: address}, nil
+type link struct {
+	drpc.Conn // no streams, never closed
+	port
+	to string
 }
 
-// Close implements drpc.Conn.
-func (l *link) Close() error { return nil }
-
-// Closed implements drpc.Conn.
-func (l *link) Closed() <-chan struct{} { return nil }
-
-// NewStream implements drpc.Conn.
-func (l *link) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
-	return nil, errors.New("no streams here")
+// Conn implements rpc.Dialer.
+func (p *port) Conn(_ context.Context, address string) (drpc.Conn, error) {
+	return &link{port: *p, to: address}, nil
 }
 
 // Invoke implements drpc.Conn.
@@ -102,8 +69,8 @@
 	if err := l.pass(enc, in, request); err != nil {
 		return err
 	}
-	server := l.net.server(l.to)
-	if server == nil {
+	server, up := l.net.servers.Load(l.to)
+	if !up {
 		return errors.New("connection refused")
 	}
 	reply, err := receiver(name)(server, ctx, request, nil)
@@ -122,12 +89,9 @@
 	if err != nil {
 		return err
 	}
-	l.net.mu.Lock()
 	if _, consensus := in.(*pb.ConsensusMessage); !consensus {
-		l.net.bytes += len(encoded)
-		l.net.calls++
+		l.net.bytes.Add(int64(len(encoded)))
 	}
-	l.net.mu.Unlock()
 	return enc.Unmarshal(encoded, out)
 }
 
--- a/internal/control/realgroup_test.go
+++ b/internal/control/realgroup_test.go
@@ -14,7 +14,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
-	"github.com/hyssopsail/hyssopsail/internal/settings"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
 )
 
@@ -32,7 +31,7 @@
 
 func newRealGroup(t testing.TB) *realGroup {
 	g := &realGroup{
-		t: t, ctx: t.Context(), net: newNetwork(),
+		t: t, ctx: t.Context(), net: &network{},
 		nodes: map[string]*replica.Node{}, stops: map[string]context.CancelFunc{},
 	}
 	for n := range 3 {
@@ -76,14 +75,7 @@
 }
 
 func (g *realGroup) change(name string, version uint64, yaml []byte) *pb.ChangeReply {
-	ctx, cancel := context.WithTimeout(g.ctx, 30*time.Second)
-	defer cancel()
-	reply, err := g.admin.Change(ctx, &pb.ChangeRequest{
-		Change:        &pb.ChangeSubtree{Name: name, ExpectedVersion: version, ChangeId: fmt.Sprint(name, version), Yaml: yaml},
-		WaitInForceMs: 10_000,
-	})
-	assert.NilError(g.t, err)
-	assert.Equal(g.t, reply.Result.Status, pb.ChangeStatus_CHANGE_STATUS_ACCEPTED, reply.Result.Detail)
+	reply := changeWith(g.t, g.admin, subtree(name, version, fmt.Sprint(name, version), yaml), 10*time.Second)
 	assert.Assert(g.t, reply.InForce, "pending: %v", reply.PendingInstances)
 	return reply
 }
@@ -92,12 +84,8 @@
 	var agents []*membership.Agent
 	for n := range count {
 		id := fmt.Sprint("e", n)
-		agent := membership.NewAgent(membership.Options{
-			Client: NewClient(g.net.from(id), func() []string { return g.addresses }, logging.Part{}),
-			Self:   fleet.Instance{ID: fleet.InstanceID(id), Incarnation: 1, Zone: "howrah", Entry: true},
-			Build:  settings.Build,
-			Change: settings.CheckChange,
-		})
+		client := NewClient(g.net.from(id), func() []string { return g.addresses }, logging.Part{})
+		agent := newAgent(client, fleet.Instance{ID: fleet.InstanceID(id), Incarnation: 1, Zone: "howrah", Entry: true})
 		ended := make(chan struct{})
 		ctx, stop := context.WithCancel(g.ctx)
 		go func() { _ = agent.Run(ctx); close(ended) }()
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -15,20 +15,17 @@
 	ctx := context.Background()
 	c := newCluster(t, 3)
 	s := c.members[1].server
+	named := func(reply interface{ GetLeaderAddress() string }, err error) {
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetLeaderAddress(), "control0")
+	}
 	instance := &pb.InstanceRecord{Id: "e0", Incarnation: 1, AvailabilityZone: "howrah"}
 	renewal, err := s.RenewLease(ctx, &pb.RenewLeaseRequest{Instance: instance})
-	assert.NilError(t, err)
+	named(renewal, err)
 	assert.Equal(t, renewal.Refusal, refusalNotLeader)
-	assert.Equal(t, renewal.LeaderAddress, "control0")
-	change, err := s.Change(ctx, &pb.ChangeRequest{Change: &pb.ChangeSubtree{}})
-	assert.NilError(t, err)
-	assert.Equal(t, change.LeaderAddress, "control0")
-	settings, err := s.GetSettings(ctx, &pb.GetSettingsRequest{})
-	assert.NilError(t, err)
-	assert.Equal(t, settings.LeaderAddress, "control0")
-	member, err := s.ChangeMember(ctx, &pb.ChangeMemberRequest{Member: &pb.Member{InstanceId: "control2"}})
-	assert.NilError(t, err)
-	assert.Equal(t, member.LeaderAddress, "control0")
+	named(s.Change(ctx, &pb.ChangeRequest{Change: &pb.ChangeSubtree{}}))
+	named(s.GetSettings(ctx, &pb.GetSettingsRequest{}))
+	named(s.ChangeMember(ctx, &pb.ChangeMemberRequest{Member: &pb.Member{InstanceId: "control2"}}))
 	c.leader = -1
 	_, err = s.GetSettings(ctx, &pb.GetSettingsRequest{})
 	assert.ErrorContains(t, err, "knows none")
--- a/internal/control/suspects_test.go
+++ b/internal/control/suspects_test.go
@@ -67,7 +67,7 @@
 	l.clock += time.Hour.Milliseconds() + 1
 	l.drain("nobody")
 	assert.Equal(t, len(l.machine.suspects.records), 0)
-	assert.Equal(t, l.machine.recent.deltas[len(l.machine.recent.deltas)-1].Suspects[0].Crashes, uint32(0))
+	assert.Equal(t, l.lastDelta().Suspects[0].Crashes, uint32(0))
 	for n := range uint64(6) {
 		r := &pb.ReportCrash{EndpointId: "x", EndpointIncarnation: n + 2}
 		for f := range maxFingerprints {
