orders, provision: tests share their set-up

The planner's table names its engines and rows by small constructors. No test, case, seed or bound is gone or merged.

--- a/internal/orders/issuer_test.go
+++ b/internal/orders/issuer_test.go
@@ -59,6 +59,18 @@
 	return &result
 }
 
+// older starts issuer a's order "old", which is on its way until hold returns.
+func (w *world) older(t *testing.T, hold func()) <-chan Outcome {
+	w.atEndpoint = func(o engineapi.Order) {
+		if o.ID == "old" {
+			hold()
+		}
+	}
+	old := make(chan Outcome)
+	go func() { old <- run(t, w.issuer("a"), role("old", fleet.RoleBoth)) }()
+	return old
+}
+
 func (w *world) issuer(id fleet.InstanceID) *Issuer { return w.issuerAt(id, endpoint{w}) }
 
 func (w *world) issuerAt(id fleet.InstanceID, e Endpoints) *Issuer {
@@ -181,13 +193,7 @@
 func TestFrozenIssuerWakesAfterANewerOrder(t *testing.T) {
 	both(t, func(t *testing.T, w *world) {
 		frozen := make(chan struct{})
-		w.atEndpoint = func(o engineapi.Order) {
-			if o.ID == "old" {
-				<-frozen
-			}
-		}
-		old := make(chan Outcome)
-		go func() { old <- run(t, w.issuer("a"), role("old", fleet.RoleBoth)) }()
+		old := w.older(t, func() { <-frozen })
 		synctest.Wait()
 		assert.Equal(t, run(t, w.issuer("b"), role("new", fleet.RoleDecode)), OutcomeDone)
 		close(frozen)
@@ -220,13 +226,7 @@
 func TestNewerOrderWaitsOutTheOlderOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(false)
-		w.atEndpoint = func(o engineapi.Order) {
-			if o.ID == "old" {
-				time.Sleep(shortestLongest - time.Second)
-			}
-		}
-		old := make(chan Outcome)
-		go func() { old <- run(t, w.issuer("a"), role("old", fleet.RoleBoth)) }()
+		old := w.older(t, func() { time.Sleep(shortestLongest - time.Second) })
 		time.Sleep(time.Second)
 		assert.Equal(t, run(t, w.issuer("b"), role("new", fleet.RoleDecode)), OutcomeDone)
 		assert.DeepEqual(t, w.taken, []string{"old", "new"})
--- a/internal/orders/watch_test.go
+++ b/internal/orders/watch_test.go
@@ -39,18 +39,10 @@
 func TestOrderOfADeadIssuerArrivesAfterTheNewerOne(t *testing.T) {
 	both(t, func(t *testing.T, w *world) {
 		frozen := make(chan struct{})
-		w.atEndpoint = func(o engineapi.Order) {
-			if o.ID == "old" {
-				<-frozen
-			}
-		}
-		old := make(chan Outcome)
-		go func() { old <- run(t, w.issuer("a"), role("old", fleet.RoleBoth)) }()
+		old := w.older(t, func() { <-frozen })
 		synctest.Wait()
 		b := w.issuer("b")
-		ctx, cancel := context.WithCancel(t.Context())
-		var watching sync.WaitGroup
-		watching.Go(func() { _ = b.Watch(ctx) })
+		go func() { _ = b.Watch(t.Context()) }()
 		assert.Equal(t, run(t, b, role("new", fleet.RoleDecode)), OutcomeDone)
 		w.apply(&pb.Command{Body: &pb.Command_ExpireInstance{ExpireInstance: &pb.ExpireInstance{Id: "a", Incarnation: 1}}})
 		close(frozen)
@@ -58,8 +50,6 @@
 		time.Sleep(time.Minute)
 		assert.Equal(t, w.obeyed("old"), !w.state.ChecksTokens)
 		assert.Equal(t, w.currentRole(), fleet.RoleDecode)
-		cancel()
-		watching.Wait()
 	})
 }
 
@@ -69,17 +59,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(false)
 		b := w.issuer("b")
-		ctx, cancel := context.WithCancel(t.Context())
-		var watching sync.WaitGroup
-		watching.Go(func() { _ = b.Watch(ctx) })
+		go func() { _ = b.Watch(t.Context()) }()
 		assert.Equal(t, run(t, b, role("first", fleet.RoleDecode)), OutcomeDone)
 		assert.Equal(t, run(t, w.issuer("a"), role("second", fleet.RoleBoth)), OutcomeDone)
 		time.Sleep(time.Minute)
 		assert.Equal(t, w.currentRole(), fleet.RoleBoth)
 		assert.DeepEqual(t, w.taken, []string{"first", "second"})
 		assert.Equal(t, len(b.watch.due(time.Now())), 0)
-		cancel()
-		watching.Wait()
 	})
 }
 
--- a/internal/provision/gate_test.go
+++ b/internal/provision/gate_test.go
@@ -39,6 +39,7 @@
 
 func newServer(h *oneHome) *server {
 	gate := NewGate()
+	h.granted = map[string]struct{}{}
 	return &server{home: NewGatedHome(h, gate), meter: NewMeter(nil, nil, gate)}
 }
 
@@ -66,7 +67,7 @@
 // has ended; then other orders can't take the stop over, and it ends by itself.
 func TestStoppedEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &oneHome{granted: map[string]struct{}{}}
+		h := &oneHome{}
 		s := newServer(h)
 		assert.Equal(t, s.ask(t, "running"), granted)
 		reply := s.quiesce(t, "o", time.Second)
@@ -91,7 +92,7 @@
 // a moment later.
 func TestTakeUnderWayIsNotIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &oneHome{granted: map[string]struct{}{}, slow: make(chan struct{})}
+		h := &oneHome{slow: make(chan struct{})}
 		s := newServer(h)
 		took := make(chan pb.GrantStatus)
 		go func() { took <- s.ask(t, "late") }()
--- a/internal/provision/planner_test.go
+++ b/internal/provision/planner_test.go
@@ -50,47 +50,37 @@
 var start = time.Unix(1000, 0)
 
 func TestPlannerStep(t *testing.T) {
-	absent := Rate{Absent: 0.2}
-	busy := Rate{Granted: 10, Busy: 60} // three engines' slots
-	wanted := func(k Key, r Rate) []Row { return []Row{{Key: k, Rate: r}} }
+	wanted := Row{key(fibre, fleet.RoleDecode, "h"), Rate{Absent: 0.2}}
+	busy := Row{wanted.Key, Rate{Granted: 10, Busy: 60}} // three engines' slots
+	prefill := func(r Rate) Row { return Row{key(fibre, fleet.RolePrefill, "h"), r} }
+	decoder := func(id string, zone fleet.AvailabilityZone, models ...engineapi.ModelRef) Engine {
+		return newEngine(id, zone, fleet.RoleDecode, models...)
+	}
+	prefiller := func(id string) Engine { return newEngine(id, "h", fleet.RolePrefill, fibre) }
+	leaving := decoder("a", "h")
+	leaving.Leaving = true
+	type engines = []Engine
+	type rows = []Row
 	for _, row := range []struct {
-		name string
-		in   Input
-		want string
+		name    string
+		engines engines
+		rows    rows
+		want    string
 	}{
-		{"nothing asked", Input{Engines: []Engine{newEngine("a", "h", fleet.RoleDecode)}}, ""},
-		{"a model without an endpoint", Input{
-			Engines: []Engine{newEngine("a", "h", fleet.RoleDecode, notes), newEngine("b", "h", fleet.RoleDecode)},
-			Rows:    wanted(key(fibre, fleet.RoleDecode, "h"), absent),
-		}, "b: load fibre@v4;"},
-		{"only where its teams may run", Input{
-			Engines: []Engine{newEngine("a", "b", fleet.RoleDecode), newEngine("c", "h", fleet.RoleDecode)},
-			Rows:    wanted(key(fibre, fleet.RoleDecode, "h"), absent),
-		}, "c: load fibre@v4;"},
-		{"nowhere that they may run", Input{
-			Engines: []Engine{newEngine("a", "b", fleet.RoleDecode)},
-			Rows:    wanted(key(fibre, fleet.RoleDecode, "h"), absent),
-		}, ""},
-		{"not on one that leaves", Input{
-			Engines: []Engine{func() Engine { e := newEngine("a", "h", fleet.RoleDecode); e.Leaving = true; return e }()},
-			Rows:    wanted(key(fibre, fleet.RoleDecode, "h"), absent),
-		}, ""},
-		{"an idle prefill engine turns to decode", Input{
-			Engines: []Engine{newEngine("a", "h", fleet.RolePrefill, fibre), newEngine("b", "h", fleet.RolePrefill, fibre), newEngine("c", "h", fleet.RoleDecode, fibre)},
-			Rows:    append(wanted(key(fibre, fleet.RoleDecode, "h"), busy), Row{key(fibre, fleet.RolePrefill, "h"), Rate{Granted: 1, PromptTokens: 100}}),
-		}, "a: change-role decode;"},
-		{"the last prefill engine stays", Input{
-			Engines: []Engine{newEngine("a", "h", fleet.RolePrefill, fibre), newEngine("c", "h", fleet.RoleDecode, fibre)},
-			Rows:    append(wanted(key(fibre, fleet.RoleDecode, "h"), busy), Row{key(fibre, fleet.RolePrefill, "h"), Rate{Granted: 0.01, PromptTokens: 1}}),
-		}, ""},
-		{"an unused model gives way", Input{
-			Engines: []Engine{newEngine("a", "h", fleet.RoleDecode, notes)},
-			Rows:    wanted(key(fibre, fleet.RoleDecode, "h"), absent),
-		}, "a: unload notes@v1 load fibre@v4;"},
+		{"nothing asked", engines{decoder("a", "h")}, nil, ""},
+		{"a model without an endpoint", engines{decoder("a", "h", notes), decoder("b", "h")}, rows{wanted}, "b: load fibre@v4;"},
+		{"only where its teams may run", engines{decoder("a", "b"), decoder("c", "h")}, rows{wanted}, "c: load fibre@v4;"},
+		{"nowhere that they may run", engines{decoder("a", "b")}, rows{wanted}, ""},
+		{"not on one that leaves", engines{leaving}, rows{wanted}, ""},
+		{"an idle prefill engine turns to decode", engines{prefiller("a"), prefiller("b"), decoder("c", "h", fibre)},
+			rows{busy, prefill(Rate{Granted: 1, PromptTokens: 100})}, "a: change-role decode;"},
+		{"the last prefill engine stays", engines{prefiller("a"), decoder("c", "h", fibre)},
+			rows{busy, prefill(Rate{Granted: 0.01, PromptTokens: 1})}, ""},
+		{"an unused model gives way", engines{decoder("a", "h", notes)}, rows{wanted}, "a: unload notes@v1 load fibre@v4;"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			got := ""
-			for _, c := range steps(NewPlanner(acting(), 2), start, 20*time.Second, always(row.in)) {
+			for _, c := range steps(NewPlanner(acting(), 2), start, 20*time.Second, always(Input{Engines: row.engines, Rows: row.rows})) {
 				got += fmt.Sprintf("%s:%s;", c.Engine.Target.ID, describe(c.Orders))
 			}
 			assert.Equal(t, got, row.want)
