testkit: one network in memory for control, outcome and quarantine

Each of the three had its own connections, cuts, look-up of a method and counts. testkit.Network carries encoded messages for all: a cut direction swallows, a removed address refuses at the dial and at the call, a request can be held, calls and bytes are counted. The guard of quarantine's tests is reached through the ledger's descriptions now, as in a daemon. Outcome's direct benchmarks keep their own connection, so that their figures don't change. No test, case, seed or bound is gone or merged.

The first try of quarantine failed: the generated server wants a pointer.

--- a/internal/control/bytes_test.go
+++ b/internal/control/bytes_test.go
@@ -19,14 +19,14 @@
 			}
 			time.Sleep(5 * time.Second)
 			const span = time.Minute
-			before := b.cluster.net.bytes.Load()
+			before := b.cluster.net.Bytes()
 			end := time.Now().Add(span)
 			for n := range changes {
 				b.apply("teams/sorters", uint64(n+1), teamYAML("sorters", "howrah"))
 				time.Sleep(span / time.Duration(changes))
 			}
 			time.Sleep(time.Until(end))
-			after := b.cluster.net.bytes.Load()
+			after := b.cluster.net.Bytes()
 			perDaemon = float64(after-before) / span.Seconds() / float64(daemons)
 		})
 		return perDaemon
--- a/internal/control/daemonbench_test.go
+++ b/internal/control/daemonbench_test.go
@@ -38,7 +38,7 @@
 		c := newCluster(t, 3)
 		c.run(ctx)
 		b := &bench{t: t, ctx: ctx, cluster: c}
-		b.admin = NewClient(c.net.from("admin"), c.addresses, logging.Part{})
+		b.admin = NewClient(c.net.Dialer("admin"), c.addresses, logging.Part{})
 		b.apply("fleet", 0, []byte(fleetYAML))
 		b.apply("teams/sorters", 0, teamYAML("sorters", allZones...))
 		f(b)
@@ -82,7 +82,7 @@
 	ctx, stop := context.WithCancel(b.ctx)
 	d := &daemon{ended: make(chan error, 1), stop: stop}
 	// As in a daemon, the client's addresses come from the agent's state too.
-	d.client = NewClient(b.cluster.net.from(id), func() []string {
+	d.client = NewClient(b.cluster.net.Dialer(id), func() []string {
 		d.agent.State()
 		return b.cluster.addresses()
 	}, logging.Part{})
@@ -113,9 +113,9 @@
 }
 
 func (b *bench) cutOff(id string, cut bool) {
-	b.cluster.net.setCut(cut, id, b.cluster.addresses()...)
+	b.cluster.net.SetCut(cut, id, b.cluster.addresses()...)
 	for _, a := range b.cluster.addresses() {
-		b.cluster.net.setCut(cut, a, id)
+		b.cluster.net.SetCut(cut, a, id)
 	}
 }
 
--- a/internal/control/daemons_test.go
+++ b/internal/control/daemons_test.go
@@ -104,7 +104,7 @@
 func TestOneWayCutStopsTheEntry(t *testing.T) {
 	withEntry(t, func(b *bench, d *daemon) {
 		for _, a := range b.cluster.addresses() {
-			b.cluster.net.setCut(true, a, "e0")
+			b.cluster.net.SetCut(true, a, "e0")
 		}
 		time.Sleep(instanceLease)
 		assert.Assert(t, !d.current())
@@ -137,7 +137,7 @@
 func TestEntryOnOldSettingsStops(t *testing.T) {
 	withEntry(t, func(b *bench, d *daemon) {
 		for _, m := range b.cluster.members {
-			b.cluster.net.add(m.address(), noPulls{m.server})
+			serve(b.cluster.net, m.address(), noPulls{m.server})
 		}
 		time.Sleep(25 * time.Second) // open polls end
 		assert.Assert(t, d.current())
--- a/internal/control/fakegroup_test.go
+++ b/internal/control/fakegroup_test.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // cluster is a control group in memory: one shared log, and members that
@@ -22,7 +23,7 @@
 	// loseReply makes the next proposal commit and its leader die before it
 	// answers.
 	loseReply bool
-	net       *network
+	net       *testkit.Network
 }
 
 type fakeMember struct {
@@ -37,12 +38,12 @@
 var _ replica.Group = (*fakeMember)(nil)
 
 func newCluster(t testing.TB, members int) *cluster {
-	c := &cluster{net: &network{}, term: 1}
+	c := &cluster{net: &testkit.Network{}, term: 1}
 	for n := range members {
 		m := &fakeMember{cluster: c, number: n, machine: NewMachine(testOptions())}
-		m.server = NewServer(ServerOptions{Group: m, Machine: m.machine, Self: m.instance(), Dialer: c.net.from(m.address())})
+		m.server = NewServer(ServerOptions{Group: m, Machine: m.machine, Self: m.instance(), Dialer: c.net.Dialer(m.address())})
 		c.members = append(c.members, m)
-		c.net.add(m.address(), m.server)
+		serve(c.net, m.address(), m.server)
 	}
 	return c
 }
--- a/internal/control/fixture_test.go
+++ b/internal/control/fixture_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 const fleetYAML = `availability_zones:
@@ -42,6 +43,10 @@
 	clock   int64
 }
 
+func serve(n *testkit.Network, address string, s pb.DRPCControlServer) {
+	n.Serve(address, s, pb.DRPCControlDescription{}, pb.DRPCConsensusDescription{})
+}
+
 func newLog(t testing.TB) *log {
 	return &log{t: t, machine: NewMachine(testOptions()), clock: 1_000_000}
 }
--- a/internal/control/realgroup_test.go
+++ b/internal/control/realgroup_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // realGroup is three members with their own logs on disk, in real time, over
@@ -22,7 +23,7 @@
 type realGroup struct {
 	t         testing.TB
 	ctx       context.Context
-	net       *network
+	net       *testkit.Network
 	addresses []string
 	nodes     map[string]*replica.Node
 	stops     map[string]context.CancelFunc
@@ -31,13 +32,13 @@
 
 func newRealGroup(t testing.TB) *realGroup {
 	g := &realGroup{
-		t: t, ctx: t.Context(), net: &network{},
+		t: t, ctx: t.Context(), net: &testkit.Network{},
 		nodes: map[string]*replica.Node{}, stops: map[string]context.CancelFunc{},
 	}
 	for n := range 3 {
 		g.startMember(fmt.Sprint("control", n), uint64(n))
 	}
-	g.admin = NewClient(g.net.from("admin"), func() []string { return g.addresses }, logging.Part{})
+	g.admin = NewClient(g.net.Dialer("admin"), func() []string { return g.addresses }, logging.Part{})
 	var members []*pb.Member
 	for _, a := range g.addresses {
 		members = append(members, &pb.Member{InstanceId: a, RpcAddress: a})
@@ -51,15 +52,15 @@
 func (g *realGroup) startMember(address string, seed uint64) {
 	ctx, stop := context.WithCancel(g.ctx)
 	machine := NewMachine(testOptions())
-	transport := replica.NewTransport(g.net.from(address), logging.Part{})
+	transport := replica.NewTransport(g.net.Dialer(address), logging.Part{})
 	node, err := replica.New(replica.Options{
 		InstanceID: address, RPCAddress: address, Dir: g.t.TempDir(), FS: storage.OSFS{},
 		Machine: machine, Transport: transport, Seed: seed,
 	})
 	assert.NilError(g.t, err)
 	self := fleet.Instance{ID: fleet.InstanceID(address), RPCAddress: address}
-	server := NewServer(ServerOptions{Group: node, Machine: machine, Self: self, Dialer: g.net.from(address)})
-	g.net.add(address, server)
+	server := NewServer(ServerOptions{Group: node, Machine: machine, Self: self, Dialer: g.net.Dialer(address)})
+	serve(g.net, address, server)
 	g.addresses = append(g.addresses, address)
 	g.nodes[address], g.stops[address] = node, stop
 	ended := make(chan struct{}, 3)
@@ -84,7 +85,7 @@
 	var agents []*membership.Agent
 	for n := range count {
 		id := fmt.Sprint("e", n)
-		client := NewClient(g.net.from(id), func() []string { return g.addresses }, logging.Part{})
+		client := NewClient(g.net.Dialer(id), func() []string { return g.addresses }, logging.Part{})
 		agent := newAgent(client, fleet.Instance{ID: fleet.InstanceID(id), Incarnation: 1, Zone: "howrah", Entry: true})
 		ended := make(chan struct{})
 		ctx, stop := context.WithCancel(g.ctx)
@@ -125,7 +126,7 @@
 	agents := g.startDaemons(9)
 	g.change("teams/sorters", 0, teamYAML("sorters", "howrah"))
 	old := g.leader()
-	g.net.remove(old)
+	g.net.Remove(old)
 	g.stops[old]()
 	reply := g.change("teams/sorters", 1, teamYAML("sorters", "barasat"))
 	assert.Equal(t, reply.Result.Version, uint64(2))
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -54,7 +54,7 @@
 
 func TestInitLearnsDiskIdentities(t *testing.T) {
 	c := newCluster(t, 3)
-	client := NewClient(c.net.from("admin"), c.addresses, logging.Part{})
+	client := NewClient(c.net.Dialer("admin"), c.addresses, logging.Part{})
 	ctx := context.Background()
 	member := func(n int) *pb.Member {
 		return &pb.Member{InstanceId: c.members[n].address(), RpcAddress: c.members[n].address()}
--- a/internal/outcome/failure_test.go
+++ b/internal/outcome/failure_test.go
@@ -23,10 +23,10 @@
 }
 
 // cutReplicas loses what goes from and to the entry at the group of newFive.
-func (f *testFleet) cutReplicas(entry fleet.InstanceID, there, back bool) {
-	for _, replica := range []fleet.InstanceID{"a", "b", "c"} {
-		f.setCut(entry, replica, there)
-		f.setCut(replica, entry, back)
+func (f *testFleet) cutReplicas(entry string, there, back bool) {
+	f.net.SetCut(there, entry, "a", "b", "c")
+	for _, replica := range []string{"a", "b", "c"} {
+		f.net.SetCut(back, replica, entry)
 	}
 }
 
@@ -65,9 +65,9 @@
 // decided can't be known by who reads the others; the first repeat decides,
 // and all later ones agree with it.
 func TestEntryKilledInAccept(t *testing.T) {
-	for _, reached := range []fleet.InstanceID{"a", "b", "c"} {
+	for _, reached := range []string{"a", "b", "c"} {
 		f := newFive(t, twoPhases)
-		f.onRequest("d", "/Accept", func(to fleet.InstanceID) { f.setCut("d", to, to != reached) })
+		f.net.OnRequest("d", "/Accept", func(to string) { f.net.SetCut(to != reached, "d", to) })
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 		verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
 		cancel()
@@ -91,7 +91,7 @@
 	wake := make(chan struct{})
 	frozen := make(chan struct{})
 	var once sync.Once
-	f.onRequest("a", "/Accept", func(fleet.InstanceID) {
+	f.net.OnRequest("a", "/Accept", func(string) {
 		once.Do(func() { close(frozen) })
 		<-wake
 	})
@@ -116,9 +116,9 @@
 // the intent.
 func TestSecondReplicaLostAfterRepair(t *testing.T) {
 	f := newFive(t, twoPhases)
-	f.setCut("d", "c", true)
+	f.net.SetCut(true, "d", "c")
 	f.claims(t, "d", claimOf("slip", "attempt-1"), VerdictRun)
-	f.setCut("d", "c", false)
+	f.net.SetCut(false, "d", "c")
 	f.kill("a")
 	f.setGroups(testZones, "b", "c", "e")
 	f.awaitReady(t, 3)
@@ -134,7 +134,7 @@
 // nor "not run".
 func TestHistoryLost(t *testing.T) {
 	f := newFive(t, twoPhases)
-	f.setCut("d", "c", true)
+	f.net.SetCut(true, "d", "c")
 	f.claims(t, "d", claimOf("slip", "attempt-1"), VerdictRun)
 	f.kill("a")
 	f.kill("b")
@@ -178,13 +178,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFive(t, twoPhases)
-			f.onRequest("d", c.at, func(fleet.InstanceID) { f.cutReplicas("d", c.there, c.back) })
+			f.net.OnRequest("d", c.at, func(string) { f.cutReplicas("d", c.there, c.back) })
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
 			assert.Equal(t, verdict, c.want)
 			assert.Equal(t, err != nil, c.want == VerdictUnset)
-			f.onRequest("", "", nil)
+			f.net.OnRequest("", "", nil)
 			f.cutReplicas("d", false, false)
 			if c.want == VerdictUnset {
 				f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictRun)
@@ -261,10 +261,10 @@
 		moved.Zone = "yongkang-hall"
 		s.View.Instances["c"] = moved
 	})
-	before := f.called("c")
+	before := f.net.Calls("c")
 	c := claimOf("slip", "attempt-1")
 	f.claims(t, "d", c, VerdictRun)
 	assert.NilError(t, f.ledger("d").Finish(t.Context(), c, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200))
 	f.looksUp(t, "e", c, VerdictRecorded)
-	assert.Equal(t, f.called("c"), before)
+	assert.Equal(t, f.net.Calls("c"), before)
 }
--- a/internal/outcome/fleet_test.go
+++ b/internal/outcome/fleet_test.go
@@ -6,18 +6,17 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 var testZones = fleet.NewZoneSet("howrah", "barasat", "durgapur")
@@ -36,15 +35,12 @@
 	state  *membership.State
 	groups map[fleet.LedgerShard]*fleet.LedgerGroup
 	nodes  map[fleet.InstanceID]*testNode
-	cut    map[[2]fleet.InstanceID]bool                // requests or replies from one to the other are lost
-	calls  map[fleet.InstanceID]int                    // over the network, by receiver
-	hold   func(from, to fleet.InstanceID, rpc string) // may stop a call on its way in
+	net    *testkit.Network
 }
 
 // testNode is one process: its source of state and its service.
 type testNode struct {
 	membership.Static
-	fleet   *testFleet
 	service *Service
 	stop    context.CancelFunc
 
@@ -88,8 +84,7 @@
 		state:  &membership.State{View: fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}}, Tree: treeOf(testZones)},
 		groups: make(map[fleet.LedgerShard]*fleet.LedgerGroup),
 		nodes:  make(map[fleet.InstanceID]*testNode),
-		cut:    make(map[[2]fleet.InstanceID]bool),
-		calls:  make(map[fleet.InstanceID]int),
+		net:    &testkit.Network{},
 	}
 	for n, name := range names {
 		f.start(t, name, fleet.Incarnation(n+1), options)
@@ -109,11 +104,12 @@
 		RPCAddress:  string(name),
 		Entry:       true,
 	}
-	n := &testNode{fleet: f, Static: membership.Static{Fixed: f.state, Instance: self}, changed: make(chan struct{})}
+	n := &testNode{Static: membership.Static{Fixed: f.state, Instance: self}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	n.stop = cancel
-	o.Source, o.Dialer, o.Ready = n, n, f.ready
+	o.Source, o.Dialer, o.Ready = n, f.net.Dialer(self.RPCAddress), f.ready
 	n.service = NewService(o)
+	f.net.Serve(self.RPCAddress, n.service.Server(), pb.DRPCLedgerDescription{})
 	f.mu.Lock()
 	f.nodes[name] = n
 	f.mu.Unlock()
@@ -219,6 +215,7 @@
 	f.nodes[name].stop()
 	delete(f.nodes, name)
 	f.mu.Unlock()
+	f.net.Remove(string(name))
 	f.lose(name)
 }
 
@@ -283,72 +280,6 @@
 	t.Fatalf("not in time: %s", what)
 }
 
-// setCut loses what goes from one node to another.
-func (f *testFleet) setCut(from, to fleet.InstanceID, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut[[2]fleet.InstanceID{from, to}] = cut
-}
-
-// onRequest calls do before each request of this kind leaves from; nil: no more.
-func (f *testFleet) onRequest(from fleet.InstanceID, rpc string, do func(to fleet.InstanceID)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hold = func(sender, to fleet.InstanceID, name string) {
-		if do != nil && sender == from && strings.HasSuffix(name, rpc) {
-			do(to)
-		}
-	}
-}
-
-func (f *testFleet) isCut(from, to fleet.InstanceID) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cut[[2]fleet.InstanceID{from, to}]
-}
-
-// Conn implements rpc.Dialer; addresses are instance IDs.
-func (n *testNode) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	return &testConn{from: n, to: fleet.InstanceID(address)}, nil
-}
-
-// testConn calls the other process' server directly. What is cut off waits
-// until its context ends, as on a silent network.
-type testConn struct {
-	drpc.Conn
-	from *testNode
-	to   fleet.InstanceID
-}
-
-func (c *testConn) Invoke(ctx context.Context, name string, _ drpc.Encoding, in, out drpc.Message) error {
-	f := c.from.fleet
-	f.mu.Lock()
-	f.calls[c.to]++
-	target := f.nodes[c.to]
-	hold := f.hold
-	f.mu.Unlock()
-	if target == nil {
-		return errors.New("no such process")
-	}
-	if hold != nil {
-		hold(c.from.Instance.ID, c.to, name)
-	}
-	if f.isCut(c.from.Instance.ID, c.to) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	reply, err := dispatch(ctx, target.service.Server(), name, proto.Clone(in.(proto.Message)))
-	if f.isCut(c.to, c.from.Instance.ID) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	if err != nil {
-		return err
-	}
-	proto.Merge(out.(proto.Message), reply.(proto.Message))
-	return nil
-}
-
 func dispatch(ctx context.Context, server pb.DRPCLedgerServer, name string, in drpc.Message) (drpc.Message, error) {
 	description := pb.DRPCLedgerDescription{}
 	for n := range description.NumMethods() {
--- a/internal/outcome/service_test.go
+++ b/internal/outcome/service_test.go
@@ -94,9 +94,7 @@
 // request. No accept has left, so the answer is an error: truly not run.
 func TestCutOffBeforeAccept(t *testing.T) {
 	f := newTestFleet(t, Options{NoFast: true, Call: 20 * time.Millisecond}, "a", "b", "c")
-	for _, other := range []fleet.InstanceID{"b", "c"} {
-		f.setCut("a", other, true)
-	}
+	f.net.SetCut(true, "a", "b", "c")
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	_, _, err := f.ledger("a").Claim(ctx, claimOf("slip", "attempt-1"))
--- a/internal/outcome/zonechange_test.go
+++ b/internal/outcome/zonechange_test.go
@@ -68,7 +68,7 @@
 	f.setZones(twoZones, "b", "c", "e")
 	held := make(chan struct{}, 3)
 	release := make(chan struct{})
-	f.onRequest("a", "/Accept", func(fleet.InstanceID) {
+	f.net.OnRequest("a", "/Accept", func(string) {
 		held <- struct{}{}
 		<-release
 	})
@@ -92,7 +92,7 @@
 	first := claimOf("slip", "attempt-1")
 	f.claims(t, "a", first, VerdictRun)
 	f.setZones(oneZone, "b", "e")
-	before := f.called("a") + f.called("c") + f.called("d")
+	before := f.net.Calls("a") + f.net.Calls("c") + f.net.Calls("d")
 	for _, key := range []string{"slip", "new slip"} {
 		c := under(oneZone, claimOf(key, "attempt-"+key))
 		record := f.claims(t, "b", c, VerdictUnknown)
@@ -107,7 +107,7 @@
 	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	assert.Assert(t, f.ledger("b").Finish(short, first, pb.OutcomeKind_OUTCOME_KIND_COMPLETED, 200) != nil)
-	assert.Equal(t, f.called("a")+f.called("c")+f.called("d"), before)
+	assert.Equal(t, f.net.Calls("a")+f.net.Calls("c")+f.net.Calls("d"), before)
 }
 
 // A group of former zones in which no entry ever was has no records: a team
@@ -141,9 +141,3 @@
 	f.setGroups(otherZone, "a", "d")
 	assert.ErrorContains(t, <-waiting, "no longer")
 }
-
-func (f *testFleet) called(name fleet.InstanceID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.calls[name]
-}
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -1,18 +1,15 @@
 package quarantine
 
 import (
-	"context"
-	"errors"
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
-	"storj.io/drpc"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 var testZones = fleet.NewZoneSet("howrah", "barasat")
@@ -21,35 +18,17 @@
 type testEntry struct {
 	membership.Static
 	service *Service
-	others  map[string]*testEntry
-	calls   int
+	net     *testkit.Network
 }
 
-func (e *testEntry) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	other, ok := e.others[address]
-	if !ok {
-		return nil, errors.New("out of reach")
-	}
-	return &testConn{to: other}, nil
-}
-
-type testConn struct {
-	drpc.Conn
-	to *testEntry
+// ledgerServer has the calls of a guard and no others.
+type ledgerServer struct {
+	noCalls
+	*Service
 }
 
-func (c *testConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
-	c.to.calls++
-	switch q := in.(type) {
-	case *pb.BeginRunRequest:
-		reply, err := c.to.service.BeginRun(ctx, q)
-		proto.Merge(out.(proto.Message), reply)
-		return err
-	case *pb.EndRunRequest:
-		_, err := c.to.service.EndRun(ctx, q)
-		return err
-	}
-	return errors.New("no such call")
+type noCalls struct {
+	pb.DRPCLedgerUnimplementedServer
 }
 
 // newPair gives two entries; the first is the guard of all fingerprints.
@@ -57,14 +36,14 @@
 	view := fleet.View{Instances: make(map[fleet.InstanceID]fleet.Instance)}
 	groups := make(map[fleet.LedgerShard]fleet.LedgerGroup)
 	state := &membership.State{View: view, Groups: groups, Suspects: make(map[fleet.Fingerprint]fleet.Suspect)}
-	others := make(map[string]*testEntry)
+	net := &testkit.Network{}
 	var entries []*testEntry
 	for _, name := range []fleet.InstanceID{"a", "b"} {
 		self := fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
-		e := &testEntry{Static: membership.Static{Fixed: state, Instance: self}, others: others}
-		e.service = NewService(Options{Source: e, Dialer: e})
+		e := &testEntry{Static: membership.Static{Fixed: state, Instance: self}, net: net}
+		e.service = NewService(Options{Source: e, Dialer: net.Dialer(string(name))})
 		view.Instances[name] = self
-		others[string(name)] = e
+		net.Serve(string(name), &ledgerServer{Service: e.service}, pb.DRPCLedgerDescription{})
 		entries = append(entries, e)
 	}
 	for n := range uint32(fleet.LedgerShards) {
@@ -108,13 +87,13 @@
 // says: one in quarantine is refused at once, a suspect runs alone.
 func TestGuardOutOfReach(t *testing.T) {
 	guard, other := newPair()
-	delete(other.others, "a")
+	other.net.Remove("a")
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
 	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "2"), verdictAlone)
 	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "3"), verdictQuarantined)
-	assert.Equal(t, guard.calls, 0)
+	assert.Equal(t, guard.net.Calls("a"), 0)
 }
 
 // The control group has no leader for longer than a quarantine lasts, so that
@@ -130,7 +109,7 @@
 		other.Fixed.Suspects[testPrint] = suspect
 		assert.Equal(t, other.begin(t, "1"), verdictGo)
 		assert.Equal(t, guard.begin(t, "1"), verdictGo)
-		delete(other.others, "a")
+		other.net.Remove("a")
 		assert.Equal(t, other.begin(t, "2"), verdictGo)
 	}
 }
@@ -145,7 +124,7 @@
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
 	other.service.End(testPrint, testZones, "1", true, false)
 	other.drain(t)
-	assert.Equal(t, guard.calls, 0)
+	assert.Equal(t, guard.net.Calls("a"), 0)
 }
 
 // FuzzRuns gives the calls fields from outside.
