outcome: one rule for a shard's next epoch in the model and the test fleet

The model check and the fleet of services had each written the control group's rule; nextGroup serves both. The twelve guards taken out are one table. Claims with their own time limit are one call.

--- a/internal/outcome/failure_test.go
+++ b/internal/outcome/failure_test.go
@@ -35,9 +35,7 @@
 func TestEntryKilledBeforeIntent(t *testing.T) {
 	f := newFive(t, twoPhases)
 	f.cutReplicas("d", true, false)
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	_, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
+	_, _, err := f.claimWithin(t, 100*time.Millisecond, "d", claimOf("slip", "attempt-1"))
 	assert.Assert(t, err != nil)
 	f.kill("d")
 	f.claims(t, "e", claimOf("slip", "attempt-2"), VerdictRun)
@@ -68,9 +66,7 @@
 	for _, reached := range []string{"a", "b", "c"} {
 		f := newFive(t, twoPhases)
 		f.net.OnRequest("d", "/Accept", func(to string) { f.net.SetCut(to != reached, "d", to) })
-		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-		verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
-		cancel()
+		verdict, _, err := f.claimWithin(t, 500*time.Millisecond, "d", claimOf("slip", "attempt-1"))
 		assert.NilError(t, err)
 		assert.Equal(t, verdict, VerdictUnknown)
 		f.kill("d")
@@ -97,9 +93,7 @@
 	})
 	late := make(chan Verdict, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		verdict, _, _ := f.ledger("a").Claim(ctx, claimOf("slip", "attempt-1"))
+		verdict, _, _ := f.claimWithin(t, time.Second, "a", claimOf("slip", "attempt-1"))
 		late <- verdict
 	}()
 	<-frozen
@@ -179,9 +173,7 @@
 			t.Parallel()
 			f := newFive(t, twoPhases)
 			f.net.OnRequest("d", c.at, func(string) { f.cutReplicas("d", c.there, c.back) })
-			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			defer cancel()
-			verdict, _, err := f.ledger("d").Claim(ctx, claimOf("slip", "attempt-1"))
+			verdict, _, err := f.claimWithin(t, time.Second, "d", claimOf("slip", "attempt-1"))
 			assert.Equal(t, verdict, c.want)
 			assert.Equal(t, err != nil, c.want == VerdictUnset)
 			f.net.OnRequest("", "", nil)
--- a/internal/outcome/fleet_test.go
+++ b/internal/outcome/fleet_test.go
@@ -150,44 +150,48 @@
 	}
 }
 
-// setGroup gives a shard new replicas at the next epoch, by the control group's
-// rule: those that stay keep their ready mark, those that were ready are the
-// sources, and without a majority of these the history is lost.
+// nextGroup is the control group's rule for a shard's next epoch: replicas that
+// stay keep their ready mark, those that were ready are the sources, and when no
+// majority of these is live the history is lost.
+func nextGroup(old fleet.LedgerGroup, view fleet.View, owners []fleet.Owner, now time.Time) (next fleet.LedgerGroup, lost bool) {
+	next = fleet.LedgerGroup{Shard: old.Shard, Epoch: old.Epoch + 1, HistoryLostMs: old.HistoryLostMs}
+	ready := make(map[fleet.Owner]bool)
+	live := 0
+	for _, r := range old.Replicas {
+		if !r.Ready {
+			continue
+		}
+		ready[r.Owner] = true
+		next.Sources = append(next.Sources, r)
+		if view.Holds(r.Owner) {
+			live++
+		}
+	}
+	fresh := len(old.Replicas) == 0
+	lost = !fresh && live <= len(next.Sources)/2
+	if lost {
+		next.HistoryLostMs = now.UnixMilli()
+	}
+	if lost || fresh {
+		next.Sources = nil
+	}
+	for _, o := range owners {
+		next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: o, Ready: lost || fresh || ready[o]})
+	}
+	return next, lost
+}
+
+// setGroup gives a shard new replicas at the next epoch.
 func (f *testFleet) setGroup(shard fleet.LedgerShard, names ...fleet.InstanceID) {
 	f.change(func(s *membership.State) {
-		g := f.groups[shard]
-		if g == nil {
-			g = &fleet.LedgerGroup{}
-			f.groups[shard] = g
-		}
-		next := fleet.LedgerGroup{Shard: shard, Epoch: g.Epoch + 1, HistoryLostMs: g.HistoryLostMs}
-		ready := make(map[fleet.Owner]bool)
-		left := 0
-		for _, r := range g.Replicas {
-			if r.Ready {
-				ready[r.Owner] = true
-				next.Sources = append(next.Sources, r)
-			}
-			if r.Ready && s.View.Holds(r.Owner) {
-				left++
-			}
+		if f.groups[shard] == nil {
+			f.groups[shard] = &fleet.LedgerGroup{Shard: shard}
 		}
+		var owners []fleet.Owner
 		for _, name := range names {
-			o := s.View.Instances[name].Owner()
-			next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: o, Ready: ready[o]})
-		}
-		fresh := len(g.Replicas) == 0
-		if !fresh && left <= len(next.Sources)/2 {
-			next.HistoryLostMs = time.Now().UnixMilli()
-			fresh = true
-		}
-		if fresh {
-			next.Sources = nil
-			for n := range next.Replicas {
-				next.Replicas[n].Ready = true
-			}
+			owners = append(owners, s.View.Instances[name].Owner())
 		}
-		*g = next
+		*f.groups[shard], _ = nextGroup(*f.groups[shard], s.View, owners, time.Now())
 	})
 }
 
--- a/internal/outcome/model_control_test.go
+++ b/internal/outcome/model_control_test.go
@@ -79,53 +79,33 @@
 	})
 }
 
-// regroup gives the shard its next epoch, as the control group does: live
-// replicas stay as they are, others fill up and must copy from a majority of
-// those that were ready. When no majority of these is left, the history is
-// lost. One that drains is replaced while it lives.
+// regroup gives the shard its next epoch: live replicas stay as they are and
+// others fill up. One that drains is replaced while it lives.
 func (w *world) regroup(class int, drains fleet.Owner) {
 	w.publish(func(s *modelState) {
 		old := s.groups[class]
-		next := fleet.LedgerGroup{Shard: modelShard(class), Epoch: old.Epoch + 1, HistoryLostMs: old.HistoryLostMs}
-		wasReady, stillReady := 0, 0
+		old.Shard = modelShard(class)
+		var owners []fleet.Owner
 		for _, r := range old.Replicas {
-			live := s.view.Holds(r.Owner)
-			if r.Ready {
-				wasReady++
-				next.Sources = append(next.Sources, r)
-			}
-			if r.Ready && live {
-				stillReady++
-			}
-			if live && r.Owner != drains {
-				next.Replicas = append(next.Replicas, r)
-			}
-		}
-		next.Replicas = w.filled(next.Replicas, s.view, drains)
-		lost := len(old.Replicas) > 0 && stillReady <= wasReady/2
-		if lost {
-			next.HistoryLostMs = w.now.UnixMilli()
-			w.audit.lost = true
-		}
-		if lost || len(old.Replicas) == 0 {
-			next.Sources = nil
-			for n := range next.Replicas {
-				next.Replicas[n].Ready = true
+			if s.view.Holds(r.Owner) && r.Owner != drains {
+				owners = append(owners, r.Owner)
 			}
 		}
+		next, lost := nextGroup(old, s.view, w.filled(owners, s.view, drains), w.now)
+		w.audit.lost = w.audit.lost || lost
 		s.groups[class] = next
 	})
 }
 
-func (w *world) filled(replicas []fleet.LedgerReplica, view fleet.View, drains fleet.Owner) []fleet.LedgerReplica {
+func (w *world) filled(owners []fleet.Owner, view fleet.View, drains fleet.Owner) []fleet.Owner {
 	start := w.random.IntN(len(w.nodes))
 	for n := range w.nodes {
 		o := w.nodes[(start+n)%len(w.nodes)].self
-		if len(replicas) < fleet.LedgerReplicas && view.Holds(o) && o != drains && !holds(replicas, o) {
-			replicas = append(replicas, fleet.LedgerReplica{Owner: o})
+		if len(owners) < fleet.LedgerReplicas && view.Holds(o) && o != drains && !slices.Contains(owners, o) {
+			owners = append(owners, o)
 		}
 	}
-	return replicas
+	return owners
 }
 
 func holds(replicas []fleet.LedgerReplica, o fleet.Owner) bool {
--- a/internal/outcome/model_test.go
+++ b/internal/outcome/model_test.go
@@ -63,32 +63,27 @@
 // Each guard is taken out in turn. The model check must see a broken promise,
 // or it wouldn't have noticed that the guard is missing.
 func TestModelSeesEachGuardMissing(t *testing.T) {
-	faults := map[string]fault{
-		"promise check":                  faultNoPromise,
-		"epoch seal":                     faultNoSeal,
-		"copy from a majority":           faultOneSource,
-		"ready gate":                     faultNoReadyGate,
-		"ballot for each proposer":       faultSharedBallots,
-		"fast ballot needs all replicas": faultFastMajority,
-		"fast value binds":               faultFastNeverBinds,
-		"history lost":                   faultForgetHistoryLoss,
-	}
-	for name, f := range faults {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			mustBreak(t, newWorld, f)
-		})
-	}
-	moving := map[string]fault{
-		"former shards come first":     faultSkipFormer,
-		"former shards are sealed":     faultLookAtFormer,
-		"promise check, moving":        faultNoPromise,
-		"copy from a majority, moving": faultOneSource,
-	}
-	for name, f := range moving {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		make  func(seed uint64, f fault) *world
+		fault fault
+	}{
+		{"promise check", newWorld, faultNoPromise},
+		{"epoch seal", newWorld, faultNoSeal},
+		{"copy from a majority", newWorld, faultOneSource},
+		{"ready gate", newWorld, faultNoReadyGate},
+		{"ballot for each proposer", newWorld, faultSharedBallots},
+		{"fast ballot needs all replicas", newWorld, faultFastMajority},
+		{"fast value binds", newWorld, faultFastNeverBinds},
+		{"history lost", newWorld, faultForgetHistoryLoss},
+		{"former shards come first", newMovingWorld, faultSkipFormer},
+		{"former shards are sealed", newMovingWorld, faultLookAtFormer},
+		{"promise check, moving", newMovingWorld, faultNoPromise},
+		{"copy from a majority, moving", newMovingWorld, faultOneSource},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			mustBreak(t, newMovingWorld, f)
+			mustBreak(t, c.make, c.fault)
 		})
 	}
 }
--- a/internal/outcome/service_test.go
+++ b/internal/outcome/service_test.go
@@ -26,13 +26,17 @@
 
 func (f *testFleet) claim(t *testing.T, entry fleet.InstanceID, c Claim) (Verdict, Record) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	verdict, record, err := f.ledger(entry).Claim(ctx, c)
+	verdict, record, err := f.claimWithin(t, 5*time.Second, entry, c)
 	assert.NilError(t, err)
 	return verdict, record
 }
 
+func (f *testFleet) claimWithin(t *testing.T, d time.Duration, entry fleet.InstanceID, c Claim) (Verdict, Record, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	return f.ledger(entry).Claim(ctx, c)
+}
+
 // claims checks the verdict of a claim.
 func (f *testFleet) claims(t *testing.T, entry fleet.InstanceID, c Claim, want Verdict) Record {
 	t.Helper()
@@ -95,9 +99,7 @@
 func TestCutOffBeforeAccept(t *testing.T) {
 	f := newTestFleet(t, Options{NoFast: true, Call: 20 * time.Millisecond}, "a", "b", "c")
 	f.net.SetCut(true, "a", "b", "c")
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-	defer cancel()
-	_, _, err := f.ledger("a").Claim(ctx, claimOf("slip", "attempt-1"))
+	_, _, err := f.claimWithin(t, 200*time.Millisecond, "a", claimOf("slip", "attempt-1"))
 	assert.Assert(t, err != nil)
 	f.claims(t, "b", claimOf("slip", "attempt-2"), VerdictRun)
 }
