--- a/internal/control/clock_test.go
+++ b/internal/control/clock_test.go
@@ -23,12 +23,10 @@
 	assert.Equal(t, l.order(load("4", "4")).Order.DelayMs, uint64(0))
 	assert.Equal(t, len(l.machine.suspects.records), 0)
 	assert.Assert(t, l.group(0) != nil)
-	l.clock += formerLives * defaultRecordLife.Milliseconds()
-	l.drain("nobody")
+	l.pass(formerLives * defaultRecordLife.Milliseconds())
 	assert.Assert(t, l.group(0) != nil)
 	assert.Equal(t, len(l.machine.former.sorted()), 1)
-	l.clock++
-	l.drain("nobody")
+	l.pass(1)
 	assert.Assert(t, l.group(0) == nil)
 	assert.Equal(t, len(l.machine.former.sorted()), 0)
 }
--- a/internal/control/fixture_test.go
+++ b/internal/control/fixture_test.go
@@ -95,6 +95,13 @@
 	return l.apply(&pb.Command{Body: &pb.Command_DrainInstance{DrainInstance: &pb.DrainInstance{Id: id}}}).Refusal
 }
 
+// pass moves the clock on, in milliseconds, by a command without effect.
+func (l *log) pass(ms int64) {
+	l.t.Helper()
+	l.clock += ms
+	l.drain("nobody")
+}
+
 func (l *log) ready(r *pb.LedgerReplica, g *pb.LedgerGroup) string {
 	l.t.Helper()
 	return l.apply(&pb.Command{Body: &pb.Command_LedgerReady{LedgerReady: readyOf(r, g)}}).Refusal
--- a/internal/control/former_test.go
+++ b/internal/control/former_test.go
@@ -40,16 +40,14 @@
 	l.accept("teams/sorters", 4, teamYAML("sorters", allZones...))
 	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + all, "sorters " + one})
 	life := formerLives * defaultRecordLife.Milliseconds()
-	l.clock += life - 1000
-	l.drain("nobody")
+	l.pass(life - 1000)
 	assert.Equal(t, len(l.formerOf()), 2)
 	l.clock++
 	assert.Assert(t, l.machine.Due(l.clock))
 	l.drain("nobody")
 	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + one})
 	assert.Assert(t, l.lastDelta().FormerClasses[0].Removed)
-	l.clock += 1000
-	l.drain("nobody")
+	l.pass(1000)
 	assert.DeepEqual(t, l.formerOf(), []string{})
 	assert.Assert(t, !l.machine.Due(l.clock))
 }
@@ -74,8 +72,7 @@
 	l := newFleet(t)
 	old := l.machine.classes.ofTeam["sorters"]
 	l.accept("teams/sorters", 1, teamYAML("sorters", "howrah"))
-	l.clock += defaultRecordLife.Milliseconds() * 19 / 10
-	l.drain("nobody")
+	l.pass(defaultRecordLife.Milliseconds() * 19 / 10)
 	assert.DeepEqual(t, l.formerOf(), []string{"sorters " + old})
 	assert.Assert(t, l.machine.groups[fleet.LedgerShard{ZoneClass: old}] != nil)
 }
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -139,8 +139,7 @@
 	for _, id := range []string{"e0", "e1", "e2"} {
 		l.expire(id, 1)
 	}
-	l.clock += defaultRecordLife.Milliseconds() + lostHistoryMargin
-	l.drain("nobody")
+	l.pass(defaultRecordLife.Milliseconds() + lostHistoryMargin)
 	epoch := l.group(0).Epoch
 	assert.Assert(t, l.group(0).HistoryLostUnixMs != 0)
 	assert.Assert(t, !l.machine.Due(l.clock))
@@ -175,11 +174,9 @@
 	l.accept("teams/sorters", 1, teamYAML("sorters", "howrah"))
 	old := l.group(0)
 	assert.Assert(t, old != nil)
-	l.clock += formerLives * defaultRecordLife.Milliseconds()
-	l.drain("nobody")
+	l.pass(formerLives * defaultRecordLife.Milliseconds())
 	assert.Assert(t, l.group(0) != nil)
-	l.clock++
-	l.drain("nobody")
+	l.pass(1)
 	assert.Assert(t, l.group(0) == nil)
 	l.restart()
 	l.accept("teams/sorters", 2, teamYAML("sorters", allZones...))
--- a/internal/control/suspects_test.go
+++ b/internal/control/suspects_test.go
@@ -64,8 +64,7 @@
 func TestSuspectsAgeAndAreBounded(t *testing.T) {
 	l := newFleet(t)
 	assert.Equal(t, l.crash("x", 1, 1), "")
-	l.clock += time.Hour.Milliseconds() + 1
-	l.drain("nobody")
+	l.pass(time.Hour.Milliseconds() + 1)
 	assert.Equal(t, len(l.machine.suspects.records), 0)
 	assert.Equal(t, l.lastDelta().Suspects[0].Crashes, uint32(0))
 	for n := range uint64(6) {
