endpoint: a suspect no longer waits for itself

Cause: a suspect runs alone, and an endpoint with the role both that had given a request its decode slot let the same request's prefill wait until no suspect ran there, which was itself. It ended as deadline after 10 s. TestSuspectDoesNotWaitForItself fails without the change (it waits for itself) and passes with it.

--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -181,7 +181,7 @@
 	r.complete = true
 	for {
 		c.settlePromises(now, r)
-		w := r.queue.next(func(w *waiting) bool { return !w.ask.alone || !r.aloneTaken() })
+		w := r.queue.next(func(w *waiting) bool { return !w.ask.alone || !r.aloneTaken(w.ask.key().attempt) })
 		if w == nil {
 			return
 		}
--- a/internal/endpoint/core_test.go
+++ b/internal/endpoint/core_test.go
@@ -181,6 +181,26 @@
 	assert.Equal(t, answers[0].answer.status, statusGranted)
 }
 
+// A request whose endpoint died is tried again alone, and fails ten seconds later
+// with "the caller's patience is over". An endpoint of both roles gave it its
+// decode slot, and then let its prefill wait until no suspect ran there.
+func TestSuspectDoesNotWaitForItself(t *testing.T) {
+	self := instance("a", zoneNear)
+	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), guards{})
+	both := announcement("e1", 3)
+	both.Role = fleet.RoleBoth
+	beatCore(c, epoch, both, 1)
+	decode := askFor("x1", epoch)
+	decode.alone = true
+	got, _ := c.grant(epoch, decode)
+	assert.Equal(t, got.status, statusGranted)
+	prefill := askFor("x1", epoch)
+	prefill.alone, prefill.kind, prefill.wait = true, fleet.RolePrefill, time.Minute
+	got, queued := c.grant(epoch, prefill)
+	assert.Assert(t, queued == nil, "it waits for itself")
+	assert.Equal(t, got.status, statusGranted)
+}
+
 // A caller's request is sent twice by the network; the copy arrives after the
 // answer was given and the slot freed. Without a note of the release the copy
 // takes a slot that nobody will use.
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -84,10 +84,17 @@
 	return list
 }
 
-// aloneTaken tells whether a suspect runs here, or something runs here of
-// which this home doesn't know whether it is a suspect.
-func (r *record) aloneTaken() bool {
-	for _, h := range r.holds {
+// aloneTaken tells whether another suspect than attempt runs here, or something
+// runs here of which this home doesn't know whether it is a suspect.
+//
+// Failure: a suspect gets its decode slot and its prefill at one endpoint of
+// both roles, waits there for itself, and fails at its deadline. Its own grant
+// is no other suspect.
+func (r *record) aloneTaken(attempt fleet.AttemptID) bool {
+	for key, h := range r.holds {
+		if key.attempt == attempt {
+			continue
+		}
 		if h.alone || h.state == holdReported {
 			return true
 		}
