--- a/internal/standin/decode.go
+++ b/internal/standin/decode.go
@@ -45,7 +45,7 @@
 	seed := xxhash.Sum64String(r.Prompt)
 	total, cut := OutputTokens(r.Prompt, r.MaxTokens)
 	if r.Offset < 0 || r.Offset >= total || r.Prefix != textOf(seed, 0, r.Offset) {
-		return nil, &refusal{badRequest, "offset and prefix are no part of the answer"}
+		return nil, &refusal{engineapi.CodeBadRequest, "offset and prefix are no part of the answer"}
 	}
 	h.seed, h.total, h.cut = seed, total, cut
 	h.produced = r.Offset
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 )
 
 // ChunkFault is a wrong chunk that a stream is made to hold.
@@ -66,7 +68,7 @@
 	if r.Method == http.MethodPost {
 		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f)
 		if err != nil {
-			refuse(w, refusal{badRequest, err.Error()})
+			refuse(w, refusal{engineapi.CodeBadRequest, err.Error()})
 			return
 		}
 		s.SetFaults(f)
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -34,7 +34,7 @@
 	switch o.Kind {
 	case engineapi.OrderLoad, engineapi.OrderUnload, engineapi.OrderChangeRole:
 	default:
-		return &refusal{badRequest, "unknown order"}
+		return &refusal{engineapi.CodeBadRequest, "unknown order"}
 	}
 	if s.options.ChecksTokens && o.Token < s.lastToken {
 		return &refusal{engineapi.CodeOldToken, "fencing token is too low"}
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -34,7 +34,7 @@
 func (s *Standin) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		refuse(w, refusal{badRequest, "body can't be read"})
+		refuse(w, refusal{engineapi.CodeBadRequest, "body can't be read"})
 		return
 	}
 	s.crash(engineapi.StageCall, string(body))
--- a/internal/standin/reply.go
+++ b/internal/standin/reply.go
@@ -8,10 +8,8 @@
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 )
 
-const (
-	maxBody    = 16 << 20 // bytes of a request's body
-	badRequest = engineapi.CodeBadRequest
-)
+// maxBody bounds a request's body, bytes.
+const maxBody = 16 << 20
 
 // refusal is why a request isn't taken.
 type refusal struct {
@@ -52,7 +50,7 @@
 func take[T any](w http.ResponseWriter, r *http.Request) (value T, ok bool) {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&value)
 	if err != nil {
-		refuse(w, refusal{badRequest, err.Error()})
+		refuse(w, refusal{engineapi.CodeBadRequest, err.Error()})
 		return value, false
 	}
 	return value, true
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -92,7 +92,7 @@
 // enter makes room for a request, or tells why there is none. mu is held.
 func (s *Standin) enter(w engineapi.Work, stage engineapi.Stage, kv int64, marker string) (*hold, *refusal) {
 	if _, ok := s.holds[w.Attempt]; ok {
-		return nil, &refusal{badRequest, "attempt is held already"}
+		return nil, &refusal{engineapi.CodeBadRequest, "attempt is held already"}
 	}
 	if len(s.holds) >= s.options.Slots {
 		return nil, &refusal{engineapi.CodeFull, "no slot"}
@@ -144,7 +144,7 @@
 		return &refusal{engineapi.CodeStale, "another endpoint or incarnation"}
 	}
 	if w.Attempt == "" {
-		return &refusal{badRequest, "no attempt"}
+		return &refusal{engineapi.CodeBadRequest, "no attempt"}
 	}
 	if s.cancelled.has(w.Attempt) {
 		return &refusal{engineapi.CodeStale, "attempt was cancelled"}
