--- a/internal/capacity/options.go
+++ b/internal/capacity/options.go
@@ -28,8 +28,8 @@
 func shortOptions() options {
 	return options{
 		daemons: []int{3, 9, 27}, endpoints: []int{27, 81}, teams: []int{100, 700},
-		window: 4 * time.Second, repeats: 1, settle: 3 * time.Second,
-		changes: 15, kills: 5, burst: 2 * time.Second, calls: 50,
+		window: 3 * time.Second, repeats: 1, settle: 2 * time.Second,
+		changes: 10, kills: 3, burst: 2 * time.Second, calls: 20,
 	}
 }
 
