--- a/internal/e2e/soak_audit_test.go
+++ b/internal/e2e/soak_audit_test.go
@@ -26,9 +26,11 @@
 // soakAudit is the outcome of a soak.
 type soakAudit struct {
 	*soak
-	runs   map[string][]soakRun // by marker
-	ends   map[soakEnd]int
-	broken map[string][]string // violations by promise
+	runs      map[string][]soakRun // by marker
+	ends      map[string]int
+	unknown   []string
+	unknownBy map[string]int      // by team, ten seconds, entry and message
+	broken    map[string][]string // violations by promise
 }
 
 // The promises that the audit checks.
@@ -51,7 +53,7 @@
 
 func (s *soak) audit() {
 	s.engines.awaitNothingHeld(s.t, soakHeldTime)
-	a := &soakAudit{soak: s, runs: map[string][]soakRun{}, ends: map[soakEnd]int{}, broken: map[string][]string{}}
+	a := &soakAudit{soak: s, runs: map[string][]soakRun{}, ends: map[string]int{}, unknownBy: map[string]int{}, broken: map[string][]string{}}
 	a.collect()
 	for _, r := range s.log.requests {
 		a.check(r)
@@ -91,7 +93,11 @@
 }
 
 func (a *soakAudit) check(r *soakRequest) {
-	a.ends[r.end]++
+	a.ends[fmt.Sprintf("%s, %s", r.kind, r.end)]++
+	if r.end == endUnknown {
+		a.unknown = append(a.unknown, r.marker+r.told())
+		a.unknownBy[fmt.Sprintf("%s %s %s", r.team.name, r.sends[len(r.sends)-1][:7], r.sends[len(r.sends)-1][26:])]++
+	}
 	runs := a.runs[r.marker]
 	if r.kind == kindSlip && len(runs) > 1 {
 		a.fault(promiseOnce, "%s ran %+v: %s", r.marker, runs, r.told())
@@ -169,16 +175,22 @@
 
 func (a *soakAudit) print() {
 	a.t.Logf("audit of seed %d: %d requests, %d connections lost mid-answer", a.seed, len(a.log.requests), a.log.cuts)
-	ends := make([]string, 0, len(a.ends))
-	for end, count := range a.ends {
-		ends = append(ends, fmt.Sprintf("%6d %s", count, end))
-	}
-	slices.Sort(ends)
-	a.t.Logf("callers were told:\n%s", strings.Join(ends, "\n"))
+	a.t.Logf("callers were told:\n%s", counts(a.ends))
 	a.t.Logf("     0 held at the end")
+	a.t.Logf("unknown by team, ten seconds and entry:\n%s", counts(a.unknownBy))
+	a.t.Logf("first unknown:\n%s", strings.Join(a.unknown[:min(len(a.unknown), violationsPrinted)], "\n"))
 	for _, promise := range promises {
 		broken := a.broken[promise]
 		shown := broken[:min(len(broken), violationsPrinted)]
 		a.t.Logf("%6d %s\n%s", len(broken), promise, strings.Join(shown, "\n"))
 	}
 }
+
+func counts(of map[string]int) string {
+	lines := make([]string, 0, len(of))
+	for name, count := range of {
+		lines = append(lines, fmt.Sprintf("%6d %s", count, name))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -48,10 +48,13 @@
 	ExpectedTokens int
 	Wait           time.Duration // longest wait in the home's queue
 	Lead           time.Duration // grant so long before the slot is free
-	Share          float64
-	Priority       int
-	Fingerprint    fleet.Fingerprint
-	Alone          bool
+	// MostAhead has the home refuse when more is predicted to be ahead: a slot's
+	// wait, and for a prefill the work before it. 0: the follower alone decides.
+	MostAhead   time.Duration
+	Share       float64
+	Priority    int
+	Fingerprint fleet.Fingerprint
+	Alone       bool
 }
 
 // Grant is a slot at an endpoint, held until released or its life ends.
@@ -64,7 +67,7 @@
 	Kind        fleet.EndpointRole
 	ReadyIn     time.Duration // predicted wait until the slot is free
 	// Expires is until when work may begin on the grant, unless the follower
-	// has renewed it; HomeClient.Valid knows of renewals.
+	// has renewed it; Follower.Valid knows of renewals.
 	Expires time.Time
 }
 
@@ -94,4 +97,7 @@
 	// Running lists the attempts that this daemon still runs; the home's sweep
 	// asks for it.
 	Running(attempt fleet.AttemptID) bool
+	// Valid tells whether work may begin on a grant at now; renewals count. It
+	// is asked directly before bytes leave.
+	Valid(now time.Time, g Grant) bool
 }
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -19,10 +19,10 @@
 	m := a.run
 	local, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := time.AfterFunc(m.remaining(), cancel)
-	defer watch.Stop()
+	watch := engine.NewWatch(m.remaining(), cancel)
+	defer watch.Close()
 	a.noteDecodeStart()
-	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.gate, a.decodeRequest())
+	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.router.gateUnder(a.decode, m.gate), a.decodeRequest())
 	a.touch(a.decode, err)
 	if err != nil {
 		return a.decodeFailed(ctx, local, err)
@@ -52,29 +52,32 @@
 }
 
 // relay passes chunks on until the last one.
-func (a *attempt) relay(ctx, local context.Context, stream engine.Stream, watch *time.Timer) *setback {
-	for {
+func (a *attempt) relay(ctx, local context.Context, stream engine.Stream, watch *engine.Watch) *setback {
+	for first := true; ; first = false {
 		c, err := stream.Next()
 		if err != nil {
 			return a.decodeFailed(ctx, local, err)
 		}
 		// A caller that reads slowly is no fault of the engine.
-		watch.Stop()
+		watch.End()
 		if s := a.placeHeld(); s != nil {
 			return s
 		}
 		ended, s := a.pass(c)
-		watch.Reset(streamStall)
 		if ended || s != nil {
 			return s
 		}
+		if first {
+			watch.SetLimit(streamStall)
+		}
+		watch.Begin()
 	}
 }
 
 // decodeFailed reads the end of a stream that is not whole.
 func (a *attempt) decodeFailed(ctx, local context.Context, err error) *setback {
 	s := fromError(ctx, local, err)
-	if s.cause != causeCallerGone && s.cause != causeDeadline {
+	if !s.cause.faultless() && s.cause != causeDeadline {
 		s.endpoint = a.decode.target.ID
 	}
 	if s.cause == causeStalled && a.run.passed == 0 && a.run.remaining() <= 0 {
@@ -116,7 +119,8 @@
 		return
 	}
 	a.run.event(timeline.KindFirstToken, a.id, a.decode.target.ID)
-	waited := time.Since(a.run.req.Arrived)
+	a.run.firstAt, a.run.firstTokens = time.Now(), c.Tokens
+	waited := a.run.firstAt.Sub(a.run.req.Arrived)
 	a.run.router.metrics.sawFirstToken(waited)
 	a.run.router.admissionSaw(a.run.admitted, waited)
 }
@@ -124,6 +128,20 @@
 func (a *attempt) ended(c engineapi.Chunk) {
 	a.decode.finished = true
 	a.run.finish = c.Finish
+	a.run.countTargets(time.Now())
 	a.run.router.succeeded(a.run.req.Team, a.decode.target.ID)
 	a.run.event(timeline.KindDecodeEnd, a.id, a.decode.target.ID)
 }
+
+// countTargets counts a whole answer by the targets that it met.
+func (m *modelRun) countTargets(now time.Time) {
+	if m.firstAt.IsZero() {
+		return
+	}
+	p := pace{
+		firstToken: m.firstAt.Sub(m.req.Arrived),
+		decoding:   now.Sub(m.firstAt),
+		later:      m.passed - m.firstTokens,
+	}
+	m.router.metrics.targets.WithLabelValues(string(p.judge(m.class.team.Targets))).Inc()
+}
--- a/internal/settings/lookup.go
+++ b/internal/settings/lookup.go
@@ -52,7 +52,7 @@
 	return back, hasBack
 }
 
-// CallerKind gives the patience and priority owed to a kind of caller: the
+// CallerKind gives the patience and priority of a kind of caller: the
 // team's own, else the fleet's, else the same for DefaultKind, else the
 // built-in default.
 func (t *Tree) CallerKind(team Team, kind string) CallerKind {
@@ -63,7 +63,7 @@
 			}
 		}
 	}
-	return DefaultCallerKind()
+	return defaultCallerKind()
 }
 
 func kindNamed(kinds []CallerKind, name string) (CallerKind, bool) {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -6,12 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 const (
@@ -39,11 +42,9 @@
 }
 
 func (s *Standin) announcement() engineapi.Announcement {
-	models := make([]engineapi.ModelRef, 0, len(s.models))
-	for m := range s.models {
-		models = append(models, m)
-	}
-	sort.Slice(models, func(a, b int) bool { return models[a].String() < models[b].String() })
+	models := slices.SortedFunc(maps.Keys(s.models), func(a, b engineapi.ModelRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
 	return engineapi.Announcement{
 		ID:           s.options.ID,
 		Incarnation:  s.options.Incarnation,
@@ -69,7 +70,7 @@
 		s.waitThaw(ctx.Done())
 		known := s.known()
 		if !s.settle(ctx, known[n%len(known)]) {
-			sleep(ctx, s.pause())
+			sleep.For(ctx, s.pause())
 			continue
 		}
 		s.heartbeats(ctx)
@@ -100,7 +101,7 @@
 			s.options.Part.Debug("announcement failed", "to", to, "err", err)
 			return false
 		}
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home == "" || answer.Home == to {
 			s.setHome(to)
 			return true
@@ -119,8 +120,9 @@
 	}
 }
 
-// obey takes over what a daemon says.
-func (s *Standin) obey(answer engineapi.AnnounceReply) {
+// applyReply carries out what a daemon answered: cancels, the heartbeat
+// interval and addresses.
+func (s *Standin) applyReply(answer engineapi.AnnounceReply) {
 	for _, attempt := range answer.Cancel {
 		s.cancel(attempt)
 	}
@@ -138,7 +140,7 @@
 // heartbeats returns when the home is gone or another one was named.
 func (s *Standin) heartbeats(ctx context.Context) {
 	misses := 0
-	for sleep(ctx, s.interval()) {
+	for sleep.For(ctx, s.interval()) {
 		s.waitThaw(ctx.Done())
 		home, beat := s.heartbeat()
 		var answer engineapi.AnnounceReply
@@ -152,7 +154,7 @@
 			continue
 		}
 		misses = 0
-		s.obey(answer)
+		s.applyReply(answer)
 		if answer.Home != "" && answer.Home != home {
 			s.settle(ctx, answer.Home)
 		}
--- a/internal/standin/harness_test.go
+++ b/internal/standin/harness_test.go
@@ -9,11 +9,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 var (
@@ -147,6 +148,15 @@
 	assert.NilError(t, f.runImport(t.Context()))
 }
 
+// toStream runs all steps up to the stream from offset on.
+func (f *flow) toStream(t *testing.T, offset int) engine.Stream {
+	t.Helper()
+	f.toDecode(t)
+	stream, err := f.open(t.Context(), offset)
+	assert.NilError(t, err)
+	return stream
+}
+
 // inBackground runs one step on a copy of f and gives its error.
 func (f *flow) inBackground(step func(*flow, context.Context) error) <-chan error {
 	copied := *f
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"cmp"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/gravitational/trace"
+
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
@@ -35,6 +37,7 @@
 	CrashAt          engineapi.Stage // StagePrefill, StageDecode or StageCall
 	Faults           Faults          // at the start
 	MostFacts        int             // attempts kept for the audit; 0: 200000
+	AuditFolder      string          // gets the audit of a process that Faults.Crash ends; empty: none
 
 	Part logging.Part
 	// Exit ends the process; nil: os.Exit.
@@ -51,10 +54,10 @@
 
 func (o Options) withDefaults() Options {
 	o.Timing = o.Timing.withDefaults()
-	orDefault(&o.Incarnation, fleet.Incarnation(time.Now().UnixMicro()))
-	orDefault(&o.Role, fleet.RoleBoth)
-	orDefault(&o.Slots, defaultSlots)
-	orDefault(&o.MostFacts, defaultMostFacts)
+	o.Incarnation = cmp.Or(o.Incarnation, fleet.Incarnation(time.Now().UnixMicro()))
+	o.Role = cmp.Or(o.Role, fleet.RoleBoth)
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.MostFacts = cmp.Or(o.MostFacts, defaultMostFacts)
 	if o.Exit == nil {
 		o.Exit = os.Exit
 	}
--- a/internal/standin/request_test.go
+++ b/internal/standin/request_test.go
@@ -6,19 +6,18 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/standin"
-	"gotest.tools/v3/assert"
 )
 
 func TestWholeRequest(t *testing.T) {
 	p, d := pair(t)
 	f := newFlow(p, d, "[[id=one]] which fibres are in this bale?")
-	f.toDecode(t)
-	stream, err := f.open(t.Context(), 0)
-	assert.NilError(t, err)
+	stream := f.toStream(t, 0)
 	text, finish, err := read(stream)
 	assert.NilError(t, err)
 	assert.Equal(t, text, standin.ExpectedText(f.prompt, f.most))
@@ -36,9 +35,7 @@
 func TestOneProcessForBothRoles(t *testing.T) {
 	both := start(t, standin.Options{Role: fleet.RoleBoth})
 	f := newFlow(both, both, "[[tokens=5]]")
-	f.toDecode(t)
-	stream, err := f.open(t.Context(), 0)
-	assert.NilError(t, err)
+	stream := f.toStream(t, 0)
 	text, _, err := read(stream)
 	assert.NilError(t, err)
 	assert.Equal(t, text, standin.ExpectedText(f.prompt, f.most))
@@ -50,9 +47,7 @@
 func TestResumeAtOffset(t *testing.T) {
 	p, d := pair(t)
 	f := newFlow(p, d, "resume me [[tokens=40]]")
-	f.toDecode(t)
-	stream, err := f.open(t.Context(), 13)
-	assert.NilError(t, err)
+	stream := f.toStream(t, 13)
 	text, _, err := read(stream)
 	assert.NilError(t, err)
 	assert.Equal(t, standin.ExpectedPart(f.prompt, 0, 13)+text, standin.ExpectedText(f.prompt, f.most))
@@ -139,9 +134,7 @@
 			p, d := pair(t)
 			d.SetFaults(standin.Faults{ChunkFault: fault})
 			f := newFlow(p, d, "spoilt [[tokens=30]]")
-			f.toDecode(t)
-			stream, err := f.open(t.Context(), 0)
-			assert.NilError(t, err)
+			stream := f.toStream(t, 0)
 			text, _, err := read(stream)
 			assert.ErrorIs(t, err, want)
 			assert.Assert(t, text != "")
--- a/internal/storage/faultfs/faults.go
+++ b/internal/storage/faultfs/faults.go
@@ -27,13 +27,6 @@
 	return f.used()
 }
 
-// Syncs counts the syncs so far, failed ones too.
-func (f *FS) Syncs() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.syncs
-}
-
 // Stall makes each sync wait until the returned function is called.
 func (f *FS) Stall() (release func()) {
 	f.mu.Lock()
@@ -73,15 +66,6 @@
 	}
 }
 
-// Cut shortens a file to length bytes, on the disk too.
-func (f *FS) Cut(path string, length int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := f.names[path]
-	n.data = n.data[:length]
-	n.durable = n.durable[:min(length, len(n.durable))]
-}
-
 // tear leaves a random part of the bytes that were not synced.
 func (n *node) tear(random *rand.Rand) {
 	waiting := len(n.data) - len(n.durable)
