--- a/internal/schedule/start.go
+++ b/internal/schedule/start.go
@@ -25,21 +25,10 @@
 	weight := min(max(in.WasteWeight, 0), 1)
 	earliness := scaled(in.Spread, idleMarginGoodput, idleMarginWaste, weight)
 	latest := in.KVLife - in.TransferTime - scaled(in.Spread, lateMarginGoodput, lateMarginWaste, weight)
-	lead := in.PrefillTime + min(earliness, latest) - wariness(in.PrefillTime, weight)
+	lead := in.PrefillTime + min(earliness, latest)
 	return StartPlan{ReserveFirst: true, Lead: max(0, lead)}
 }
 
-// mostWariness is the part of the prefill's time that a team that counts waste
-// alone doesn't use of its lead.
-const mostWariness = 0.5
-
-// wariness shortens the lead of teams that count waste more than goodput. The
-// prefill's time holds the predicted queue, whose error grows with it and is
-// not in Spread; a prefill that is done sooner finds its slot still in use.
-func wariness(prefill time.Duration, weight float64) time.Duration {
-	return time.Duration(mostWariness * max(0, 2*weight-1) * float64(prefill))
-}
-
 func scaled(spread time.Duration, goodput, waste, weight float64) time.Duration {
 	margin := goodput + (waste-goodput)*weight
 	return time.Duration(margin * float64(spread))
