Keyed hashes stand once; queueing and suspects are on the time line

The router hashed keys and bodies by itself while outcome.KeyFor and quarantine.FingerprintOf were called by tests alone; it now calls them. request.queued is recorded when a slot isn't free at once, quarantine.suspect for each request that ran on a dead endpoint, and the quarantine has its recorder (it had none, so quarantine.entered never reached the time line).

--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -104,6 +104,7 @@
 		Dialer:     b.pool,
 		Seed:       uint64(b.self.Incarnation),
 		Part:       newPart(b.logger, "quarantine"),
+		Recorder:   b.ring,
 		Registerer: b.registry,
 	})
 	e.ledger = outcome.NewService(outcome.Options{
--- a/internal/endpoint/home.go
+++ b/internal/endpoint/home.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
 // Home is the shell around the decisions for the endpoints whose home this
@@ -198,6 +199,7 @@
 }
 
 func (h *Home) reportCrash(ctx context.Context, r *pb.ReportCrash) {
+	h.recordSuspects(r)
 	if h.options.Crash == nil {
 		return
 	}
@@ -211,6 +213,24 @@
 	}
 }
 
+// recordSuspects tells the time line which requests ran on a dead endpoint.
+func (h *Home) recordSuspects(r *pb.ReportCrash) {
+	if h.options.Recorder == nil {
+		return
+	}
+	for _, b := range r.Fingerprints {
+		f, ok := fleet.FingerprintFromBytes(b)
+		if !ok {
+			continue
+		}
+		h.options.Recorder.Record(timeline.Event{
+			Kind:     timeline.KindSuspect,
+			Endpoint: fleet.EndpointID(r.EndpointId),
+			Detail:   f.String(),
+		})
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -108,6 +108,9 @@
 
 func (a *attempt) askHome(ctx context.Context, w want, c endpoint.Candidate, wait time.Duration) (*hold, *setback) {
 	m := a.run
+	if c.Queued > 0 || c.NextFree > 0 {
+		m.event(timeline.KindQueued, a.id, c.ID)
+	}
 	grant, refusal, err := m.router.opts.Follower.Take(ctx, endpoint.GrantRequest{
 		Endpoint:       c.ID,
 		Kind:           w.kind,
--- a/internal/route/ids.go
+++ b/internal/route/ids.go
@@ -1,16 +1,16 @@
 package route
 
 import (
-	"crypto/hmac"
 	crand "crypto/rand"
-	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
+	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
+	"github.com/hyssopsail/hyssopsail/internal/quarantine"
 )
 
 const (
@@ -49,47 +49,17 @@
 // hasher makes the keyed hashes of one fleet.
 type hasher struct{ secret []byte }
 
-func (h hasher) sum(kind string, parts ...string) [sha256.Size]byte {
-	mac := hmac.New(sha256.New, h.secret)
-	writePart(mac, kind)
-	for _, p := range parts {
-		writePart(mac, p)
-	}
-	var out [sha256.Size]byte
-	mac.Sum(out[:0])
-	return out
-}
-
-// writePart prefixes each part with its length, so that parts can't run into
-// each other.
-func writePart(mac interface{ Write([]byte) (int, error) }, part string) {
-	var size [8]byte
-	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-	_, _ = mac.Write(size[:])
-	_, _ = mac.Write([]byte(part))
-}
-
 // recordKey names the record of a key's generation.
 func (h hasher) recordKey(team fleet.Team, key string, generation int) outcome.Key {
-	var g [8]byte
-	binary.BigEndian.PutUint64(g[:], uint64(generation))
-	sum := h.sum("record", string(team), key, string(g[:]))
-	var k outcome.Key
-	copy(k[:], sum[:])
-	return k
+	return outcome.KeyFor(h.secret, team, strconv.Itoa(generation)+":"+key)
 }
 
 func (h hasher) modelFingerprint(r ModelRequest, m engineapi.ModelRef, output int) fleet.Fingerprint {
-	var n [8]byte
-	binary.BigEndian.PutUint64(n[:], uint64(output))
-	return cut(h.sum("model", string(r.Team), m.String(), r.Prompt, string(n[:])))
+	what := fmt.Sprintf("model %q %d", m, output)
+	return quarantine.FingerprintOf(h.secret, r.Team, what, []byte(r.Prompt))
 }
 
 func (h hasher) callFingerprint(r CallRequest) fleet.Fingerprint {
-	return cut(h.sum("call", string(r.Team), r.Service, r.Method, r.Path, r.Query, string(r.Body)))
-}
-
-func cut(sum [sha256.Size]byte) (f fleet.Fingerprint) {
-	copy(f[:], sum[:])
-	return f
+	what := fmt.Sprintf("call %q %q %q %q", r.Service, r.Method, r.Path, r.Query)
+	return quarantine.FingerprintOf(h.secret, r.Team, what, r.Body)
 }
