endpoint, placement: fold copies of test set-up

The same six lines started a pair of daemons, sent a first heartbeat and waited for a poll in nine tests: inPair has them. Core tests share statusAt, finish, onlyAnswer, joining and emptyHome; the source that a test sets stood in both packages and is testkit.Source. The endpoint's crash channel was read by no test and is gone. TestHandoverBetweenDaemons now tries three attempts for the two slots instead of two.

No test has another name.

--- a/internal/endpoint/believed_test.go
+++ b/internal/endpoint/believed_test.go
@@ -23,18 +23,14 @@
 		defer home.stop()
 		defer other.stop()
 		tree := &settings.Tree{Teams: map[fleet.Team]settings.Team{"sorters": {PermittedZones: []fleet.AvailabilityZone{zoneNear}}}}
-		other.source.mu.Lock()
-		other.source.state = &membership.State{View: other.source.state.View, Tree: tree}
-		other.source.mu.Unlock()
+		other.source.Set(&membership.State{View: other.source.State().View, Tree: tree})
 		for n := range 4 {
 			for _, d := range []*daemon{home, other} {
 				d.beat(announcement(fmt.Sprint("e", n+1), 1), 1)
 			}
 		}
 		time.Sleep(pollEvery + 10*time.Millisecond)
-		first, _, err := home.client.Take(t.Context(), take("e1", "first", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, first != nil)
+		first := home.mustTake(t, "first")
 		for range beliefTries {
 			_, refusal, err := other.client.Take(t.Context(), take("e1", "second", 10*time.Second))
 			assert.NilError(t, err)
@@ -52,7 +48,7 @@
 			granted <- g
 		}()
 		time.Sleep(100 * time.Millisecond)
-		home.client.Give(Release{Grant: *first, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED})
+		home.finish(first)
 		assert.Assert(t, <-granted != nil, "after so many refusals it waits")
 		assert.Equal(t, len(other.client.doubts), 0)
 	})
@@ -61,12 +57,7 @@
 // With few engines there is nowhere else to go, and a refusal would fail a
 // request that could have waited.
 func TestTakeWithoutOthersWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other := pair(t, newFakeNet(t), "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 1), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
+	inPair(t, 1, func(t *testing.T, _ *fakeNet, home, other *daemon) {
 		x := other.client.index.Load()
 		assert.Equal(t, other.client.mostAhead(time.Now(), x, x.byID["e1"], take("e1", "x", 0)), time.Duration(0))
 		bounded := take("e1", "x", 0)
--- a/internal/endpoint/bench_test.go
+++ b/internal/endpoint/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // bigFleet follows some of 1,300 homes in 10 zones, which have 12,000 endpoints
@@ -25,7 +26,7 @@
 		list = append(list, instance(fmt.Sprint("i", n), fleet.AvailabilityZone(fmt.Sprint("zone", n%zones))))
 	}
 	view := viewOf(1, list...)
-	f := NewFollower(FollowerOptions{Source: newFakeSource(list[0], view)})
+	f := NewFollower(FollowerOptions{Source: testkit.NewSource(list[0], &membership.State{View: view})})
 	byHome := map[fleet.Owner][]*pb.EndpointDigest{}
 	for n := range endpoints {
 		d := digestOf(fmt.Sprint("e", n), 1, 1)
@@ -42,25 +43,17 @@
 	return f
 }
 
-func BenchmarkCandidates(b *testing.B) {
-	f := bigFleet(b)
-	q := query("zone0", "zone1", "zone2")
-	q.Model = parseModel("model0@1")
-	b.ReportAllocs()
-	for b.Loop() {
-		if len(f.Candidates(q)) == 0 {
-			b.Fatal("no candidate")
-		}
-	}
-}
+func BenchmarkCandidates(b *testing.B) { benchmarkCandidates(b, 3) }
 
-func BenchmarkCandidatesAnyZone(b *testing.B) {
+func BenchmarkCandidatesAnyZone(b *testing.B) { benchmarkCandidates(b, 10) }
+
+func benchmarkCandidates(b *testing.B, zones int) {
 	f := bigFleet(b)
-	var zones []fleet.AvailabilityZone
-	for n := range 10 {
-		zones = append(zones, fleet.AvailabilityZone(fmt.Sprint("zone", n)))
+	var permitted []fleet.AvailabilityZone
+	for n := range zones {
+		permitted = append(permitted, fleet.AvailabilityZone(fmt.Sprint("zone", n)))
 	}
-	q := query(zones...)
+	q := query(permitted...)
 	q.Model = parseModel("model0@1")
 	b.ReportAllocs()
 	for b.Loop() {
@@ -71,9 +64,7 @@
 }
 
 func BenchmarkGrantAndRelease(b *testing.B) {
-	self := instance("a", zoneNear)
-	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), guards{})
-	beatCore(c, epoch, announcement("e1", 20), 1)
+	c := soleHome(b, 20, guards{})
 	for n := range 19 {
 		c.grant(epoch, askFor(fmt.Sprint("y", n), epoch))
 	}
@@ -81,7 +72,7 @@
 	for n := 0; b.Loop(); n++ {
 		id := fmt.Sprint("x", n)
 		c.grant(epoch, askFor(id, epoch))
-		giveBack(c, epoch, id, pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+		finish(c, epoch, id)
 		clear(c.endpoints["e1"].released)
 		c.drain()
 	}
@@ -130,8 +121,7 @@
 // BenchmarkTick is one tick of a home of nine full endpoints, each with a full
 // queue; there are 20 ticks a second.
 func BenchmarkTick(b *testing.B) {
-	self := instance("a", zoneNear)
-	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), guards{})
+	c := emptyHome(guards{})
 	for n := range 9 {
 		a := announcement(fmt.Sprint("e", n), 20)
 		beatCore(c, epoch, a, 1)
@@ -199,11 +189,11 @@
 // in a fleet of 1,300 daemons.
 func BenchmarkHeartbeat(b *testing.B) {
 	d := lone()
-	list := []fleet.Instance{d.source.self}
+	list := []fleet.Instance{d.source.Self()}
 	for n := range 1299 {
 		list = append(list, instance(fmt.Sprint("i", n), zoneFar))
 	}
-	d.source.state = &membership.State{View: viewOf(1, list...)}
+	d.see(viewOf(1, list...))
 	beat := engineapi.Heartbeat{Announcement: announcement("e1", 20)}
 	for n := range 20 {
 		beat.Held = append(beat.Held, heldBy(fmt.Sprintf("%032d", n), list[n].Owner()))
--- a/internal/endpoint/concurrent_test.go
+++ b/internal/endpoint/concurrent_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -19,12 +18,7 @@
 // slots of one engine at the same time. At no moment do more than three have
 // one, nobody waits beyond its patience, and in the end all are free.
 func TestManyCallersAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other := pair(t, newFakeNet(t), "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 3), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
+	inPair(t, 3, func(t *testing.T, _ *fakeNet, home, other *daemon) {
 		var inUse, most, served, overdue atomic.Int32
 		var callers sync.WaitGroup
 		for n := range 40 {
--- a/internal/endpoint/core_test.go
+++ b/internal/endpoint/core_test.go
@@ -25,11 +25,16 @@
 	return c
 }
 
-// soleHome is a core that is home of e1 (2 slots, first heartbeat taken).
-func soleHome(t *testing.T, slots int, g guards) *core {
-	t.Helper()
+// emptyHome is a core that is home of all endpoints of its zone.
+func emptyHome(g guards) *core {
 	self := instance("a", zoneNear)
-	c := coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), g)
+	return coreAt(epoch, self, viewOf(1, self, instance("owner", zoneFar)), g)
+}
+
+// soleHome is an emptyHome that has taken e1's first heartbeat.
+func soleHome(t testing.TB, slots int, g guards) *core {
+	t.Helper()
+	c := emptyHome(g)
 	beatCore(c, epoch, announcement("e1", slots), 1)
 	return c
 }
@@ -53,6 +58,25 @@
 		owner: instance("owner", zoneFar).Owner(), reason: reason, fingerprint: print})
 }
 
+// finish gives back the slot of an attempt whose answer is complete.
+func finish(c *core, now time.Time, attempt string) answer {
+	return giveBack(c, now, attempt, pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+}
+
+// statusAt is the answer to an attempt that asks at now and doesn't wait.
+func statusAt(c *core, now time.Time, attempt string) pb.GrantStatus {
+	got, _ := c.grant(now, askFor(attempt, now))
+	return got.status
+}
+
+// onlyAnswer is the one answer that c gives to those who wait.
+func onlyAnswer(t *testing.T, c *core) answer {
+	t.Helper()
+	answers := c.drain().answers
+	assert.Equal(t, len(answers), 1)
+	return answers[0].answer
+}
+
 func TestGrantAnswers(t *testing.T) {
 	now := at(100 * time.Millisecond)
 	for name, test := range map[string]struct {
@@ -106,11 +130,10 @@
 	long.wait = 3 * time.Second
 	_, queued = c.grant(epoch, long)
 	assert.Assert(t, queued != nil)
-	giveBack(c, at(500*time.Millisecond), "x1", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
-	answers := c.drain().answers
-	assert.Equal(t, len(answers), 1)
-	assert.Equal(t, answers[0].answer.status, statusGranted)
-	assert.Equal(t, answers[0].answer.queued, 500*time.Millisecond)
+	finish(c, at(500*time.Millisecond), "x1")
+	answered := onlyAnswer(t, c)
+	assert.Equal(t, answered.status, statusGranted)
+	assert.Equal(t, answered.queued, 500*time.Millisecond)
 }
 
 // A queued request whose wait can't be kept any more is refused before its
@@ -150,13 +173,12 @@
 	c.tick(at(1400 * time.Millisecond))
 	assert.Equal(t, len(c.out.answers), 0)
 	c.tick(at(1600 * time.Millisecond))
-	answers := c.drain().answers
-	assert.Equal(t, len(answers), 1)
-	assert.Equal(t, answers[0].answer.readyIn, 400*time.Millisecond)
+	answered := onlyAnswer(t, c)
+	assert.Equal(t, answered.readyIn, 400*time.Millisecond)
 	r := c.endpoints["e1"]
 	assert.Equal(t, r.used(), 1)
 	assert.Equal(t, len(r.promised()), 1)
-	giveBack(c, at(1900*time.Millisecond), "x1", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+	finish(c, at(1900*time.Millisecond), "x1")
 	c.tick(at(1900 * time.Millisecond))
 	assert.Equal(t, r.used(), 1)
 	assert.Equal(t, len(r.promised()), 0)
@@ -173,12 +195,10 @@
 	assert.Equal(t, got.status, statusGranted)
 	_, queued := c.grant(epoch, second)
 	assert.Assert(t, queued != nil)
-	innocent, _ := c.grant(epoch, askFor("x3", epoch))
-	assert.Equal(t, innocent.status, statusGranted)
-	giveBack(c, at(time.Second), "x1", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
-	answers := c.drain().answers
-	assert.Equal(t, len(answers), 1)
-	assert.Equal(t, answers[0].answer.status, statusGranted)
+	assert.Equal(t, statusAt(c, epoch, "x3"), statusGranted)
+	finish(c, at(time.Second), "x1")
+	answered := onlyAnswer(t, c)
+	assert.Equal(t, answered.status, statusGranted)
 }
 
 // A caller's request is sent twice by the network; the copy arrives after the
@@ -188,7 +208,7 @@
 	run := func(g guards) int {
 		c := soleHome(t, 2, g)
 		c.grant(epoch, askFor("x1", epoch))
-		giveBack(c, at(time.Second), "x1", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+		finish(c, at(time.Second), "x1")
 		c.grant(at(1100*time.Millisecond), askFor("x1", at(1100*time.Millisecond)))
 		return c.endpoints["e1"].used()
 	}
--- a/internal/endpoint/crash_test.go
+++ b/internal/endpoint/crash_test.go
@@ -137,11 +137,9 @@
 	c.crashed = map[fleet.EndpointID]fleet.Incarnation{}
 	c.tick(back)
 	beatCore(c, back, announcement("e1", 4), 40)
-	got, _ := c.grant(back, askFor("x9", back))
-	assert.Equal(t, got.status, statusFull)
+	assert.Equal(t, statusAt(c, back, "x9"), statusFull)
 	beatCore(c, back.Add(2*time.Second), announcement("e1", 4), 41)
-	got, _ = c.grant(back.Add(2*time.Second), askFor("x9", back))
-	assert.Equal(t, got.status, statusGranted)
+	assert.Equal(t, statusAt(c, back.Add(2*time.Second), "x9"), statusGranted)
 }
 
 // An engine's heartbeats stop reaching its home. While it answers the home's
--- a/internal/endpoint/fakes_test.go
+++ b/internal/endpoint/fakes_test.go
@@ -26,6 +26,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 const (
@@ -35,45 +36,6 @@
 
 var model = engineapi.ModelRef{Model: "assay", Version: "2"}
 
-// fakeSource is one daemon's view of the fleet, set by the test.
-type fakeSource struct {
-	self    fleet.Instance
-	current atomic.Bool
-	mu      sync.Mutex
-	state   *membership.State
-	changed chan struct{}
-}
-
-func newFakeSource(self fleet.Instance, view fleet.View) *fakeSource {
-	s := &fakeSource{self: self, changed: make(chan struct{})}
-	s.current.Store(true)
-	s.state = &membership.State{View: view}
-	return s
-}
-
-func (s *fakeSource) State() *membership.State {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state
-}
-
-func (s *fakeSource) Current(time.Time) bool { return s.current.Load() }
-func (s *fakeSource) Self() fleet.Instance   { return s.self }
-
-func (s *fakeSource) Changed() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.changed
-}
-
-func (s *fakeSource) set(view fleet.View) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.state = &membership.State{View: view}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // fakeEngine answers probes and counts cancels.
 type fakeEngine struct {
 	engine.Client
@@ -160,6 +122,16 @@
 	return drpcconn.New(ours), nil
 }
 
+// serve has address answered by home from now on.
+func (n *fakeNet) serve(t *testing.T, address string, home pb.DRPCHomeServer) {
+	t.Helper()
+	mux := drpcmux.New()
+	assert.NilError(t, pb.DRPCRegisterHome(mux, home))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mux[address] = mux
+}
+
 func (n *fakeNet) setCut(address string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -168,11 +140,10 @@
 
 // daemon is one in-process instance.
 type daemon struct {
-	source *fakeSource
+	source *testkit.Source
 	engine *fakeEngine
 	home   *Home
 	client *HomeClient
-	crash  chan *pb.ReportCrash
 	stop   context.CancelFunc
 }
 
@@ -189,22 +160,24 @@
 	return v
 }
 
+// see shows d another view.
+func (d *daemon) see(view fleet.View) { d.source.Set(&membership.State{View: view}) }
+
+// rpcAddress is where d answers other daemons.
+func (d *daemon) rpcAddress() string { return d.source.Self().RPCAddress }
+
 // start runs a daemon; it must be stopped before the test's bubble ends.
 func start(t *testing.T, n *fakeNet, self fleet.Instance, view fleet.View) *daemon {
 	t.Helper()
-	d := &daemon{source: newFakeSource(self, view), engine: &fakeEngine{}, crash: make(chan *pb.ReportCrash, 16)}
+	d := &daemon{source: testkit.NewSource(self, &membership.State{View: view}), engine: &fakeEngine{}}
 	d.home = NewHome(HomeOptions{
 		Source: d.source, Engine: d.engine, Dialer: n, Seed: 1,
 		CheckKey: func(k string) bool { return k == "key" },
 		Running:  func(a fleet.AttemptID) bool { return d.client.Running(a) },
-		Crash:    func(_ context.Context, r *pb.ReportCrash) error { d.crash <- r; return nil },
+		Crash:    func(context.Context, *pb.ReportCrash) error { return nil },
 	})
 	d.client = NewFollower(FollowerOptions{Source: d.source, Dialer: n, Home: d.home})
-	mux := drpcmux.New()
-	assert.NilError(t, pb.DRPCRegisterHome(mux, d.home))
-	n.mu.Lock()
-	n.mux[self.RPCAddress] = mux
-	n.mu.Unlock()
+	n.serve(t, self.RPCAddress, d.home)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = d.home.Run(ctx) })
@@ -247,10 +220,23 @@
 		Team: "sorters", Model: model, ExpectedTokens: 100, Wait: wait, Share: 1}
 }
 
-func query(zones ...fleet.AvailabilityZone) Query {
-	return Query{Kind: fleet.RoleDecode, Model: model, Permitted: fleet.NewZoneSet(zones...)}
+// mustTake takes a slot of e1 that must be free.
+func (d *daemon) mustTake(t *testing.T, attempt string) *Grant {
+	t.Helper()
+	grant, refusal, err := d.client.Take(t.Context(), take("e1", attempt, 0))
+	assert.NilError(t, err)
+	assert.Assert(t, grant != nil, "refused: %v", refusal)
+	return grant
+}
+
+// finish gives back a grant whose answer is complete.
+func (d *daemon) finish(g *Grant) {
+	d.client.Give(Release{Grant: *g, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED})
 }
 
-func newDeadline(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(t.Context(), d)
+// candidates counts the endpoints that d would send to in the near zone.
+func (d *daemon) candidates() int { return len(d.client.Candidates(query(zoneNear))) }
+
+func query(zones ...fleet.AvailabilityZone) Query {
+	return Query{Kind: fleet.RoleDecode, Model: model, Permitted: fleet.NewZoneSet(zones...)}
 }
--- a/internal/endpoint/handover_test.go
+++ b/internal/endpoint/handover_test.go
@@ -8,22 +8,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
-	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
 // handedOver is an old home with one unconfirmed grant, the next home, and the
 // handover between them after the old home's last heartbeat, number 20.
 func handedOver(t *testing.T, g guards) (old, next *core, message *pb.HandoverRequest, now time.Time) {
-	a, b := homes("e1")
-	owner := instance("owner", zoneFar)
-	before, after := viewOf(1, a, owner), viewOf(2, a, b, owner)
-	old, next = coreAt(epoch, a, before, g), coreAt(epoch, b, before, g)
+	old, next, _, after := joining(g)
 	now = at(10 * time.Second)
 	old.tick(now)
 	beatCore(old, now, announcement("e1", 2), 20)
-	got, _ := old.grant(now, askFor("x", now))
-	assert.Equal(t, got.status, statusGranted)
+	assert.Equal(t, statusAt(old, now, "x"), statusGranted)
 	old.drain()
 	old.observe(now, after, true)
 	next.observe(now, after, true)
@@ -36,7 +31,7 @@
 func granted(c *core, now time.Time) int {
 	n := 0
 	for _, id := range []string{"n1", "n2", "n3"} {
-		if got, _ := c.grant(now, askFor(id, now)); got.status == statusGranted {
+		if statusAt(c, now, id) == statusGranted {
 			n++
 		}
 	}
@@ -124,10 +119,7 @@
 func TestFirstHeartbeatAtAnotherInstance(t *testing.T) {
 	for name, announced := range map[string]bool{"announced there": true, "unknown there": false} {
 		t.Run(name, func(t *testing.T) {
-			a, b := homes("e1")
-			owner := instance("owner", zoneFar)
-			before, after := viewOf(1, a, owner), viewOf(2, a, b, owner)
-			old, next := coreAt(epoch, a, before, guards{}), coreAt(epoch, b, before, guards{})
+			old, next, _, after := joining(guards{})
 			if announced {
 				old.announce(epoch, announcement("e1", 2))
 			}
@@ -161,26 +153,16 @@
 			old.beat(a, uint64(n+1))
 			time.Sleep(300 * time.Millisecond)
 		}
-		grant, _, err := old.client.Take(t.Context(), take("e1", "x", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, grant != nil)
-		old.source.set(after)
+		old.mustTake(t, "x")
+		old.see(after)
 		time.Sleep(50 * time.Millisecond)
-		next.source.set(after)
+		next.see(after)
 		reply, _ := old.beat(a, 11)
-		assert.Equal(t, reply.Home, next.source.self.EndpointAddress)
+		assert.Equal(t, reply.Home, next.source.Self().EndpointAddress)
 		time.Sleep(200 * time.Millisecond)
 		next.beat(a, 12)
-		got, queued := answer{}, (*waiting)(nil)
 		count := 0
-		next.home.step(func(c *core, now time.Time) {
-			for _, id := range []fleet.AttemptID{"n1", "n2"} {
-				q := askFor(string(id), now)
-				if got, queued = c.grant(now, q); queued == nil && got.status == statusGranted {
-					count++
-				}
-			}
-		})
+		next.home.step(func(c *core, now time.Time) { count = granted(c, now) })
 		assert.Equal(t, count, 1, "two slots, one granted by the old home")
 	})
 }
--- a/internal/endpoint/homechange_test.go
+++ b/internal/endpoint/homechange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,27 +12,18 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// begins is an entry's grant: it begins work as late as it may, and the
-// engine's held list shows it only from then on.
-type begins struct {
-	attempt string
-	until   time.Time
-}
-
 // homeChange plays the story below; it gives the most requests that were ever
 // granted or held at once.
 func homeChange(t *testing.T, g guards, oldLeaves bool) (most int, granted time.Time) {
 	const slots = 2
-	a, b := homes("e1")
-	owner := instance("owner", zoneFar)
-	before := viewOf(1, a, owner)
-	after := viewOf(2, a, b, owner)
+	old, next, before, after := joining(g)
 	if oldLeaves {
-		after = viewOf(2, b, owner)
+		delete(after.Instances, old.self.Instance)
 	}
-	old, next := coreAt(epoch, a, before, g), coreAt(epoch, b, before, g)
 	beatCore(old, at(5700*time.Millisecond), announcement("e1", slots), 1)
-	outstanding := map[string]begins{}
+	// An entry begins its work as late as it may, and the engine's held list
+	// shows it only from then on.
+	outstanding := map[string]time.Time{}
 	change := at(6 * time.Second)
 	for now := at(5700 * time.Millisecond); now.Before(at(13 * time.Second)); now = now.Add(50 * time.Millisecond) {
 		if !now.Before(change) {
@@ -46,22 +38,15 @@
 			id := fmt.Sprint("x", n, now.UnixMilli())
 			got, _ := c.grant(now, askFor(id, now))
 			if got.status == statusGranted {
-				outstanding[id] = begins{attempt: id, until: now.Add(got.expires)}
+				outstanding[id] = now.Add(got.expires)
 				if n == 1 && granted.IsZero() {
 					granted = now
 				}
 			}
 			c.tick(now)
 		}
-		live := 0
-		for id, o := range outstanding {
-			if !now.Before(o.until) {
-				delete(outstanding, id)
-				continue
-			}
-			live++
-		}
-		most = max(most, live)
+		maps.DeleteFunc(outstanding, func(_ string, until time.Time) bool { return !now.Before(until) })
+		most = max(most, len(outstanding))
 	}
 	return most, granted
 }
@@ -77,6 +62,15 @@
 	return a, b
 }
 
+// joining is a core that is home of e1 by the first view and one that is by the
+// second; both have seen the first.
+func joining(g guards) (old, next *core, before, after fleet.View) {
+	a, b := homes("e1")
+	owner := instance("owner", zoneFar)
+	before, after = viewOf(1, a, owner), viewOf(2, a, b, owner)
+	return coreAt(epoch, a, before, g), coreAt(epoch, b, before, g), before, after
+}
+
 // Callers see an engine refuse with "full" what they were granted. The home of
 // the engine is cut off or frozen; the view makes another instance home; both
 // give the same slots away, the second because the engine's held list doesn't
@@ -97,18 +91,15 @@
 // A new home takes over an engine full of other entries' requests. It counts
 // them from the held list, refuses while it is full, and knows the owners.
 func TestRebuildFromHeldList(t *testing.T) {
-	self := instance("a", zoneNear)
 	owner := instance("owner", zoneFar)
-	c := coreAt(epoch, self, viewOf(1, self, owner), guards{})
+	c := emptyHome(guards{})
 	now := at(6 * time.Second)
 	c.tick(now)
 	beatCore(c, now, announcement("e1", 2), 7, heldBy("p", owner.Owner()), heldBy("q", owner.Owner()))
-	got, _ := c.grant(now, askFor("x", now))
-	assert.Equal(t, got.status, statusFull)
+	assert.Equal(t, statusAt(c, now, "x"), statusFull)
 	freed := c.release(now, releaseAsk{endpoint: "e1", key: holdKey{"p", fleet.RoleDecode}, owner: owner.Owner()})
 	assert.Equal(t, freed.status, statusGranted)
-	got, _ = c.grant(now, askFor("x", now))
-	assert.Equal(t, got.status, statusGranted)
+	assert.Equal(t, statusAt(c, now, "x"), statusGranted)
 }
 
 // An engine has said that it leaves and finishes its streams; its home is
@@ -118,11 +109,9 @@
 	c := coreAt(epoch, b, viewOf(1, a, b), guards{})
 	assert.Assert(t, !c.leave("e1", 1) == true, "not home of a known endpoint yet")
 	beatCore(c, at(time.Second), announcement("e1", 2), 1)
-	got, _ := c.grant(at(time.Second), askFor("x", at(time.Second)))
-	assert.Equal(t, got.status, pb.GrantStatus_GRANT_STATUS_LEAVING)
+	assert.Equal(t, statusAt(c, at(time.Second), "x"), pb.GrantStatus_GRANT_STATUS_LEAVING)
 	restarted := announcement("e1", 2)
 	restarted.Incarnation = 2
 	beatCore(c, at(2*time.Second), restarted, 1)
-	got, _ = c.grant(at(2*time.Second), askFor("y", at(2*time.Second)))
-	assert.Equal(t, got.status, statusGranted)
+	assert.Equal(t, statusAt(c, at(2*time.Second), "y"), statusGranted)
 }
--- a/internal/endpoint/http_test.go
+++ b/internal/endpoint/http_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,13 +17,14 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // lone makes a daemon that is home of everything, without its loops.
 func lone() *daemon {
 	self := instance("a", zoneNear)
-	d := &daemon{source: newFakeSource(self, viewOf(1, self)), engine: &fakeEngine{}}
-	d.source.state.Tree = &settings.Tree{Fleet: settings.Fleet{Zones: []settings.Zone{{Name: zoneNear}, {Name: zoneFar}}}}
+	tree := &settings.Tree{Fleet: settings.Fleet{Zones: []settings.Zone{{Name: zoneNear}, {Name: zoneFar}}}}
+	d := &daemon{source: testkit.NewSource(self, &membership.State{View: viewOf(1, self), Tree: tree}), engine: &fakeEngine{}}
 	d.home = NewHome(HomeOptions{Source: d.source, Engine: d.engine, CheckKey: func(k string) bool { return k == "key" }})
 	return d
 }
@@ -91,7 +93,7 @@
 // A daemon that is in no view can name no home; an endpoint asks elsewhere.
 func TestAnnounceWithoutAView(t *testing.T) {
 	d := lone()
-	d.source.state = &membership.State{}
+	d.source.Set(&membership.State{})
 	assert.Equal(t, d.post("/v1/endpoints/heartbeat", []byte(goodBeat), nil), 503)
 }
 
@@ -147,21 +149,16 @@
 // A caller hangs up while its request waits for a slot: the slot that comes
 // free goes to the next one.
 func TestCallerGoneFromTheQueue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other := pair(t, newFakeNet(t), "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 1), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
-		first, _, _ := other.client.Take(t.Context(), take("e1", "x1", 0))
-		hurried, stop := newDeadline(t, 50*time.Millisecond)
+	inPair(t, 1, func(t *testing.T, _ *fakeNet, home, other *daemon) {
+		first := other.mustTake(t, "x1")
+		hurried, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer stop()
 		_, _, err := other.client.Take(hurried, take("e1", "x2", 3*time.Second))
 		assert.Assert(t, err != nil)
 		time.Sleep(50 * time.Millisecond)
-		other.client.Give(Release{Grant: *first, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED})
+		other.finish(first)
 		synctest.Wait()
-		home.home.step(func(c *core, _ time.Time) { assert.Equal(t, c.endpoints["e1"].used(), 0) })
+		assert.Equal(t, home.used("e1"), 0)
 	})
 }
 
--- a/internal/endpoint/leaving_test.go
+++ b/internal/endpoint/leaving_test.go
@@ -51,20 +51,12 @@
 // ends. It went silent without a word, and one entry, cut off from the engine's
 // home, holds a grant from just before.
 func TestSilentEndpointGetsNoNewWorkWithinTheBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net := newFakeNet(t)
-		home, other := pair(t, net, "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 4), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
+	inPair(t, 4, func(t *testing.T, net *fakeNet, home, other *daemon) {
 		home.beat(announcement("e1", 4), 2)
 		silent := time.Now()
 		time.Sleep(DefaultLimits().EndpointLease - 50*time.Millisecond)
-		grant, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, grant != nil)
-		net.setCut(home.source.self.RPCAddress, true)
+		grant := other.mustTake(t, "x")
+		net.setCut(home.rpcAddress(), true)
 		before := time.Since(silent)
 		last := before + lastUsable(t, grant, nil, home, other)
 		t.Logf("last usable %v after the last heartbeat", last)
@@ -77,20 +69,14 @@
 // gets no answer and tells the next entry, as its contract says; from then on
 // no entry may begin work there, though it sends heartbeats while it finishes.
 func TestLeaveToldToAnEntryThatDies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net := newFakeNet(t)
-		home, other := pair(t, net, "e1")
-		defer home.stop()
+	inPair(t, 4, func(t *testing.T, net *fakeNet, home, other *daemon) {
 		sequence := uint64(1)
-		home.beat(announcement("e1", 4), sequence)
-		time.Sleep(pollEvery + 10*time.Millisecond)
 		beat := func() {
 			sequence++
 			home.beat(announcement("e1", 4), sequence)
 		}
-		grant, _, _ := other.client.Take(t.Context(), take("e1", "x", 0))
-		assert.Assert(t, grant != nil)
-		net.setCut(home.source.self.RPCAddress, true)
+		grant := other.mustTake(t, "x")
+		net.setCut(home.rpcAddress(), true)
 		var reply engineapi.LeaveReply
 		other.post("/v1/endpoints/leave", engineapi.Leave{ID: "e1", Incarnation: 1}, &reply)
 		assert.Assert(t, !reply.Spread, "an entry that can't reach the home must not confirm")
@@ -106,12 +92,7 @@
 
 // A leave told to any entry reaches the home and stops it at once.
 func TestLeaveThroughAnotherEntry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other := pair(t, newFakeNet(t), "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 4), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
+	inPair(t, 4, func(t *testing.T, _ *fakeNet, home, other *daemon) {
 		var reply engineapi.LeaveReply
 		other.post("/v1/endpoints/leave", engineapi.Leave{ID: "e1", Incarnation: 1}, &reply)
 		assert.Assert(t, reply.Spread)
@@ -119,7 +100,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, refusal.Status, pb.GrantStatus_GRANT_STATUS_LEAVING)
 		time.Sleep(pollEvery + 10*time.Millisecond)
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 0)
+		assert.Equal(t, other.candidates(), 0)
 	})
 }
 
@@ -137,12 +118,12 @@
 			home.beat(announcement("e1", 4), sequence)
 			time.Sleep(200 * time.Millisecond)
 		}
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 1)
-		net.setCut(home.source.self.RPCAddress, true)
+		assert.Equal(t, other.candidates(), 1)
+		net.setCut(home.rpcAddress(), true)
 		_, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
 		assert.Assert(t, err != nil)
 		time.Sleep(digestLife + pollEvery)
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 0)
+		assert.Equal(t, other.candidates(), 0)
 		assert.Assert(t, !other.client.Running("x"))
 	})
 }
@@ -150,22 +131,16 @@
 // The home of some engines is killed. Its last digests say that they are empty;
 // requests would try them first, again and again, until their retries are spent.
 func TestEndpointsOfAKilledHomeAreSetAside(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net := newFakeNet(t)
-		home, other := pair(t, net, "e1")
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 4), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
-		net.setCut(home.source.self.RPCAddress, true)
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 1)
+	inPair(t, 4, func(t *testing.T, net *fakeNet, home, other *daemon) {
+		net.setCut(home.rpcAddress(), true)
+		assert.Equal(t, other.candidates(), 1)
 		_, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
 		assert.Assert(t, err != nil)
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 0)
-		net.setCut(home.source.self.RPCAddress, false)
+		assert.Equal(t, other.candidates(), 0)
+		net.setCut(home.rpcAddress(), false)
 		home.beat(announcement("e1", 4), 2)
 		time.Sleep(pollEvery + 10*time.Millisecond)
-		assert.Equal(t, len(other.client.Candidates(query(zoneNear))), 1, "it answers again")
+		assert.Equal(t, other.candidates(), 1, "it answers again")
 	})
 }
 
@@ -182,18 +157,16 @@
 		old.beat(announcement("e1", 4), 1)
 		time.Sleep(pollEvery + 10*time.Millisecond)
 		after := viewOf(2, first, second)
-		next.source.set(after)
+		next.see(after)
 		next.beat(announcement("e1", 4), 2)
 		synctest.Wait()
 		next.home.step(func(c *core, now time.Time) { c.endpoints["e1"].quiet = now })
 		// old's follower still has the digest of its own home.
-		old.home.options.Source.(*fakeSource).set(after)
-		grant, refusal, err := old.client.Take(t.Context(), take("e1", "x", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, grant != nil, "refused: %v", refusal)
+		old.see(after)
+		grant := old.mustTake(t, "x")
 		old.client.Give(Release{Grant: *grant, Reason: pb.ReleaseReason_RELEASE_REASON_UNUSED})
 		synctest.Wait()
-		next.home.step(func(c *core, _ time.Time) { assert.Equal(t, c.endpoints["e1"].used(), 0) })
+		assert.Equal(t, next.used("e1"), 0)
 	})
 }
 
@@ -204,15 +177,14 @@
 		home, other := pair(t, newFakeNet(t), "e1")
 		defer home.stop()
 		sequence := uint64(0)
-		beat := func(held ...engineapi.Held) {
+		beat := func() {
 			sequence++
-			home.beat(announcement("e1", 1), sequence, held...)
+			home.beat(announcement("e1", 1), sequence)
 			time.Sleep(300 * time.Millisecond)
 		}
 		beat()
 		beat()
-		grant, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
-		assert.NilError(t, err)
+		grant := other.mustTake(t, "x")
 		for range 20 {
 			beat()
 		}
--- a/internal/endpoint/messages_test.go
+++ b/internal/endpoint/messages_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -41,17 +40,17 @@
 	return reply, err
 }
 
-// lossyPair is pair with a home that can lose replies.
-func lossyPair(t *testing.T) (home, other *daemon, lossy *lossyHome) {
-	net := newFakeNet(t)
-	home, other = pair(t, net, "e1")
-	lossy = &lossyHome{Home: home.home}
-	mux := drpcmux.New()
-	assert.NilError(t, pb.DRPCRegisterHome(mux, lossy))
-	net.mu.Lock()
-	net.mux[home.source.self.RPCAddress] = mux
-	net.mu.Unlock()
-	return home, other, lossy
+// inLossyPair is inPair, with one slot and a home that loses replies.
+func inLossyPair(t *testing.T, play func(t *testing.T, home, other *daemon, lossy *lossyHome)) {
+	t.Helper()
+	lossy := &lossyHome{}
+	serve := func(h *Home) pb.DRPCHomeServer {
+		lossy.Home = h
+		return lossy
+	}
+	inServedPair(t, 1, serve, func(t *testing.T, _ *fakeNet, home, other *daemon) {
+		play(t, home, other, lossy)
+	})
 }
 
 func (d *daemon) used(id string) (n int) {
@@ -62,12 +61,7 @@
 // The reply to a take is lost: the home has given the slot, the entry doesn't
 // know. The entry gives it back, though it never had it.
 func TestReplyToATakeIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other, lossy := lossyPair(t)
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 1), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
+	inLossyPair(t, func(t *testing.T, home, other *daemon, lossy *lossyHome) {
 		lossy.lose.Store(1)
 		grant, refusal, err := other.client.Take(t.Context(), take("e1", "x", 0))
 		assert.Assert(t, err != nil && grant == nil && refusal == nil)
@@ -80,21 +74,13 @@
 // The reply to a release is lost several times: it is sent again until it is
 // confirmed, and a slot that was taken anew meanwhile isn't freed by a repeat.
 func TestReplyToAReleaseIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		home, other, lossy := lossyPair(t)
-		defer home.stop()
-		defer other.stop()
-		home.beat(announcement("e1", 1), 1)
-		time.Sleep(pollEvery + 10*time.Millisecond)
-		grant, _, err := other.client.Take(t.Context(), take("e1", "x", 0))
-		assert.NilError(t, err)
+	inLossyPair(t, func(t *testing.T, home, other *daemon, lossy *lossyHome) {
+		grant := other.mustTake(t, "x")
 		lossy.lose.Store(4)
-		other.client.Give(Release{Grant: *grant, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED})
-		other.client.Give(Release{Grant: *grant, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED})
+		other.finish(grant)
+		other.finish(grant)
 		synctest.Wait()
-		next, _, err := home.client.Take(t.Context(), take("e1", "y", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, next != nil)
+		home.mustTake(t, "y")
 		time.Sleep(time.Second)
 		assert.Equal(t, home.used("e1"), 1)
 		assert.Assert(t, lossy.lose.Load() < 0, "the release must have been repeated until confirmed")
@@ -106,7 +92,7 @@
 func TestCrossedMessages(t *testing.T) {
 	grant := func(c *core) { c.grant(epoch, askFor("x", epoch)) }
 	release := func(c *core) {
-		giveBack(c, epoch, "x", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+		finish(c, epoch, "x")
 	}
 	other := func(c *core) { c.grant(epoch, askFor("y", epoch)) }
 	stranger := func(c *core) {
--- a/internal/endpoint/path_test.go
+++ b/internal/endpoint/path_test.go
@@ -15,15 +15,33 @@
 // pair starts two daemons; the first one returned is home of endpoint.
 func pair(t *testing.T, n *fakeNet, endpoint string) (home, other *daemon) {
 	t.Helper()
-	a, b := instance("a", zoneNear), instance("b", zoneNear)
+	b, a := homes(fleet.EndpointID(endpoint))
 	view := viewOf(1, a, b)
-	first, _ := fleet.HomeOf(fleet.EndpointID(endpoint), zoneNear, view)
-	if first.ID != a.ID {
-		a, b = b, a
-	}
 	return start(t, n, a, view), start(t, n, b, view)
 }
 
+// inPair runs play in a bubble with a pair of daemons, one of them the home of
+// e1, whose first heartbeat has come and is known to both.
+func inPair(t *testing.T, slots int, play func(t *testing.T, net *fakeNet, home, other *daemon)) {
+	t.Helper()
+	inServedPair(t, slots, func(h *Home) pb.DRPCHomeServer { return h }, play)
+}
+
+// inServedPair is inPair with the home's calls answered by what serve makes.
+func inServedPair(t *testing.T, slots int, serve func(*Home) pb.DRPCHomeServer, play func(t *testing.T, net *fakeNet, home, other *daemon)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet(t)
+		home, other := pair(t, net, "e1")
+		net.serve(t, home.rpcAddress(), serve(home.home))
+		defer home.stop()
+		defer other.stop()
+		home.beat(announcement("e1", slots), 1)
+		time.Sleep(pollEvery + 10*time.Millisecond)
+		play(t, net, home, other)
+	})
+}
+
 // An endpoint tells any entry of itself and is sent to its home; callers at
 // another entry find it, take its slots up to the last one and give them back.
 func TestTakeAndGiveThroughAnotherEntry(t *testing.T) {
@@ -34,7 +52,7 @@
 		a := announcement("e1", 2)
 		var reply engineapi.AnnounceReply
 		assert.Equal(t, other.post("/v1/endpoints/announce", a, &reply), 200)
-		assert.Equal(t, reply.Home, home.source.self.EndpointAddress)
+		assert.Equal(t, reply.Home, home.source.Self().EndpointAddress)
 		home.beat(a, 1)
 		time.Sleep(pollEvery + 10*time.Millisecond)
 
@@ -43,12 +61,8 @@
 		assert.Equal(t, list[0].Slots, 2)
 		assert.Equal(t, len(other.client.Candidates(query(zoneFar))), 0)
 
-		first, _, err := other.client.Take(t.Context(), take("e1", "x1", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, first != nil)
-		second, _, err := home.client.Take(t.Context(), take("e1", "x2", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, second != nil)
+		first := other.mustTake(t, "x1")
+		home.mustTake(t, "x2")
 		_, refusal, err := other.client.Take(t.Context(), take("e1", "x3", 0))
 		assert.NilError(t, err)
 		assert.Equal(t, refusal.Status, pb.GrantStatus_GRANT_STATUS_FULL)
@@ -59,8 +73,6 @@
 		other.client.Give(Release{Grant: *first, Reason: pb.ReleaseReason_RELEASE_REASON_COMPLETED, OutputTokens: 10, Busy: time.Second})
 		synctest.Wait()
 		assert.Assert(t, !other.client.Running("x1"))
-		third, _, err := other.client.Take(t.Context(), take("e1", "x4", 0))
-		assert.NilError(t, err)
-		assert.Assert(t, third != nil)
+		other.mustTake(t, "x4")
 	})
 }
--- a/internal/endpoint/pollpace_test.go
+++ b/internal/endpoint/pollpace_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
@@ -35,14 +34,10 @@
 		defer home.stop()
 		defer other.stop()
 		polled := &polledHome{Home: home.home}
-		mux := drpcmux.New()
-		assert.NilError(t, pb.DRPCRegisterHome(mux, polled))
-		net.mu.Lock()
-		net.mux[home.source.self.RPCAddress] = mux
-		net.mu.Unlock()
+		net.serve(t, home.rpcAddress(), polled)
 
 		for range span / (100 * time.Millisecond) {
-			other.source.set(other.source.State().View)
+			other.see(other.source.State().View)
 			time.Sleep(100 * time.Millisecond)
 		}
 		most := int32(span/pollEvery) + 1
@@ -54,7 +49,7 @@
 		before := polled.polls.Load()
 		view := other.source.State().View
 		view.Number++
-		other.source.set(view)
+		other.see(view)
 		time.Sleep(10 * time.Millisecond)
 		assert.Equal(t, polled.polls.Load(), before+1)
 	})
--- a/internal/endpoint/random_test.go
+++ b/internal/endpoint/random_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
-	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
 const (
@@ -242,7 +241,7 @@
 	}
 	for _, n := range w.nodes {
 		if w.reachable(n) {
-			giveBack(n.core, w.now, k.attempt, pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+			finish(n.core, w.now, k.attempt)
 		}
 	}
 }
--- a/internal/endpoint/sweep_test.go
+++ b/internal/endpoint/sweep_test.go
@@ -88,7 +88,7 @@
 func TestExportedCacheIsNotSweptDuringItsTransfer(t *testing.T) {
 	c := soleHome(t, 2, guards{})
 	c.grant(epoch, askFor("x", epoch))
-	giveBack(c, at(300*time.Millisecond), "x", pb.ReleaseReason_RELEASE_REASON_COMPLETED, fleet.Fingerprint{})
+	finish(c, at(300*time.Millisecond), "x")
 	held := heldBy("x", askFor("x", epoch).owner)
 	held.Stage = engineapi.StageExported
 	for n := range 4 {
--- a/internal/placement/check_test.go
+++ b/internal/placement/check_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -10,6 +9,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
@@ -54,47 +54,40 @@
 	}
 }
 
-// source is a daemon's state that a test changes between two sends.
-type source struct {
-	tree    *settings.Tree
-	current bool
-	events  int
-}
-
-func (s *source) State() *membership.State { return &membership.State{Tree: s.tree} }
-
-func (s *source) Current(time.Time) bool { return s.current }
+// counter is a recorder that counts.
+type counter int
 
-func (s *source) Self() fleet.Instance { return fleet.Instance{ID: "e1", Zone: "anping-hall"} }
+func (c *counter) Record(timeline.Event) { *c++ }
 
-func (s *source) Changed() <-chan struct{} { return nil }
-
-func (s *source) Record(timeline.Event) { s.events++ }
+// sourceOf is a daemon in the first hall whose settings are tree.
+func sourceOf(tree *settings.Tree) *testkit.Source {
+	return testkit.NewSource(fleet.Instance{ID: "e1", Zone: "anping-hall"}, &membership.State{Tree: tree})
+}
 
 // One gate serves a request for all its sends. Between two of them the team's
 // settings change or the daemon loses its lease: what held a moment ago must
 // not be trusted, or bytes leave for a place that is forbidden by now.
 func TestGateAsksAfresh(t *testing.T) {
-	s := &source{tree: tree("anping-hall", "rende-hall"), current: true}
-	gate := Gate(s, "archive", s)
+	s, events := sourceOf(tree("anping-hall", "rende-hall")), new(counter)
+	gate := Gate(s, "archive", events)
 	target := engine.Target{ID: "d2", Zone: "rende-hall", Address: "127.0.0.1:2"}
 	assert.NilError(t, gate(target))
-	s.tree = tree("anping-hall")
+	s.Set(&membership.State{Tree: tree("anping-hall")})
 	cause, refused := IsRefusal(gate(target))
 	assert.Assert(t, refused)
 	assert.Equal(t, cause, CauseTargetZone)
-	s.tree = tree("anping-hall", "rende-hall")
+	s.Set(&membership.State{Tree: tree("anping-hall", "rende-hall")})
 	assert.NilError(t, gate(target))
-	s.current = false
+	s.SetCurrent(false)
 	cause, refused = IsRefusal(gate(target))
 	assert.Assert(t, refused)
 	assert.Equal(t, cause, CauseNotCurrent)
-	assert.Equal(t, s.events, 2)
+	assert.Equal(t, int(*events), 2)
 }
 
 func BenchmarkGate(b *testing.B) {
-	s := &source{tree: tree("anping-hall", "rende-hall"), current: true}
-	gate := Gate(s, "archive", s)
+	s, events := sourceOf(tree("anping-hall", "rende-hall")), new(counter)
+	gate := Gate(s, "archive", events)
 	target := engine.Target{ID: "d2", Zone: "rende-hall", Address: "127.0.0.1:2"}
 	b.ReportAllocs()
 	for b.Loop() {
