route: fold copies of test set-up

served, failed and callFailed run a request whose end is known; post, failureIn and eventually stand for requests, errors and waits written out several times; runInWorld is a subtest in a bubble; setBoth a fault at both decode engines. Tests that asserted only that a request did not fail now assert its whole text too (served). TestRefusedAtOnce lost a second copy of one of its own lines.

No test has another name.

--- a/internal/route/abort_test.go
+++ b/internal/route/abort_test.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"io"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -25,25 +23,19 @@
 	w.set("decode", "d1", 1, fault{stall: true, after: 2})
 	r := w.router(route.Bounds{})
 	server := serveRouter(t, w, r)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(chatStream))
-	assert.NilError(t, err)
-	request.Header.Set("Authorization", "Bearer "+teamKey)
-	response, err := server.Client().Do(request)
-	assert.NilError(t, err)
-	defer func() { _ = response.Body.Close() }()
+	response := post(t.Context(), t, server, "/v1/chat/completions", strings.NewReader(chatStream))
 	body := bufio.NewReader(response.Body)
 	for range 4 { // two events, each with its empty line
-		_, err = body.ReadString('\n')
+		_, err := body.ReadString('\n')
 		assert.NilError(t, err)
 	}
 	r.Abort()
 	rest, err := io.ReadAll(body)
 	assert.NilError(t, err)
 	list := events(string(rest))
-	var last callerapi.ErrorBody
-	assert.NilError(t, json.Unmarshal([]byte(list[len(list)-1]), &last))
-	assert.Equal(t, last.Error.Code, callerapi.CodeNotCurrent)
-	assert.Equal(t, last.Error.Outcome, callerapi.OutcomeFailed)
+	failure := failureIn(t, list[len(list)-1])
+	assert.Equal(t, failure.Code, callerapi.CodeNotCurrent)
+	assert.Equal(t, failure.Outcome, callerapi.OutcomeFailed)
 	assert.Equal(t, w.sent("decode "), 1)
 	w.assertFree(t)
 }
@@ -76,8 +68,7 @@
 		r := w.router(route.Bounds{})
 		w.set("call", "s1", 1, fault{stall: true})
 		w.afterSend = func(string) { r.Abort() }
-		_, failure := r.Call(t.Context(), callRequest())
-		assert.Assert(t, failure != nil)
+		failure := callFailed(t, r, callRequest())
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeUnknown)
 		assert.Assert(t, !failure.TimedOut)
 	})
--- a/internal/route/callers_test.go
+++ b/internal/route/callers_test.go
@@ -76,6 +76,34 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(body)}
 }
 
+// post sends a team's request and gives the answer as soon as it begins.
+func post(ctx context.Context, t testing.TB, server *httptest.Server, path string, body io.Reader) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+path, body)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+teamKey)
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// failureIn reads the error in a body, or in a stream's last event.
+func failureIn(t *testing.T, text string) callerapi.Error {
+	t.Helper()
+	var body callerapi.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(text), &body), text)
+	return body.Error
+}
+
+// eventually waits until done is true, 5 s at most.
+func eventually(done func() bool) {
+	deadline := time.Now().Add(5 * time.Second)
+	for !done() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 const (
 	chatBody   = `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":10}`
 	chatStream = `{"model":"fibre","messages":[{"role":"user","content":"Assess."}],"max_tokens":10,"stream":true}`
@@ -138,24 +166,21 @@
 // event says that it failed, and when to come back.
 func TestStreamEndsClearly(t *testing.T) {
 	w := newWorld()
-	w.set("decode", "d1", 9, fault{broken: true, after: 2})
-	w.set("decode", "d2", 9, fault{broken: true, after: 2})
+	w.setBoth("decode", fault{broken: true, after: 2})
 	got := call{method: "POST", path: "/v1/chat/completions", body: chatStream}.do(t, serve(t, w))
 	list := events(got.body)
 	assert.Equal(t, streamText(t, list[:len(list)-1]), tokens(4))
-	var last callerapi.ErrorBody
-	assert.NilError(t, json.Unmarshal([]byte(list[len(list)-1]), &last))
-	assert.Equal(t, last.Error.Outcome, callerapi.OutcomeFailed)
-	assert.Assert(t, last.Error.RetryAfterMs > 0)
-	assert.Assert(t, last.Error.RequestID != "")
+	failure := failureIn(t, list[len(list)-1])
+	assert.Equal(t, failure.Outcome, callerapi.OutcomeFailed)
+	assert.Assert(t, failure.RetryAfterMs > 0)
+	assert.Assert(t, failure.RequestID != "")
 	w.assertFree(t)
 }
 
 // The same failure without a stream: the caller gets no part of the answer.
 func TestJSONNeverPartial(t *testing.T) {
 	w := newWorld()
-	w.set("decode", "d1", 9, fault{broken: true, after: 2})
-	w.set("decode", "d2", 9, fault{broken: true, after: 2})
+	w.setBoth("decode", fault{broken: true, after: 2})
 	got := call{method: "POST", path: "/v1/chat/completions", body: chatBody}.do(t, serve(t, w))
 	assert.Equal(t, got.status, 502)
 	assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "failed")
@@ -204,11 +229,10 @@
 		t.Run(name, func(t *testing.T) {
 			got := tc.call.do(t, server)
 			assert.Equal(t, got.status, tc.status, got.body)
-			var body callerapi.ErrorBody
-			assert.NilError(t, json.Unmarshal([]byte(got.body), &body), got.body)
-			assert.Equal(t, body.Error.Code, tc.code)
-			assert.Equal(t, string(body.Error.Outcome), got.header.Get(callerapi.HeaderOutcome))
-			assert.Equal(t, body.Error.RequestID, got.header.Get(callerapi.HeaderRequestID))
+			failure := failureIn(t, got.body)
+			assert.Equal(t, failure.Code, tc.code)
+			assert.Equal(t, string(failure.Outcome), got.header.Get(callerapi.HeaderOutcome))
+			assert.Equal(t, failure.RequestID, got.header.Get(callerapi.HeaderRequestID))
 		})
 	}
 	assert.Equal(t, len(w.sends), 0)
@@ -222,10 +246,9 @@
 	got := call{method: "POST", path: "/v1/completions", body: textBody}.do(t, serve(t, w))
 	assert.Equal(t, got.status, 503)
 	assert.Equal(t, got.header.Get("Retry-After"), "2")
-	var body callerapi.ErrorBody
-	assert.NilError(t, json.Unmarshal([]byte(got.body), &body))
-	assert.Equal(t, body.Error.RetryAfterMs, int64(1300))
-	assert.DeepEqual(t, body.Error.Addresses, []string{"127.0.0.1:2"})
+	failure := failureIn(t, got.body)
+	assert.Equal(t, failure.RetryAfterMs, int64(1300))
+	assert.DeepEqual(t, failure.Addresses, []string{"127.0.0.1:2"})
 }
 
 // An entry cut off from the control group may hold settings that are no
@@ -237,10 +260,9 @@
 	got := call{method: "POST", path: "/v1/completions", body: textBody}.do(t, server)
 	assert.Equal(t, got.status, 503)
 	assert.Equal(t, got.header.Get(callerapi.HeaderOutcome), "not-run")
-	var body callerapi.ErrorBody
-	assert.NilError(t, json.Unmarshal([]byte(got.body), &body))
-	assert.Equal(t, body.Error.Code, callerapi.CodeNotCurrent)
-	assert.DeepEqual(t, body.Error.Addresses, []string{"127.0.0.1:2"})
+	failure := failureIn(t, got.body)
+	assert.Equal(t, failure.Code, callerapi.CodeNotCurrent)
+	assert.DeepEqual(t, failure.Addresses, []string{"127.0.0.1:2"})
 	assert.Equal(t, call{method: "GET", path: "/readyz"}.do(t, server).status, 503)
 	assert.Equal(t, call{method: "GET", path: "/healthz"}.do(t, server).status, 200)
 }
@@ -266,12 +288,7 @@
 	assert.Assert(t, strings.Contains(got.body, "127.0.0.1:2") && !strings.Contains(got.body, "127.0.0.1:1"), got.body)
 	unread, body := io.Pipe()
 	defer func() { _ = body.Close() }()
-	request, err := http.NewRequestWithContext(t.Context(), "POST", server.URL+"/v1/completions", unread)
-	assert.NilError(t, err)
-	request.Header.Set("Authorization", "Bearer "+teamKey)
-	response, err := server.Client().Do(request)
-	assert.NilError(t, err)
-	defer func() { _ = response.Body.Close() }()
+	response := post(t.Context(), t, server, "/v1/completions", unread)
 	var refusal callerapi.ErrorBody
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&refusal))
 	assert.Equal(t, refusal.Error.Code, callerapi.CodeNoZone)
@@ -285,12 +302,7 @@
 	unread, body := io.Pipe()
 	defer func() { _ = body.Close() }()
 	go func() { _, _ = body.Write([]byte(`{"model":`)) }()
-	request, err := http.NewRequestWithContext(t.Context(), "POST", server.URL+"/v1/completions", unread)
-	assert.NilError(t, err)
-	request.Header.Set("Authorization", "Bearer "+teamKey)
-	response, err := server.Client().Do(request)
-	assert.NilError(t, err)
-	defer func() { _ = response.Body.Close() }()
+	response := post(t.Context(), t, server, "/v1/completions", unread)
 	assert.Equal(t, response.StatusCode, 400)
 }
 
@@ -309,10 +321,7 @@
 	assert.NilError(t, err)
 	_, err = bufio.NewReaderSize(conn, 16).ReadByte()
 	assert.NilError(t, err)
-	deadline := time.Now().Add(5 * time.Second)
-	for r.Running() > 0 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(func() bool { return r.Running() == 0 })
 	assert.Equal(t, r.Running(), 0)
 	assert.Equal(t, w.grantCount(), 0)
 }
@@ -340,19 +349,12 @@
 	w.set("decode", "d1", 1, fault{stall: true, after: 3})
 	server := serve(t, w)
 	ctx, cancel := context.WithCancel(t.Context())
-	request, err := http.NewRequestWithContext(ctx, "POST", server.URL+"/v1/chat/completions", strings.NewReader(chatStream))
-	assert.NilError(t, err)
-	request.Header.Set("Authorization", "Bearer "+teamKey)
-	response, err := server.Client().Do(request)
-	assert.NilError(t, err)
-	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	response := post(ctx, t, server, "/v1/chat/completions", strings.NewReader(chatStream))
+	_, err := bufio.NewReader(response.Body).ReadString('\n')
 	assert.NilError(t, err)
 	cancel()
 	_ = response.Body.Close()
-	deadline := time.Now().Add(5 * time.Second)
-	for w.grantCount() > 0 && time.Now().Before(deadline) {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(func() bool { return w.grantCount() == 0 })
 	w.assertFree(t)
 }
 
--- a/internal/route/fakes_test.go
+++ b/internal/route/fakes_test.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/hyssopsail/hyssopsail/internal/admission"
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
@@ -105,6 +108,37 @@
 	}
 }
 
+// served runs a request that must be served: s gets each token once.
+func served(t *testing.T, r *route.Router, request route.ModelRequest, s *sink) route.Answer {
+	t.Helper()
+	a := r.Model(t.Context(), request, s)
+	assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+	assert.Equal(t, s.got(), tokens(request.MaxTokens))
+	return a
+}
+
+// failed runs a request that must fail.
+func failed(t *testing.T, r *route.Router, request route.ModelRequest) *route.Failure {
+	t.Helper()
+	a := r.Model(t.Context(), request, &sink{})
+	assert.Assert(t, a.Failure != nil)
+	return a.Failure
+}
+
+// callFailed makes a call that must fail.
+func callFailed(t *testing.T, r *route.Router, request route.CallRequest) *route.Failure {
+	t.Helper()
+	_, failure := r.Call(t.Context(), request)
+	assert.Assert(t, failure != nil)
+	return failure
+}
+
+func keyedCall() route.CallRequest {
+	request := callRequest()
+	request.Key = "slip-7"
+	return request
+}
+
 func callRequest() route.CallRequest {
 	return route.CallRequest{
 		ID: "r-2", Team: "sutokatha", Service: "bank", Method: http.MethodPost, Path: "/slips/7", Body: []byte("slip"), Arrived: time.Now(),
--- a/internal/route/grantover_test.go
+++ b/internal/route/grantover_test.go
@@ -29,19 +29,14 @@
 func TestGrantRanOutBeforeTheSend(t *testing.T) {
 	for _, op := range []string{"prefill", "import", "decode"} {
 		for name, prepare := range map[string]func(*world){"two zones": func(*world) {}, "one engine": (*world).alone} {
-			t.Run(op+", "+name, func(t *testing.T) {
-				inWorld(t, func(t *testing.T, w *world) {
-					prepare(w)
-					w.noBudget = true
-					w.freezeBefore = op
-					s := &sink{}
-					a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-					assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-					assert.Equal(t, s.got(), tokens(10))
-					assert.Equal(t, w.lateSends, 0)
-					assert.Equal(t, w.sent(op+" "), 1)
-					w.assertFree(t)
-				})
+			runInWorld(t, op+", "+name, func(t *testing.T, w *world) {
+				prepare(w)
+				w.noBudget = true
+				w.freezeBefore = op
+				served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+				assert.Equal(t, w.lateSends, 0)
+				assert.Equal(t, w.sent(op+" "), 1)
+				w.assertFree(t)
 			})
 		}
 	}
@@ -51,19 +46,17 @@
 // even a call that may not be repeated is sent, once, under a new grant.
 func TestGrantRanOutBeforeTheCall(t *testing.T) {
 	for _, method := range []string{"GET", "POST"} {
-		t.Run(method, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.alone()
-				w.noBudget = true
-				w.freezeBefore = "call"
-				request := callRequest()
-				request.Method = method
-				_, failure := w.router(route.Bounds{}).Call(t.Context(), request)
-				assert.Assert(t, failure == nil, "%v", failure)
-				assert.Equal(t, w.lateSends, 0)
-				assert.Equal(t, w.sent("call "), 1)
-				w.assertFree(t)
-			})
+		runInWorld(t, method, func(t *testing.T, w *world) {
+			w.alone()
+			w.noBudget = true
+			w.freezeBefore = "call"
+			request := callRequest()
+			request.Method = method
+			_, failure := w.router(route.Bounds{}).Call(t.Context(), request)
+			assert.Assert(t, failure == nil, "%v", failure)
+			assert.Equal(t, w.lateSends, 0)
+			assert.Equal(t, w.sent("call "), 1)
+			w.assertFree(t)
 		})
 	}
 }
--- a/internal/route/keyed_test.go
+++ b/internal/route/keyed_test.go
@@ -71,20 +71,16 @@
 		end := make(chan route.Answer, 1)
 		go func() { end <- one.Model(t.Context(), keyedRequest(), &sink{}) }()
 		time.Sleep(5 * time.Millisecond)
-		a := two.Model(t.Context(), keyedRequest(), &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Code, callerapi.CodeInFlight)
-		assert.Assert(t, a.Failure.RetryAfter > 0)
+		failure := failed(t, two, keyedRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeInFlight)
+		assert.Assert(t, failure.RetryAfter > 0)
 		other := keyedRequest()
 		other.Prompt = "Another bale."
 		assert.Equal(t, two.Model(t.Context(), other, &sink{}).Failure.Code, callerapi.CodeKeyReused)
 		assert.Equal(t, one.Model(t.Context(), other, &sink{}).Failure.Code, callerapi.CodeKeyReused)
 		assert.Assert(t, (<-end).Failure == nil)
 		time.Sleep(time.Millisecond)
-		s := &sink{}
-		a = two.Model(t.Context(), keyedRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(10))
+		served(t, two, keyedRequest(), &sink{})
 	})
 }
 
@@ -97,17 +93,14 @@
 		copied := keyedRequest()
 		time.Sleep(4 * time.Second)
 		w.denied = &admission.Decision{Code: callerapi.CodeOverloaded}
-		a := other.Model(t.Context(), keyedRequest(), &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
+		failure := failed(t, other, keyedRequest())
+		assert.Equal(t, failure.Outcome, callerapi.OutcomeNotRun)
 		w.denied = nil
-		a = frozen.Model(t.Context(), copied, &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Code, callerapi.CodeInFlight)
+		failure = failed(t, frozen, copied)
+		assert.Equal(t, failure.Code, callerapi.CodeInFlight)
 		assert.Equal(t, len(w.sends), 0)
 		time.Sleep(time.Second)
-		a = other.Model(t.Context(), keyedRequest(), &sink{})
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		served(t, other, keyedRequest(), &sink{})
 	})
 }
 
@@ -124,10 +117,7 @@
 		}})
 		synctest.Wait()
 		time.Sleep(time.Millisecond)
-		s := &sink{}
-		a := r.Model(t.Context(), keyedRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(10))
+		served(t, r, keyedRequest(), &sink{})
 		w.assertFree(t)
 	})
 }
@@ -140,9 +130,7 @@
 		s := &sink{after: func(engineapi.Chunk) { time.Sleep(20 * time.Millisecond) }}
 		request := keyedRequest()
 		request.MaxTokens = 100
-		a := r.Model(t.Context(), request, s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(100))
+		served(t, r, request, s)
 		w.assertFree(t)
 	})
 }
@@ -158,13 +146,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		_ = one.Model(ctx, keyedRequest(), &sink{after: func(engineapi.Chunk) { cancel() }})
 		time.Sleep(200 * time.Millisecond)
-		early := two.Model(t.Context(), keyedRequest(), &sink{})
-		assert.Assert(t, early.Failure != nil)
-		assert.Equal(t, early.Failure.Code, callerapi.CodeInFlight)
+		failure := failed(t, two, keyedRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeInFlight)
 		assert.Equal(t, w.sent("decode"), 1)
 		time.Sleep(200 * time.Millisecond)
-		a := two.Model(t.Context(), keyedRequest(), &sink{})
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		served(t, two, keyedRequest(), &sink{})
 		w.assertFree(t)
 	})
 }
--- a/internal/route/life_test.go
+++ b/internal/route/life_test.go
@@ -25,6 +25,12 @@
 	synctest.Test(t, func(t *testing.T) { test(t, newWorld()) })
 }
 
+// runInWorld is inWorld as a subtest.
+func runInWorld(t *testing.T, name string, test func(t *testing.T, w *world)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { inWorld(t, test) })
+}
+
 func TestModelWhole(t *testing.T) {
 	plans := map[string]schedule.StartPlan{
 		"reserve first": {ReserveFirst: true},
@@ -32,18 +38,13 @@
 		"delayed":       {Delay: 50 * time.Millisecond, Lead: 10 * time.Millisecond},
 	}
 	for name, plan := range plans {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.plan = plan
-				s := &sink{}
-				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-				assert.Equal(t, s.got(), tokens(10))
-				assert.Equal(t, a.OutputTokens, 10)
-				assert.Equal(t, a.Finish, engineapi.FinishLength)
-				assert.Equal(t, w.releases[0].Reason, pb.ReleaseReason_RELEASE_REASON_COMPLETED)
-				w.assertFree(t)
-			})
+		runInWorld(t, name, func(t *testing.T, w *world) {
+			w.plan = plan
+			a := served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+			assert.Equal(t, a.OutputTokens, 10)
+			assert.Equal(t, a.Finish, engineapi.FinishLength)
+			assert.Equal(t, w.releases[0].Reason, pb.ReleaseReason_RELEASE_REASON_COMPLETED)
+			w.assertFree(t)
 		})
 	}
 }
@@ -59,25 +60,23 @@
 	}{{"take", "d1"}, {"take", "p1"}, {"prefill", "p1"}, {"import", "d1"}, {"decode", "d1"}}
 	for _, stage := range stages {
 		for _, key := range []string{"", "bale-7"} {
-			t.Run(stage.op+" "+string(stage.at)+" key="+key, func(t *testing.T) {
-				inWorld(t, func(t *testing.T, w *world) {
-					w.set(stage.op, stage.at, 1, fault{stall: true, after: 3})
-					r := w.router(route.Bounds{})
-					ctx, cancel := context.WithCancel(t.Context())
-					go func() {
-						time.Sleep(100 * time.Millisecond)
-						cancel()
-					}()
-					began := time.Now()
-					request := modelRequest()
-					request.Key = key
-					a := r.Model(ctx, request, &sink{})
-					synctest.Wait()
-					assert.Assert(t, a.Failure != nil)
-					assert.Equal(t, time.Since(began), 100*time.Millisecond)
-					assert.Equal(t, r.Running(), 0)
-					w.assertFree(t)
-				})
+			runInWorld(t, stage.op+" "+string(stage.at)+" key="+key, func(t *testing.T, w *world) {
+				w.set(stage.op, stage.at, 1, fault{stall: true, after: 3})
+				r := w.router(route.Bounds{})
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					cancel()
+				}()
+				began := time.Now()
+				request := modelRequest()
+				request.Key = key
+				a := r.Model(ctx, request, &sink{})
+				synctest.Wait()
+				assert.Assert(t, a.Failure != nil)
+				assert.Equal(t, time.Since(began), 100*time.Millisecond)
+				assert.Equal(t, r.Running(), 0)
+				w.assertFree(t)
 			})
 		}
 	}
@@ -90,10 +89,7 @@
 	for after := range 10 {
 		inWorld(t, func(t *testing.T, w *world) {
 			w.set("decode", "d1", 1, fault{broken: true, after: after})
-			s := &sink{}
-			a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-			assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-			assert.Equal(t, s.got(), tokens(10))
+			served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
 			assert.Equal(t, w.sent("decode d1"), 1)
 			assert.Equal(t, w.sent("decode d2"), 1)
 			assert.DeepEqual(t, w.ends, []guardEnd{{crashed: true}, {completed: true}}, allowGuardEnd)
@@ -120,19 +116,14 @@
 	}
 	for name, tc := range faults {
 		for _, plan := range []schedule.StartPlan{{ReserveFirst: true}, {}} {
-			t.Run(name, func(t *testing.T) {
-				inWorld(t, func(t *testing.T, w *world) {
-					w.plan = plan
-					w.set(tc.op, tc.at, 1, tc.f)
-					s := &sink{}
-					a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-					assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-					assert.Equal(t, s.got(), tokens(10))
-					assert.Assert(t, w.sent("prefill p1") <= 1)
-					assert.Equal(t, w.sent("prefill p2"), 1)
-					synctest.Wait()
-					w.assertFree(t)
-				})
+			runInWorld(t, name, func(t *testing.T, w *world) {
+				w.plan = plan
+				w.set(tc.op, tc.at, 1, tc.f)
+				served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+				assert.Assert(t, w.sent("prefill p1") <= 1)
+				assert.Equal(t, w.sent("prefill p2"), 1)
+				synctest.Wait()
+				w.assertFree(t)
 			})
 		}
 	}
@@ -145,11 +136,8 @@
 func TestTransferStalls(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.set("import", "d1", 1, fault{stall: true})
-		s := &sink{}
 		began := time.Now()
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(10))
+		served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
 		assert.Equal(t, time.Since(began), 311*time.Millisecond)
 		assert.Equal(t, w.sent("prefill"), 1)
 		w.assertFree(t)
@@ -173,15 +161,10 @@
 		"negative": func(c engineapi.Chunk) engineapi.Chunk { c.Tokens = -1; return c },
 	}
 	for name, bend := range bends {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.set("decode", "d1", 1, fault{after: 4, bend: bend})
-				s := &sink{}
-				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-				assert.Equal(t, s.got(), tokens(10))
-				w.assertFree(t)
-			})
+		runInWorld(t, name, func(t *testing.T, w *world) {
+			w.set("decode", "d1", 1, fault{after: 4, bend: bend})
+			served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+			w.assertFree(t)
 		})
 	}
 }
@@ -208,21 +191,17 @@
 		"quarantined": {func(w *world) { w.verdict = pb.RunVerdict_RUN_VERDICT_QUARANTINED }, callerapi.CodeQuarantined, 0},
 	}
 	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				tc.prepare(w)
-				began := time.Now()
-				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
-				assert.Assert(t, a.Failure != nil)
-				assert.Equal(t, a.Failure.Code, tc.code)
-				assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
-				assert.Assert(t, a.Failure != nil)
-				assert.Equal(t, a.Failure.RetryAfter, tc.after)
-				assert.Equal(t, time.Since(began), time.Duration(0))
-				assert.Equal(t, len(w.sends), 0)
-				assert.Equal(t, len(w.releases), 0)
-				w.assertFree(t)
-			})
+		runInWorld(t, name, func(t *testing.T, w *world) {
+			tc.prepare(w)
+			began := time.Now()
+			failure := failed(t, w.router(route.Bounds{}), modelRequest())
+			assert.Equal(t, failure.Code, tc.code)
+			assert.Equal(t, failure.Outcome, callerapi.OutcomeNotRun)
+			assert.Equal(t, failure.RetryAfter, tc.after)
+			assert.Equal(t, time.Since(began), time.Duration(0))
+			assert.Equal(t, len(w.sends), 0)
+			assert.Equal(t, len(w.releases), 0)
+			w.assertFree(t)
 		})
 	}
 }
@@ -231,8 +210,7 @@
 // when to come back after the bounded tries, not silence until its deadline.
 func TestGivenUpAtOnce(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		w.set("decode", "d1", 9, fault{broken: true, after: 2})
-		w.set("decode", "d2", 9, fault{broken: true, after: 2})
+		w.setBoth("decode", fault{broken: true, after: 2})
 		s := &sink{}
 		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
 		assert.Assert(t, a.Failure != nil)
@@ -249,10 +227,7 @@
 func TestDecodeStandsStill(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.set("decode", "d1", 1, fault{stall: true, after: 4})
-		s := &sink{}
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(10))
+		served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
 		assert.DeepEqual(t, w.ends, []guardEnd{{}, {completed: true}}, allowGuardEnd)
 		w.assertFree(t)
 	})
@@ -266,10 +241,9 @@
 			op, at, _ := strings.Cut(stage, " ")
 			w.set(op, fleet.EndpointID(at), 9, fault{stall: true})
 			began := time.Now()
-			a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
-			assert.Assert(t, a.Failure != nil)
-			assert.Equal(t, a.Failure.Code, callerapi.CodeDeadline)
-			assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
+			failure := failed(t, w.router(route.Bounds{}), modelRequest())
+			assert.Equal(t, failure.Code, callerapi.CodeDeadline)
+			assert.Equal(t, failure.Outcome, callerapi.OutcomeFailed)
 			assert.Equal(t, time.Since(began), 20*time.Second)
 			w.assertFree(t)
 		})
@@ -294,8 +268,7 @@
 		go func() { done <- r.Drain(t.Context()) }()
 		time.Sleep(4900 * time.Millisecond)
 		assert.Assert(t, r.Draining())
-		kept := r.Model(t.Context(), modelRequest(), &sink{})
-		assert.Assert(t, kept.Failure == nil, "%v", kept.Failure)
+		served(t, r, modelRequest(), &sink{})
 		time.Sleep(200 * time.Millisecond)
 		late := r.Model(t.Context(), modelRequest(), &sink{})
 		assert.Equal(t, late.Failure.Code, callerapi.CodeDraining)
@@ -332,8 +305,7 @@
 				time.Sleep(8 * time.Second)
 			}
 		}}
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		served(t, w.router(route.Bounds{}), modelRequest(), s)
 		assert.Equal(t, w.sent("decode"), 1)
 	})
 }
@@ -356,9 +328,8 @@
 		}
 		w.set("decode", "d1", 1, fault{broken: true, after: 5})
 		w.set("decode", "d2", 1, fault{broken: true, after: 2})
-		a := r.Model(t.Context(), modelRequest(), &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Code, callerapi.CodeEngineFailed)
+		failure := failed(t, r, modelRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeEngineFailed)
 		w.assertFree(t)
 	})
 }
@@ -367,11 +338,9 @@
 // a place without endpoints, and the caller is told so.
 func TestExhausted(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		w.set("decode", "d1", 9, fault{broken: true})
-		w.set("decode", "d2", 9, fault{broken: true})
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Code, callerapi.CodeEngineFailed)
-		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeFailed)
+		w.setBoth("decode", fault{broken: true})
+		failure := failed(t, w.router(route.Bounds{}), modelRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeEngineFailed)
+		assert.Equal(t, failure.Outcome, callerapi.OutcomeFailed)
 	})
 }
--- a/internal/route/links_test.go
+++ b/internal/route/links_test.go
@@ -17,26 +17,24 @@
 func TestTransfersBookTheirLink(t *testing.T) {
 	faults := map[string]fault{"whole": {}, "prefill fails": {broken: true}}
 	for name, f := range faults {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.alone()
-				w.moveTo("d1", "kolkata-north")
-				w.state.Tree.Fleet.Links = []settings.Link{{From: "howrah", To: "kolkata-north", Rate: 100_000}}
-				w.links = schedule.NewLinkTable(nil, time.Now)
-				w.set("prefill", "p1", 9, f)
-				predicted := func() time.Duration { return w.links.Cost("howrah", "kolkata-north", 1000) }
-				var during time.Duration
-				w.afterSend = func(sent string) {
-					if sent == "prefill p1" {
-						during = predicted()
-					}
+		runInWorld(t, name, func(t *testing.T, w *world) {
+			w.alone()
+			w.moveTo("d1", "kolkata-north")
+			w.state.Tree.Fleet.Links = []settings.Link{{From: "howrah", To: "kolkata-north", Rate: 100_000}}
+			w.links = schedule.NewLinkTable(nil, time.Now)
+			w.set("prefill", "p1", 9, f)
+			predicted := func() time.Duration { return w.links.Cost("howrah", "kolkata-north", 1000) }
+			var during time.Duration
+			w.afterSend = func(sent string) {
+				if sent == "prefill p1" {
+					during = predicted()
 				}
-				r := w.router(route.Bounds{})
-				a := r.Model(t.Context(), modelRequest(), &sink{})
-				assert.Equal(t, a.Failure == nil, name == "whole", "%v", a.Failure)
-				assert.Assert(t, during > 90*time.Millisecond, "%v", during) // 9 tokens of 1000 bytes come first
-				assert.Equal(t, predicted(), 10*time.Millisecond)
-			})
+			}
+			r := w.router(route.Bounds{})
+			a := r.Model(t.Context(), modelRequest(), &sink{})
+			assert.Equal(t, a.Failure == nil, name == "whole", "%v", a.Failure)
+			assert.Assert(t, during > 90*time.Millisecond, "%v", during) // 9 tokens of 1000 bytes come first
+			assert.Equal(t, predicted(), 10*time.Millisecond)
 		})
 	}
 }
--- a/internal/route/once_test.go
+++ b/internal/route/once_test.go
@@ -67,23 +67,20 @@
 		}, 2, "", pb.OutcomeKind_OUTCOME_KIND_COMPLETED},
 	}
 	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				tc.prepare(w)
-				request := callRequest()
-				request.Key = "slip-7"
-				answer, failure := w.router(route.Bounds{}).Call(t.Context(), request)
-				assert.Equal(t, w.sent("call"), tc.sent)
-				assert.Equal(t, w.recorded(), tc.record)
-				w.assertFree(t)
-				if tc.outcome == "" {
-					assert.Assert(t, failure == nil, "%v", failure)
-					assert.Equal(t, string(answer.Body), "slip POST /slips/7")
-					return
-				}
-				assert.Assert(t, failure != nil)
-				assert.Equal(t, failure.Outcome, tc.outcome)
-			})
+		runInWorld(t, name, func(t *testing.T, w *world) {
+			tc.prepare(w)
+			request := keyedCall()
+			answer, failure := w.router(route.Bounds{}).Call(t.Context(), request)
+			assert.Equal(t, w.sent("call"), tc.sent)
+			assert.Equal(t, w.recorded(), tc.record)
+			w.assertFree(t)
+			if tc.outcome == "" {
+				assert.Assert(t, failure == nil, "%v", failure)
+				assert.Equal(t, string(answer.Body), "slip POST /slips/7")
+				return
+			}
+			assert.Assert(t, failure != nil)
+			assert.Equal(t, failure.Outcome, tc.outcome)
 		})
 	}
 }
@@ -94,21 +91,17 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		w.set("call", "s1", 1, fault{stall: true})
 		one, two := w.router(route.Bounds{}), w.router(route.Bounds{})
-		request := callRequest()
-		request.Key = "slip-7"
+		request := keyedCall()
 		go func() { _, _ = one.Call(t.Context(), request) }()
 		synctest.Wait()
-		_, failure := two.Call(t.Context(), request)
-		assert.Assert(t, failure != nil)
+		failure := callFailed(t, two, request)
 		assert.Equal(t, failure.Code, callerapi.CodeInFlight)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeInFlight)
 		time.Sleep(3 * time.Second)
-		_, failure = two.Call(t.Context(), request)
-		assert.Assert(t, failure != nil)
+		failure = callFailed(t, two, request)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeUnknown)
 		request.Body = []byte("another slip")
-		_, failure = two.Call(t.Context(), request)
-		assert.Assert(t, failure != nil)
+		failure = callFailed(t, two, request)
 		assert.Equal(t, failure.Code, callerapi.CodeKeyReused)
 		assert.Equal(t, w.sent("call"), 1)
 		w.assertFree(t)
@@ -122,8 +115,7 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w.beforeSend = func(string) { cancel() }
-		request := callRequest()
-		request.Key = "slip-7"
+		request := keyedCall()
 		r := w.router(route.Bounds{})
 		_, failure := r.Call(ctx, request)
 		assert.Assert(t, failure == nil, "%v", failure)
@@ -158,8 +150,7 @@
 		w.set("call", "s1", 9, fault{broken: true})
 		request := callRequest()
 		request.Method, request.Once = "GET", true
-		_, failure := w.router(route.Bounds{}).Call(t.Context(), request)
-		assert.Assert(t, failure != nil)
+		failure := callFailed(t, w.router(route.Bounds{}), request)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeUnknown)
 		assert.Equal(t, w.sent("call"), 1)
 	})
@@ -171,13 +162,11 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		w.set("call", "s1", 1, fault{stall: true})
 		one, two := w.router(route.Bounds{}), w.router(route.Bounds{})
-		request := callRequest()
-		request.Key = "slip-7"
+		request := keyedCall()
 		go func() { _, _ = one.Call(t.Context(), request) }()
 		synctest.Wait()
 		w.denied = &admission.Decision{Code: callerapi.CodeOverloaded}
-		_, failure := two.Call(t.Context(), request)
-		assert.Assert(t, failure != nil)
+		failure := callFailed(t, two, request)
 		assert.Equal(t, failure.Code, callerapi.CodeOverloaded)
 		assert.Equal(t, failure.Outcome, callerapi.OutcomeInFlight)
 		time.Sleep(3 * time.Second)
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -161,6 +161,12 @@
 	}
 }
 
+// setBoth puts a fault on all calls of op at the two decode engines.
+func (w *world) setBoth(op string, f fault) {
+	w.set(op, "d1", 9, f)
+	w.set(op, "d2", 9, f)
+}
+
 // permit narrows the team's zones, as newly applied settings do.
 func (w *world) permit(zones ...fleet.AvailabilityZone) {
 	w.mu.Lock()
--- a/internal/route/zones_test.go
+++ b/internal/route/zones_test.go
@@ -19,26 +19,21 @@
 // runs in what is left, or is refused.
 func TestZonesNarrowInFlight(t *testing.T) {
 	for _, op := range []string{"prefill p1", "import d1", "decode d1"} {
-		t.Run(op, func(t *testing.T) {
-			inWorld(t, func(t *testing.T, w *world) {
-				w.permit("howrah", "barasat")
-				w.add("p3", fleet.RolePrefill, "barasat")
-				w.add("d3", fleet.RoleDecode, "barasat")
-				w.moveTo("p1", "kolkata-north")
-				w.moveTo("d1", "kolkata-north")
-				w.permit("howrah", "kolkata-north", "barasat")
-				w.beforeSend = func(next string) {
-					if next == op {
-						w.permit("howrah", "barasat")
-					}
+		runInWorld(t, op, func(t *testing.T, w *world) {
+			w.permit("howrah", "barasat")
+			w.add("p3", fleet.RolePrefill, "barasat")
+			w.add("d3", fleet.RoleDecode, "barasat")
+			w.moveTo("p1", "kolkata-north")
+			w.moveTo("d1", "kolkata-north")
+			w.permit("howrah", "kolkata-north", "barasat")
+			w.beforeSend = func(next string) {
+				if next == op {
+					w.permit("howrah", "barasat")
 				}
-				s := &sink{}
-				a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-				assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-				assert.Equal(t, s.got(), tokens(10))
-				assert.Equal(t, w.sent(op), 0)
-				w.assertFree(t)
-			})
+			}
+			served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+			assert.Equal(t, w.sent(op), 0)
+			w.assertFree(t)
 		})
 	}
 }
@@ -51,11 +46,10 @@
 			w.moveTo(id, "barasat")
 		}
 		began := time.Now()
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
-		assert.Assert(t, a.Failure != nil)
-		assert.Equal(t, a.Failure.Code, callerapi.CodeNoZone)
-		assert.Equal(t, a.Failure.Outcome, callerapi.OutcomeNotRun)
-		assert.Assert(t, a.Failure.RetryAfter > 0)
+		failure := failed(t, w.router(route.Bounds{}), modelRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeNoZone)
+		assert.Equal(t, failure.Outcome, callerapi.OutcomeNotRun)
+		assert.Assert(t, failure.RetryAfter > 0)
 		assert.Equal(t, time.Since(began), time.Duration(0))
 		assert.Equal(t, len(w.sends), 0)
 	})
@@ -73,9 +67,7 @@
 				w.permit("howrah")
 			}
 		}}
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), s)
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
-		assert.Equal(t, s.got(), tokens(10))
+		served(t, w.router(route.Bounds{}), modelRequest(), s)
 		assert.Equal(t, w.sent("decode d2"), 1)
 		w.assertFree(t)
 	})
@@ -93,8 +85,7 @@
 				w.permit("howrah")
 			}
 		}
-		a := w.router(route.Bounds{}).Model(t.Context(), modelRequest(), &sink{})
-		assert.Assert(t, a.Failure == nil, "%v", a.Failure)
+		served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
 		assert.Equal(t, w.sent("prefill p2"), 1)
 		assert.Equal(t, w.sent("import"), 1)
 		w.assertFree(t)
