--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -107,7 +107,7 @@
 // The first retry after an endpoint's death is free. A death throws out all
 // that ran there at once, twenty requests of a full decode engine: a budget
 // that is earned by successes would resume some and fail the rest. It can't
-// become a storm, since each request has one such retry in its life.
+// overload the engines, since each request has one such retry in its life.
 func (m *modelRun) granted(s *setback) bool {
 	if s.crashed() && !m.freeRetry {
 		m.freeRetry = true
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -56,7 +56,7 @@
 //
 // Only a connection that broke after bytes had left counts as a crash: an
 // endpoint that answers with an error lives, and one that was given up on for
-// time may be slow. Blaming either would put innocent requests in quarantine.
+// time may be slow. Blaming either would put requests in quarantine that crash nothing.
 func fromError(parent context.Context, local context.Context, err error) *setback {
 	if cause, ok := placement.IsRefusal(err); ok {
 		return forbidden(cause)
--- a/internal/suspect/apply.go
+++ b/internal/suspect/apply.go
@@ -23,7 +23,7 @@
 // the order of their fingerprints, so that each replica of the shared state
 // computes the same list. It leaves suspects as it is. A changed suspect with
 // Crashes 0 is to be removed. The caller applies each endpoint incarnation's
-// death once: a report that is sent again would count innocent neighbours
+// death once: a report that is sent again would count neighbours
 // twice.
 //
 // When nothing that ran was a suspect, all of it becomes so. When exactly one
