--- a/internal/endpoint/fakes_test.go
+++ b/internal/endpoint/fakes_test.go
@@ -36,14 +36,12 @@
 
 var model = engineapi.ModelRef{Model: "assay", Version: "2"}
 
-// fakeEngine answers probes and counts cancels.
+// fakeEngine answers probes.
 type fakeEngine struct {
 	engine.Client
-	mu      sync.Mutex
-	dead    bool
-	state   engineapi.Announcement
-	cache   engineapi.CacheSnapshot
-	cancels []fleet.AttemptID
+	mu    sync.Mutex
+	dead  bool
+	state engineapi.Announcement
 }
 
 func (e *fakeEngine) State(context.Context, engine.Target) (engineapi.Announcement, error) {
@@ -55,16 +53,10 @@
 	return e.state, nil
 }
 
-func (e *fakeEngine) Cancel(_ engine.Target, attempt fleet.AttemptID) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.cancels = append(e.cancels, attempt)
-}
+func (e *fakeEngine) Cancel(engine.Target, fleet.AttemptID) {}
 
 func (e *fakeEngine) Cache(context.Context, engine.Target) (engineapi.CacheSnapshot, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.cache, nil
+	return engineapi.CacheSnapshot{}, nil
 }
 
 // fakeNet carries drpc over in-memory pipes between the daemons of one test.
