e2e: fold copies of test set-up

mustAsk, mustCall and askBeside send what was sent by hand in fourteen places; awaitVersion, awaitShare, awaitHeld and awaitWhole are waits that were written out; deafen and mute cut one way for the control tests and the soak alike; get reads what three places read; awaitGone serves the ledger test too; others and without were one function; send serves racing and frequent changes; a loop until a channel is closed is untilClosed. controlOnly was oneZone again. The zones of a plan are sorted now, not in the order of their first use.

No test has another name.

--- a/internal/e2e/addresses_test.go
+++ b/internal/e2e/addresses_test.go
@@ -1,13 +1,9 @@
 package e2e_test
 
 import (
-	"encoding/json"
-	"net/http"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/hyssopsail/hyssopsail/internal/callerapi"
 )
 
@@ -56,15 +52,7 @@
 }
 
 func addressesFrom(t *testing.T, i *instance) (callerapi.AddressesReply, error) {
-	sent, err := http.NewRequestWithContext(callContext(t), http.MethodGet, "http://"+i.at(callersPort)+"/v1/addresses", nil)
-	assert.Check(t, err)
-	request{}.address(sent)
-	response, err := callerTransport.RoundTrip(sent)
-	if err != nil {
-		return callerapi.AddressesReply{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
 	var reply callerapi.AddressesReply
-	err = json.NewDecoder(response.Body).Decode(&reply)
+	_, err := get(callContext(t), i, "/v1/addresses", request{}, &reply)
 	return reply, err
 }
--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -81,6 +81,37 @@
 	return receive(sent, false)
 }
 
+// mustAsk is ask at an entry that must give some answer.
+func mustAsk(t *testing.T, entry *instance, r request) answer {
+	t.Helper()
+	a, err := ask(callContext(t), entry, r)
+	assert.NilError(t, err)
+	return a
+}
+
+// mustCall is call at an entry that must give some answer.
+func mustCall(t *testing.T, entry *instance, path, key, body string) answer {
+	t.Helper()
+	a, err := call(callContext(t), entry, path, key, body)
+	assert.NilError(t, err)
+	return a
+}
+
+// askBeside is ask while the test goes on; no answer at all is one that isn't
+// whole, with the cause.
+func askBeside(t *testing.T, entry *instance, r request) <-chan answer {
+	ctx := callContext(t)
+	got := make(chan answer, 1)
+	go func() {
+		a, err := ask(ctx, entry, r)
+		if err != nil {
+			a.refused.Message = err.Error()
+		}
+		got <- a
+	}()
+	return got
+}
+
 // each request has a connection of its own, so that a dead entry's connection
 // is never taken for a later request.
 var callerTransport = &http.Transport{DisableKeepAlives: true}
@@ -152,17 +183,29 @@
 	return a
 }
 
-func ready(t *testing.T, i *instance) error {
-	t.Helper()
-	sent, err := http.NewRequestWithContext(callContext(t), http.MethodGet, "http://"+i.at(callersPort)+"/readyz", nil)
-	assert.NilError(t, err)
+// get reads path at an entry as r's team; into may be nil.
+func get(ctx context.Context, entry *instance, path string, r request, into any) (status int, err error) {
+	sent, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.at(callersPort)+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	r.address(sent)
 	response, err := callerTransport.RoundTrip(sent)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s is not ready: %d", i.id, response.StatusCode)
+	defer func() { _ = response.Body.Close() }()
+	if into != nil && response.StatusCode == http.StatusOK {
+		err = json.NewDecoder(response.Body).Decode(into)
+	}
+	return response.StatusCode, err
+}
+
+func ready(t *testing.T, i *instance) error {
+	t.Helper()
+	status, err := get(callContext(t), i, "/readyz", request{}, nil)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%s is not ready: %d", i.id, status)
 	}
-	return nil
+	return err
 }
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,9 +17,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
-// controlOnly is a group of three control instances.
-func controlOnly() plan { return plan{zones: []string{"a", "a", "a"}, control: 3} }
-
 // versionAt reads a subtree's version at one instance; 0 when it has none.
 func (f *testFleet) versionAt(t *testing.T, i *instance, name string) (uint64, error) {
 	t.Helper()
@@ -36,7 +34,7 @@
 // leaves. The operator sends the same change again to another instance and
 // must get the first result, not a conflict with its own change.
 func TestChangeResentAfterTheLeaderDiedIsAppliedOnce(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	for round := range 3 {
 		leader := f.leader(t, f.instances...)
 		id := fmt.Sprintf("change-%d", round)
@@ -51,9 +49,7 @@
 		})
 		leader.start(t)
 		f.awaitCurrent(t, leader)
-		for _, i := range f.instances {
-			eventually(t, callTime, func() error { return f.wantVersion(t, i, "teams/t", version+1) })
-		}
+		f.awaitVersion(t, version+1, f.instances...)
 	}
 }
 
@@ -69,18 +65,31 @@
 	return nil
 }
 
+// awaitVersion waits until the instances have this version of the team.
+func (f *testFleet) awaitVersion(t *testing.T, version uint64, at ...*instance) {
+	t.Helper()
+	for _, i := range at {
+		eventually(t, callTime, func() error { return f.wantVersion(t, i, "teams/t", version) })
+	}
+}
+
+// awaitShare gives the team a share, sending the change until it is in force.
+func (f *testFleet) awaitShare(t *testing.T, by *operator.Client, version uint64, id string, share int) {
+	t.Helper()
+	yaml := teamYAML("t", teamKey, "a") + fmt.Sprintf("share: %d\n", share)
+	eventually(t, callTime, func() error { return f.change(t, by, "teams/t", version, id, yaml) })
+}
+
 // The leader is cut off silently for long, both ways. Operators go on with the
 // rest. The cut-off leader must neither answer reads nor take requests by what
 // it knows, and on its return it must not depose the new leader.
 func TestLeaderCutOffForLongNeitherAnswersNorDisturbs(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	old := f.leader(t, f.instances...)
 	rest := f.others(old)
 	f.isolate(old, true)
 
-	eventually(t, callTime, func() error {
-		return f.change(t, f.operatorAs(t, operatorKey, rest...), "teams/t", 1, "during the cut", teamYAML("t", teamKey, "a")+"share: 3\n")
-	})
+	f.awaitShare(t, f.operatorAs(t, operatorKey, rest...), 1, "during the cut", 3)
 	eventually(t, callTime, func() error {
 		if ready(t, old) == nil {
 			return fmt.Errorf("the cut-off entry still takes requests")
@@ -108,35 +117,19 @@
 // way round. In both the operators' changes go on, and once it is healed the
 // instance has them all.
 func TestControlInstanceCutOffOneWay(t *testing.T) {
-	cases := []struct {
-		name string
-		way  func(f *testFleet, victim, other *instance, cut bool)
-	}{
-		{"hears nobody", func(f *testFleet, victim, other *instance, cut bool) {
-			f.cutOneWay(other, victim, cut)
-		}},
-		{"is heard by nobody", func(f *testFleet, victim, other *instance, cut bool) {
-			f.cutOneWay(victim, other, cut)
-		}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			f := startFleet(t, controlOnly())
+	for name, cut := range map[string]func(f *testFleet, victim *instance, cut bool){
+		"hears nobody":       (*testFleet).deafen,
+		"is heard by nobody": (*testFleet).mute,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, oneZone())
 			victim := f.leader(t, f.instances...)
 			rest := f.others(victim)
-			for _, other := range rest {
-				c.way(f, victim, other, true)
-			}
-			eventually(t, callTime, func() error {
-				return f.change(t, f.operatorAs(t, operatorKey, rest...), "teams/t", 1, "one way", teamYAML("t", teamKey, "a")+"share: 4\n")
-			})
-			for _, other := range rest {
-				c.way(f, victim, other, false)
-			}
+			cut(f, victim, true)
+			f.awaitShare(t, f.operatorAs(t, operatorKey, rest...), 1, "one way", 4)
+			cut(f, victim, false)
 			f.awaitCurrent(t, f.instances...)
-			for _, i := range f.instances {
-				eventually(t, callTime, func() error { return f.wantVersion(t, i, "teams/t", 2) })
-			}
+			f.awaitVersion(t, 2, f.instances...)
 		})
 	}
 }
@@ -146,7 +139,7 @@
 // removes the old disk and adds the new one. Right after this repair a second
 // instance is lost, and every accepted change must still be there.
 func TestDiskLostThenASecondInstanceRightAfterTheRepair(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	for version := uint64(1); version <= 5; version++ {
 		yaml := teamYAML("t", teamKey, "a") + fmt.Sprintf("share: %d\n", version+1)
 		assert.NilError(t, f.change(t, f.operator, "teams/t", version, fmt.Sprintf("c%d", version), yaml))
@@ -166,12 +159,8 @@
 	second.kill(t)
 	left := f.others(second)
 	f.leader(t, left...)
-	for _, i := range left {
-		eventually(t, callTime, func() error { return f.wantVersion(t, i, "teams/t", 6) })
-	}
-	eventually(t, callTime, func() error {
-		return f.change(t, f.operatorAs(t, operatorKey, left...), "teams/t", 6, "after", teamYAML("t", teamKey, "a")+"share: 9\n")
-	})
+	f.awaitVersion(t, 6, left...)
+	f.awaitShare(t, f.operatorAs(t, operatorKey, left...), 6, "after", 9)
 }
 
 // replaceDisk removes a member whose disk is lost and adds its new one, and
@@ -179,7 +168,7 @@
 func (f *testFleet) replaceDisk(t *testing.T, victim *instance, rest []*instance) {
 	t.Helper()
 	by := f.operatorAs(t, operatorKey, rest...)
-	oldDisk := f.diskOf(t, by, victim.id)
+	oldDisk := diskOf(t, by, victim.id)
 	var own *pb.Member
 	eventually(t, callTime, func() error {
 		member, err := f.operatorAs(t, operatorKey, victim).DiskIdentity(callContext(t), nil)
@@ -189,27 +178,33 @@
 	assert.Assert(t, own.GetDiskId() != oldDisk, "an empty disk has a new identity")
 	eventually(t, callTime, func() error {
 		_, err := by.ChangeMember(callContext(t), &pb.ChangeMemberRequest{Remove: true, Member: &pb.Member{InstanceId: victim.id, DiskId: oldDisk}})
-		if err != nil && f.diskOf(t, by, victim.id) == "" {
+		if err != nil && diskOf(t, by, victim.id) == "" {
 			return nil // done by an earlier try
 		}
 		return err
 	})
 	eventually(t, callTime, func() error {
 		_, err := by.ChangeMember(callContext(t), &pb.ChangeMemberRequest{Member: &pb.Member{InstanceId: victim.id, DiskId: own.GetDiskId(), RpcAddress: f.advertised(victim)}})
-		if f.votes(t, by, own.GetDiskId()) {
+		if votes(t, by, own.GetDiskId()) {
 			return nil
 		}
 		return fmt.Errorf("not a voter yet: %v", err)
 	})
 }
 
-func (f *testFleet) diskOf(t *testing.T, by *operator.Client, id string) string {
+// members is the control group; none when nobody says.
+func members(t *testing.T, by *operator.Client) []*pb.MemberStatus {
 	t.Helper()
 	status, err := by.Status(callContext(t), nil)
 	if err != nil {
-		return ""
+		return nil
 	}
-	for _, m := range status.GetMembers() {
+	return status.GetMembers()
+}
+
+func diskOf(t *testing.T, by *operator.Client, id string) string {
+	t.Helper()
+	for _, m := range members(t, by) {
 		if m.GetMember().GetInstanceId() == id {
 			return m.GetMember().GetDiskId()
 		}
@@ -217,25 +212,18 @@
 	return ""
 }
 
-func (f *testFleet) votes(t *testing.T, by *operator.Client, disk string) bool {
+func votes(t *testing.T, by *operator.Client, disk string) bool {
 	t.Helper()
-	status, err := by.Status(callContext(t), nil)
-	if err != nil {
-		return false
-	}
-	for _, m := range status.GetMembers() {
-		if m.GetMember().GetDiskId() == disk {
-			return !m.GetMember().GetLearner()
-		}
-	}
-	return false
+	return slices.ContainsFunc(members(t, by), func(m *pb.MemberStatus) bool {
+		return m.GetMember().GetDiskId() == disk && !m.GetMember().GetLearner()
+	})
 }
 
 // A control instance is down while more than 500 changes pass; then all are
 // killed and started again. It must have every change, in order, by snapshot
 // or by log.
 func TestRestartAfterFiveHundredChangesHavePassedBy(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	victim := f.others(f.leader(t, f.instances...))[0]
 	victim.kill(t)
 	by := f.operatorAs(t, operatorKey, f.others(victim)...)
@@ -270,14 +258,9 @@
 func (f *testFleet) changeOften(t *testing.T, by *operator.Client, team string, times int) error {
 	for n := range times {
 		yaml := teamYAML(team, "key-"+team, "a") + fmt.Sprintf("share: %d\n", n+1)
-		reply, err := by.Change(callContext(t), &pb.ChangeRequest{Change: &pb.ChangeSubtree{
-			Name: settings.TeamPrefix + team, ExpectedVersion: uint64(n), ChangeId: fmt.Sprintf("%s-%d", team, n), Yaml: []byte(yaml),
-		}})
-		if err != nil {
-			return err
-		}
-		if reply.GetResult().GetStatus() != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
-			return fmt.Errorf("%s %d: %s %s", team, n, reply.GetResult().GetStatus(), reply.GetResult().GetDetail())
+		result := send(t, by, settings.TeamPrefix+team, uint64(n), fmt.Sprintf("%s-%d", team, n), yaml)
+		if result.GetStatus() != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+			return fmt.Errorf("%s %d: %s %s", team, n, result.GetStatus(), result.GetDetail())
 		}
 	}
 	return nil
@@ -287,7 +270,7 @@
 // same moment with equal versions, each through another instance. Exactly one
 // wins each round; the other sees the newer version in its conflict.
 func TestOperatorsRaceWithEqualVersions(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	const rounds = 100
 	for round := range rounds {
 		version := uint64(round + 1)
@@ -295,7 +278,7 @@
 		for n := range 2 {
 			by := f.operatorAs(t, operatorKey, f.instances[(round+n)%3])
 			yaml := teamYAML("t", teamKey, "a") + fmt.Sprintf("share: %d.%d\n", round+1, n+1)
-			go func() { results <- f.race(t, by, version, fmt.Sprintf("r%d-%d", round, n), yaml) }()
+			go func() { results <- send(t, by, "teams/t", version, fmt.Sprintf("r%d-%d", round, n), yaml) }()
 		}
 		first, second := <-results, <-results
 		won := 0
@@ -313,9 +296,10 @@
 	}
 }
 
-func (f *testFleet) race(t *testing.T, by *operator.Client, version uint64, id, yaml string) *pb.ChangeResult {
+// send applies a subtree and doesn't wait until it is in force.
+func send(t *testing.T, by *operator.Client, name string, version uint64, id, yaml string) *pb.ChangeResult {
 	reply, err := by.Change(callContext(t), &pb.ChangeRequest{Change: &pb.ChangeSubtree{
-		Name: "teams/t", ExpectedVersion: version, ChangeId: id, Yaml: []byte(yaml),
+		Name: name, ExpectedVersion: version, ChangeId: id, Yaml: []byte(yaml),
 	}})
 	if err != nil {
 		return &pb.ChangeResult{Detail: err.Error()}
@@ -327,7 +311,7 @@
 // read in hand. The rest has changed the settings meanwhile; the read must show
 // the change or fail, never the old version.
 func TestFrozenLeaderWakesWithAReadInHand(t *testing.T) {
-	f := startFleet(t, controlOnly())
+	f := startFleet(t, oneZone())
 	old := f.leader(t, f.instances...)
 	rest := f.others(old)
 	old.freeze(t)
@@ -339,9 +323,7 @@
 		}
 		versions <- version
 	}()
-	eventually(t, callTime, func() error {
-		return f.change(t, f.operatorAs(t, operatorKey, rest...), "teams/t", 1, "while frozen", teamYAML("t", teamKey, "a")+"share: 5\n")
-	})
+	f.awaitShare(t, f.operatorAs(t, operatorKey, rest...), 1, "while frozen", 5)
 	old.thaw(t)
 	assert.Equal(t, <-versions, uint64(2))
 	f.awaitCurrent(t, f.instances...)
@@ -357,35 +339,22 @@
 	victim.kill(t)
 	victim.loseDisk(t)
 	victim.start(t)
-	rest := without(f.instances, victim)
 	replaced := make(chan struct{})
 	go func() {
 		defer close(replaced)
-		f.replaceDisk(t, victim, without(rest, leader))
+		f.replaceDisk(t, victim, f.others(victim, leader))
 	}()
 	leader.kill(t)
 	<-replaced
 	leader.start(t)
 	f.awaitCurrent(t, f.instances...)
-	for _, i := range f.instances {
-		eventually(t, callTime, func() error { return f.wantVersion(t, i, "teams/t", 2) })
-	}
-}
-
-func without(all []*instance, one *instance) []*instance {
-	var rest []*instance
-	for _, i := range all {
-		if i != one {
-			rest = append(rest, i)
-		}
-	}
-	return rest
+	f.awaitVersion(t, 2, f.instances...)
 }
 
 // A control instance that was never initialised must not make a fleet of its
 // own from its empty folder: it says that it isn't initialised.
 func TestEmptyFolderNeverBecomesAFleetByItself(t *testing.T) {
-	f := newFleet(t, controlOnly())
+	f := newFleet(t, oneZone())
 	for _, i := range f.instances {
 		i.start(t)
 	}
@@ -398,7 +367,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
-	reply, err := by.Change(ctx, &pb.ChangeRequest{Change: &pb.ChangeSubtree{Name: "fleet", ChangeId: "x", Yaml: []byte(fleetYAML(controlOnly()))}})
+	reply, err := by.Change(ctx, &pb.ChangeRequest{Change: &pb.ChangeSubtree{Name: "fleet", ChangeId: "x", Yaml: []byte(fleetYAML(oneZone()))}})
 	assert.Assert(t, err != nil, "%v", reply)
 	assert.Assert(t, ready(t, f.instances[0]) != nil)
 }
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -61,8 +61,7 @@
 	before := e.crashed()
 	t.Logf("%d engines crashed until the verse was contained", before)
 	for n, i := range f.instances {
-		a, err := ask(callContext(t), i, verse(fmt.Sprintf("afterwards-%d", n)))
-		assert.NilError(t, err)
+		a := mustAsk(t, i, verse(fmt.Sprintf("afterwards-%d", n)))
 		assert.Equal(t, a.refused.Code, callerapi.CodeQuarantined, "%+v", a)
 		assert.Equal(t, a.refused.RetryAfterMs, int64(0), "the refusal is final: %+v", a)
 	}
--- a/internal/e2e/endpoints_test.go
+++ b/internal/e2e/endpoints_test.go
@@ -142,17 +142,21 @@
 
 // awaitServing waits until a completion at each entry is answered whole.
 func (e *engines) awaitServing(t *testing.T) {
+	t.Helper()
+	e.awaitWhole(t, func(i *instance) (answer, error) {
+		return ask(callContext(t), i, request{prompt: "warm up " + i.id, maxTokens: 2})
+	})
+}
+
+func (e *engines) awaitWhole(t *testing.T, send func(*instance) (answer, error)) {
 	t.Helper()
 	for _, i := range e.fleet.instances {
 		eventually(t, 15*time.Second, func() error {
-			a, err := ask(callContext(t), i, request{prompt: "warm up " + i.id, maxTokens: 2})
-			if err != nil {
-				return err
-			}
-			if !a.whole() {
-				return fmt.Errorf("%s: %+v", i.id, a)
+			a, err := send(i)
+			if err == nil && !a.whole() {
+				err = fmt.Errorf("%s: %+v", i.id, a)
 			}
-			return nil
+			return err
 		})
 	}
 }
@@ -160,18 +164,9 @@
 // awaitService waits until a repeatable plain call at each entry is answered.
 func (e *engines) awaitService(t *testing.T) {
 	t.Helper()
-	for _, i := range e.fleet.instances {
-		eventually(t, 15*time.Second, func() error {
-			a, err := call(callContext(t), i, "/again", "", "warm up")
-			if err != nil {
-				return err
-			}
-			if a.status != http.StatusOK {
-				return fmt.Errorf("%s: %+v", i.id, a)
-			}
-			return nil
-		})
-	}
+	e.awaitWhole(t, func(i *instance) (answer, error) {
+		return call(callContext(t), i, "/again", "", "warm up")
+	})
 }
 
 // runsOf counts how often a plain call with this body marker ran anywhere.
@@ -188,6 +183,21 @@
 	return runs
 }
 
+// awaitHeld waits until these endpoints together hold so many attempts.
+func awaitHeld(t *testing.T, count int, at ...*emulated) {
+	t.Helper()
+	eventually(t, callTime, func() error {
+		held := 0
+		for _, m := range at {
+			held += m.audit(t).Held
+		}
+		if held < count {
+			return fmt.Errorf("%d of %d held", held, count)
+		}
+		return nil
+	})
+}
+
 // awaitNothingHeld waits until no live endpoint holds memory.
 func (e *engines) awaitNothingHeld(t *testing.T, within time.Duration) {
 	t.Helper()
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -231,15 +232,7 @@
 }
 
 func (p plan) zoneList() []string {
-	var zones []string
-	seen := map[string]bool{}
-	for _, zone := range p.zones {
-		if !seen[zone] {
-			zones = append(zones, zone)
-		}
-		seen[zone] = true
-	}
-	return zones
+	return slices.Compact(slices.Sorted(slices.Values(p.zones)))
 }
 
 func fleetYAML(p plan) string {
@@ -300,14 +293,24 @@
 	f.links.set(direction{from.ip, to.ip}, cut)
 }
 
+// deafen silences all that i hears, or undoes it.
+func (f *testFleet) deafen(i *instance, cut bool) {
+	for _, other := range f.others(i) {
+		f.cutOneWay(other, i, cut)
+	}
+}
+
+// mute silences all that others hear from i, or undoes it.
+func (f *testFleet) mute(i *instance, cut bool) {
+	for _, other := range f.others(i) {
+		f.cutOneWay(i, other, cut)
+	}
+}
+
 // isolate silences both ways between i and all others.
 func (f *testFleet) isolate(i *instance, cut bool) {
-	for _, other := range f.instances {
-		if other != i {
-			f.cutOneWay(i, other, cut)
-			f.cutOneWay(other, i, cut)
-		}
-	}
+	f.deafen(i, cut)
+	f.mute(i, cut)
 }
 
 // leader gives the instance that leads the control group.
@@ -330,12 +333,6 @@
 	return found
 }
 
-func (f *testFleet) others(not *instance) []*instance {
-	var rest []*instance
-	for _, i := range f.instances {
-		if i != not {
-			rest = append(rest, i)
-		}
-	}
-	return rest
+func (f *testFleet) others(not ...*instance) []*instance {
+	return slices.DeleteFunc(slices.Clone(f.instances), func(i *instance) bool { return slices.Contains(not, i) })
 }
--- a/internal/e2e/leave_test.go
+++ b/internal/e2e/leave_test.go
@@ -91,17 +91,12 @@
 
 // bothKinds asks an entry for a completion and a plain call, over and over.
 func bothKinds(t *testing.T, i *instance, n int, stop <-chan struct{}) {
-	for k := 0; ; k++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	untilClosed(stop, func(k int) {
 		ctx, cancel := context.WithTimeout(t.Context(), callTime)
 		_, _ = ask(ctx, i, request{prompt: fmt.Sprintf("leave %d %d [[tokens=5]]", n, k), maxTokens: 5, stream: true})
 		_, _ = call(ctx, i, "/again", "", fmt.Sprintf("lookup %d %d", n, k))
 		cancel()
-	}
+	})
 }
 
 // An endpoint of each kind announces its leave, or falls silent. The entry that
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -15,9 +15,12 @@
 )
 
 // pickups is a fleet of four entries with two processes of the plain service.
-func pickups(t *testing.T) (*testFleet, *engines) {
+func pickups(t *testing.T) (*testFleet, *engines) { return pickupsIn(t, "a", "a", "a", "a") }
+
+// pickupsIn has one entry in each of the zones and the service in zone a.
+func pickupsIn(t *testing.T, zones ...string) (*testFleet, *engines) {
 	t.Helper()
-	f := startFleet(t, plan{zones: []string{"a", "a", "a", "a"}, control: 3})
+	f := startFleet(t, plan{zones: zones, control: 3})
 	e := &engines{fleet: f}
 	e.add(t, "s1", "a", fleet.RolePlain)
 	e.add(t, "s2", "a", fleet.RolePlain)
@@ -31,13 +34,11 @@
 // entry. It runs once; the repeats get the recorded outcome.
 func TestNonIdempotentCallRunsOnceOverAllEntries(t *testing.T) {
 	f, e := pickups(t)
-	a, err := call(callContext(t), f.instances[0], "/once", "key-1", body("slip-1"))
-	assert.NilError(t, err)
+	a := mustCall(t, f.instances[0], "/once", "key-1", body("slip-1"))
 	assert.Equal(t, a.status, http.StatusOK)
 	assert.Equal(t, a.outcome, callerapi.OutcomeCompleted)
 	for _, i := range f.instances {
-		again, err := call(callContext(t), i, "/once", "key-1", body("slip-1"))
-		assert.NilError(t, err)
+		again := mustCall(t, i, "/once", "key-1", body("slip-1"))
 		assert.Equal(t, again.refused.Code, callerapi.CodeRecorded)
 		assert.Equal(t, again.outcome, callerapi.OutcomeCompleted)
 	}
@@ -68,8 +69,7 @@
 	assert.Assert(t, <-sent != nil)
 	deadline := time.Now().Add(6 * time.Second)
 	for n := 0; time.Now().Before(deadline); n++ {
-		again, err := call(callContext(t), f.instances[n%3], "/once", "key-2", body("slip-2"))
-		assert.NilError(t, err)
+		again := mustCall(t, f.instances[n%3], "/once", "key-2", body("slip-2"))
 		assert.Assert(t, again.status != http.StatusOK, "%+v", again)
 		assert.Assert(t, again.outcome != callerapi.OutcomeNotRun || again.refused.Code == callerapi.CodeNotCurrent, "%+v", again)
 		<-time.After(200 * time.Millisecond)
@@ -136,8 +136,7 @@
 	e.awaitService(t)
 	const slips = 24
 	for n := range slips {
-		a, err := call(callContext(t), f.instances[n%len(f.instances)], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
-		assert.NilError(t, err)
+		a := mustCall(t, f.instances[n%len(f.instances)], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
 		assert.Equal(t, a.status, http.StatusOK, "%+v", a)
 	}
 	f.instances[4].kill(t)
@@ -164,18 +163,7 @@
 // is answered only by whole groups.
 func (f *testFleet) awaitWholeLedger(t *testing.T, gone *instance) {
 	t.Helper()
-	eventually(t, callTime, func() error {
-		status, err := f.operatorAs(t, operatorKey, f.instances[0]).Status(callContext(t), nil)
-		if err != nil {
-			return err
-		}
-		for _, i := range status.GetInstances() {
-			if i.GetInstance().GetId() == gone.id {
-				return fmt.Errorf("%s is still in the view", gone.id)
-			}
-		}
-		return nil
-	})
+	f.awaitGone(t, f.instances[0], gone)
 	for _, i := range f.others(gone) {
 		eventually(t, callTime, func() error {
 			shards, err := metricOf(t, i, "hyssopsail_ledger_copying_shards")
--- a/internal/e2e/provision_frozen_test.go
+++ b/internal/e2e/provision_frozen_test.go
@@ -182,12 +182,7 @@
 			streams <- a
 		}()
 	}
-	eventually(t, callTime, func() error {
-		if held := decode.audit(t).Held; held < 3 {
-			return fmt.Errorf("%d streams run", held)
-		}
-		return nil
-	})
+	awaitHeld(t, 3, decode)
 	client := f.operatorAs(t, operatorKey, f.instances[0])
 	reply, err := client.Order(callContext(t), &pb.OrderEndpointRequest{OrderId: "u", EndpointId: "d", Kind: "unload", Model: "m@1"})
 	assert.NilError(t, err)
--- a/internal/e2e/repeat_test.go
+++ b/internal/e2e/repeat_test.go
@@ -49,14 +49,9 @@
 	for n, again := range []int{0, 1} {
 		marker := fmt.Sprintf("gloss-%d", n)
 		r := request{prompt: fmt.Sprintf("[[id=%s]][[tokens=500]]", marker), maxTokens: 500, stream: true, key: marker}
-		first := make(chan answer, 1)
-		go func() {
-			a, _ := ask(callContext(t), f.instances[0], r)
-			first <- a
-		}()
+		first := askBeside(t, f.instances[0], r)
 		e.decodingAt(t)
-		second, err := ask(callContext(t), f.instances[again], r)
-		assert.NilError(t, err)
+		second := mustAsk(t, f.instances[again], r)
 		a := <-first
 		whole := 0
 		for _, got := range []answer{a, second} {
@@ -92,12 +87,7 @@
 		r := request{prompt: fmt.Sprintf("long %d [[tokens=30000]]", n), maxTokens: 30000, stream: true}
 		go func() { _, _ = ask(ctx, f.instances[n%3], r) }()
 	}
-	eventually(t, callTime, func() error {
-		if held := decode.Audit().Held; held < 4 {
-			return fmt.Errorf("%d held", held)
-		}
-		return nil
-	})
+	awaitHeld(t, 4, decode)
 	return f, e, cancel
 }
 
--- a/internal/e2e/request_test.go
+++ b/internal/e2e/request_test.go
@@ -24,8 +24,7 @@
 	for _, i := range f.instances {
 		for _, stream := range []bool{true, false} {
 			r := request{prompt: "bale of saris at " + i.id, maxTokens: 40, stream: stream}
-			a, err := ask(callContext(t), i, r)
-			assert.NilError(t, err)
+			a := mustAsk(t, i, r)
 			assert.Assert(t, a.whole(), "%+v", a)
 			assert.Equal(t, a.outcome, callerapi.OutcomeCompleted)
 			assert.Equal(t, a.text, standin.ExpectedText(r.prompt, r.maxTokens))
--- a/internal/e2e/secrecy_test.go
+++ b/internal/e2e/secrecy_test.go
@@ -29,14 +29,11 @@
 	e.awaitService(t)
 	const bodyMark, keyMark, pathMark = "marked-body-5b1c", "marked-key-77d0", "marked-query-9a3e"
 	r := request{prompt: bodyMark, maxTokens: 20, stream: true, key: keyMark}
-	a, err := ask(callContext(t), f.instances[0], r)
-	assert.NilError(t, err)
+	a := mustAsk(t, f.instances[0], r)
 	assert.Assert(t, a.whole(), "%+v", a)
-	once, err := call(callContext(t), f.instances[1], "/once?q="+pathMark, keyMark+"-once", body(bodyMark))
-	assert.NilError(t, err)
+	once := mustCall(t, f.instances[1], "/once?q="+pathMark, keyMark+"-once", body(bodyMark))
 	assert.Equal(t, once.status, http.StatusOK, "%+v", once)
-	refused, err := ask(callContext(t), f.instances[2], request{prompt: bodyMark, key: keyMark, teamKey: "wrong-" + keyMark})
-	assert.NilError(t, err)
+	refused := mustAsk(t, f.instances[2], request{prompt: bodyMark, key: keyMark, teamKey: "wrong-" + keyMark})
 	assert.Equal(t, refused.status, http.StatusUnauthorized)
 
 	secrets := []string{bodyMark, keyMark, pathMark, wanted(r), teamKey, operatorKey, endpointKey}
--- a/internal/e2e/soak_audit_test.go
+++ b/internal/e2e/soak_audit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -151,24 +150,17 @@
 	if entry.zone != r.team.home {
 		entry = a.fleet.instances[1]
 	}
-	sent, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.at(callersPort)+"/v1/requests/"+r.marker, nil)
-	if err != nil {
-		return callerapi.RequestReply{}, err
-	}
-	request{teamKey: r.ask.teamKey}.address(sent)
-	response, err := callerTransport.RoundTrip(sent)
-	if err != nil {
+	var reply callerapi.RequestReply
+	status, err := get(ctx, entry, "/v1/requests/"+r.marker, request{teamKey: r.ask.teamKey}, &reply)
+	switch {
+	case err != nil:
 		return callerapi.RequestReply{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusNotFound {
+	case status == http.StatusNotFound:
 		return callerapi.RequestReply{Outcome: noRecord}, nil
+	case status != http.StatusOK:
+		return callerapi.RequestReply{}, fmt.Errorf("lookup of %s: status %d", r.marker, status)
 	}
-	if response.StatusCode != http.StatusOK {
-		return callerapi.RequestReply{}, fmt.Errorf("lookup of %s: status %d", r.marker, response.StatusCode)
-	}
-	var reply callerapi.RequestReply
-	return reply, json.NewDecoder(response.Body).Decode(&reply)
+	return reply, nil
 }
 
 const violationsPrinted = 3
--- a/internal/e2e/soak_callers_test.go
+++ b/internal/e2e/soak_callers_test.go
@@ -92,16 +92,11 @@
 )
 
 func (c *soakCaller) run(stop <-chan struct{}) {
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	untilClosed(stop, func(n int) {
 		r := c.next(n)
 		c.log.add(r)
 		c.serve(r)
-	}
+	})
 }
 
 func (c *soakCaller) next(n int) *soakRequest {
--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -78,31 +78,17 @@
 	return soakFault{"freeze " + i.id, i.id, func() { i.freeze(s.t) }, func() { i.thaw(s.t) }}
 }
 
-func (s *soak) isolated() soakFault {
-	i := s.someInstance()
-	return soakFault{"isolate " + i.id, i.id, func() { s.fleet.isolate(i, true) }, func() { s.fleet.isolate(i, false) }}
-}
+func (s *soak) isolated() soakFault { return s.cutOff("isolate", s.fleet.isolate) }
 
 // deaf is an instance that hears nobody, and is heard.
-func (s *soak) deaf() soakFault {
-	i := s.someInstance()
-	cut := func(on bool) {
-		for _, other := range s.fleet.others(i) {
-			s.fleet.cutOneWay(other, i, on)
-		}
-	}
-	return soakFault{"deaf " + i.id, i.id, func() { cut(true) }, func() { cut(false) }}
-}
+func (s *soak) deaf() soakFault { return s.cutOff("deaf", s.fleet.deafen) }
 
 // mute is an instance that nobody hears, and hears.
-func (s *soak) mute() soakFault {
+func (s *soak) mute() soakFault { return s.cutOff("mute", s.fleet.mute) }
+
+func (s *soak) cutOff(name string, cut func(i *instance, cut bool)) soakFault {
 	i := s.someInstance()
-	cut := func(on bool) {
-		for _, other := range s.fleet.others(i) {
-			s.fleet.cutOneWay(i, other, on)
-		}
-	}
-	return soakFault{"mute " + i.id, i.id, func() { cut(true) }, func() { cut(false) }}
+	return soakFault{name + " " + i.id, i.id, func() { cut(i, true) }, func() { cut(i, false) }}
 }
 
 func (s *soak) stopped() soakFault {
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -60,14 +60,7 @@
 func TestDecodeEngineKilledMidStream(t *testing.T) {
 	f, e := models(t, 3)
 	r := request{prompt: "a long gloss [[tokens=400]]", maxTokens: 400, stream: true}
-	got := make(chan answer, 1)
-	go func() {
-		a, err := ask(callContext(t), f.instances[0], r)
-		if err != nil {
-			a.refused.Message = err.Error()
-		}
-		got <- a
-	}()
+	got := askBeside(t, f.instances[0], r)
 	e.decodingAt(t).kill()
 	a := <-got
 	assert.Assert(t, a.whole(), "%+v", a)
@@ -82,11 +75,7 @@
 		m.faults(t, standin.Faults{Slow: 20}) // the prefill takes long enough to be met
 	}
 	r := request{prompt: strings.Repeat("bale photographs ", 250), maxTokens: 20, stream: true}
-	got := make(chan answer, 1)
-	go func() {
-		a, _ := ask(callContext(t), f.instances[1], r)
-		got <- a
-	}()
+	got := askBeside(t, f.instances[1], r)
 	var busy *emulated
 	eventually(t, callTime, func() error {
 		for _, m := range e.all[:2] {
@@ -139,16 +128,7 @@
 			_, _ = ask(callContext(t), victim, request{prompt: fmt.Sprintf("orphan %d [[tokens=20000]]", n), maxTokens: 20000, stream: true})
 		})
 	}
-	eventually(t, callTime, func() error {
-		held := 0
-		for _, m := range e.all {
-			held += m.audit(t).Held
-		}
-		if held < 12 {
-			return fmt.Errorf("%d held", held)
-		}
-		return nil
-	})
+	awaitHeld(t, 12, e.all...)
 	victim.kill(t)
 	began := time.Now()
 	group.Wait()
@@ -231,19 +211,15 @@
 // slipsUntil sends slips, each once, to addresses that are kept.
 func slipsUntil(t *testing.T, f *testFleet, worker int, stop <-chan struct{}, lost *complaints) {
 	addresses := newAddressBook(f)
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(pollEvery):
-		}
+	untilClosed(stop, func(n int) {
+		<-time.After(pollEvery)
 		marker := fmt.Sprintf("stop-%d-%d", worker, n)
 		entry := addresses.pick(t, worker+n)
 		a, err := call(callContext(t), entry, "/once", marker, body(marker))
 		if err != nil || !a.whole() {
 			lost.add("%s %s: %s: %+v %v", time.Now().Format(time.TimeOnly), entry.id, marker, a, err)
 		}
-	}
+	})
 }
 
 // complaints counts what callers lost and keeps the first few.
@@ -280,12 +256,7 @@
 
 func loadUntil(t *testing.T, f *testFleet, worker int, stop <-chan struct{}, lost *complaints) {
 	addresses := newAddressBook(f)
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	untilClosed(stop, func(n int) {
 		r := request{prompt: fmt.Sprintf("load %d %d [[tokens=60]]", worker, n), maxTokens: 60, stream: true}
 		entry := addresses.pick(t, worker+n)
 		a, err := ask(callContext(t), entry, r)
@@ -294,5 +265,17 @@
 		} else if !a.whole() || a.text != wanted(r) {
 			lost.add("%s %s: %+v", time.Now().Format(time.TimeOnly), entry.id, a)
 		}
+	})
+}
+
+// untilClosed repeats a step, counted from 0, until stop is closed.
+func untilClosed(stop <-chan struct{}, step func(n int)) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+			step(n)
+		}
 	}
 }
--- a/internal/e2e/zonechange_test.go
+++ b/internal/e2e/zonechange_test.go
@@ -9,20 +9,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/callerapi"
-	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
 // zonePickups is a fleet over two zones in which zone a has a majority of each
 // ledger group, and a plain service in zone a.
-func zonePickups(t *testing.T) (*testFleet, *engines) {
-	t.Helper()
-	f := startFleet(t, plan{zones: []string{"a", "a", "a", "b"}, control: 3})
-	e := &engines{fleet: f}
-	e.add(t, "s1", "a", fleet.RolePlain)
-	e.add(t, "s2", "a", fleet.RolePlain)
-	e.awaitService(t)
-	return f, e
-}
+func zonePickups(t *testing.T) (*testFleet, *engines) { return pickupsIn(t, "a", "a", "a", "b") }
 
 // setZones changes the permitted zones of the team and waits until the change
 // is in force.
@@ -30,8 +21,7 @@
 	t.Helper()
 	id := fmt.Sprintf("zones-%d", version)
 	eventually(t, callTime, func() error {
-		err := f.change(t, f.operator, "teams/t", version, id, teamYAML("t", teamKey, zones...))
-		return err
+		return f.change(t, f.operator, "teams/t", version, id, teamYAML("t", teamKey, zones...))
 	})
 }
 
@@ -63,8 +53,7 @@
 	key := func(n int) string { return fmt.Sprintf("key-zones-%d", n) }
 	marker := func(n int) string { return fmt.Sprintf("slip-zones-%d", n) }
 	for n := range slips {
-		a, err := call(callContext(t), f.instances[n%3], "/once", key(n), body(marker(n)))
-		assert.NilError(t, err)
+		a := mustCall(t, f.instances[n%3], "/once", key(n), body(marker(n)))
 		assert.Equal(t, a.status, http.StatusOK, "%+v", a)
 	}
 	f.setZones(t, 1, "a")
--- a/internal/e2e/zones_test.go
+++ b/internal/e2e/zones_test.go
@@ -107,14 +107,12 @@
 	t.Helper()
 	for n, i := range entries {
 		eventually(t, callTime, func() error {
-			a, err := ask(callContext(t), i, request{prompt: fmt.Sprintf("down %d", n), maxTokens: 5})
-			assert.NilError(t, err)
+			a := mustAsk(t, i, request{prompt: fmt.Sprintf("down %d", n), maxTokens: 5})
 			assert.Assert(t, !a.whole(), "%s served it: %+v", i.id, a)
 			return wantNotRun(i, a)
 		})
 		eventually(t, callTime, func() error {
-			a, err := call(callContext(t), i, "/once", "", body(fmt.Sprintf("down-%d", n)))
-			assert.NilError(t, err)
+			a := mustCall(t, i, "/once", "", body(fmt.Sprintf("down-%d", n)))
 			assert.Assert(t, a.status >= 400, "%s served it: %+v", i.id, a)
 			return wantNotRun(i, a)
 		})
@@ -136,14 +134,12 @@
 	f, e := twoZones(t)
 	const slips = 8
 	for n := range slips {
-		a, err := call(callContext(t), f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
-		assert.NilError(t, err)
+		a := mustCall(t, f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
 		assert.Equal(t, a.status, 200, "%+v", a)
 	}
 	assert.NilError(t, f.change(t, f.operator, "teams/t", 1, "narrow", teamYAML("t", teamKey, "a")))
 	for n := range slips {
-		again, err := call(callContext(t), f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
-		assert.NilError(t, err)
+		again := mustCall(t, f.instances[0], "/once", fmt.Sprintf("key-%d", n), body(fmt.Sprintf("slip-%d", n)))
 		assert.Check(t, again.outcome != callerapi.OutcomeNotRun, "%+v", again)
 		assert.Check(t, e.runsOf(t, fmt.Sprintf("slip-%d", n)) == 1, "slip-%d ran twice", n)
 	}
