--- a/internal/outcome/fleet_test.go
+++ b/internal/outcome/fleet_test.go
@@ -4,18 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 var testZones = fleet.NewZoneSet("howrah", "barasat", "durgapur")
@@ -32,27 +33,18 @@
 type testFleet struct {
 	mu     sync.Mutex
 	state  *membership.State
-	groups map[fleet.LedgerShard]*testGroup
+	groups map[fleet.LedgerShard]*fleet.LedgerGroup
 	nodes  map[fleet.InstanceID]*testNode
-	cut    map[[2]fleet.InstanceID]bool // requests or replies from one to the other are lost
-	calls  map[fleet.InstanceID]int     // over the network, by receiver
-	// hold, if set, may stop a call on its way in or its reply on its way out.
-	hold func(from, to fleet.InstanceID, rpc string, reply bool)
-}
-
-type testGroup struct {
-	current fleet.LedgerGroup
+	net    *testkit.Network
 }
 
 // testNode is one process: its source of state and its service.
 type testNode struct {
-	fleet   *testFleet
-	self    fleet.Instance
+	membership.Static
 	service *Service
 	stop    context.CancelFunc
 
-	mu      sync.Mutex
-	state   *membership.State
+	mu      sync.Mutex // of Fixed and what follows
 	changed chan struct{}
 	stale   bool // no longer told of changes
 }
@@ -60,10 +52,9 @@
 func (n *testNode) State() *membership.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state
+	return n.Fixed
 }
-func (n *testNode) Current(time.Time) bool { return true }
-func (n *testNode) Self() fleet.Instance   { return n.self }
+
 func (n *testNode) Changed() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -82,27 +73,29 @@
 	if n.stale {
 		return
 	}
-	n.state = s
+	n.Fixed = s
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// newTestFleet starts processes, of which a, b and c hold the records.
 func newTestFleet(t *testing.T, options Options, names ...fleet.InstanceID) *testFleet {
 	f := &testFleet{
 		state:  &membership.State{View: fleet.View{Instances: map[fleet.InstanceID]fleet.Instance{}}, Tree: treeOf(testZones)},
-		groups: make(map[fleet.LedgerShard]*testGroup),
+		groups: make(map[fleet.LedgerShard]*fleet.LedgerGroup),
 		nodes:  make(map[fleet.InstanceID]*testNode),
-		cut:    make(map[[2]fleet.InstanceID]bool),
-		calls:  make(map[fleet.InstanceID]int),
+		net:    &testkit.Network{},
 	}
 	for n, name := range names {
 		f.start(t, name, fleet.Incarnation(n+1), options)
 	}
+	f.setGroups(testZones, "a", "b", "c")
+	f.awaitReady(t, 3)
 	return f
 }
 
 // start starts a process, which joins the view.
-func (f *testFleet) start(t *testing.T, name fleet.InstanceID, incarnation fleet.Incarnation, o Options) *testNode {
+func (f *testFleet) start(t *testing.T, name fleet.InstanceID, incarnation fleet.Incarnation, o Options) {
 	zones := testZones.Zones()
 	self := fleet.Instance{
 		ID:          name,
@@ -111,13 +104,12 @@
 		RPCAddress:  string(name),
 		Entry:       true,
 	}
-	n := &testNode{fleet: f, self: self, state: f.state, changed: make(chan struct{})}
+	n := &testNode{Static: membership.Static{Fixed: f.state, Instance: self}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	n.stop = cancel
-	o.Source = n
-	o.Dialer = n
-	o.Ready = f.ready
+	o.Source, o.Dialer, o.Ready = n, f.net.Dialer(self.RPCAddress), f.ready
 	n.service = NewService(o)
+	f.net.Serve(self.RPCAddress, n.service.Server(), pb.DRPCLedgerDescription{})
 	f.mu.Lock()
 	f.nodes[name] = n
 	f.mu.Unlock()
@@ -131,7 +123,6 @@
 		cancel()
 		<-done
 	})
-	return n
 }
 
 // change makes a new state and tells all nodes.
@@ -148,12 +139,10 @@
 		Tree:   f.state.Tree,
 		Former: f.state.Former,
 	}
-	for id, i := range f.state.View.Instances {
-		next.View.Instances[id] = i
-	}
+	maps.Copy(next.View.Instances, f.state.View.Instances)
 	edit(next)
 	for name, g := range f.groups {
-		next.Groups[name] = g.current
+		next.Groups[name] = *g
 	}
 	f.state = next
 	for _, n := range f.nodes {
@@ -168,13 +157,13 @@
 	f.change(func(s *membership.State) {
 		g := f.groups[shard]
 		if g == nil {
-			g = &testGroup{}
+			g = &fleet.LedgerGroup{}
 			f.groups[shard] = g
 		}
-		next := fleet.LedgerGroup{Shard: shard, Epoch: g.current.Epoch + 1, HistoryLostMs: g.current.HistoryLostMs}
+		next := fleet.LedgerGroup{Shard: shard, Epoch: g.Epoch + 1, HistoryLostMs: g.HistoryLostMs}
 		ready := make(map[fleet.Owner]bool)
 		left := 0
-		for _, r := range g.current.Replicas {
+		for _, r := range g.Replicas {
 			if r.Ready {
 				ready[r.Owner] = true
 				next.Sources = append(next.Sources, r)
@@ -187,7 +176,7 @@
 			o := s.View.Instances[name].Owner()
 			next.Replicas = append(next.Replicas, fleet.LedgerReplica{Owner: o, Ready: ready[o]})
 		}
-		fresh := len(g.current.Replicas) == 0
+		fresh := len(g.Replicas) == 0
 		if !fresh && left <= len(next.Sources)/2 {
 			next.HistoryLostMs = time.Now().UnixMilli()
 			fresh = true
@@ -198,22 +187,20 @@
 				next.Replicas[n].Ready = true
 			}
 		}
-		g.current = next
+		*g = next
 	})
 }
 
-func (f *testFleet) setGroups(names ...fleet.InstanceID) {
+func (f *testFleet) setGroups(zones fleet.ZoneSet, names ...fleet.InstanceID) {
 	for n := range uint32(fleet.LedgerShards) {
-		f.setGroup(fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}, names...)
+		f.setGroup(fleet.LedgerShard{ZoneClass: zones.Class(), Shard: n}, names...)
 	}
 }
 
 // setZones changes the team's permitted zones, as the control group does, and
 // gives the new class its groups.
 func (f *testFleet) setZones(zones fleet.ZoneSet, names ...fleet.InstanceID) {
-	for n := range uint32(fleet.LedgerShards) {
-		f.setGroup(fleet.LedgerShard{ZoneClass: zones.Class(), Shard: n}, names...)
-	}
+	f.setGroups(zones, names...)
 	f.change(func(s *membership.State) {
 		old := s.Tree.Teams[testTeam].Permitted().Class()
 		left := slices.DeleteFunc(slices.Clone(s.Former[testTeam]), func(c string) bool { return c == old })
@@ -228,6 +215,7 @@
 	f.nodes[name].stop()
 	delete(f.nodes, name)
 	f.mu.Unlock()
+	f.net.Remove(string(name))
 	f.lose(name)
 }
 
@@ -247,21 +235,20 @@
 	f.change(func(*membership.State) {
 		for _, e := range ready.GetShards() {
 			shard := fleet.LedgerShard{ZoneClass: e.GetZoneClass(), Shard: e.GetShard()}
-			if g := f.groups[shard]; g != nil && g.current.Epoch == e.GetEpoch() {
-				g.markReady(who)
+			if g := f.groups[shard]; g != nil && g.Epoch == e.GetEpoch() {
+				g.Replicas = markedReady(g.Replicas, who)
 			}
 		}
 	})
 	return nil
 }
 
-func (g *testGroup) markReady(who fleet.Owner) {
-	replicas := make([]fleet.LedgerReplica, len(g.current.Replicas))
-	for n, m := range g.current.Replicas {
-		m.Ready = m.Ready || m.Owner == who
-		replicas[n] = m
+func markedReady(replicas []fleet.LedgerReplica, who fleet.Owner) []fleet.LedgerReplica {
+	marked := slices.Clone(replicas)
+	for n := range marked {
+		marked[n].Ready = marked[n].Ready || marked[n].Owner == who
 	}
-	g.current.Replicas = replicas
+	return marked
 }
 
 // awaitReady waits until all groups have the given number of ready replicas.
@@ -269,13 +256,8 @@
 	t.Helper()
 	f.await(t, fmt.Sprintf("%d ready replicas", want), func() bool {
 		for _, g := range f.groups {
-			ready := 0
-			for _, m := range g.current.Replicas {
-				if m.Ready {
-					ready++
-				}
-			}
-			if ready < want {
+			waiting := func(r fleet.LedgerReplica) bool { return !r.Ready }
+			if len(slices.DeleteFunc(slices.Clone(g.Replicas), waiting)) < want {
 				return false
 			}
 		}
@@ -298,69 +280,6 @@
 	t.Fatalf("not in time: %s", what)
 }
 
-// setCut loses what goes from one node to another.
-func (f *testFleet) setCut(from, to fleet.InstanceID, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut[[2]fleet.InstanceID{from, to}] = cut
-}
-
-func (f *testFleet) setHold(hold func(from, to fleet.InstanceID, rpc string, reply bool)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hold = hold
-}
-
-func (f *testFleet) isCut(from, to fleet.InstanceID) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cut[[2]fleet.InstanceID{from, to}]
-}
-
-// Conn implements rpc.Dialer; addresses are instance IDs.
-func (n *testNode) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	return &testConn{from: n, to: fleet.InstanceID(address)}, nil
-}
-
-// testConn calls the other process' server directly. What is cut off waits
-// until its context ends, as on a silent network.
-type testConn struct {
-	drpc.Conn
-	from *testNode
-	to   fleet.InstanceID
-}
-
-func (c *testConn) Invoke(ctx context.Context, name string, _ drpc.Encoding, in, out drpc.Message) error {
-	f := c.from.fleet
-	f.mu.Lock()
-	f.calls[c.to]++
-	target := f.nodes[c.to]
-	hold := f.hold
-	f.mu.Unlock()
-	if hold == nil {
-		hold = func(fleet.InstanceID, fleet.InstanceID, string, bool) {}
-	}
-	if target == nil {
-		return errors.New("no such process")
-	}
-	hold(c.from.self.ID, c.to, name, false)
-	if f.isCut(c.from.self.ID, c.to) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	reply, err := dispatch(ctx, target.service.Server(), name, proto.Clone(in.(proto.Message)))
-	hold(c.from.self.ID, c.to, name, true)
-	if f.isCut(c.to, c.from.self.ID) {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	if err != nil {
-		return err
-	}
-	proto.Merge(out.(proto.Message), reply.(proto.Message))
-	return nil
-}
-
 func dispatch(ctx context.Context, server pb.DRPCLedgerServer, name string, in drpc.Message) (drpc.Message, error) {
 	description := pb.DRPCLedgerDescription{}
 	for n := range description.NumMethods() {
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -1,64 +1,34 @@
 package quarantine
 
 import (
-	"context"
-	"errors"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"storj.io/drpc"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 var testZones = fleet.NewZoneSet("howrah", "barasat")
 
 // testEntry is a process whose state the test sets, and its way to the others.
 type testEntry struct {
-	self    fleet.Instance
-	state   *membership.State
+	membership.Static
 	service *Service
-	others  map[string]*testEntry
-	calls   int
+	net     *testkit.Network
 }
 
-func (e *testEntry) State() *membership.State { return e.state }
-func (e *testEntry) Current(time.Time) bool   { return true }
-func (e *testEntry) Self() fleet.Instance     { return e.self }
-func (e *testEntry) Changed() <-chan struct{} { return nil }
-
-func (e *testEntry) Conn(_ context.Context, address string) (drpc.Conn, error) {
-	other, ok := e.others[address]
-	if !ok {
-		return nil, errors.New("out of reach")
-	}
-	return &testConn{to: other}, nil
+// ledgerServer has the calls of a guard and no others.
+type ledgerServer struct {
+	noCalls
+	*Service
 }
 
-type testConn struct {
-	drpc.Conn
-	to *testEntry
-}
-
-func (c *testConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
-	c.to.calls++
-	switch q := in.(type) {
-	case *pb.BeginRunRequest:
-		reply, err := c.to.service.BeginRun(ctx, q)
-		if err != nil {
-			return err
-		}
-		out.(*pb.BeginRunReply).Verdict = reply.Verdict
-		out.(*pb.BeginRunReply).RetryAfterMs = reply.RetryAfterMs
-		return nil
-	case *pb.EndRunRequest:
-		_, err := c.to.service.EndRun(ctx, q)
-		return err
-	}
-	return errors.New("no such call")
+type noCalls struct {
+	pb.DRPCLedgerUnimplementedServer
 }
 
 // newPair gives two entries; the first is the guard of all fingerprints.
@@ -66,21 +36,21 @@
 	view := fleet.View{Instances: make(map[fleet.InstanceID]fleet.Instance)}
 	groups := make(map[fleet.LedgerShard]fleet.LedgerGroup)
 	state := &membership.State{View: view, Groups: groups, Suspects: make(map[fleet.Fingerprint]fleet.Suspect)}
-	others := make(map[string]*testEntry)
+	net := &testkit.Network{}
 	var entries []*testEntry
 	for _, name := range []fleet.InstanceID{"a", "b"} {
-		e := &testEntry{state: state, others: others}
-		e.self = fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
-		e.service = NewService(Options{Source: e, Dialer: e})
-		view.Instances[name] = e.self
-		others[string(name)] = e
+		self := fleet.Instance{ID: name, Incarnation: 1, Zone: "howrah", RPCAddress: string(name)}
+		e := &testEntry{Static: membership.Static{Fixed: state, Instance: self}, net: net}
+		e.service = NewService(Options{Source: e, Dialer: net.Dialer(string(name))})
+		view.Instances[name] = self
+		net.Serve(string(name), &ledgerServer{Service: e.service}, pb.DRPCLedgerDescription{})
 		entries = append(entries, e)
 	}
 	for n := range uint32(fleet.LedgerShards) {
 		shard := fleet.LedgerShard{ZoneClass: testZones.Class(), Shard: n}
 		groups[shard] = fleet.LedgerGroup{Shard: shard, Epoch: 1, Replicas: []fleet.LedgerReplica{
-			{Owner: entries[1].self.Owner()},
-			{Owner: entries[0].self.Owner(), Ready: true},
+			{Owner: entries[1].Instance.Owner()},
+			{Owner: entries[0].Instance.Owner(), Ready: true},
 		}}
 	}
 	return entries[0], entries[1]
@@ -117,14 +87,13 @@
 // says: one in quarantine is refused at once, a suspect runs alone.
 func TestGuardOutOfReach(t *testing.T) {
 	guard, other := newPair()
-	delete(other.others, "a")
+	other.net.Remove("a")
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
-	now := time.Now()
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: now}
+	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 1, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "2"), verdictAlone)
-	other.state.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: now}
+	other.Fixed.Suspects[testPrint] = fleet.Suspect{Fingerprint: testPrint, Crashes: 2, Quarantined: true, Updated: time.Now()}
 	assert.Equal(t, other.begin(t, "3"), verdictQuarantined)
-	assert.Equal(t, guard.calls, 0)
+	assert.Equal(t, guard.net.Calls("a"), 0)
 }
 
 // The control group has no leader for longer than a quarantine lasts, so that
@@ -137,10 +106,10 @@
 		{Fingerprint: testPrint, Crashes: 1, Updated: old},
 	} {
 		guard, other := newPair()
-		other.state.Suspects[testPrint] = suspect
+		other.Fixed.Suspects[testPrint] = suspect
 		assert.Equal(t, other.begin(t, "1"), verdictGo)
 		assert.Equal(t, guard.begin(t, "1"), verdictGo)
-		delete(other.others, "a")
+		other.net.Remove("a")
 		assert.Equal(t, other.begin(t, "2"), verdictGo)
 	}
 }
@@ -149,13 +118,13 @@
 // may be sent there.
 func TestGuardOutsideTheZones(t *testing.T) {
 	guard, other := newPair()
-	moved := guard.self
+	moved := guard.Instance
 	moved.Zone = "rende-hall"
-	other.state.View.Instances["a"] = moved
+	other.Fixed.View.Instances["a"] = moved
 	assert.Equal(t, other.begin(t, "1"), verdictGo)
 	other.service.End(testPrint, testZones, "1", true, false)
 	other.drain(t)
-	assert.Equal(t, guard.calls, 0)
+	assert.Equal(t, guard.net.Calls("a"), 0)
 }
 
 // FuzzRuns gives the calls fields from outside.
@@ -168,8 +137,6 @@
 		_, begun := guard.service.BeginRun(ctx, &pb.BeginRunRequest{Fingerprint: print, AttemptId: attempt, Owner: &pb.Owner{InstanceId: owner}})
 		_, ended := guard.service.EndRun(ctx, &pb.EndRunRequest{Fingerprint: print, AttemptId: attempt, Completed: completed, EndpointCrashed: crashed})
 		wellFormed := len(print) == len(testPrint)
-		if !wellFormed && (begun == nil || ended == nil) {
-			t.Fatal("a malformed fingerprint was taken")
-		}
+		assert.Assert(t, wellFormed || begun != nil && ended != nil, "a malformed fingerprint was taken")
 	})
 }
