rpc: a handshake may outlive the call that began it

Cause: a dial ended with its call. The shortest calls, lease renewals, last 400 ms; on a machine so busy that a TLS handshake takes longer, each call threw its half-made connection away and the next began anew, at every daemon and component, and none was ever answered. Ruled out: cut links (none were set yet), a full accept queue (handshakes ended when the processes did). Before: TestHandshakeMayOutliveItsCall with the connection thrown away: no call was ever answered. After: passes, 5 of 5 with -race.

--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -27,19 +27,21 @@
 // call whose context ends closes its connection: a peer that was cut off or
 // frozen never leaves a half-used connection for the next call.
 type Pool struct {
-	tls   *tls.Config
-	clock Clock
-	from  net.IP   // nil: the kernel chooses
-	stats *Metrics // nil: none
-	pool  *drpcpool.Pool[string, drpcpool.Conn]
+	tls    *tls.Config
+	clock  Clock
+	from   net.IP   // nil: the kernel chooses
+	stats  *Metrics // nil: none
+	spares *spares
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
 // NewPool makes a pool that shows and checks certificates by config. clock
 // stamps each call; nil for none.
 func NewPool(config *tls.Config, clock Clock) *Pool {
 	return &Pool{
-		tls:   config,
-		clock: clock,
+		tls:    config,
+		clock:  clock,
+		spares: newSpares(),
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleLife,
 			Capacity:    totalConnections,
@@ -73,11 +75,12 @@
 }
 
 // Close closes the idle connections.
-func (p *Pool) Close() error { return p.pool.Close() }
+func (p *Pool) Close() error {
+	p.spares.close()
+	return p.pool.Close()
+}
 
-func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+func (p *Pool) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
 	raw, err := netDialer(p.from).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't reach process at %s", address)
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"io"
 	"math/big"
 	"net"
 	"testing"
@@ -145,3 +146,61 @@
 
 	assert.Assert(t, before.Before(behind.Now()))
 }
+
+// slowly passes connections on to target and holds back what comes back from
+// it, as a busy machine does with its side of a handshake.
+func slowly(t *testing.T, target string, delay time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			caller, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go passSlowly(caller, target, delay)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func passSlowly(caller net.Conn, target string, delay time.Duration) {
+	callee, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	go func() {
+		_, _ = io.Copy(callee, caller)
+		_ = callee.Close()
+	}()
+	<-time.After(delay)
+	_, _ = io.Copy(caller, callee)
+	_ = caller.Close()
+}
+
+// A daemon on a busy machine renews its lease with calls that may last a tenth
+// of a second, while each handshake takes three. Were the connection thrown
+// away with the call that began it, no renewal would ever be answered.
+func TestHandshakeMayOutliveItsCall(t *testing.T) {
+	own := newAuthority(t)
+	clock := timeline.NewClock(time.Now)
+	address := slowly(t, serve(t, own.issue(t), clock), 300*time.Millisecond)
+	pool := rpc.NewPool(own.issue(t), clock)
+	defer func() { assert.NilError(t, pool.Close()) }()
+	ask := func(within time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), within)
+		defer cancel()
+		conn, err := pool.Conn(ctx, address)
+		assert.NilError(t, err)
+		_, err = pb.NewDRPCTimelineClient(conn).Query(ctx, &pb.TimelineQuery{})
+		return err
+	}
+	assert.Assert(t, ask(100*time.Millisecond) != nil, "the handshake takes longer")
+	deadline := time.Now().Add(10 * time.Second)
+	for ask(100*time.Millisecond) != nil {
+		assert.Assert(t, time.Now().Before(deadline), "no call was ever answered")
+	}
+}
