--- a/internal/endpoint/follower_give.go
+++ b/internal/endpoint/follower_give.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // give is one release on its way.
@@ -107,7 +108,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		wait(ctx, pause)
+		sleep.For(ctx, pause)
 		pause = min(2*pause, giveLongest)
 	}
 	f.metrics.droppedGives.Inc()
--- a/internal/endpoint/home.go
+++ b/internal/endpoint/home.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
@@ -209,7 +210,7 @@
 			return
 		}
 		h.options.Part.Warn("Crash report not taken.", "endpoint", r.EndpointId, "err", err)
-		wait(ctx, crashRetry)
+		sleep.For(ctx, crashRetry)
 	}
 }
 
@@ -231,15 +232,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // askOwners asks each owner once for all its holds of one sweep.
 func (h *Home) askOwners(asks []disownAsk) {
 	byOwner := make(map[fleet.Owner][]disownAsk)
--- a/internal/endpoint/home_handover.go
+++ b/internal/endpoint/home_handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // A handover is tried again while the next home may not have the view yet;
@@ -20,7 +21,7 @@
 		if h.handOverOnce(ctx, m) || ctx.Err() != nil {
 			return
 		}
-		wait(ctx, handoverPause)
+		sleep.For(ctx, handoverPause)
 	}
 	h.options.Part.Debug("Handover not taken.", "endpoint", m.message.GetEndpointId(), "address", m.address)
 }
