The whole path on the users' platform, thin

Cause: the product could not run on the users' infrastructure. It takes whole configuration documents, opaque exchanges and servers' own reports there, forms its control group without an operator, and has no keys between its processes.

New in the product: catalog (replicated document and records), coordinator (forming, joining, heartbeats, reads through the quorum), follower (an entry's picture), routetable, h1 (connections that know whether a byte left), dispatch (choices), relay (the life of an opaque exchange); rpc has a plain mode.

Ruled out for now: the control package's tree of subtrees (documents here replace each other whole, highest version wins), homes with grants (endpoints here list no holds; entries decide alone, to be measured).

Before: nothing ran there.

--- /dev/null
+++ b/internal/catalog/machine.go
@@ -0,0 +1,126 @@
+package catalog
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// MaxRecords bounds the records of each kind, tombstones included. The oldest
+// tombstones yield first; live records are never dropped.
+const MaxRecords = 65536
+
+// keptTombstones is how many incarnations that are gone stay known. A late
+// heartbeat is at most seconds old; this many departures take hours.
+const keptTombstones = 4096
+
+// Machine applies the commands of the log. It implements
+// replica.StateMachine; readers on other goroutines get immutable values.
+type Machine struct {
+	mu        sync.Mutex // guards all below; nothing else is locked inside
+	document  *pb.ConfigDocument
+	endpoints map[string]*pb.EndpointRecord
+	entries   map[string]*pb.EntryRecord
+	revision  uint64
+	applied   uint64
+	changed   chan struct{} // closed and replaced at each change of the revision
+	advanced  chan struct{} // closed and replaced at each applied command
+}
+
+// NewMachine makes the empty state.
+func NewMachine() *Machine {
+	return &Machine{
+		endpoints: map[string]*pb.EndpointRecord{},
+		entries:   map[string]*pb.EntryRecord{},
+		changed:   make(chan struct{}),
+		advanced:  make(chan struct{}),
+	}
+}
+
+// Apply implements replica.StateMachine. A command that can't be decoded
+// changes nothing, on every member alike.
+func (m *Machine) Apply(index uint64, command []byte) []byte {
+	decoded := &pb.CatalogCommand{}
+	err := proto.Unmarshal(command, decoded)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err == nil && m.run(index, decoded) {
+		m.revision = index
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	m.applied = index
+	close(m.advanced)
+	m.advanced = make(chan struct{})
+	return nil
+}
+
+// run tells whether the command changed anything.
+func (m *Machine) run(index uint64, c *pb.CatalogCommand) bool {
+	switch kind := c.Kind.(type) {
+	case *pb.CatalogCommand_PutDocument:
+		return m.putDocument(kind.PutDocument)
+	case *pb.CatalogCommand_ReportEndpoint:
+		return m.reportEndpoint(index, kind.ReportEndpoint)
+	case *pb.CatalogCommand_RetireEndpoint:
+		return m.retireEndpoint(index, kind.RetireEndpoint.GetId())
+	case *pb.CatalogCommand_ReportEntry:
+		return m.reportEntry(index, kind.ReportEntry)
+	case *pb.CatalogCommand_Expire:
+		return m.expire(index, kind.Expire)
+	}
+	return false
+}
+
+// putDocument takes a higher version. The same or a lower one changes
+// nothing: it is a repeat, or was overtaken.
+func (m *Machine) putDocument(d *pb.ConfigDocument) bool {
+	if d.Version <= m.document.GetVersion() {
+		return false
+	}
+	m.document = d
+	return true
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &pb.CatalogSnapshot{Document: m.document, Revision: m.revision}
+	for _, e := range m.endpoints {
+		s.Endpoints = append(s.Endpoints, e)
+	}
+	for _, e := range m.entries {
+		s.Entries = append(s.Entries, e)
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	return data, trace.Wrap(err)
+}
+
+// Restore implements replica.StateMachine.
+func (m *Machine) Restore(index uint64, data []byte) error {
+	s := &pb.CatalogSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return trace.Wrap(err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.document = s.Document
+	m.endpoints = make(map[string]*pb.EndpointRecord, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		m.endpoints[e.Id] = e
+	}
+	m.entries = make(map[string]*pb.EntryRecord, len(s.Entries))
+	for _, e := range s.Entries {
+		m.entries[e.Id] = e
+	}
+	m.revision, m.applied = s.Revision, index
+	close(m.changed)
+	m.changed = make(chan struct{})
+	close(m.advanced)
+	m.advanced = make(chan struct{})
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/read.go
@@ -0,0 +1,113 @@
+package catalog
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Document gives the newest document, nil before the first.
+func (m *Machine) Document() *pb.ConfigDocument {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.document
+}
+
+// Endpoint gives an endpoint's record, nil when it is not known.
+func (m *Machine) Endpoint(id string) *pb.EndpointRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.endpoints[id]
+}
+
+// Entry gives an entry's record, nil when it is not known.
+func (m *Machine) Entry(id string) *pb.EntryRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[id]
+}
+
+// ReadyEntries lists the entries that take callers.
+func (m *Machine) ReadyEntries() []*pb.EntryRecord {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*pb.EntryRecord
+	for _, e := range m.entries {
+		if e.Ready {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Delta is what changed after a revision.
+type Delta struct {
+	Document  *pb.ConfigDocument // nil when not newer
+	Revision  uint64
+	Endpoints []*pb.EndpointRecord
+}
+
+// Since gives what a reader lacks that holds a document version and a revision.
+func (m *Machine) Since(version int64, revision uint64) Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := Delta{Revision: m.revision}
+	if m.document.GetVersion() > version {
+		d.Document = m.document
+	}
+	for _, e := range m.endpoints {
+		if e.Revision > revision {
+			d.Endpoints = append(d.Endpoints, e)
+		}
+	}
+	return d
+}
+
+// Records lists all endpoints and entries.
+func (m *Machine) Records() ([]*pb.EndpointRecord, []*pb.EntryRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	endpoints := make([]*pb.EndpointRecord, 0, len(m.endpoints))
+	for _, e := range m.endpoints {
+		endpoints = append(endpoints, e)
+	}
+	entries := make([]*pb.EntryRecord, 0, len(m.entries))
+	for _, e := range m.entries {
+		entries = append(entries, e)
+	}
+	return endpoints, entries
+}
+
+// Revision gives the newest revision, and a channel that is closed when it
+// changes.
+func (m *Machine) Revision() (uint64, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision, m.changed
+}
+
+// AwaitApplied returns once the command at index is applied here.
+func (m *Machine) AwaitApplied(ctx context.Context, index uint64) error {
+	for {
+		m.mu.Lock()
+		applied, advanced := m.applied, m.advanced
+		m.mu.Unlock()
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// Applied gives the index of the newest command applied here.
+func (m *Machine) Applied() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,97 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// ErrUnavailable: no leader with a quorum was reached in time. What was asked
+// may or may not come into force.
+var ErrUnavailable = errors.New("no quorum of control instances answers")
+
+// Coordinator is one control instance.
+type Coordinator struct {
+	options Options
+
+	mu           sync.Mutex
+	heardHere    map[string]bool      // endpoints heard since the last report to the leader
+	entriesHere  map[string]bool      // entries heard since then
+	heard        map[string]time.Time // as leader: when each was heard
+	leadingSince time.Time            // zero when not leading
+	lastLook     time.Time            // as leader
+	currentUntil time.Time
+	reporting    map[string]bool // entries whose change is being committed
+}
+
+// New makes a Coordinator; Run makes it work.
+func New(options Options) *Coordinator {
+	return &Coordinator{
+		options:     options,
+		heardHere:   map[string]bool{},
+		entriesHere: map[string]bool{},
+		heard:       map[string]time.Time{},
+		reporting:   map[string]bool{},
+	}
+}
+
+// Run works until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, joinInterval, c.keepMembership) })
+	group.Go(func() error { return every(ctx, seenInterval, c.reportSeen) })
+	group.Go(func() error { return every(ctx, leaderInterval, c.lead) })
+	return group.Wait()
+}
+
+func every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// current tells whether this member was in touch with a live leader lately.
+func (c *Coordinator) current(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.currentUntil)
+}
+
+// client gives a client for the control instance at an address.
+func (c *Coordinator) client(ctx context.Context, address string) (pb.DRPCCoordinatorClient, error) {
+	conn, err := c.options.Dialer.Conn(ctx, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return pb.NewDRPCCoordinatorClient(conn), nil
+}
+
+// leaderAddress is where the leader takes calls, empty when it is not known.
+func (c *Coordinator) leaderAddress() string {
+	return c.options.Group.Status().Leader.GetRpcAddress()
+}
+
+// pause waits for a moment, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ErrUnavailable, "%v", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/coordinator/seen.go
@@ -0,0 +1,172 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func (c *Coordinator) noteHeard(endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heardHere[endpoint] = true
+}
+
+func (c *Coordinator) noteEntry(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entriesHere[entry] = true
+}
+
+// reportSeen tells the leader who was heard here. Its answer shows that this
+// member is in touch; without one, entries and endpoints soon turn elsewhere.
+func (c *Coordinator) reportSeen(ctx context.Context) {
+	request := c.takeSeen()
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	index, err := c.sendSeen(ctx, request)
+	if err == nil {
+		err = c.options.Machine.AwaitApplied(ctx, index)
+	}
+	if err != nil {
+		c.putBackSeen(request)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.currentUntil.Before(sent) {
+		c.options.Part.Info("In touch with the leader.", "leader", c.leaderAddress())
+	}
+	c.currentUntil = sent.Add(currentFor)
+}
+
+func (c *Coordinator) takeSeen() *pb.SeenRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request := &pb.SeenRequest{Member: c.options.Self.DiskId, Endpoints: keys(c.heardHere), Entries: keys(c.entriesHere)}
+	clear(c.heardHere)
+	clear(c.entriesHere)
+	return request
+}
+
+func keys(set map[string]bool) []string {
+	list := make([]string, 0, len(set))
+	for key := range set {
+		list = append(list, key)
+	}
+	return list
+}
+
+func (c *Coordinator) putBackSeen(request *pb.SeenRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range request.Endpoints {
+		c.heardHere[id] = true
+	}
+	for _, id := range request.Entries {
+		c.entriesHere[id] = true
+	}
+}
+
+func (c *Coordinator) sendSeen(ctx context.Context, request *pb.SeenRequest) (uint64, error) {
+	if c.options.Group.Status().IsLeader {
+		reply, err := c.Seen(ctx, request)
+		return reply.GetIndex(), err
+	}
+	client, err := c.leader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := client.Seen(ctx, request)
+	return reply.GetIndex(), err
+}
+
+// Seen implements pb.DRPCCoordinatorServer.
+func (c *Coordinator) Seen(ctx context.Context, request *pb.SeenRequest) (*pb.SeenReply, error) {
+	index, err := c.readIndexHere(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range request.Endpoints {
+		c.heard[id] = now
+	}
+	for _, id := range request.Entries {
+		c.heard[id] = now
+	}
+	return &pb.SeenReply{Index: index}, nil
+}
+
+// lead does what the leader alone does: it looks for members whose disk was
+// replaced, and for records whose heartbeats have stopped.
+func (c *Coordinator) lead(ctx context.Context) {
+	if !c.options.Group.Status().IsLeader {
+		c.mu.Lock()
+		c.leadingSince = time.Time{}
+		c.mu.Unlock()
+		return
+	}
+	c.findReplacedDisks(ctx)
+	if expired := c.overdue(time.Now()); expired != nil {
+		c.expire(ctx, expired)
+	}
+}
+
+// overdue lists the records whose heartbeats have stopped. A leader that has
+// just begun, or did not run for a while, has heard nobody: everyone gets the
+// whole time anew, since silencing all endpoints at once would refuse all work.
+func (c *Coordinator) overdue(now time.Time) *pb.Expire {
+	endpoints, entries := c.options.Machine.Records()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leadingSince.IsZero() || now.Sub(c.lastLook) > 2*leaderInterval+callTimeout {
+		c.leadingSince = now
+		clear(c.heard)
+	}
+	c.lastLook = now
+	expired := &pb.Expire{}
+	for _, e := range endpoints {
+		if catalog.Live(e) && c.silentFor(e.Id, now) > c.options.EndpointSilence {
+			expired.Endpoints = append(expired.Endpoints, &pb.Expected{Id: e.Id, Revision: e.Revision})
+		}
+	}
+	for _, e := range entries {
+		if c.silentFor(e.Id, now) > entrySilence {
+			expired.Entries = append(expired.Entries, &pb.Expected{Id: e.Id, Revision: e.Revision})
+		}
+	}
+	if len(expired.Endpoints)+len(expired.Entries) == 0 {
+		return nil
+	}
+	return expired
+}
+
+// silentFor is called with c.mu held. A record that was never heard counts
+// from its first look.
+func (c *Coordinator) silentFor(id string, now time.Time) time.Duration {
+	last, ok := c.heard[id]
+	if !ok {
+		c.heard[id] = now
+		return 0
+	}
+	return now.Sub(last)
+}
+
+func (c *Coordinator) expire(ctx context.Context, expired *pb.Expire) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_Expire{Expire: expired}})
+	for _, e := range expired.Endpoints {
+		c.options.Part.Warn("Endpoint is silent.", "endpoint", e.Id, "revision", e.Revision, "err", trace.Unwrap(err))
+	}
+	for _, e := range expired.Entries {
+		c.options.Part.Warn("Entry is silent.", "entry", e.Id, "revision", e.Revision, "err", trace.Unwrap(err))
+	}
+}
--- /dev/null
+++ b/internal/coordinator/serve.go
@@ -0,0 +1,96 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+var _ pb.DRPCCoordinatorServer = (*Coordinator)(nil)
+var _ pb.DRPCConsensusServer = (*Coordinator)(nil)
+
+// maxFollowWait bounds how long a Follow without news is held.
+const maxFollowWait = time.Second
+
+// Step implements pb.DRPCConsensusServer.
+func (c *Coordinator) Step(ctx context.Context, m *pb.ConsensusMessage) (*pb.StepReply, error) {
+	if err := c.options.Group.Step(ctx, m); err != nil {
+		return nil, err
+	}
+	return &pb.StepReply{}, nil
+}
+
+// Propose implements pb.DRPCCoordinatorServer.
+func (c *Coordinator) Propose(ctx context.Context, request *pb.ProposeRequest) (*pb.ProposeReply, error) {
+	index, err := c.proposeHere(ctx, request.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ProposeReply{Index: index}, nil
+}
+
+// ReadIndex implements pb.DRPCCoordinatorServer.
+func (c *Coordinator) ReadIndex(ctx context.Context, _ *pb.ReadIndexRequest) (*pb.ReadIndexReply, error) {
+	index, err := c.readIndexHere(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.ReadIndexReply{Index: index}, nil
+}
+
+// Follow implements pb.DRPCCoordinatorServer: it answers when there is news,
+// or at the end of the wait.
+func (c *Coordinator) Follow(ctx context.Context, request *pb.FollowRequest) (*pb.FollowReply, error) {
+	if request.Self.GetId() != "" {
+		c.takeEntry(request.Self)
+	}
+	timer := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maxFollowWait))
+	defer timer.Stop()
+	for {
+		revision, changed := c.options.Machine.Revision()
+		if revision > request.Revision {
+			return c.followReply(request), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c.followReply(request), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Coordinator) followReply(request *pb.FollowRequest) *pb.FollowReply {
+	delta := c.options.Machine.Since(request.DocumentVersion, request.Revision)
+	reply := &pb.FollowReply{
+		Current:   c.current(time.Now()) && delta.Revision >= request.Revision,
+		Document:  delta.Document,
+		Revision:  delta.Revision,
+		Endpoints: delta.Endpoints,
+		Entries:   uint32(len(c.options.Machine.ReadyEntries())),
+	}
+	for _, m := range c.options.Group.Status().Members {
+		reply.Members = append(reply.Members, m.Member.RpcAddress)
+	}
+	return reply
+}
+
+// takeEntry notes that an entry was heard, and commits what is new about it
+// in the background: the entry's own question need not wait for it.
+func (c *Coordinator) takeEntry(r *pb.EntryRecord) {
+	c.noteEntry(r.Id)
+	if !catalog.EntryChanges(c.options.Machine.Entry(r.Id), r) || !c.beginReport(r.Id) {
+		return
+	}
+	go func() {
+		defer c.endReport(r.Id)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+		defer cancel()
+		err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEntry{ReportEntry: r}})
+		c.options.Part.Info("Entry reported.", "entry", r.Id, "name", r.Name, "ready", r.Ready, "gone", r.Gone, "err", err)
+	}()
+}
+
--- /dev/null
+++ b/internal/dispatch/book.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Book keeps what one entry knows of the endpoints it sends to.
+type Book struct {
+	zone string
+
+	mu     sync.Mutex
+	random *rand.Rand
+	states map[string]*state
+}
+
+// NewBook makes an empty book for an entry in a zone.
+func NewBook(zone string, seed uint64) *Book {
+	return &Book{zone: zone, random: rand.New(rand.NewPCG(seed, 1)), states: map[string]*state{}}
+}
+
+func (b *Book) state(id string) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{}
+		b.states[id] = s
+	}
+	return s
+}
+
+// Begin counts an exchange in; End must follow.
+func (b *Book) Begin(now time.Time, e *Endpoint, w Work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e.ID)
+	s.own++
+	s.prompt += w.Prompt
+	s.memory += w.Memory
+	s.usedAt = now
+	if s.hard > 0 {
+		s.trial = true
+	}
+}
+
+// Read counts a prompt as read, before the exchange ends.
+func (b *Book) Read(e *Endpoint, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(e.ID).prompt -= tokens
+}
+
+// End counts an exchange out. w is what Begin counted, less what Read took.
+func (b *Book) End(now time.Time, e *Endpoint, w Work, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e.ID)
+	s.own--
+	s.prompt -= w.Prompt
+	s.memory -= w.Memory
+	s.usedAt = now
+	s.note(now, o)
+}
+
+func (s *state) note(now time.Time, o Outcome) {
+	switch o {
+	case OutcomeServed:
+		s.hard, s.misfits, s.trial, s.until = 0, 0, false, time.Time{}
+		s.faults -= s.faults * faultShare
+	case OutcomeFailed:
+		s.hard, s.trial = 0, false
+		s.faults += (1 - s.faults) * faultShare
+	case OutcomeFull:
+		s.hard, s.trial = 0, false
+	case OutcomeMisfit:
+		s.misfits++
+		s.trial = false
+		s.passOver(now, misfitPass)
+	case OutcomeUnreachable:
+		s.faults += (1 - s.faults) * faultShare
+		s.failHard(now)
+	case OutcomeLost:
+		s.faults += (1 - s.faults) * 2 * faultShare
+		s.trial = false
+	case OutcomeGivenUp:
+		s.trial = false
+	}
+}
+
+// failHard passes over an endpoint that can't be reached, longer each time.
+func (s *state) failHard(now time.Time) {
+	s.trial = false
+	s.passOver(now, min(firstPass<<min(s.hard, 8), longestPass))
+	s.hard++
+}
+
+func (s *state) passOver(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(s.until) {
+		s.until = until
+	}
+}
+
+// Told takes in the load that an endpoint put on an answer.
+func (b *Book) Told(now time.Time, id string, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.others = max(0, float64(l.Running+l.Waiting-s.own))
+	s.toldAt = now
+}
+
+// Full notes that an endpoint rejected an exchange for want of room.
+func (b *Book) Full(now time.Time, e *Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e.ID)
+	s.others = max(s.others, float64(e.Slots-s.own))
+	s.toldAt = now
+}
+
+// InFlight counts the exchanges of this entry at an endpoint.
+func (b *Book) InFlight(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil {
+		return s.own
+	}
+	return 0
+}
+
+// Sweep forgets endpoints that were not used for a while.
+func (b *Book) Sweep(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if s.own == 0 && now.Sub(s.usedAt) > idleState {
+			delete(b.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import "time"
+
+// state is what one entry knows of one endpoint.
+type state struct {
+	own     int // exchanges in flight from here
+	prompt  int // tokens of prompts being read there for this entry
+	memory  int // tokens held there for this entry
+	others  float64
+	toldAt  time.Time // when others was told
+	hard    int       // failures in a row that show the endpoint gone
+	until   time.Time // passed over until then
+	trial   bool      // one exchange tries it after a pass-over
+	misfits int       // answers in a row by another incarnation
+	faults  float64   // moving share of exchanges that failed, 0 to 1
+	usedAt  time.Time
+}
+
+// The weights of a state.
+const (
+	// othersLife is the time in which a told load loses half of its weight.
+	// Exchanges at plain services last 30 to 60 ms and streams some 300 ms, so
+	// that after this long most of what was told has ended.
+	othersLife = 400 * time.Millisecond
+	// faultShare is the weight of the newest outcome in the share of failures:
+	// about the last eight exchanges count.
+	faultShare = 0.12
+	// firstPass and longestPass bound how long an endpoint is passed over
+	// after it showed itself gone; the time doubles at each failed trial.
+	firstPass   = 300 * time.Millisecond
+	longestPass = 3 * time.Second
+	// misfitPass is how long an incarnation is passed over after another one
+	// answered at its address. The true one goes on reporting; a dead one is
+	// expired after about four heartbeats.
+	misfitPass = 4 * time.Second
+	// idleState is how long the state of an unused endpoint is kept.
+	idleState = time.Minute
+)
+
+// othersNow is the estimate of others' exchanges there.
+func (s *state) othersNow(now time.Time) float64 {
+	age := now.Sub(s.toldAt)
+	if s.toldAt.IsZero() || age > 4*othersLife {
+		return 0
+	}
+	if age <= 0 {
+		return s.others
+	}
+	return s.others * float64(othersLife) / float64(othersLife+age)
+}
+
+// open tells whether the endpoint may get work now.
+func (s *state) open(now time.Time) bool {
+	if now.Before(s.until) {
+		return false
+	}
+	return s.hard == 0 || !s.trial
+}
--- /dev/null
+++ b/internal/relay/life.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// life is one exchange on its way.
+type life struct {
+	router   *Router
+	x        *Exchange
+	caller   Caller
+	route    *routetable.Route
+	version  int64 // of the configuration that gave the route
+	service  string
+	engine   *routetable.Engine
+	deadline time.Time
+
+	tried   map[string]bool // endpoints that were sent to
+	sends   int
+	runs    int  // sends that may have run
+	ran     bool // it may have run somewhere
+	arrived bool // a send reached an endpoint: the next one is extra
+	begun   bool // the caller got the head of the answer
+	lastID  string
+	last    dispatch.Outcome
+	chosen  string // endpoint sent to last
+}
+
+// attempt is what one send gave.
+type attempt struct {
+	outcome dispatch.Outcome
+	reply   *Reply
+	body    []byte // of a whole answer
+	err     error
+}
+
+func (l *life) run(ctx context.Context) *Refusal {
+	l.tried = map[string]bool{}
+	for {
+		endpoint, call := l.prepare(ctx)
+		if endpoint == nil {
+			return l.giveUp(ctx, "no endpoint can take it")
+		}
+		a := l.send(ctx, call)
+		if a.outcome == dispatch.OutcomeServed {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return l.giveUp(ctx, "the time is up")
+		}
+		switch Next(l.standing(a)) {
+		case StepAgain:
+			l.log("Sent again.", "cause", a.outcome, "after", l.lastID, "err", a.err)
+		case StepDeliver:
+			if l.begun {
+				return l.giveUp(ctx, a.outcome.String())
+			}
+			l.deliver(a)
+			return nil
+		case StepGiveUp:
+			return l.giveUp(ctx, a.outcome.String())
+		}
+	}
+}
+
+// standing sums up the exchange after a send. It spends from the budget when
+// another send would count as extra.
+func (l *life) standing(a attempt) Standing {
+	s := Standing{
+		Repeatable: l.route.Repeatable() && l.canGoOn(), Outcome: a.outcome,
+		Runs: l.runs, MaxRuns: max(1, l.route.MaxAttempts), Sends: l.sends,
+		TimeLeft: time.Until(l.deadline), HaveAnother: l.haveAnother(), BudgetLeft: true,
+	}
+	if l.arrived && Next(s) == StepAgain {
+		s.BudgetLeft = l.router.options.Budget.Spend(time.Now(), l.service)
+	}
+	return s
+}
+
+// canGoOn tells whether another endpoint could take the answer up where it
+// is: from its beginning, or after an event that has an ID.
+func (l *life) canGoOn() bool { return !l.begun || l.lastID != "" }
+
+func (l *life) haveAnother() bool {
+	return len(l.router.candidates(l.service, l.stage(), l.model(), l.tried)) > 0
+}
+
+func (l *life) stage() dispatch.Stage {
+	if l.engine == nil {
+		return dispatch.StageNone
+	}
+	return dispatch.StageDecode
+}
+
+func (l *life) model() string {
+	if l.x.Prompt == nil {
+		return ""
+	}
+	return l.x.Prompt.Model
+}
+
+// prepare chooses where to send next.
+func (l *life) prepare(ctx context.Context) (*dispatch.Endpoint, *Call) {
+	if l.engine != nil {
+		return l.prepareModel(ctx)
+	}
+	choice, ok := l.choose(dispatch.StageNone, l.tried, dispatch.ByPlaces)
+	if !ok {
+		return nil, nil
+	}
+	return choice.Endpoint, l.call(choice.Endpoint)
+}
+
+func (l *life) choose(stage dispatch.Stage, tried map[string]bool, fill dispatch.Measure) (dispatch.Choice, bool) {
+	candidates := l.router.candidates(l.service, stage, l.model(), tried)
+	choice, ok := l.router.options.Book.Choose(time.Now(), candidates, fill)
+	if ok {
+		l.log("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "among", choice.Among,
+			"cost", choice.Cost, "own", choice.Own, "others", choice.Others, "age_ms", choice.AgeMs)
+	}
+	return choice, ok
+}
+
+func (l *life) call(e *dispatch.Endpoint) *Call {
+	return &Call{
+		Exchange: l.x, Endpoint: e, TimeLeft: time.Until(l.deadline) - wayMargin, Priority: -1,
+		Fresh: l.sends > 0, After: l.lastID,
+	}
+}
+
+// send makes one send and takes in its answer. The answer of a stream is
+// passed on as it comes.
+func (l *life) send(ctx context.Context, c *Call) attempt {
+	book := l.router.options.Book
+	work := dispatch.Work{Memory: l.x.Prompt.Memory()}
+	if c.Source == nil && l.x.Prompt != nil {
+		work.Prompt = l.x.Prompt.Tokens
+	}
+	book.Begin(time.Now(), c.Endpoint, work)
+	l.tried[c.Endpoint.ID] = true
+	l.sends++
+	l.chosen = c.Endpoint.ID
+	a := l.exchange(ctx, c)
+	if ctx.Err() != nil && a.outcome != dispatch.OutcomeServed {
+		a.outcome = dispatch.OutcomeGivenUp
+	}
+	book.End(time.Now(), c.Endpoint, work, a.outcome)
+	l.last = a.outcome
+	return a
+}
+
+func (l *life) exchange(ctx context.Context, c *Call) attempt {
+	reply, err := l.router.options.Endpoints.Send(ctx, c)
+	if err != nil {
+		return l.failed(err)
+	}
+	defer reply.Body.Close()
+	l.arrived = true
+	if reply.Load != nil {
+		l.router.options.Book.Told(time.Now(), c.Endpoint.ID, *reply.Load)
+	}
+	if reply.Misfit {
+		return attempt{outcome: dispatch.OutcomeMisfit, reply: reply}
+	}
+	if reply.NotRun {
+		l.router.options.Book.Full(time.Now(), c.Endpoint)
+		return attempt{outcome: dispatch.OutcomeFull, reply: reply}
+	}
+	l.ran = true
+	l.runs++
+	if l.route.Kind == routetable.KindStream && reply.Status < http.StatusMultipleChoices {
+		return l.passEvents(reply)
+	}
+	if l.begun {
+		return attempt{outcome: dispatch.OutcomeLost, reply: reply, err: errNotResumed}
+	}
+	return l.whole(reply)
+}
+
+// failed sorts a send without an answer.
+func (l *life) failed(err error) attempt {
+	var failure *SendError
+	if errors.As(err, &failure) && !failure.Sent {
+		return attempt{outcome: dispatch.OutcomeUnreachable, err: err}
+	}
+	l.arrived, l.ran = true, true
+	l.runs++
+	return attempt{outcome: dispatch.OutcomeLost, err: err}
+}
+
+// whole reads an answer to its end before a byte of it is passed on, so that
+// one that is cut off can be asked for elsewhere. A long one is passed on as
+// it comes.
+func (l *life) whole(reply *Reply) attempt {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, wholeBody+1))
+	if err != nil {
+		return attempt{outcome: dispatch.OutcomeLost, reply: reply, err: err}
+	}
+	if len(body) > wholeBody {
+		return l.long(reply, body)
+	}
+	a := attempt{outcome: dispatch.OutcomeServed, reply: reply, body: body}
+	if reply.Status >= http.StatusInternalServerError {
+		a.outcome = dispatch.OutcomeFailed
+		return a
+	}
+	l.deliver(a)
+	return a
+}
+
+// deliver passes a whole answer on.
+func (l *life) deliver(a attempt) {
+	l.begun = true
+	l.caller.Begin(a.reply.Status, a.reply.Header, int64(len(a.body)))
+	if len(a.body) > 0 {
+		l.write(a.body)
+	}
+}
+
+// write passes a part on. A caller that can't be written to has left, which
+// its context tells too.
+func (l *life) write(p []byte) bool {
+	return l.caller.Write(p) == nil
+}
+
+// long passes on an answer that is too long to be held.
+func (l *life) long(reply *Reply, first []byte) attempt {
+	l.begun = true
+	l.caller.Begin(reply.Status, reply.Header, reply.Length)
+	buffer := first
+	for {
+		if !l.write(buffer) {
+			return attempt{outcome: dispatch.OutcomeGivenUp, reply: reply}
+		}
+		part := make([]byte, copyBuffer)
+		n, err := reply.Body.Read(part)
+		buffer = part[:n]
+		if errors.Is(err, io.EOF) {
+			l.write(buffer)
+			return attempt{outcome: dispatch.OutcomeServed, reply: reply}
+		}
+		if err != nil {
+			return attempt{outcome: dispatch.OutcomeLost, reply: reply, err: err}
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/options.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+)
+
+// The bounds of a Router.
+const (
+	// wholeBody bounds an answer that is held until it is whole, bytes. A
+	// larger one is passed on as it comes.
+	wholeBody = 256 << 10
+	// copyBuffer is the size of one read of an answer, bytes.
+	copyBuffer = 8 << 10
+	// timeoutSlack is how long before the route's timeout an exchange ends, so
+	// that its final answer reaches the caller by then.
+	timeoutSlack = 20 * time.Millisecond
+	// wayMargin is taken off the time that an endpoint is told it has: the
+	// way to it and back takes as long.
+	wayMargin = 10 * time.Millisecond
+	// releaseTimeout bounds the freeing of a prefill's result.
+	releaseTimeout = time.Second
+)
+
+// Options tell a Router what it works with.
+type Options struct {
+	View      func() *View
+	Endpoints Endpoints
+	Book      *dispatch.Book
+	Budget    *dispatch.Budget
+	Part      logging.Part
+	Random    func() float64 // even in [0, 1), safe for concurrent use
+}
--- /dev/null
+++ b/internal/relay/router.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// errTimeUp is why an exchange's context ends at its time limit.
+var errTimeUp = errors.New("the time for the answer is up")
+
+// Router takes exchanges to their answers.
+type Router struct {
+	options Options
+}
+
+// New makes a Router.
+func New(options Options) *Router { return &Router{options: options} }
+
+// Serve takes an exchange to its answer. It gives nil when the caller got one,
+// whole or broken off, and a refusal when nothing was passed on. ctx ends when
+// the caller leaves.
+func (r *Router) Serve(ctx context.Context, x *Exchange, caller Caller) *Refusal {
+	view := r.options.View()
+	if view == nil || view.Table == nil {
+		return &Refusal{Verdict: VerdictNotRun, Reason: "no configuration is known yet", RetryAfter: 300 * time.Millisecond}
+	}
+	route := view.Table.Match(x.Host, x.Path)
+	if route == nil {
+		r.options.Part.Info("No route.", "request", x.ID, "host", x.Host, "path", x.Path, "version", view.Table.Version)
+		return &Refusal{Verdict: VerdictNoRoute, Reason: "no route leads there"}
+	}
+	if limit := view.Table.Limits.BodyBytes; limit > 0 && len(x.Body) > limit {
+		return &Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"}
+	}
+	return r.run(ctx, x, caller, view, route)
+}
+
+func (r *Router) run(ctx context.Context, x *Exchange, caller Caller, view *View, route *routetable.Route) *Refusal {
+	deadline := x.Received.Add(route.Timeout)
+	if x.Patience > 0 && x.Patience < route.Timeout {
+		deadline = x.Received.Add(x.Patience)
+	}
+	deadline = deadline.Add(-timeoutSlack)
+	ctx, cancel := context.WithDeadlineCause(ctx, deadline, errTimeUp)
+	defer cancel()
+	service := route.Choose(r.options.Random())
+	life := &life{
+		router: r, x: x, caller: caller, route: route, version: view.Table.Version,
+		service: service, engine: engineOf(view.Table, service), deadline: deadline,
+	}
+	r.options.Budget.Request(time.Now(), service)
+	refusal := life.run(ctx)
+	life.report(ctx, refusal)
+	return refusal
+}
+
+func engineOf(table *routetable.Table, service string) *routetable.Engine {
+	if s := table.Service(service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// candidates lists a service's endpoints of a stage that were not tried.
+func (r *Router) candidates(service string, stage dispatch.Stage, model string, tried map[string]bool) []*dispatch.Endpoint {
+	view := r.options.View()
+	all := view.Endpoints[service]
+	list := make([]*dispatch.Endpoint, 0, len(all))
+	for _, e := range all {
+		if e.Stage == stage && !tried[e.ID] && e.HasModel(model) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -35,8 +35,9 @@
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewPool makes a pool that shows and checks certificates by config. clock
-// stamps each call; nil for none.
+// NewPool makes a pool that shows and checks certificates by config. A nil
+// config is plain mode, for a network on which nobody else can speak or listen.
+// clock stamps each call; nil for none.
 func NewPool(config *tls.Config, clock Clock) *Pool {
 	return &Pool{
 		tls:    config,
@@ -86,6 +87,9 @@
 		return nil, trace.ConnectionProblem(err, "can't reach process at %s", address)
 	}
 	counted := &countedConn{Conn: raw}
+	if p.tls == nil {
+		return measuredConn{Conn: drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: managerOptions()}), counted: counted, metrics: p.stats}, nil
+	}
 	secure := tls.Client(counted, p.tls)
 	err = secure.HandshakeContext(ctx)
 	p.stats.shook(sideClient, counted)
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -23,8 +23,8 @@
 	stats *Metrics // nil: none
 }
 
-// NewServer makes a server without services. clock observes the stamp of each
-// call; nil for none.
+// NewServer makes a server without services. A nil config is plain mode, as
+// for NewPool. clock observes the stamp of each call; nil for none.
 func NewServer(config *tls.Config, clock Clock, part logging.Part) *Server {
 	return &Server{Mux: drpcmux.New(), tls: config, clock: clock, part: part}
 }
@@ -42,13 +42,20 @@
 	}
 	handler := measuringHandler{next: observingHandler{next: s.Mux, clock: s.clock}, metrics: s.stats}
 	server := drpcserver.NewWithOptions(handler, options)
-	err := server.Serve(ctx, tls.NewListener(countedListener{listener}, s.tls))
+	err := server.Serve(ctx, s.secured(countedListener{listener}))
 	if ctx.Err() != nil {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
+func (s *Server) secured(listener net.Listener) net.Listener {
+	if s.tls == nil {
+		return listener
+	}
+	return tls.NewListener(listener, s.tls)
+}
+
 // serverOptions make an answer and its end one write, and so one TLS record:
 // all calls between processes are unary, and the end of a call flushes. Two
 // writes cost each call the 22 bytes of a TLS record and a system call more.
