relay: memory is set aside where a request will run before its prompt is read

Cause: a burst needs more memory at the decode endpoints than there is; entries know each other's work late, so prompts were read and then found no room: 803 of 1,316 arrivals were turned away, and each prompt was read for nothing.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -62,6 +62,13 @@
 	s.note(now, o)
 }
 
+// Note takes in how a call ended that was not counted in.
+func (b *Book) Note(now time.Time, e *Endpoint, o Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(e.ID).note(now, o)
+}
+
 func (s *state) note(now time.Time, o Outcome) {
 	switch o {
 	case OutcomeServed:
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -36,12 +37,13 @@
 	LikelyOut int // the caller's estimate of them; 0 for none
 }
 
-// Memory is how many tokens the request holds at its end.
-func (p *Prompt) Memory() int {
-	if p == nil {
-		return 0
+// Likely is how many tokens will be generated, by the caller's estimate where
+// it gave one, and never more than the most.
+func (p *Prompt) Likely() int {
+	if p.LikelyOut <= 0 {
+		return p.MaxOutput / 2
 	}
-	return p.Tokens + p.MaxOutput
+	return min(p.LikelyOut, p.MaxOutput)
 }
 
 // Call is an exchange on its way to one endpoint.
@@ -51,6 +53,7 @@
 	TimeLeft time.Duration // after which the endpoint may stop
 	Prefill  bool          // only read the prompt
 	Source   *Source       // where its KV cache lies; nil for none
+	Hold     string        // memory set aside for it; empty for none
 	After    string        // go on after this event; empty for the caller's own
 	Priority int           // 0 to 9, 0 first; -1 to leave it out
 	Fresh    bool          // over a new connection
@@ -88,11 +91,19 @@
 	Tokens int
 }
 
+// ErrNoRoom: an endpoint has no memory to set aside.
+var ErrNoRoom = errors.New("the endpoint has no room")
+
 // Endpoints sends calls to endpoints. Errors are *SendError.
 type Endpoints interface {
 	Send(ctx context.Context, c *Call) (*Reply, error)
 	// Prefilled reads the answer to a prefill.
 	Prefilled(r *Reply) (Prefilled, error)
+	// Reserve sets a place and memory aside at an endpoint for a while, and
+	// names it. ErrNoRoom is its answer when it is full.
+	Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (hold string, err error)
+	// DropHold gives up what Reserve set aside.
+	DropHold(ctx context.Context, e *dispatch.Endpoint, hold string)
 	// Release frees the result of a prefill that nobody will take.
 	Release(ctx context.Context, e *dispatch.Endpoint, handle string)
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -41,6 +41,7 @@
 // report writes one line on an exchange that was not served whole.
 func (l *life) report(ctx context.Context, refusal *Refusal) {
 	if refusal == nil {
+		l.reportServed()
 		return
 	}
 	l.router.options.Part.Info("Refused.", "request", l.x.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
@@ -53,3 +54,15 @@
 		"request", l.x.ID, "route", l.route.Name, "version", l.version, "service", l.service, "sends", l.sends,
 	}, keyvals...)...)
 }
+
+func (l *life) reportServed() {
+	tokens, output := 0, 0
+	if p := l.x.Prompt; p != nil {
+		tokens, output = p.Tokens, p.MaxOutput
+	}
+	l.router.options.Part.Info("Answered.", "request", l.x.ID, "route", l.route.Name, "version", l.version,
+		"service", l.service, "endpoint", l.chosen, "outcome", l.last, "sends", l.sends, "runs", l.runs,
+		"prompt", tokens, "output", output, "prefill_ms", l.prefillMs,
+		"sent_ms", l.sentAt.Sub(l.x.Received).Milliseconds(), "first_ms", l.firstAt.Sub(l.x.Received).Milliseconds(),
+		"took_ms", time.Since(l.x.Received).Milliseconds(), "writes", l.writes, "last_event", l.lastID)
+}
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -22,15 +22,21 @@
 	engine   *routetable.Engine
 	deadline time.Time
 
-	tried   map[string]bool // endpoints that were sent to
-	sends   int
-	runs    int  // sends that may have run
-	ran     bool // it may have run somewhere
-	arrived bool // a send reached an endpoint: the next one is extra
-	begun   bool // the caller got the head of the answer
-	lastID  string
-	last    dispatch.Outcome
-	chosen  string // endpoint sent to last
+	tried     map[string]bool // endpoints that were sent to
+	sends     int
+	runs      int  // sends that may have run
+	ran       bool // it may have run somewhere
+	arrived   bool // a send reached an endpoint: the next one is extra
+	prefilled bool // a prefill was asked for; a second one would be extra
+	begun     bool // the caller got the head of the answer
+	lastID    string
+	last      dispatch.Outcome
+	chosen    string // endpoint sent to last
+
+	sentAt    time.Time // of the newest send
+	firstAt   time.Time // when the first byte was passed on
+	prefillMs int64     // that a prefill took; 0 without one
+	writes    int
 }
 
 // attempt is what one send gave.
@@ -88,6 +94,14 @@
 // is: from its beginning, or after an event that has an ID.
 func (l *life) canGoOn() bool { return !l.begun || l.lastID != "" }
 
+// memory is how many tokens the exchange will likely hold at its end.
+func (l *life) memory() int {
+	if l.x.Prompt == nil {
+		return 0
+	}
+	return l.x.Prompt.Tokens + l.x.Prompt.Likely()
+}
+
 func (l *life) haveAnother() bool {
 	return len(l.router.candidates(l.service, l.stage(), l.model(), l.tried)) > 0
 }
@@ -139,7 +153,7 @@
 // passed on as it comes.
 func (l *life) send(ctx context.Context, c *Call) attempt {
 	book := l.router.options.Book
-	work := dispatch.Work{Memory: l.x.Prompt.Memory()}
+	work := dispatch.Work{Memory: l.memory()}
 	if c.Source == nil && l.x.Prompt != nil {
 		work.Prompt = l.x.Prompt.Tokens
 	}
@@ -147,6 +161,7 @@
 	l.tried[c.Endpoint.ID] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
+	l.sentAt = time.Now()
 	a := l.exchange(ctx, c)
 	if ctx.Err() != nil && a.outcome != dispatch.OutcomeServed {
 		a.outcome = dispatch.OutcomeGivenUp
@@ -227,6 +242,9 @@
 // write passes a part on. A caller that can't be written to has left, which
 // its context tells too.
 func (l *life) write(p []byte) bool {
+	if l.writes++; l.writes == 1 {
+		l.firstAt = time.Now()
+	}
 	return l.caller.Write(p) == nil
 }
 
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -2,26 +2,131 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 )
 
-// prepareModel has the prompt read at a prefill endpoint, if there is one, and
-// chooses where to generate.
+// The figures of model requests.
+const (
+	// usualStart is what passes from a place to the first event: a prefill of
+	// 3,000 tokens takes 100 to 200 ms, its transfer a few.
+	usualStart = 250 * time.Millisecond
+	// usualLength is the time that most answers take.
+	usualLength = 4 * time.Second
+	// holdLife is how long memory is set aside: a prefill with others before
+	// it takes up to a second.
+	holdLife = 1800 * time.Millisecond
+	// mostAsked bounds the endpoints asked for memory in one go. The first one
+	// is that with the most room by what is known here; others' news is late.
+	mostAsked = 3
+)
+
+// place is memory at an endpoint for one request.
+type place struct {
+	endpoint *dispatch.Endpoint
+	hold     string // empty where endpoints don't set memory aside
+}
+
+// prepareModel finds memory for the whole request where it will run, and only
+// then has the prompt read. A prompt that was read and finds no memory is work
+// for nothing, which takes prefill from others just when it is short.
 func (l *life) prepareModel(ctx context.Context) (*dispatch.Endpoint, *Call) {
-	source := l.prefill(ctx)
-	choice, ok := l.choose(dispatch.StageDecode, l.tried, l.fill())
-	if !ok {
-		l.release(source)
+	at := l.awaitPlace(ctx)
+	if at == nil {
 		return nil, nil
 	}
-	call := l.call(choice.Endpoint)
-	if source != nil {
+	call := l.call(at.endpoint)
+	call.Hold = at.hold
+	if source := l.prefill(ctx); source != nil {
 		call.Source = &Source{Address: source.endpoint.Address, Handle: source.handle}
 	}
-	return choice.Endpoint, call
+	if ctx.Err() != nil {
+		l.dropPlace(at)
+		return nil, nil
+	}
+	call.TimeLeft = time.Until(l.deadline) - wayMargin
+	return at.endpoint, call
+}
+
+// awaitPlace asks for memory until there is some, or the wait is in vain.
+func (l *life) awaitPlace(ctx context.Context) *place {
+	waiting := dispatch.Waiting{Target: l.route.Target, Patience: l.deadline.Sub(l.x.Received), Start: usualStart, Length: usualLength}
+	for {
+		at, found := l.findPlace(ctx)
+		if at != nil || !found {
+			return at
+		}
+		pause, giveUp := waiting.Pause(time.Since(l.x.Received))
+		if giveUp || !wait(ctx, pause) {
+			return nil
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// findPlace asks the endpoints with the most room by what is known here. found
+// is false when there are no endpoints to ask.
+func (l *life) findPlace(ctx context.Context) (at *place, found bool) {
+	full := map[string]bool{}
+	for id := range l.tried {
+		full[id] = true
+	}
+	for range mostAsked {
+		choice, ok := l.choose(dispatch.StageDecode, full, l.fill())
+		if !ok {
+			return nil, found
+		}
+		found = true
+		if l.engine.HoldLife == 0 || l.x.Prompt == nil {
+			return &place{endpoint: choice.Endpoint}, true
+		}
+		hold, err := l.reserve(ctx, choice.Endpoint)
+		if err == nil {
+			return &place{endpoint: choice.Endpoint, hold: hold}, true
+		}
+		if ctx.Err() != nil {
+			return nil, found
+		}
+		full[choice.Endpoint.ID] = true
+	}
+	return nil, found
+}
+
+// reserve sets memory aside for the prompt and what will likely be generated.
+func (l *life) reserve(ctx context.Context, e *dispatch.Endpoint) (string, error) {
+	hold, err := l.router.options.Endpoints.Reserve(ctx, e, l.memory(), min(holdLife, l.engine.HoldLife))
+	now := time.Now()
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrNoRoom):
+		l.router.options.Book.Full(now, e)
+	case ctx.Err() == nil:
+		l.router.options.Book.Note(now, e, outcomeOf(err))
+		l.log("No memory was set aside.", "endpoint", e.ID, "err", err)
+	}
+	return hold, err
+}
+
+func (l *life) dropPlace(at *place) {
+	if at.hold == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	l.router.options.Endpoints.DropHold(ctx, at.endpoint, at.hold)
 }
 
 // prefilled is the result of a prefill that was not taken yet.
@@ -33,17 +138,20 @@
 // prefill reads the prompt at a prefill endpoint; nil where that failed, and
 // the decode endpoint reads it itself.
 func (l *life) prefill(ctx context.Context) *prefilled {
-	if l.x.Prompt == nil || l.sends > 0 {
+	if l.x.Prompt == nil || l.prefilled {
 		return nil
 	}
 	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(l.x.Prompt.Tokens))
 	if !ok {
 		return nil
 	}
+	l.prefilled = true
 	work := dispatch.Work{Prompt: l.x.Prompt.Tokens, Memory: l.x.Prompt.Tokens}
 	book := l.router.options.Book
 	book.Begin(time.Now(), choice.Endpoint, work)
+	began := time.Now()
 	result, outcome := l.readPrompt(ctx, choice.Endpoint)
+	l.prefillMs = time.Since(began).Milliseconds()
 	book.End(time.Now(), choice.Endpoint, work, outcome)
 	return result
 }
@@ -80,26 +188,17 @@
 }
 
 func outcomeOf(err error) dispatch.Outcome {
-	if failure, ok := err.(*SendError); ok && !failure.Sent {
+	var failure *SendError
+	if errors.As(err, &failure) && !failure.Sent {
 		return dispatch.OutcomeUnreachable
 	}
 	return dispatch.OutcomeLost
 }
 
-// release frees a prefill's result that nobody will take.
-func (l *life) release(p *prefilled) {
-	if p == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	l.router.options.Endpoints.Release(ctx, p.endpoint, p.handle)
-}
-
 // fill measures a decode endpoint by its memory, which is what limits it: a
 // prompt of thousands of tokens fills a tenth of it.
 func (l *life) fill() dispatch.Measure {
-	memory := l.x.Prompt.Memory()
+	memory := l.memory()
 	total := l.engine.KVTokens
 	return func(e *dispatch.Endpoint, own int, prompt, held int, others float64) float64 {
 		if total <= 0 {
--- a/internal/routetable/document.go
+++ b/internal/routetable/document.go
@@ -92,6 +92,9 @@
 	Moves, Backups  bool
 	Block           int           // tokens in one block of memory
 	HandleLife      time.Duration // how long a prefill's result is kept
+	// HoldLife is the longest that an endpoint sets memory aside for a request
+	// before it comes; 0 where endpoints don't.
+	HoldLife time.Duration
 }
 
 // Limits bound what a caller may send.
