relay, coordinator: waits end before callers leave; dead entries leave the lists sooner

Callers of entries that were killed ran into closed or dark addresses for up to 5 s (191 tries without a connection).

--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -32,7 +32,7 @@
 	joinTimeout = 3 * time.Second
 	// entrySilence is how long an entry may be unheard; it asks for news at
 	// least each half second.
-	entrySilence = 3 * time.Second
+	entrySilence = 1500 * time.Millisecond
 	// retryPause is the wait for a leader between two tries of a command.
 	retryPause = 40 * time.Millisecond
 )
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -12,6 +12,7 @@
 type Waiting struct {
 	Target   time.Duration // to the first part of the answer; 0 for none
 	Patience time.Duration // for the whole answer
+	Silence  time.Duration // after which a caller leaves who has heard nothing
 	Start    time.Duration // that passes from a place to the first part
 	Length   time.Duration // of an answer
 }
@@ -31,6 +32,9 @@
 	if w.Patience > 0 && waited+w.Start+w.Length > w.Patience {
 		return 0, true
 	}
+	if w.Silence > 0 && waited+w.Start+latePause > w.Silence {
+		return 0, true
+	}
 	if w.Target > 0 && waited+w.Start < w.Target {
 		return freshPause, false
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
 // The figures of model requests.
@@ -53,7 +54,10 @@
 
 // awaitPlace asks for memory until there is some, or the wait is in vain.
 func (l *life) awaitPlace(ctx context.Context) *place {
-	waiting := dispatch.Waiting{Target: l.route.Target, Patience: l.deadline.Sub(l.x.Received), Start: usualStart, Length: usualLength}
+	waiting := dispatch.Waiting{
+		Target: l.route.Target, Patience: l.deadline.Sub(l.x.Received), Silence: silence(l.route),
+		Start: usualStart, Length: usualLength,
+	}
 	for {
 		at, found := l.findPlace(ctx)
 		if at != nil || !found {
@@ -66,6 +70,13 @@
 	}
 }
 
+// silence is how long a caller waits for the next event of a stream, its first
+// one too, before it leaves: two seconds, four times the target or eight times
+// the longest pause, whichever is longest.
+func silence(r *routetable.Route) time.Duration {
+	return max(2*time.Second, 4*r.Target, 8*r.EventGap)
+}
+
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
