staging, coordinator: the stages of model endpoints are planned and ordered

Ruled out: no readers at all: two prompts read between the tokens of one batch hold its streams up beyond their pause. How: the leader plans (package staging, pure), commits that an endpoint is to change so that entries stop sending, and orders it with its term as fencing token, a lease after it began to lead. Entries have a prompt read where it runs when the readers are too full (dispatch.Reading).

--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -23,10 +23,28 @@
 		return false
 	}
 	r.Revision, r.Registered = index, known.Registered
+	if known.Assigned != r.Stage {
+		r.Assigned = known.Assigned
+	}
 	m.endpoints[r.Id] = r
 	return true
 }
 
+// assignStage takes an endpoint out of work for a change of its stage.
+func (m *Machine) assignStage(index uint64, a *pb.AssignStage) bool {
+	known := m.endpoints[a.Id]
+	if !Live(known) || known.Assigned == a.Stage || known.Stage == a.Stage && known.Assigned == pb.Stage_STAGE_UNSPECIFIED {
+		return false
+	}
+	changed := proto.Clone(known).(*pb.EndpointRecord)
+	changed.Assigned, changed.Revision = a.Stage, index
+	if a.Stage == known.Stage {
+		changed.Assigned = pb.Stage_STAGE_UNSPECIFIED
+	}
+	m.endpoints[a.Id] = changed
+	return true
+}
+
 // Changes tells whether heartbeat r changes what is known of its endpoint.
 func Changes(known, r *pb.EndpointRecord) bool {
 	if known == nil {
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -69,6 +69,8 @@
 		return m.retireEndpoint(index, kind.RetireEndpoint.GetId())
 	case *pb.CatalogCommand_ReportEntry:
 		return m.reportEntry(index, kind.ReportEntry)
+	case *pb.CatalogCommand_AssignStage:
+		return m.assignStage(index, kind.AssignStage)
 	case *pb.CatalogCommand_Expire:
 		return m.expire(index, kind.Expire)
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 // Coordinator is one control instance.
 type Coordinator struct {
 	options Options
+	stages  *stages // used by the goroutine that leads alone
 
 	mu           sync.Mutex
 	heardHere    map[string]bool      // endpoints heard since the last report to the leader
@@ -32,13 +33,15 @@
 
 // New makes a Coordinator; Run makes it work.
 func New(options Options) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		options:     options,
 		heardHere:   map[string]bool{},
 		entriesHere: map[string]bool{},
 		heard:       map[string]time.Time{},
 		reporting:   map[string]bool{},
 	}
+	c.stages = newStages(c)
+	return c
 }
 
 // Run works until ctx ends.
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -56,6 +56,10 @@
 	// EndpointSilence is how long an endpoint may be unheard before it counts
 	// as silent; three heartbeats and some slack.
 	EndpointSilence time.Duration
+	// Orders gives orders to model endpoints; nil: none are given.
+	Orders Orders
+	// OrderLease is for how long nobody else may give orders after one holder.
+	OrderLease time.Duration
 }
 
 // firstVoters is how many voters the group needs before it takes a command.
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -117,6 +117,7 @@
 	if expired := c.overdue(time.Now()); expired != nil {
 		c.expire(ctx, expired)
 	}
+	c.stages.step(ctx)
 }
 
 // overdue lists the records whose heartbeats have stopped. A leader that has
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -93,4 +93,3 @@
 		c.options.Part.Info("Entry reported.", "entry", r.Id, "name", r.Name, "ready", r.Ready, "gone", r.Gone, "err", err)
 	}()
 }
-
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -13,11 +13,12 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	states map[string]*state
+	speeds map[string]*speed // of reading prompts, by service
 }
 
 // NewBook makes an empty book for an entry in a zone.
 func NewBook(zone string, seed uint64) *Book {
-	return &Book{zone: zone, random: rand.New(rand.NewPCG(seed, 1)), states: map[string]*state{}}
+	return &Book{zone: zone, random: rand.New(rand.NewPCG(seed, 1)), states: map[string]*state{}, speeds: map[string]*speed{}}
 }
 
 func (b *Book) state(id string) *state {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -19,6 +19,7 @@
 type Choice struct {
 	Endpoint *Endpoint
 	Cost     float64
+	Before   float64 // its fill alone, as the Measure gave it
 	Own      int     // exchanges of this entry there
 	Others   float64 // estimate of others' exchanges there
 	AgeMs    int64   // of that estimate; -1 when nothing was told
@@ -82,13 +83,14 @@
 
 func (b *Book) weigh(now time.Time, e *Endpoint, s *state, fill Measure, base float64) Choice {
 	others := s.othersNow(now)
-	cost := fill(e, s.own, s.prompt, s.memory, others)
+	before := fill(e, s.own, s.prompt, s.memory, others)
+	cost := before
 	cost += faultCost * (s.faults - base)
 	if e.Zone != b.zone {
 		cost += otherZone
 	}
 	cost += spread * b.random.Float64()
-	c := Choice{Endpoint: e, Cost: cost, Own: s.own, Others: others, AgeMs: -1}
+	c := Choice{Endpoint: e, Cost: cost, Before: before, Own: s.own, Others: others, AgeMs: -1}
 	if !s.toldAt.IsZero() {
 		c.AgeMs = now.Sub(s.toldAt).Milliseconds()
 	}
--- /dev/null
+++ b/internal/dispatch/reading.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import "time"
+
+// firstSpeed is how many tokens of a prompt an endpoint reads in a second, as
+// long as nothing was measured.
+const firstSpeed = 30_000
+
+// speedFade is by how much a measured speed counts less at each newer one, so
+// that a faster or slower kind of endpoint shows after some hundred prompts.
+const speedFade = 0.01
+
+// speed is the highest speed of reading seen lately: slower ones waited.
+type speed struct{ tokensPerSecond float64 }
+
+// HaveRead takes in that a prompt was read in some time, waits included.
+func (b *Book) HaveRead(service string, tokens int, took time.Duration) {
+	if took <= 0 || tokens <= 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.speeds[service]
+	if s == nil {
+		s = &speed{tokensPerSecond: firstSpeed}
+		b.speeds[service] = s
+	}
+	s.tokensPerSecond = max(seen, s.tokensPerSecond-speedFade*(s.tokensPerSecond-seen))
+}
+
+// ReadingTime is about how long a prompt takes at an endpoint, with the given
+// cost by waiting prompts, in units of this one.
+func (b *Book) ReadingTime(service string, tokens int, before float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rate := float64(firstSpeed)
+	if s := b.speeds[service]; s != nil {
+		rate = s.tokensPerSecond
+	}
+	return time.Duration((1 + before) * float64(tokens) / rate * float64(time.Second))
+}
+
+// Reading decides whether a prompt is read by an endpoint that reads for
+// others, or where its answer is generated.
+//
+// Load pattern: some of the readers are lost under load, and those left are
+// asked for more than they can read. What waits there misses its target, while
+// the generating endpoints, whose memory is what binds them, have time to
+// spare. They read at half the speed and between the tokens of the streams
+// that they generate, so a long prompt would hold those up beyond their pause.
+type Reading struct {
+	Target time.Duration // to the first part of the answer; 0 for none
+	Waited time.Duration // since the request came
+	Gap    time.Duration // longest pause in target of the streams beside it; 0 for none
+}
+
+// ownReadingFactor is by how much longer the generating endpoint reads.
+const ownReadingFactor = 2
+
+// readingShare is the part of the target by which a prompt must be read; the
+// rest is for the transfer, the first token and what is not known.
+const readingShare = 0.8
+
+// gapShare is the part of a pause that reading may take from the streams
+// beside it, which need the rest for their own tokens.
+const gapShare = 0.75
+
+// Elsewhere tells whether the reader is the better place: alone is how long
+// the prompt takes there by itself, and whole with those before it.
+func (r Reading) Elsewhere(alone, whole time.Duration) bool {
+	if r.Target == 0 || r.Waited+whole < time.Duration(readingShare*float64(r.Target)) {
+		return true
+	}
+	own := ownReadingFactor * alone
+	if r.Gap > 0 && own > time.Duration(gapShare*float64(r.Gap)) {
+		return true
+	}
+	return whole < own
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -227,7 +227,7 @@
 func (f *Follower) build() *relay.View {
 	view := &relay.View{Table: f.table, Endpoints: map[string][]*dispatch.Endpoint{}}
 	for _, e := range f.endpoints {
-		if e.State == pb.EndpointState_ENDPOINT_STATE_READY {
+		if e.State == pb.EndpointState_ENDPOINT_STATE_READY && e.Assigned == pb.Stage_STAGE_UNSPECIFIED {
 			view.Endpoints[e.Service] = append(view.Endpoints[e.Service], endpointOf(e))
 		}
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -153,7 +153,7 @@
 		return nil
 	}
 	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(l.x.Prompt.Tokens))
-	if !ok {
+	if !ok || !l.readsElsewhere(choice) {
 		return nil
 	}
 	l.prefilled = true
@@ -163,10 +163,20 @@
 	began := time.Now()
 	result, outcome := l.readPrompt(ctx, choice.Endpoint)
 	l.prefillMs = time.Since(began).Milliseconds()
+	if outcome == dispatch.OutcomeServed {
+		book.HaveRead(l.service, l.x.Prompt.Tokens, time.Since(began))
+	}
 	book.End(time.Now(), choice.Endpoint, work, outcome)
 	return result
 }
 
+// readsElsewhere tells whether the prompt is read at the chosen reader.
+func (l *life) readsElsewhere(reader dispatch.Choice) bool {
+	book, tokens := l.router.options.Book, l.x.Prompt.Tokens
+	r := dispatch.Reading{Target: l.route.Target, Waited: time.Since(l.x.Received), Gap: l.route.EventGap}
+	return r.Elsewhere(book.ReadingTime(l.service, tokens, 0), book.ReadingTime(l.service, tokens, reader.Before))
+}
+
 func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
 	call := l.call(e)
 	call.Prefill = true
