--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -19,7 +19,7 @@
 type Choice struct {
 	Endpoint *Endpoint
 	Cost     float64
-	Before   float64 // its fill alone, as the Measure gave it
+	Before   float64 // its fill alone, by the Measure or by the waits seen there
 	Own      int     // exchanges of this entry there
 	Others   float64 // estimate of others' exchanges there
 	AgeMs    int64   // of that estimate; -1 when nothing was told
@@ -83,7 +83,7 @@
 
 func (b *Book) weigh(now time.Time, e *Endpoint, s *state, fill Measure, base float64) Choice {
 	others := s.othersNow(now)
-	before := fill(e, s.own, s.prompt, s.memory, others)
+	before := max(fill(e, s.own, s.prompt, s.memory, others), s.waitNow(now))
 	cost := before
 	cost += faultCost * (s.faults - base)
 	if e.Zone != b.zone {
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -13,20 +13,25 @@
 // speed is the highest speed of reading seen lately: slower ones waited.
 type speed struct{ tokensPerSecond float64 }
 
-// HaveRead takes in that a prompt was read in some time, waits included.
-func (b *Book) HaveRead(service string, tokens int, took time.Duration) {
+// HaveRead takes in that an endpoint read a prompt in some time, waits
+// included. How long it waited tells most of others' prompts there: entries
+// hear of them only with their own answers.
+func (b *Book) HaveRead(now time.Time, e *Endpoint, tokens int, took time.Duration) {
 	if took <= 0 || tokens <= 0 {
 		return
 	}
 	seen := float64(tokens) / took.Seconds()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.speeds[service]
+	s := b.speeds[e.Service]
 	if s == nil {
 		s = &speed{tokensPerSecond: firstSpeed}
-		b.speeds[service] = s
+		b.speeds[e.Service] = s
 	}
 	s.tokensPerSecond = max(seen, s.tokensPerSecond-speedFade*(s.tokensPerSecond-seen))
+	state := b.state(e.ID)
+	state.waited = max(0, s.tokensPerSecond/seen-1)
+	state.waitedAt = now
 }
 
 // ReadingTime is about how long a prompt takes at an endpoint, with the given
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -15,6 +15,9 @@
 	misfits int       // answers in a row by another incarnation
 	faults  float64   // moving share of exchanges that failed, 0 to 1
 	usedAt  time.Time
+
+	waited   float64   // newest wait of a prompt there, in times of its own reading
+	waitedAt time.Time // when that was seen
 }
 
 // The weights of a state.
@@ -34,6 +37,9 @@
 	// answered at its address. The true one goes on reporting; a dead one is
 	// expired after about four heartbeats.
 	misfitPass = 4 * time.Second
+	// waitedLife is the time in which a seen wait loses half of its weight: a
+	// burst lasts some seconds, and its end must show soon.
+	waitedLife = time.Second
 	// idleState is how long the state of an unused endpoint is kept.
 	idleState = time.Minute
 )
@@ -50,6 +56,15 @@
 	return s.others * float64(othersLife) / float64(othersLife+age)
 }
 
+// waitNow is the estimate of the wait of a prompt there by what was seen.
+func (s *state) waitNow(now time.Time) float64 {
+	age := max(0, now.Sub(s.waitedAt))
+	if s.waitedAt.IsZero() || age > 4*waitedLife {
+		return 0
+	}
+	return s.waited * float64(waitedLife) / float64(waitedLife+age)
+}
+
 // open tells whether the endpoint may get work now.
 func (s *state) open(now time.Time) bool {
 	if now.Before(s.until) {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -164,7 +164,7 @@
 	result, outcome := l.readPrompt(ctx, choice.Endpoint)
 	l.prefillMs = time.Since(began).Milliseconds()
 	if outcome == dispatch.OutcomeServed {
-		book.HaveRead(l.service, l.x.Prompt.Tokens, time.Since(began))
+		book.HaveRead(time.Now(), choice.Endpoint, l.x.Prompt.Tokens, time.Since(began))
 	}
 	book.End(time.Now(), choice.Endpoint, work, outcome)
 	return result
