--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -121,9 +121,7 @@
 func (b *Book) Full(now time.Time, e *Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(e.ID)
-	s.others = max(s.others, float64(e.Slots-s.own))
-	s.toldAt = now
+	b.state(e.ID).fullAt = now
 }
 
 // InFlight counts the exchanges of this entry at an endpoint.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -10,6 +10,9 @@
 	// faultCost is the cost of an endpoint that fails all its exchanges; one
 	// that fails a third of them is as unattractive as a full one.
 	faultCost = 3.0
+	// fullCost puts an endpoint that had no room a moment ago behind all that
+	// may have some.
+	fullCost = 10.0
 	// spread is the random part of a cost. Entries that hold the same picture
 	// would else all send to the same endpoint at once.
 	spread = 0.08
@@ -86,6 +89,9 @@
 	before := max(fill(e, s.own, s.prompt, s.memory, others), s.waitNow(now))
 	cost := before
 	cost += faultCost * (s.faults - base)
+	if now.Sub(s.fullAt) < fullLife {
+		cost += fullCost
+	}
 	if e.Zone != b.zone {
 		cost += otherZone
 	}
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -55,31 +55,40 @@
 // spare. They read at half the speed and between the tokens of the streams
 // that they generate, so a long prompt would hold those up beyond their pause.
 type Reading struct {
-	Target time.Duration // to the first part of the answer; 0 for none
-	Waited time.Duration // since the request came
-	Gap    time.Duration // longest pause in target of the streams beside it; 0 for none
+	Gap time.Duration // longest pause in target of the streams beside it; 0 for none
 }
 
-// ownReadingFactor is by how much longer the generating endpoint reads.
-const ownReadingFactor = 2
+// Place is where a prompt is read.
+type Place int
 
-// readingShare is the part of the target by which a prompt must be read; the
-// rest is for the transfer, the first token and what is not known.
-const readingShare = 0.8
+// The places.
+const (
+	PlaceReader Place = iota // by an endpoint that reads for others
+	PlaceOwn                 // where its answer is generated
+	PlaceLater               // nowhere yet: it has to wait
+)
 
-// gapShare is the part of a pause that reading may take from the streams
-// beside it, which need the rest for their own tokens.
-const gapShare = 0.75
+// The figures of a Reading.
+const (
+	// ownReadingFactor is by how much longer the generating endpoint reads.
+	ownReadingFactor = 2
+	// readerWait is how long a prompt may take at a reader. Memory is held for
+	// it meanwhile, which at a fleet that is full is missing elsewhere.
+	readerWait = 400 * time.Millisecond
+	// gapShare is the part of a pause that reading may take from the streams
+	// beside it, which need the rest for their own tokens.
+	gapShare = 0.75
+)
 
-// Elsewhere tells whether the reader is the better place: alone is how long
-// the prompt takes there by itself, and whole with those before it.
-func (r Reading) Elsewhere(alone, whole time.Duration) bool {
-	if r.Target == 0 || r.Waited+whole < time.Duration(readingShare*float64(r.Target)) {
-		return true
-	}
+// Choose tells where the prompt is read: alone is how long it takes at a
+// reader by itself, and whole with those before it.
+func (r Reading) Choose(alone, whole time.Duration) Place {
 	own := ownReadingFactor * alone
-	if r.Gap > 0 && own > time.Duration(gapShare*float64(r.Gap)) {
-		return true
+	if whole <= max(readerWait, 2*alone) || whole <= own {
+		return PlaceReader
+	}
+	if r.Gap == 0 || own <= time.Duration(gapShare*float64(r.Gap)) {
+		return PlaceOwn
 	}
-	return whole < own
+	return PlaceLater
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -12,6 +12,7 @@
 	hard    int       // failures in a row that show the endpoint gone
 	until   time.Time // passed over until then
 	trial   bool      // one exchange tries it after a pass-over
+	fullAt  time.Time // when it was last without room
 	misfits int       // answers in a row by another incarnation
 	faults  float64   // moving share of exchanges that failed, 0 to 1
 	usedAt  time.Time
@@ -37,6 +38,9 @@
 	// answered at its address. The true one goes on reporting; a dead one is
 	// expired after about four heartbeats.
 	misfitPass = 4 * time.Second
+	// fullLife is how long an endpoint without room is asked after the others.
+	// Answers end every 30 to 50 ms at one that is full.
+	fullLife = 60 * time.Millisecond
 	// waitedLife is the time in which a seen wait loses half of its weight: a
 	// burst lasts some seconds, and its end must show soon.
 	waitedLife = time.Second
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -24,11 +24,12 @@
 
 	tried     map[string]bool // endpoints that were sent to
 	sends     int
-	runs      int  // sends that may have run
-	ran       bool // it may have run somewhere
-	arrived   bool // a send reached an endpoint: the next one is extra
-	prefilled bool // a prefill was asked for; a second one would be extra
-	begun     bool // the caller got the head of the answer
+	runs      int        // sends that may have run
+	ran       bool       // it may have run somewhere
+	arrived   bool       // a send reached an endpoint: the next one is extra
+	source    *prefilled // result of a prefill that was not taken yet
+	prefilled bool       // a prefill was asked for; a second one would be extra
+	begun     bool       // the caller got the head of the answer
 	lastID    string
 	last      dispatch.Outcome
 	chosen    string // endpoint sent to last
@@ -168,6 +169,9 @@
 	}
 	book.End(time.Now(), c.Endpoint, work, a.outcome)
 	l.last = a.outcome
+	if a.outcome != dispatch.OutcomeUnreachable && a.outcome != dispatch.OutcomeMisfit {
+		l.source = nil // taken, or gone: an endpoint that had it without taking it can't be told
+	}
 	return a
 }
 
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -41,8 +41,11 @@
 	}
 	call := l.call(at.endpoint)
 	call.Hold = at.hold
-	if source := l.prefill(ctx); source != nil {
-		call.Source = &Source{Address: source.endpoint.Address, Handle: source.handle}
+	if l.source == nil {
+		l.source = l.prefill(ctx)
+	}
+	if l.source != nil {
+		call.Source = &Source{Address: l.source.endpoint.Address, Handle: l.source.handle}
 	}
 	if ctx.Err() != nil {
 		l.dropPlace(at)
@@ -59,9 +62,11 @@
 		Start: usualStart, Length: usualLength,
 	}
 	for {
-		at, found := l.findPlace(ctx)
-		if at != nil || !found {
-			return at
+		if l.canBeRead() {
+			at, found := l.findPlace(ctx)
+			if at != nil || !found {
+				return at
+			}
 		}
 		pause, giveUp := waiting.Pause(time.Since(l.x.Received))
 		if giveUp || !wait(ctx, pause) {
@@ -70,6 +75,15 @@
 	}
 }
 
+// canBeRead tells whether the prompt would be read soon once it has a place.
+func (l *life) canBeRead() bool {
+	if l.x.Prompt == nil || l.prefilled {
+		return true
+	}
+	_, where := l.chooseReader()
+	return where != dispatch.PlaceLater
+}
+
 // silence is how long a caller waits for the next event of a stream, its first
 // one too, before it leaves: two seconds, four times the target or eight times
 // the longest pause, whichever is longest.
@@ -152,8 +166,8 @@
 	if l.x.Prompt == nil || l.prefilled {
 		return nil
 	}
-	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(l.x.Prompt.Tokens))
-	if !ok || !l.readsElsewhere(choice) {
+	choice, where := l.chooseReader()
+	if where != dispatch.PlaceReader {
 		return nil
 	}
 	l.prefilled = true
@@ -170,11 +184,16 @@
 	return result
 }
 
-// readsElsewhere tells whether the prompt is read at the chosen reader.
-func (l *life) readsElsewhere(reader dispatch.Choice) bool {
+// chooseReader picks the endpoint that reads prompts for others with the least
+// before it, and tells whether this one is read there.
+func (l *life) chooseReader() (dispatch.Choice, dispatch.Place) {
 	book, tokens := l.router.options.Book, l.x.Prompt.Tokens
-	r := dispatch.Reading{Target: l.route.Target, Waited: time.Since(l.x.Received), Gap: l.route.EventGap}
-	return r.Elsewhere(book.ReadingTime(l.service, tokens, 0), book.ReadingTime(l.service, tokens, reader.Before))
+	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(tokens))
+	if !ok {
+		return choice, dispatch.PlaceOwn
+	}
+	alone := book.ReadingTime(l.service, tokens, 0)
+	return choice, dispatch.Reading{Gap: l.route.EventGap}.Choose(alone, book.ReadingTime(l.service, tokens, choice.Before))
 }
 
 func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
