--- /dev/null
+++ b/internal/catalog/machine_test.go
@@ -0,0 +1,189 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+const (
+	ready    = pb.EndpointState_ENDPOINT_STATE_READY
+	draining = pb.EndpointState_ENDPOINT_STATE_DRAINING
+	silent   = pb.EndpointState_ENDPOINT_STATE_SILENT
+	gone     = pb.EndpointState_ENDPOINT_STATE_GONE
+)
+
+// log applies commands at rising indexes.
+type log struct {
+	t       *testing.T
+	machine *Machine
+	index   uint64
+}
+
+func newLog(t *testing.T) *log { return &log{t: t, machine: NewMachine()} }
+
+func (l *log) apply(c *pb.CatalogCommand) {
+	l.t.Helper()
+	data, err := proto.Marshal(c)
+	assert.NilError(l.t, err)
+	l.index++
+	l.machine.Apply(l.index, data)
+}
+
+func (l *log) report(id string, seq uint64, state pb.EndpointState) {
+	l.t.Helper()
+	record := &pb.EndpointRecord{Id: id, Service: "s", Address: "10.0.0.1:80", State: state, Sequence: seq}
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: record}})
+}
+
+func (l *log) retire(id string) {
+	l.t.Helper()
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_RetireEndpoint{RetireEndpoint: &pb.RetireEndpoint{Id: id}}})
+}
+
+func (l *log) expire(id string, revision uint64) {
+	l.t.Helper()
+	expire := &pb.Expire{Endpoints: []*pb.Expected{{Id: id, Revision: revision}}}
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_Expire{Expire: expire}})
+}
+
+func (l *log) put(version int64, source string) {
+	l.t.Helper()
+	d := &pb.ConfigDocument{Version: version, Source: []byte(source)}
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_PutDocument{PutDocument: d}})
+}
+
+func (l *log) assign(id string, stage pb.Stage) {
+	l.t.Helper()
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_AssignStage{AssignStage: &pb.AssignStage{Id: id, Stage: stage}}})
+}
+
+// An endpoint says that it leaves and still gets work: a heartbeat of before,
+// held up on the way, comes after its word, and the list takes it for new.
+func TestLateHeartbeatBringsNobodyBack(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		steps func(l *log)
+		want  pb.EndpointState
+	}{
+		{"in order", func(l *log) { l.report("a", 1, ready); l.report("a", 2, draining) }, draining},
+		{"late ready", func(l *log) { l.report("a", 2, draining); l.report("a", 1, ready) }, draining},
+		{"same number", func(l *log) { l.report("a", 2, draining); l.report("a", 2, ready) }, draining},
+		{"after it left", func(l *log) { l.report("a", 1, ready); l.retire("a"); l.report("a", 9, ready) }, gone},
+		{"left before it was heard", func(l *log) { l.retire("a"); l.report("a", 1, ready) }, gone},
+		{"silent, then heard", func(l *log) { l.report("a", 1, ready); l.expire("a", 1); l.report("a", 2, ready) }, ready},
+		{"silent, late heartbeat", func(l *log) { l.report("a", 3, ready); l.expire("a", 1); l.report("a", 2, ready) }, silent},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLog(t)
+			test.steps(l)
+			assert.Equal(t, l.machine.Endpoint("a").State, test.want)
+		})
+	}
+}
+
+// A leader is frozen after it judged an endpoint silent, wakes, and its word
+// comes into the log after the endpoint was heard again at another leader.
+func TestLateJudgementIsDropped(t *testing.T) {
+	l := newLog(t)
+	l.report("a", 1, ready)
+	judged := l.machine.Endpoint("a").Revision
+	l.report("a", 2, draining)
+	l.expire("a", judged)
+	assert.Equal(t, l.machine.Endpoint("a").State, draining)
+}
+
+func TestHighestVersionIsHeld(t *testing.T) {
+	l := newLog(t)
+	l.put(5, "five")
+	revision, _ := l.machine.Revision()
+	l.put(5, "another five")
+	l.put(4, "four")
+	assert.Equal(t, string(l.machine.Document().Source), "five")
+	unchanged, _ := l.machine.Revision()
+	assert.Equal(t, unchanged, revision)
+	l.put(9, "nine")
+	assert.Equal(t, l.machine.Document().Version, int64(9))
+}
+
+// An endpoint is taken out of work to change its stage; it comes back when a
+// heartbeat shows the new stage, not at one that was sent before.
+func TestAssignedStage(t *testing.T) {
+	l := newLog(t)
+	report := func(seq uint64, stage pb.Stage, slots uint32) {
+		record := &pb.EndpointRecord{Id: "a", Service: "s", State: ready, Sequence: seq, Stage: stage, Slots: slots}
+		l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: record}})
+	}
+	report(1, pb.Stage_STAGE_PREFILL, 1)
+	l.assign("a", pb.Stage_STAGE_DECODE)
+	assert.Equal(t, l.machine.Endpoint("a").Assigned, pb.Stage_STAGE_DECODE)
+	report(2, pb.Stage_STAGE_PREFILL, 2)
+	assert.Equal(t, l.machine.Endpoint("a").Assigned, pb.Stage_STAGE_DECODE)
+	report(3, pb.Stage_STAGE_DECODE, 2)
+	assert.Equal(t, l.machine.Endpoint("a").Assigned, pb.Stage_STAGE_UNSPECIFIED)
+	l.assign("a", pb.Stage_STAGE_PREFILL)
+	l.assign("a", pb.Stage_STAGE_UNSPECIFIED)
+	assert.Equal(t, l.machine.Endpoint("a").Assigned, pb.Stage_STAGE_UNSPECIFIED)
+}
+
+func TestEntriesComeAndGo(t *testing.T) {
+	l := newLog(t)
+	report := func(e *pb.EntryRecord) {
+		l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEntry{ReportEntry: e}})
+	}
+	report(&pb.EntryRecord{Id: "1", Name: "n", Address: "a", Ready: true})
+	report(&pb.EntryRecord{Id: "2", Name: "m", Address: "b"})
+	assert.Equal(t, len(l.machine.ReadyEntries()), 1)
+	report(&pb.EntryRecord{Id: "3", Name: "n", Address: "a", Ready: true})
+	assert.Assert(t, l.machine.Entry("1") == nil, "the incarnation before goes")
+	report(&pb.EntryRecord{Id: "3", Name: "n", Address: "a", Gone: true})
+	assert.Equal(t, len(l.machine.ReadyEntries()), 0)
+}
+
+// A member that was down takes over a snapshot, and a reader that held an
+// older revision gets from it what it lacks, tombstones included.
+func TestSnapshotHoldsAll(t *testing.T) {
+	l := newLog(t)
+	l.put(3, "three")
+	for n := range 20 {
+		l.report(fmt.Sprint("e", n), 1, ready)
+	}
+	held, _ := l.machine.Revision()
+	l.retire("e7")
+	data, err := l.machine.Snapshot()
+	assert.NilError(t, err)
+	other := NewMachine()
+	assert.NilError(t, other.Restore(l.index, data))
+	delta := other.Since(3, held)
+	assert.Equal(t, len(delta.Endpoints), 1)
+	assert.Equal(t, delta.Endpoints[0].State, gone)
+	assert.Assert(t, delta.Document == nil)
+	assert.Equal(t, other.Since(0, 0).Document.Version, int64(3))
+	again, err := other.Snapshot()
+	assert.NilError(t, err)
+	assert.Equal(t, len(again), len(data))
+}
+
+// Garbage in the log changes nothing and stops nobody.
+func TestUndecodableCommand(t *testing.T) {
+	l := newLog(t)
+	l.put(1, "one")
+	l.index++
+	l.machine.Apply(l.index, []byte{0xff, 0xff})
+	assert.Equal(t, l.machine.Document().Version, int64(1))
+	assert.Equal(t, l.machine.Applied(), l.index)
+}
+
+func TestTombstonesAreBounded(t *testing.T) {
+	l := newLog(t)
+	for n := range keptTombstones + 10 {
+		l.retire(fmt.Sprint(n))
+	}
+	endpoints, _ := l.machine.Records()
+	assert.Equal(t, len(endpoints), keptTombstones)
+	assert.Assert(t, l.machine.Endpoint("0") == nil)
+}
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -40,14 +40,10 @@
 func (c *Coordinator) ReportEndpoint(ctx context.Context, r *pb.EndpointRecord) error {
 	known := c.options.Machine.Endpoint(r.Id)
 	if catalog.Changes(known, r) {
-		err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: r}})
-		c.options.Part.Info("Endpoint reported.", "endpoint", r.Id, "service", r.Service, "address", r.Address,
-			"state", r.State, "stage", r.Stage, "seq", r.Sequence, "err", err)
-		if err != nil {
+		if err := c.commitReport(ctx, r); err != nil {
 			return err
 		}
-	}
-	if !c.current(time.Now()) {
+	} else if !c.current(time.Now()) {
 		return trace.Wrap(ErrUnavailable, "this member is out of touch")
 	}
 	if known.GetState() != pb.EndpointState_ENDPOINT_STATE_GONE {
@@ -56,6 +52,13 @@
 	return nil
 }
 
+func (c *Coordinator) commitReport(ctx context.Context, r *pb.EndpointRecord) error {
+	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: r}})
+	c.options.Part.Info("Endpoint reported.", "endpoint", r.Id, "service", r.Service, "address", r.Address,
+		"state", r.State, "stage", r.Stage, "seq", r.Sequence, "err", err)
+	return err
+}
+
 // RetireEndpoint ends an endpoint's incarnation for good.
 func (c *Coordinator) RetireEndpoint(ctx context.Context, id string) error {
 	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_RetireEndpoint{RetireEndpoint: &pb.RetireEndpoint{Id: id}}})
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,260 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+func TestGroupForms(t *testing.T) {
+	runFleet(t, 5, func(t *testing.T, f *fleet) {
+		f.formed()
+		for n, i := range f.instances {
+			assert.NilError(t, f.put(i, int64(n+1)))
+		}
+		for _, i := range f.instances {
+			d, err := i.ReadDocument(f.within(time.Second))
+			assert.NilError(t, err)
+			assert.Equal(t, d.Version, int64(5))
+		}
+	})
+}
+
+// The first configuration is acknowledged while one disk holds it, and is gone
+// with that disk. Nothing is taken before three disks vote.
+func TestNothingIsTakenByOneDisk(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.cut(true, f.instances[0])
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, f.instances[0].node.Status().IsLeader)
+		assert.ErrorIs(t, f.put(f.instances[0], 1), ErrUnavailable)
+		f.cut(false, f.instances[0])
+		f.formed()
+		assert.NilError(t, f.put(f.instances[0], 1))
+	})
+}
+
+// The first seed comes back with an empty disk while the others are down. It
+// must not take the fleet for a new one: it would answer with no configuration,
+// where one was acknowledged.
+func TestEmptyDiskFormsNoGroup(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		assert.NilError(t, f.put(f.instances[0], 7))
+		f.instances[1].stop()
+		f.instances[2].stop()
+		first := f.instances[0]
+		f.restart(first, true)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, !first.node.Status().Initialised)
+		_, err := first.ReadDocument(f.within(time.Second))
+		assert.ErrorIs(t, err, ErrUnavailable)
+		f.start(f.instances[1])
+		f.start(f.instances[2])
+		f.await(8*time.Second, "the configuration", func() bool {
+			d, err := first.ReadDocument(f.within(time.Second))
+			return err == nil && d.GetVersion() == 7
+		})
+	})
+}
+
+// An instance loses its disk right after it has acknowledged a configuration,
+// and its own seeds are down when it is back. The others find it by its old
+// address, and it votes again soon enough for the next disk to go.
+func TestWipedInstanceIsFoundAndVotesAgain(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		wiped := f.instances[2]
+		assert.NilError(t, f.put(wiped, 3))
+		old := wiped.node.DiskID()
+		// Its own calls to join come to nothing.
+		f.net.OnRequest(wiped.address, "Join", func(string) { time.Sleep(time.Minute) })
+		f.restart(wiped, true)
+		took := f.await(8*time.Second, "a voter on the new disk", func() bool {
+			for _, m := range wiped.node.Status().Members {
+				if m.Member.DiskId == wiped.node.DiskID() && !m.Member.Learner {
+					return wiped.machine.Document().GetVersion() == 3
+				}
+			}
+			return false
+		})
+		assert.Assert(t, took < 4*time.Second, "%v", took)
+		assert.Assert(t, wiped.node.DiskID() != old)
+		assert.Equal(t, wiped.voters(), 3, "the lost disk is out")
+		f.net.OnRequest("", "", nil)
+		f.restart(f.instances[1], true)
+		f.await(8*time.Second, "a configuration taken again", func() bool { return f.put(f.instances[0], 4) == nil })
+		d, err := f.instances[0].ReadDocument(f.within(2 * time.Second))
+		assert.NilError(t, err)
+		assert.Equal(t, d.Version, int64(4))
+	})
+}
+
+// An instance is cut off. It must not answer with an older configuration, nor
+// confirm that an endpoint leaves: the entries would never hear of it.
+func TestCutOffInstanceAnswersNothing(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		assert.NilError(t, f.put(f.instances[1], 1))
+		lost := f.leader(f.instances...)
+		f.cut(true, lost)
+		others := without(f.instances, lost)
+		took := f.await(5*time.Second, "a leader among the others", func() bool { return f.put(others[0], 2) == nil })
+		assert.Assert(t, took < 3*time.Second, "%v", took)
+		_, err := lost.ReadDocument(f.within(time.Second))
+		assert.ErrorIs(t, err, ErrUnavailable)
+		assert.ErrorIs(t, f.put(lost, 9), ErrUnavailable)
+		report := &pb.EndpointRecord{Id: "e", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_DRAINING, Sequence: 1}
+		assert.ErrorIs(t, lost.ReportEndpoint(f.within(time.Second), report), ErrUnavailable)
+		assert.ErrorIs(t, lost.RetireEndpoint(f.within(time.Second), "e"), ErrUnavailable)
+		reply, err := lost.Follow(f.within(time.Second), &pb.FollowRequest{})
+		assert.NilError(t, err)
+		assert.Assert(t, !reply.Current)
+		f.cut(false, lost)
+		f.await(3*time.Second, "the newest configuration", func() bool {
+			d, err := lost.ReadDocument(f.within(time.Second))
+			return err == nil && d.Version >= 2
+		})
+	})
+}
+
+func without(all []*instance, one *instance) []*instance {
+	var rest []*instance
+	for _, i := range all {
+		if i != one {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// Only changes of an endpoint go through the log; plain heartbeats keep it
+// alive, and it goes silent when they end, whichever member heard them and
+// whoever leads.
+func TestHeartbeats(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		beat := func(n int, seq uint64) error {
+			r := &pb.EndpointRecord{Id: "e", Service: "s", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_READY, Sequence: seq}
+			return f.instances[n].ReportEndpoint(f.within(time.Second), r)
+		}
+		state := func() pb.EndpointState { return f.instances[0].machine.Endpoint("e").GetState() }
+		assert.NilError(t, beat(0, 1))
+		revision, _ := f.instances[0].machine.Revision()
+		for n := range 10 {
+			time.Sleep(1200 * time.Millisecond)
+			assert.NilError(t, beat(n%3, uint64(n+2)))
+		}
+		unchanged, _ := f.instances[0].machine.Revision()
+		assert.Equal(t, unchanged, revision)
+		old := f.leader(f.instances...)
+		f.restart(old, false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, state(), pb.EndpointState_ENDPOINT_STATE_READY, "a new leader has heard nobody yet")
+		f.await(8*time.Second, "silent", func() bool { return state() == pb.EndpointState_ENDPOINT_STATE_SILENT })
+		assert.NilError(t, beat(1, 50))
+		f.await(time.Second, "heard again", func() bool { return state() == pb.EndpointState_ENDPOINT_STATE_READY })
+	})
+}
+
+// Entries are listed while they ask for news, and leave the list at their own
+// word or within two seconds of their death; callers get those of their zone.
+func TestAddresses(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		ask := func(r *pb.EntryRecord) {
+			_, err := f.instances[0].Follow(f.within(time.Second), &pb.FollowRequest{Self: r})
+			assert.NilError(t, err)
+		}
+		entries := []*pb.EntryRecord{
+			{Id: "1", Name: "a", Address: "a:1", Zone: "z", Region: "r", Ready: true},
+			{Id: "2", Name: "b", Address: "b:1", Zone: "z", Region: "r", Ready: true},
+			{Id: "3", Name: "c", Address: "c:1", Zone: "y", Region: "r", Ready: true},
+		}
+		list := func(zone string) []string { return f.instances[1].AddressesFor(zone, "r") }
+		for range 4 {
+			for _, e := range entries {
+				ask(e)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.DeepEqual(t, list("z"), []string{"a:1", "b:1"})
+		assert.Equal(t, list("y")[0], "c:1")
+		assert.Equal(t, len(list("y")), 2, "a caller needs somewhere to go when its zone's entry is down")
+		entries[0].Gone = true
+		ask(entries[0])
+		f.await(300*time.Millisecond, "left", func() bool { return list("z")[0] != "a:1" })
+		f.await(3*time.Second, "all silent", func() bool { return len(list("z")) == 0 })
+	})
+}
+
+// recordedOrders notes who gives orders.
+type recordedOrders struct {
+	mu     sync.Mutex
+	stage  pb.Stage
+	given  []StageOrder
+	at     []time.Time
+	failed error
+}
+
+func (r *recordedOrders) Status(context.Context, *pb.EndpointRecord) (EndpointStatus, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return EndpointStatus{Stage: pb.Stage_STAGE_PREFILL, Accepted: int64(len(r.given))}, nil
+}
+
+func (r *recordedOrders) ChangeStage(_ context.Context, _ *pb.EndpointRecord, o StageOrder) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.given = append(r.given, o)
+	r.at = append(r.at, time.Now())
+	return r.failed
+}
+
+// The leader that gives orders dies. Endpoints that don't check fencing tokens
+// would obey both in turn: the next one waits out the lease of the one before,
+// and its token is higher.
+func TestOrdersComeFromOneHolder(t *testing.T) {
+	orders := &recordedOrders{failed: errors.New("no answer")}
+	runFleetWith(t, 3, orders, func(t *testing.T, f *fleet) {
+		f.formed()
+		report := func(n int) {
+			for e := range 8 {
+				r := &pb.EndpointRecord{
+					Id: string(rune('a' + e)), Service: "s", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_READY,
+					Stage: pb.Stage_STAGE_PREFILL, Sequence: uint64(n + 1),
+				}
+				_ = f.instances[n%3].ReportEndpoint(f.within(time.Second), r)
+			}
+		}
+		var first *instance
+		for n := range 60 {
+			report(n)
+			time.Sleep(500 * time.Millisecond)
+			if n == 16 {
+				first = f.leader(f.instances...)
+				f.restart(first, false)
+			}
+		}
+		orders.mu.Lock()
+		defer orders.mu.Unlock()
+		assert.Assert(t, len(orders.given) > 2)
+		assert.Equal(t, orders.given[0].Stage, pb.Stage_STAGE_DECODE)
+		holders := map[string]bool{}
+		for n, o := range orders.given {
+			holders[o.Holder] = true
+			if n == 0 || orders.given[n-1].Holder == o.Holder {
+				continue
+			}
+			assert.Assert(t, o.Token > orders.given[n-1].Token)
+			assert.Assert(t, orders.at[n].Sub(orders.at[n-1]) > 3*time.Second)
+		}
+		assert.Equal(t, len(holders), 2)
+	})
+}
--- /dev/null
+++ b/internal/coordinator/fleet_test.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/replica"
+	"github.com/hyssopsail/hyssopsail/internal/storage/faultfs"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
+)
+
+// fleet is control instances in one process, over the network in memory.
+type fleet struct {
+	t         *testing.T
+	net       *testkit.Network
+	instances []*instance
+	orders    Orders
+}
+
+// instance is one control instance with its disk.
+type instance struct {
+	address   string
+	disk      *faultfs.FS
+	bootstrap bool
+	node      *replica.Node
+	machine   *catalog.Machine
+	*Coordinator
+	stop func()
+}
+
+// runFleet runs a test on n instances that all start for the first time.
+func runFleet(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	runFleetWith(t, n, nil, test)
+}
+
+// runFleetWith is runFleet with a way to give orders.
+func runFleetWith(t *testing.T, n int, orders Orders, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: &testkit.Network{}, orders: orders}
+		for i := range n {
+			f.instances = append(f.instances, &instance{address: fmt.Sprint("control", i), disk: faultfs.New(), bootstrap: true})
+		}
+		for _, i := range f.instances {
+			f.start(i)
+		}
+		defer func() {
+			for _, i := range f.instances {
+				i.stop()
+			}
+		}()
+		test(t, f)
+	})
+}
+
+func (f *fleet) seeds() []string { return []string{"control0", "control1", "control2"} }
+
+func (f *fleet) start(i *instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.machine = catalog.NewMachine()
+	transport := replica.NewTransport(f.net.Dialer(i.address), logging.Part{})
+	node, err := replica.New(replica.Options{
+		InstanceID: i.address, RPCAddress: i.address, Dir: "data", FS: i.disk, Machine: i.machine,
+		Transport: transport, Seed: uint64(len(i.address)) + uint64(i.address[len(i.address)-1]),
+	})
+	assert.NilError(f.t, err)
+	i.node = node
+	i.Coordinator = New(Options{
+		Group: node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
+		Self:  &pb.Member{InstanceId: i.address, DiskId: node.DiskID(), RpcAddress: i.address},
+		Seeds: f.seeds(), Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
+		Orders: f.orders, OrderLease: 3 * time.Second,
+	})
+	f.net.Serve(i.address, i.Coordinator, pb.DRPCConsensusDescription{}, pb.DRPCCoordinatorDescription{})
+	ended := make(chan struct{}, 3)
+	for _, run := range []func(context.Context) error{transport.Run, node.Run, i.Coordinator.Run} {
+		go func() { _ = run(ctx); ended <- struct{}{} }()
+	}
+	i.stop = func() {
+		f.net.Remove(i.address)
+		cancel()
+		for range cap(ended) {
+			<-ended
+		}
+	}
+}
+
+// restart stops an instance and starts it again with its disk, or with an
+// empty one.
+func (f *fleet) restart(i *instance, wiped bool) {
+	i.stop()
+	if wiped {
+		i.disk = faultfs.New()
+	}
+	i.bootstrap = false
+	f.start(i)
+}
+
+// await polls until done tells so, for at most limit.
+func (f *fleet) await(limit time.Duration, what string, done func() bool) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for !done() {
+		assert.Assert(f.t, time.Since(began) < limit, "not in %v: %s", limit, what)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// leader gives the instance that leads among those given.
+func (f *fleet) leader(among ...*instance) *instance {
+	for _, i := range among {
+		if i.node.Status().IsLeader {
+			return i
+		}
+	}
+	return nil
+}
+
+func (f *fleet) formed() {
+	f.t.Helper()
+	f.await(5*time.Second, "a group of all", func() bool {
+		for _, i := range f.instances {
+			if i.voters() != len(f.instances) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// cut separates one instance from the others, both ways.
+func (f *fleet) cut(cut bool, i *instance) {
+	for _, other := range f.instances {
+		if other != i {
+			f.net.SetCut(cut, i.address, other.address)
+			f.net.SetCut(cut, other.address, i.address)
+		}
+	}
+}
+
+func (f *fleet) within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	f.t.Cleanup(cancel)
+	return ctx
+}
+
+// put sends a document and gives the error.
+func (f *fleet) put(i *instance, version int64) error {
+	return i.PutDocument(f.within(time.Second), version, []byte(fmt.Sprint("document ", version)))
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,260 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func endpoints(n int) []*Endpoint {
+	var list []*Endpoint
+	for i := range n {
+		list = append(list, &Endpoint{ID: fmt.Sprint("e", i), Zone: "z", Slots: 10})
+	}
+	return list
+}
+
+// shares sends many exchanges that end at once and counts where they went.
+func shares(b *Book, now time.Time, list []*Endpoint, n int) map[string]int {
+	got := map[string]int{}
+	for range n {
+		c, _ := b.Choose(now, list, ByPlaces)
+		got[c.Endpoint.ID]++
+	}
+	return got
+}
+
+func TestLeastFullIsChosen(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(3)
+	for n := range 9 {
+		c, ok := b.Choose(at(0), list, ByPlaces)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Among, 3)
+		b.Begin(at(0), c.Endpoint, Work{})
+		assert.Assert(t, c.Own <= n/3, "one of three got a lead")
+	}
+	_, ok := b.Choose(at(0), nil, ByPlaces)
+	assert.Assert(t, !ok)
+}
+
+// Others' load counts for a moment after it was told, and then no more: an
+// endpoint that was full once would else be left alone.
+func TestToldLoadFades(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Told(at(0), "e0", Load{Running: 8, Waiting: 2, Slots: 10})
+	assert.Equal(t, shares(b, at(0), list, 20)["e1"], 20)
+	assert.Assert(t, shares(b, at(2*time.Second), list, 100)["e0"] > 20)
+}
+
+func TestOtherZoneIsSecondChoice(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	list[0].Zone = "y"
+	assert.Equal(t, shares(b, at(0), list, 20)["e1"], 20)
+	for range 3 {
+		b.Begin(at(0), list[1], Work{})
+	}
+	assert.Equal(t, shares(b, at(0), list, 20)["e0"], 20)
+}
+
+// A server is dark: each entry that tries it loses a connection's time. It is
+// passed over, tried by one exchange after a pause, and the pause grows.
+func TestUnreachableEndpointIsPassedOver(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Note(at(0), list[0], OutcomeUnreachable)
+	assert.Equal(t, shares(b, at(firstPass/2), list, 20)["e0"], 0)
+	now := at(firstPass + time.Millisecond)
+	for range 20 { // loads e1, so that e0 would be chosen
+		b.Begin(now, list[1], Work{})
+	}
+	c, _ := b.Choose(now, list, ByPlaces)
+	assert.Equal(t, c.Endpoint.ID, "e0")
+	b.Begin(now, list[0], Work{})
+	assert.Equal(t, shares(b, now, list, 20)["e0"], 0, "one trial at a time")
+	b.End(now, list[0], Work{}, OutcomeUnreachable)
+	assert.Equal(t, shares(b, now.Add(firstPass+time.Millisecond), list, 20)["e0"], 0, "the pause has doubled")
+	b.Note(now, list[0], OutcomeServed)
+	assert.Equal(t, shares(b, now, list, 20)["e0"], 20)
+}
+
+// All are passed over: somebody must be tried.
+func TestSomebodyIsAlwaysChosen(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Note(at(0), list[0], OutcomeUnreachable)
+	b.Note(at(time.Millisecond), list[1], OutcomeUnreachable)
+	c, ok := b.Choose(at(2*time.Millisecond), list, ByPlaces)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Endpoint.ID, "e0")
+	assert.Equal(t, c.Among, 0)
+}
+
+// A server fails part of its requests while its health is good. It gets few,
+// but a failure that all servers have in common is no reason to leave one.
+func TestGreyServerGetsFew(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(3)
+	for n := range 30 {
+		outcome := OutcomeServed
+		if n%3 != 0 {
+			outcome = OutcomeLost
+		}
+		b.Note(at(0), list[0], outcome)
+		b.Note(at(0), list[1], OutcomeServed)
+		b.Note(at(0), list[2], OutcomeServed)
+	}
+	assert.Equal(t, shares(b, at(0), list, 50)["e0"], 0)
+	alike := NewBook("z", 1)
+	for n := range 30 {
+		for _, e := range list {
+			if n%7 == 0 {
+				alike.Note(at(0), e, OutcomeFailed)
+			} else {
+				alike.Note(at(0), e, OutcomeServed)
+			}
+		}
+	}
+	assert.Assert(t, shares(alike, at(0), list, 300)["e0"] > 50)
+}
+
+// An address has another server now. The incarnation that is gone gets nothing
+// more, though it is still listed.
+func TestMisfitIsPassedOver(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Note(at(0), list[0], OutcomeMisfit)
+	assert.Equal(t, shares(b, at(misfitPass/2), list, 20)["e0"], 0)
+}
+
+func TestWithoutRoomIsAskedLast(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Full(at(0), list[0])
+	for range 9 {
+		b.Begin(at(0), list[1], Work{})
+	}
+	assert.Equal(t, shares(b, at(fullLife/2), list, 20)["e1"], 20)
+	assert.Equal(t, shares(b, at(2*fullLife), list, 20)["e0"], 20)
+}
+
+func TestSweepForgetsTheUnused(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	b.Begin(at(0), list[0], Work{})
+	b.Note(at(0), list[1], OutcomeServed)
+	b.Sweep(at(2 * idleState))
+	assert.Equal(t, len(b.states), 1)
+	assert.Equal(t, b.InFlight("e0"), 1)
+}
+
+// Many callers fail at once: sends again stay under the fleet's bound, and the
+// entries' shares add up to no more than it.
+func TestBudget(t *testing.T) {
+	const entries, requests, ratio, slack = 7, 100, 0.2, 54.0
+	total := 0
+	for range entries {
+		b := NewBudget(at(-time.Minute), ratio, 10*time.Second, slack)
+		b.Share(entries)
+		for n := range requests {
+			b.Request(at(time.Duration(n)*50*time.Millisecond), "s")
+		}
+		for b.Spend(at(5*time.Second), "s") {
+			total++
+		}
+		assert.Assert(t, b.Left(at(5*time.Second), "s") < 1)
+		assert.Assert(t, b.Spend(at(5*time.Second), "other"), "each service has its own")
+	}
+	bound := ratio*entries*requests + slack
+	assert.Assert(t, float64(total) <= bound, "%d over %v", total, bound)
+	assert.Assert(t, float64(total) >= 0.7*bound, "%d far under %v", total, bound)
+}
+
+// An entry that was restarted doesn't know what was spent of the slack: it gets
+// its share back over one window.
+func TestBudgetAfterARestart(t *testing.T) {
+	spent := func(age time.Duration) int {
+		b := NewBudget(at(0), 0.2, 10*time.Second, 54)
+		n := 0
+		for b.Spend(at(age), "s") {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spent(0), 0)
+	assert.Assert(t, spent(5*time.Second) < 25)
+	assert.Equal(t, spent(11*time.Second), 43)
+}
+
+func TestBudgetWindowSlides(t *testing.T) {
+	b := NewBudget(at(-time.Minute), 0, 10*time.Second, 10)
+	for b.Spend(at(0), "s") {
+	}
+	assert.Assert(t, !b.Spend(at(8*time.Second), "s"))
+	assert.Assert(t, b.Spend(at(11*time.Second), "s"))
+	assert.Assert(t, b.Spend(at(10*time.Minute), "s"))
+}
+
+func TestWaiting(t *testing.T) {
+	w := Waiting{Target: 900 * time.Millisecond, Patience: 14 * time.Second, Silence: 3600 * time.Millisecond, Start: 250 * time.Millisecond, Length: 4 * time.Second}
+	for _, test := range []struct {
+		waited time.Duration
+		pause  time.Duration
+		giveUp bool
+	}{
+		{0, freshPause, false},
+		{600 * time.Millisecond, freshPause, false},
+		{700 * time.Millisecond, latePause, false},
+		{3 * time.Second, latePause, false},
+		{3200 * time.Millisecond, 0, true},
+	} {
+		pause, giveUp := w.Pause(test.waited)
+		assert.Equal(t, pause, test.pause, "%v", test.waited)
+		assert.Equal(t, giveUp, test.giveUp, "%v", test.waited)
+	}
+	_, giveUp := Waiting{Patience: time.Second, Start: 250 * time.Millisecond, Length: 4 * time.Second}.Pause(0)
+	assert.Assert(t, giveUp, "an answer can't end in time")
+}
+
+func TestReading(t *testing.T) {
+	ms := time.Millisecond
+	for _, test := range []struct {
+		name         string
+		gap          time.Duration
+		alone, whole time.Duration
+		want         Place
+	}{
+		{"free reader", 300 * ms, 100 * ms, 100 * ms, PlaceReader},
+		{"some before it", 300 * ms, 100 * ms, 390 * ms, PlaceReader},
+		{"many before a short one", 300 * ms, 100 * ms, 900 * ms, PlaceOwn},
+		{"many before a long one", 300 * ms, 200 * ms, 900 * ms, PlaceLater},
+		{"nobody beside it", 0, 200 * ms, 900 * ms, PlaceOwn},
+	} {
+		assert.Equal(t, Reading{Gap: test.gap}.Choose(test.alone, test.whole), test.want, test.name)
+	}
+}
+
+// A reader has a queue that this entry's own work does not show. A prompt that
+// waited there tells of it, and the next one goes elsewhere.
+func TestSeenWaitsCount(t *testing.T) {
+	b := NewBook("z", 1)
+	list := endpoints(2)
+	none := func(*Endpoint, int, int, int, float64) float64 { return 0 }
+	b.HaveRead(at(0), list[0], 3000, time.Second)
+	b.HaveRead(at(0), list[1], 3000, 100*time.Millisecond)
+	c, _ := b.Choose(at(0), list, none)
+	assert.Equal(t, c.Endpoint.ID, "e1")
+	assert.Assert(t, b.ReadingTime("", 3000, 0) <= 100*time.Millisecond)
+	c, _ = b.Choose(at(0), list[:1], none)
+	assert.Assert(t, b.ReadingTime("", 3000, c.Before) > 900*time.Millisecond)
+	c, _ = b.Choose(at(10*time.Second), list[:1], none)
+	assert.Equal(t, c.Before, 0.0)
+}
--- /dev/null
+++ b/internal/h1/h1_test.go
@@ -0,0 +1,333 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// script is an endpoint that handles each connection as a test says.
+type script struct {
+	t        *testing.T
+	listener net.Listener
+	requests chan string // IDs of the requests that came, in order
+}
+
+func serve(t *testing.T, handle func(s *script, n int, c net.Conn)) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &script{t: t, listener: listener, requests: make(chan string, 100)}
+	go func() {
+		for n := 0; ; n++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(s, n, c)
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *script) address() string { return s.listener.Addr().String() }
+
+// read takes the next request of a connection; false at its end.
+func (s *script) read(r *bufio.Reader) (id string, ok bool) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	id = request.Header.Get("Id")
+	s.requests <- id
+	return id, true
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, Target: "/x?y=1", Host: "h.example", Header: http.Header{"Id": {id}}, Tag: id,
+		Body:    []byte("body of " + id),
+		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func pool(t *testing.T) *Pool {
+	p := NewPool(time.Second)
+	t.Cleanup(func() { p.Sweep(time.Now().Add(time.Hour)) })
+	return p
+}
+
+// whole sends a request and reads its answer to the end.
+func whole(t *testing.T, p *Pool, s *script, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	response, err := p.Do(ctx, s.address(), request(id), false)
+	if err != nil {
+		return "", err
+	}
+	defer response.Close()
+	body, err := io.ReadAll(response)
+	return string(body), err
+}
+
+func echo(s *script, _ int, c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		id, ok := s.read(r)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(c, answer(id, "for "+id))
+	}
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	opened := 0
+	s := serve(t, echo)
+	p := pool(t)
+	p.Opened = func() { opened++ }
+	for n := range 5 {
+		body, err := whole(t, p, s, fmt.Sprint(n))
+		assert.NilError(t, err)
+		assert.Equal(t, body, fmt.Sprint("for ", n))
+	}
+	assert.Equal(t, opened, 1)
+}
+
+// A caller gets somebody else's answer: the endpoint answers an earlier request
+// twice, and its second answer comes where the next request's is due.
+func TestAnswerToAnEarlierRequestIsPassedOver(t *testing.T) {
+	s := serve(t, func(s *script, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		first, _ := s.read(r)
+		_, _ = io.WriteString(c, answer(first, "for "+first))
+		second, ok := s.read(r)
+		if ok {
+			_, _ = io.WriteString(c, answer(first, "again")+answer(second, "for "+second))
+		}
+		_, _ = s.read(r)
+	})
+	p := pool(t)
+	for _, id := range []string{"a", "b"} {
+		body, err := whole(t, p, s, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "for "+id)
+	}
+}
+
+// An endpoint sends bytes after a whole answer. The next request would take
+// them for its own; it goes over a new connection instead.
+func TestSurplusBytesCloseTheConnection(t *testing.T) {
+	sent := make(chan struct{})
+	s := serve(t, func(s *script, n int, c net.Conn) {
+		if n > 0 {
+			echo(s, n, c)
+			return
+		}
+		r := bufio.NewReader(c)
+		id, _ := s.read(r)
+		_, _ = io.WriteString(c, answer(id, "for "+id))
+		_, _ = io.WriteString(c, answer("a", "surplus"))
+		close(sent)
+		_, _ = s.read(r)
+	})
+	p := pool(t)
+	_, err := whole(t, p, s, "a")
+	assert.NilError(t, err)
+	<-sent
+	body, err := whole(t, p, s, "b")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "for b")
+}
+
+// A slip is booked twice: the endpoint closes a kept connection after it took
+// the request, and the client sends it again by itself.
+func TestNothingIsSentTwice(t *testing.T) {
+	s := serve(t, func(s *script, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		id, _ := s.read(r)
+		_, _ = io.WriteString(c, answer(id, "for "+id))
+		_, _ = s.read(r) // and closes without an answer
+	})
+	p := pool(t)
+	_, err := whole(t, p, s, "a")
+	assert.NilError(t, err)
+	_, err = whole(t, p, s, "b")
+	var failure *Failure
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, failure.Sent && failure.Reused, "%v", failure)
+	assert.Equal(t, <-s.requests, "a")
+	assert.Equal(t, <-s.requests, "b")
+	assert.Equal(t, len(s.requests), 0)
+}
+
+// A kept connection that the endpoint has closed is found out before a byte of
+// the next request leaves, so that even a request that may not run twice goes
+// over a new one.
+func TestClosedConnectionIsFoundBeforeTheSend(t *testing.T) {
+	closed := make(chan struct{})
+	s := serve(t, func(s *script, n int, c net.Conn) {
+		if n > 0 {
+			echo(s, n, c)
+			return
+		}
+		id, _ := s.read(bufio.NewReader(c))
+		_, _ = io.WriteString(c, answer(id, "for "+id))
+		_ = c.Close()
+		close(closed)
+	})
+	p := pool(t)
+	_, err := whole(t, p, s, "a")
+	assert.NilError(t, err)
+	<-closed
+	body, err := whole(t, p, s, "b")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "for b")
+}
+
+// An answer that is cut off must not look whole, however its length is told.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	for name, test := range map[string]struct {
+		head  string
+		reset bool
+		whole bool
+	}{
+		"length":            {head: "Content-Length: 100\r\n"},
+		"chunks":            {head: "Transfer-Encoding: chunked\r\n"},
+		"no length, closed": {whole: true},
+		"no length, reset":  {reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			headRead := make(chan struct{})
+			s := serve(t, func(s *script, _ int, c net.Conn) {
+				id, _ := s.read(bufio.NewReader(c))
+				body := "half"
+				if strings.Contains(test.head, "chunked") {
+					body = "4\r\nhalf\r\n"
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n"+test.head+"\r\n"+body)
+				<-headRead // or a reset would take it along
+				if test.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			p := pool(t)
+			response, err := p.Do(t.Context(), s.address(), request("a"), false)
+			assert.NilError(t, err)
+			close(headRead)
+			body, err := io.ReadAll(response)
+			response.Close()
+			assert.Equal(t, err == nil, test.whole, "%q: %v", body, err)
+			assert.Assert(t, strings.HasPrefix("half", string(body)))
+			assert.Equal(t, len(p.idle[s.address()]), 0)
+		})
+	}
+}
+
+// An endpoint answers before it has read a long body. The connection is not
+// used again: the rest of the body is due on it.
+func TestEarlyAnswer(t *testing.T) {
+	s := serve(t, func(s *script, n int, c net.Conn) {
+		if n > 0 {
+			echo(s, n, c)
+			return
+		}
+		r := bufio.NewReader(c)
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(request.Header.Get("Id"), "early"))
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = s.read(r)
+	})
+	p := pool(t)
+	long := request("a")
+	long.Body = make([]byte, 8<<20)
+	response, err := p.Do(t.Context(), s.address(), long, false)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "early")
+	response.Close()
+	again, err := whole(t, p, s, "b")
+	assert.NilError(t, err)
+	assert.Equal(t, again, "for b")
+}
+
+// A caller leaves while the endpoint works: the connection closes, so that the
+// endpoint can stop.
+func TestCallersEndClosesTheConnection(t *testing.T) {
+	gone := make(chan error, 1)
+	s := serve(t, func(s *script, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		_, _ = s.read(r)
+		_, err := r.ReadByte()
+		gone <- err
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	left := errors.New("the caller left")
+	go func() {
+		<-s.requests
+		cancel(left)
+	}()
+	_, err := pool(t).Do(ctx, s.address(), request("a"), false)
+	assert.ErrorIs(t, err, left)
+	assert.Assert(t, <-gone != nil)
+}
+
+func TestConnectionNearItsEndIsNotUsed(t *testing.T) {
+	for limit, used := range map[time.Duration]bool{0: true, time.Second: false, 30 * time.Second: true} {
+		p := NewPool(time.Second)
+		client, server := net.Pipe()
+		p.keep(newConn(client, "a"), limit)
+		assert.Equal(t, p.take("a", "t", false) != nil, used, "%v", limit)
+		_, _ = client.Close(), server.Close()
+	}
+	header := http.Header{"Keep-Alive": {"max=5, timeout=7"}}
+	assert.Equal(t, idleLimit(header), 7*time.Second)
+}
+
+// Both parts of one attempt must not share a connection: a second answer to
+// the first would match the second.
+func TestSameTagTakesANewConnection(t *testing.T) {
+	opened := 0
+	s := serve(t, echo)
+	p := pool(t)
+	p.Opened = func() { opened++ }
+	for range 2 {
+		_, err := whole(t, p, s, "a")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, opened, 2)
+}
+
+func TestUnreachableWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = pool(t).Do(t.Context(), address, request("a"), false)
+	var failure *Failure
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent)
+}
--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// errCut is how a fake's connection breaks.
+var errCut = errors.New("cut")
+
+// body is an answer's body: parts, and how it ends.
+type body struct {
+	parts  []string
+	end    error // io.EOF for whole
+	closed *bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, b.end
+	}
+	n := copy(p, b.parts[0])
+	if b.parts[0] = b.parts[0][n:]; b.parts[0] == "" {
+		b.parts = b.parts[1:]
+	}
+	return n, nil
+}
+
+func (b *body) Close() {
+	if b.closed != nil {
+		*b.closed = true
+	}
+}
+
+func reply(status int, end error, parts ...string) *Reply {
+	return &Reply{Status: status, Header: http.Header{"X": {"y"}}, Length: -1, Body: &body{parts: parts, end: end}}
+}
+
+func ok(parts ...string) *Reply { return reply(http.StatusOK, io.EOF, parts...) }
+
+func notRun() *Reply {
+	r := reply(http.StatusServiceUnavailable, io.EOF, "full")
+	r.NotRun = true
+	return r
+}
+
+// answer is what a fake does with one call.
+type answer func(c *Call) (*Reply, error)
+
+func gives(r func() *Reply) answer { return func(*Call) (*Reply, error) { return r(), nil } }
+
+func fails(sent bool) answer {
+	return func(*Call) (*Reply, error) { return nil, &SendError{Sent: sent, Cause: errCut} }
+}
+
+// fakes are endpoints that answer by a script, one answer a call.
+type fakes struct {
+	mu       sync.Mutex
+	answers  []answer
+	calls    []Call
+	rooms    []error // answers of Reserve; none left: room
+	reserved int
+	dropped  int
+	released int
+}
+
+func (f *fakes) Send(_ context.Context, c *Call) (*Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, *c)
+	if len(f.answers) == 0 {
+		return nil, &SendError{Sent: true, Cause: errors.New("the script has ended")}
+	}
+	next := f.answers[0]
+	f.answers = f.answers[1:]
+	return next(c)
+}
+
+func (f *fakes) Prefilled(r *Reply) (Prefilled, error) {
+	_, err := io.ReadAll(r.Body)
+	return Prefilled{Handle: "handle"}, err
+}
+
+func (f *fakes) Reserve(context.Context, *dispatch.Endpoint, int, time.Duration) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.rooms) > 0 {
+		err := f.rooms[0]
+		f.rooms = f.rooms[1:]
+		if err != nil {
+			return "", err
+		}
+	}
+	f.reserved++
+	return fmt.Sprint("hold", f.reserved), nil
+}
+
+func (f *fakes) DropHold(context.Context, *dispatch.Endpoint, string) { f.dropped++ }
+
+func (f *fakes) Release(context.Context, *dispatch.Endpoint, string) { f.released++ }
+
+// caller takes an answer.
+type caller struct {
+	status  int
+	text    strings.Builder
+	begun   int
+	aborted bool
+	leave   func() // called at each write
+}
+
+func (c *caller) Begin(status int, _ http.Header, _ int64) { c.begun++; c.status = status }
+
+func (c *caller) Write(p []byte) error {
+	c.text.Write(p)
+	if c.leave != nil {
+		c.leave()
+	}
+	return nil
+}
+
+func (c *caller) Abort() { c.aborted = true }
+
+// world is a router over fakes.
+type world struct {
+	endpoints *fakes
+	route     *routetable.Route
+	budget    *dispatch.Budget
+	router    *Router
+	view      *View
+}
+
+func newWorld(kind routetable.Kind, answers ...answer) *world {
+	d := &routetable.Document{
+		Version: 1,
+		Routes: []routetable.Route{{
+			Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Timeout: 10 * time.Second, Target: 900 * time.Millisecond,
+			MaxAttempts: 2, Backends: []routetable.Backend{{Service: "s", Weight: 1}},
+		}},
+		Services: []routetable.Service{{Name: "s"}},
+		Limits:   routetable.Limits{BodyBytes: 100},
+	}
+	w := &world{endpoints: &fakes{answers: answers}, route: &d.Routes[0]}
+	w.view = &View{Table: routetable.Compile(d), Endpoints: map[string][]*dispatch.Endpoint{}}
+	for n := range 3 {
+		w.view.Endpoints["s"] = append(w.view.Endpoints["s"], &dispatch.Endpoint{ID: fmt.Sprint("e", n), Service: "s", Slots: 4})
+	}
+	w.budget = dispatch.NewBudget(time.Now().Add(-time.Minute), 0.2, 10*time.Second, 10)
+	w.router = New(Options{
+		View: func() *View { return w.view }, Endpoints: w.endpoints, Book: dispatch.NewBook("", 1), Budget: w.budget,
+		Part: logging.Part{}, Random: func() float64 { return 0.5 },
+	})
+	return w
+}
+
+// model makes the service one of model endpoints.
+func (w *world) model() *world {
+	w.view.Table.Service("s").Engine = &routetable.Engine{KVTokens: 10000, HoldLife: 2 * time.Second}
+	for n, e := range w.view.Endpoints["s"] {
+		e.Stage = dispatch.StageDecode
+		if n == 0 {
+			e.Stage = dispatch.StagePrefill
+		}
+	}
+	return w
+}
+
+func exchange() *Exchange {
+	return &Exchange{ID: "x1", Method: http.MethodPost, Host: "h", Path: "/p/1", Target: "/p/1", Received: time.Now(), Patience: 5 * time.Second}
+}
+
+func modelExchange() *Exchange {
+	x := exchange()
+	x.Prompt = &Prompt{Tokens: 1000, MaxOutput: 200, LikelyOut: 100}
+	return x
+}
+
+func (w *world) serve(t *testing.T, x *Exchange) (*caller, *Refusal) {
+	t.Helper()
+	c := &caller{}
+	return c, w.router.Serve(t.Context(), x, c)
+}
--- a/internal/replica/drpc_transport.go
+++ b/internal/replica/drpc_transport.go
@@ -42,6 +42,11 @@
 	t.ctx = ctx
 	t.mu.Unlock()
 	<-ctx.Done()
+	// A Send that saw ctx alive may be about to start a worker; after this
+	// none does, so that Wait misses nobody.
+	t.mu.Lock()
+	t.ctx = nil
+	t.mu.Unlock()
 	t.wait.Wait()
 	return nil
 }
--- /dev/null
+++ b/internal/staging/planner_test.go
@@ -0,0 +1,82 @@
+package staging
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func servers(prefill, decode int) []Server {
+	var list []Server
+	for n := range prefill + decode {
+		stage := StagePrefill
+		if n >= prefill {
+			stage = StageDecode
+		}
+		list = append(list, Server{ID: fmt.Sprint(n), Stage: stage, Ready: true, Registered: uint64(n)})
+	}
+	return list
+}
+
+// run steps a planner for a while and gives the first change.
+func run(p *Planner, list []Server, d time.Duration) (Change, bool) {
+	start := time.Unix(0, 0)
+	for at := time.Duration(0); at <= d; at += 400 * time.Millisecond {
+		if c, ok := p.Step(start.Add(at), list); ok {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+func TestShares(t *testing.T) {
+	for _, test := range []struct {
+		prefill, decode int
+		want            Stage // 0 for no change
+	}{
+		{5, 7, StageDecode},
+		{3, 9, 0},
+		{2, 10, StagePrefill},
+		{0, 12, StagePrefill},
+		{1, 1, 0},
+		{2, 0, StageDecode},
+		{1, 0, 0},
+		{0, 0, 0},
+	} {
+		change, ok := run(&Planner{}, servers(test.prefill, test.decode), 5*time.Second)
+		assert.Equal(t, ok, test.want != 0, "%d and %d", test.prefill, test.decode)
+		assert.Equal(t, change.Stage, test.want)
+	}
+}
+
+// A reader crashes and is back at once: its place is not given to another,
+// which would be out of work for ten seconds for nothing.
+func TestBriefLossChangesNothing(t *testing.T) {
+	p := &Planner{}
+	start := time.Unix(0, 0)
+	for n := range 20 {
+		list := servers(3, 9)
+		list[0].Ready = n%3 == 0
+		_, ok := p.Step(start.Add(time.Duration(n)*400*time.Millisecond), list)
+		assert.Assert(t, !ok)
+	}
+}
+
+// Changes under way count as done, and only a part of the endpoints is out of
+// work at a time.
+func TestChangesUnderWayAreCounted(t *testing.T) {
+	list := servers(5, 7)
+	list[4].Assigned, list[3].Assigned = StageDecode, StageDecode
+	_, ok := run(&Planner{}, list, 10*time.Second)
+	assert.Assert(t, !ok, "two of twelve are changing, and three will be left")
+	list = servers(6, 6)
+	list[5].Assigned, list[4].Assigned = StageDecode, StageDecode
+	_, ok = run(&Planner{}, list, 10*time.Second)
+	assert.Assert(t, !ok, "two of twelve are changing")
+	list[5].Assigned = 0
+	change, ok := run(&Planner{}, list, 10*time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, change.ID, "5", "the newest that is not changing")
+}
