--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -36,11 +36,25 @@
 // NewBounded makes a writer and starts what writes behind it, which lives as
 // long as the process.
 func NewBounded(out io.Writer) *Bounded {
-	b := &Bounded{out: out, wake: make(chan struct{}, 1)}
-	go b.run()
+	b := newBounded(out)
+	b.start()
 	return b
 }
 
+func newBounded(out io.Writer) *Bounded {
+	return &Bounded{out: out, wake: make(chan struct{}, 1)}
+}
+
+// start runs what writes; the channel is closed when wake is.
+func (b *Bounded) start() <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.run()
+	}()
+	return done
+}
+
 // Write implements io.Writer. It takes one line and never fails.
 func (b *Bounded) Write(line []byte) (int, error) {
 	b.mu.Lock()
