--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -16,6 +16,8 @@
 func (c *Coordinator) PutDocument(ctx context.Context, version int64, source []byte) error {
 	document := &pb.ConfigDocument{Version: version, Source: source}
 	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_PutDocument{PutDocument: document}})
+	c.metrics.documents.WithLabelValues(resultOf(err)).Inc()
+	c.metrics.version.Set(float64(c.options.Machine.Document().GetVersion()))
 	c.options.Part.Info("Configuration was sent.", "version", version, "bytes", len(source), "err", err)
 	return err
 }
@@ -38,6 +40,12 @@
 // knows itself in touch: elsewhere the leader wouldn't hear of them, and the
 // endpoint must turn to another member.
 func (c *Coordinator) ReportEndpoint(ctx context.Context, r *pb.EndpointRecord) error {
+	err := c.takeHeartbeat(ctx, r)
+	c.metrics.heartbeats.WithLabelValues(resultOf(err)).Inc()
+	return err
+}
+
+func (c *Coordinator) takeHeartbeat(ctx context.Context, r *pb.EndpointRecord) error {
 	known := c.options.Machine.Endpoint(r.Id)
 	if catalog.Changes(known, r) {
 		if err := c.commitReport(ctx, r); err != nil {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 // Coordinator is one control instance.
 type Coordinator struct {
 	options Options
+	metrics *metrics
 	stages  *stages // used by the goroutine that leads alone
 
 	mu           sync.Mutex
@@ -35,6 +36,7 @@
 func New(options Options) *Coordinator {
 	c := &Coordinator{
 		options:     options,
+		metrics:     newMetrics(options.Metrics),
 		heardHere:   map[string]bool{},
 		entriesHere: map[string]bool{},
 		heard:       map[string]time.Time{},
@@ -70,7 +72,13 @@
 func (c *Coordinator) current(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Before(c.currentUntil)
+	current := now.Before(c.currentUntil)
+	if current {
+		c.metrics.current.Set(1)
+	} else {
+		c.metrics.current.Set(0)
+	}
+	return current
 }
 
 // client gives a client for the control instance at an address.
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -47,7 +49,8 @@
 	Machine *catalog.Machine
 	Dialer  rpc.Dialer
 	Part    logging.Part
-	Self    *pb.Member // instance, disk and rpc address of this process
+	Metrics prometheus.Registerer // nil for none
+	Self    *pb.Member            // instance, disk and rpc address of this process
 	// Seeds are the rpc addresses of control instances known at the start.
 	Seeds []string
 	// Bootstrap allows the first of the seeds to form a new group on its empty
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -164,6 +164,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_Expire{Expire: expired}})
+	c.metrics.expired.WithLabelValues("endpoint").Add(float64(len(expired.Endpoints)))
+	c.metrics.expired.WithLabelValues("entry").Add(float64(len(expired.Entries)))
 	for _, e := range expired.Endpoints {
 		c.options.Part.Warn("Endpoint is silent.", "endpoint", e.Id, "revision", e.Revision, "err", trace.Unwrap(err))
 	}
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -186,6 +186,7 @@
 	}
 	order := StageOrder{Stage: e.Assigned, Holder: s.coordinator.options.Self.InstanceId, Token: s.term, Accepted: status.Accepted}
 	err = s.coordinator.options.Orders.ChangeStage(ctx, e, order)
+	s.coordinator.metrics.orders.WithLabelValues(resultOf(err)).Inc()
 	s.coordinator.options.Part.Info("Order was given.", "endpoint", e.Id, "stage", e.Assigned, "token", s.term,
 		"accepted_before", status.Accepted, "err", err)
 	return nil
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -68,6 +68,9 @@
 	PlaceLater               // nowhere yet: it has to wait
 )
 
+// String gives the name used in logs and metrics.
+func (p Place) String() string { return [...]string{"reader", "own", "later"}[p] }
+
 // The figures of a Reading.
 const (
 	// ownReadingFactor is by how much longer the generating endpoint reads.
--- a/internal/h1/request.go
+++ b/internal/httpconn/request.go
@@ -1,4 +1,4 @@
-package h1
+package httpconn
 
 import (
 	"bytes"
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -35,6 +35,7 @@
 	l.router.options.Part.Info("Broken off.", "request", l.x.ID, "reason", reason, "after", l.lastID,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen,
 		"took_ms", time.Since(l.x.Received).Milliseconds(), "left_by", context.Cause(ctx))
+	l.aborted = true
 	l.caller.Abort()
 }
 
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -29,6 +29,7 @@
 	arrived   bool       // a send reached an endpoint: the next one is extra
 	source    *prefilled // result of a prefill that was not taken yet
 	prefilled bool       // a prefill was asked for; a second one would be extra
+	aborted   bool       // the answer was broken off
 	begun     bool       // the caller got the head of the answer
 	lastID    string
 	last      dispatch.Outcome
@@ -168,6 +169,7 @@
 		a.outcome = dispatch.OutcomeGivenUp
 	}
 	book.End(time.Now(), c.Endpoint, work, a.outcome)
+	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
 	l.last = a.outcome
 	if a.outcome != dispatch.OutcomeUnreachable && a.outcome != dispatch.OutcomeMisfit {
 		l.source = nil // taken, or gone: an endpoint that had it without taking it can't be told
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+)
+
+// metrics are the router's own; label values come from fixed sets.
+type metrics struct {
+	ended     *prometheus.CounterVec
+	firstPart *prometheus.HistogramVec
+	sends     *prometheus.CounterVec
+	placeWait prometheus.Histogram
+	noRoom    prometheus.Counter
+	reading   prometheus.Histogram
+	readWhere *prometheus.CounterVec
+	running   prometheus.Gauge
+}
+
+// answerBuckets reach from a plain call's answer to the longest patience, s.
+var answerBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3, 6, 14}
+
+func newMetrics(to prometheus.Registerer) *metrics {
+	with := promauto.With(to)
+	return &metrics{
+		ended: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_exchanges_total",
+			Help: "Exchanges by the kind of their route and how they ended.",
+		}, []string{"kind", "end"}),
+		firstPart: with.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "hyssopsail_relay_first_part_seconds", Buckets: answerBuckets,
+			Help: "Time from arrival to the first part of the answer that was passed on.",
+		}, []string{"kind"}),
+		sends: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_sends_total",
+			Help: "Sends of exchanges to endpoints by what came of them.",
+		}, []string{"outcome"}),
+		placeWait: with.NewHistogram(prometheus.HistogramOpts{
+			Name: "hyssopsail_relay_place_wait_seconds", Buckets: answerBuckets,
+			Help: "Time that model requests waited for memory at an endpoint.",
+		}),
+		noRoom: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_no_room_total",
+			Help: "Questions for memory that an endpoint had none for.",
+		}),
+		reading: with.NewHistogram(prometheus.HistogramOpts{
+			Name: "hyssopsail_relay_prefill_seconds", Buckets: answerBuckets,
+			Help: "Time that prefills took, waits included.",
+		}),
+		readWhere: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_prompts_total",
+			Help: "Prompts by where they were read.",
+		}, []string{"place"}),
+		running: with.NewGauge(prometheus.GaugeOpts{
+			Name: "hyssopsail_relay_running_exchanges",
+			Help: "Exchanges in flight.",
+		}),
+	}
+}
+
+// The ends of an exchange that are not a refusal's verdict.
+const (
+	endAnswered  = "answered"
+	endFailure   = "failure-passed-on"
+	endBrokenOff = "broken-off"
+)
+
+func (m *metrics) end(l *life, refusal *Refusal) {
+	kind := l.route.Kind.String()
+	if !l.firstAt.IsZero() {
+		m.firstPart.WithLabelValues(kind).Observe(l.firstAt.Sub(l.x.Received).Seconds())
+	}
+	m.ended.WithLabelValues(kind, l.endName(refusal)).Inc()
+}
+
+func (l *life) endName(refusal *Refusal) string {
+	switch {
+	case refusal != nil:
+		return refusal.Verdict.String()
+	case l.aborted:
+		return endBrokenOff
+	case l.last != dispatch.OutcomeServed:
+		return endFailure
+	}
+	return endAnswered
+}
+
+// noRouteKind is the kind label of what no route leads to.
+const noRouteKind = "none"
+
+func (m *metrics) refused(refusal *Refusal) *Refusal {
+	m.ended.WithLabelValues(noRouteKind, refusal.Verdict.String()).Inc()
+	return refusal
+}
+
+func (m *metrics) waited(since time.Time) { m.placeWait.Observe(time.Since(since).Seconds()) }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -61,6 +61,7 @@
 		Target: l.route.Target, Patience: l.deadline.Sub(l.x.Received), Silence: silence(l.route),
 		Start: usualStart, Length: usualLength,
 	}
+	defer l.router.metrics.waited(time.Now())
 	for {
 		if l.canBeRead() {
 			at, found := l.findPlace(ctx)
@@ -138,6 +139,7 @@
 	case err == nil:
 	case errors.Is(err, ErrNoRoom):
 		l.router.options.Book.Full(now, e)
+		l.router.metrics.noRoom.Inc()
 	case ctx.Err() == nil:
 		l.router.options.Book.Note(now, e, outcomeOf(err))
 		l.log("No memory was set aside.", "endpoint", e.ID, "err", err)
@@ -167,6 +169,7 @@
 		return nil
 	}
 	choice, where := l.chooseReader()
+	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
 	if where != dispatch.PlaceReader {
 		return nil
 	}
@@ -177,6 +180,7 @@
 	began := time.Now()
 	result, outcome := l.readPrompt(ctx, choice.Endpoint)
 	l.prefillMs = time.Since(began).Milliseconds()
+	l.router.metrics.reading.Observe(time.Since(began).Seconds())
 	if outcome == dispatch.OutcomeServed {
 		book.HaveRead(time.Now(), choice.Endpoint, l.x.Prompt.Tokens, time.Since(began))
 	}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 )
@@ -31,5 +33,6 @@
 	Book      *dispatch.Book
 	Budget    *dispatch.Budget
 	Part      logging.Part
-	Random    func() float64 // even in [0, 1), safe for concurrent use
+	Metrics   prometheus.Registerer // nil for none
+	Random    func() float64        // even in [0, 1), safe for concurrent use
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -15,10 +15,13 @@
 // Router takes exchanges to their answers.
 type Router struct {
 	options Options
+	metrics *metrics
 }
 
 // New makes a Router.
-func New(options Options) *Router { return &Router{options: options} }
+func New(options Options) *Router {
+	return &Router{options: options, metrics: newMetrics(options.Metrics)}
+}
 
 // Serve takes an exchange to its answer. It gives nil when the caller got one,
 // whole or broken off, and a refusal when nothing was passed on. ctx ends when
@@ -26,15 +29,16 @@
 func (r *Router) Serve(ctx context.Context, x *Exchange, caller Caller) *Refusal {
 	view := r.options.View()
 	if view == nil || view.Table == nil {
-		return &Refusal{Verdict: VerdictNotRun, Reason: "no configuration is known yet", RetryAfter: 300 * time.Millisecond}
+		refusal := &Refusal{Verdict: VerdictNotRun, Reason: "no configuration is known yet", RetryAfter: comeAgain}
+		return r.metrics.refused(refusal)
 	}
 	route := view.Table.Match(x.Host, x.Path)
 	if route == nil {
 		r.options.Part.Info("No route.", "request", x.ID, "host", x.Host, "path", x.Path, "version", view.Table.Version)
-		return &Refusal{Verdict: VerdictNoRoute, Reason: "no route leads there"}
+		return r.metrics.refused(&Refusal{Verdict: VerdictNoRoute, Reason: "no route leads there"})
 	}
 	if limit := view.Table.Limits.BodyBytes; limit > 0 && len(x.Body) > limit {
-		return &Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"}
+		return r.metrics.refused(&Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"})
 	}
 	return r.run(ctx, x, caller, view, route)
 }
@@ -53,8 +57,11 @@
 		service: service, engine: engineOf(view.Table, service), deadline: deadline,
 	}
 	r.options.Budget.Request(time.Now(), service)
+	r.metrics.running.Inc()
+	defer r.metrics.running.Dec()
 	refusal := life.run(ctx)
 	life.report(ctx, refusal)
+	r.metrics.end(life, refusal)
 	return refusal
 }
 
