outcome: a test waits for the last call of its first claim

Cause: TestFormerRecordsOutsideTheZones counts calls to replicas outside the zones. The check is as strict: no call after the change may go outside.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -197,7 +197,6 @@
 // recordedOrders notes who gives orders.
 type recordedOrders struct {
 	mu     sync.Mutex
-	stage  pb.Stage
 	given  []StageOrder
 	at     []time.Time
 	failed error
--- a/internal/outcome/zonechange_test.go
+++ b/internal/outcome/zonechange_test.go
@@ -91,6 +91,9 @@
 	f := newFive(t, Options{})
 	first := claimOf("slip", "attempt-1")
 	f.claims(t, "a", first, VerdictRun)
+	// The claim is answered by a and one of b and c; the last call to the other
+	// may still be on its way, and would be counted below.
+	f.await(t, "the first claim's last call", func() bool { return f.net.Calls("b") == f.net.Calls("c") })
 	f.setZones(oneZone, "b", "e")
 	before := f.net.Calls("a") + f.net.Calls("c") + f.net.Calls("d")
 	for _, key := range []string{"slip", "new slip"} {
