follower: an entry without a picture asks members in quick turns

Ruled out: elections (a member that has not heard a leader yet answers too). Conclusion: kept; TestFirstPictureComesFromWhoeverIsUp fails without it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -24,6 +24,11 @@
 	// followTimeout is after how long a question is given up: a member that
 	// was cut off is left within 0.9 s, and the other question goes on meanwhile.
 	followTimeout = followWait + 400*time.Millisecond
+	// firstTimeout is followTimeout while there is no picture at all: after all
+	// instances lost power, members come back one after the other, and one that
+	// is still dark must not keep the entry from asking one that is up. The
+	// answer is due at once, as no wait is asked for.
+	firstTimeout = 200 * time.Millisecond
 	// turnPause is the wait before the next member is asked after a failure.
 	turnPause = 50 * time.Millisecond
 	// ways is to how many members questions are open at a time.
@@ -136,7 +141,11 @@
 // ask puts one question to a member.
 func (f *Follower) ask(ctx context.Context, way int, member string) error {
 	request, nudged := f.request()
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	timeout := followTimeout
+	if request.Revision == 0 {
+		timeout = firstTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
@@ -174,9 +183,13 @@
 func (f *Follower) request() (*pb.FollowRequest, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	wait := followWait
+	if f.revision == 0 {
+		wait = turnPause
+	}
 	return &pb.FollowRequest{
 		DocumentVersion: f.document, Revision: f.revision,
-		Self: f.options.Self(), WaitMs: uint32(followWait.Milliseconds()),
+		Self: f.options.Self(), WaitMs: uint32(wait.Milliseconds()),
 	}, f.nudged
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -223,6 +223,21 @@
 	return 0
 }
 
+// All machines lost power and come back one after the other. The entry must
+// not wait for a member that is still dark while another one is up.
+func TestFirstPictureComesFromWhoeverIsUp(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		for n := range f.members {
+			f.net.SetCut(true, "entry", address(n))
+		}
+		f.commit(document(1, "one"))
+		time.Sleep(1300 * time.Millisecond)
+		f.net.SetCut(false, "entry", address(1))
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, f.inForce(), "one")
+	})
+}
+
 // A document that passed the checks can't be read here: the one before stays
 // in force.
 func TestUnreadableDocument(t *testing.T) {
