relay: engines are told a request's rank: its route's, and a lesser one once it is late

Cause: where memory runs out, an engine puts off the newest of the least urgent requests; without a rank a fresh one was as likely as one that had missed its target. A route's own priority never reached the engines either. Conclusion: kept for the routes' priorities, which callers are promised.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -41,6 +41,7 @@
 	}
 	call := l.call(at.endpoint)
 	call.Hold = at.hold
+	call.Priority = enginePriority(l.route, time.Since(l.x.Received))
 	if l.source == nil {
 		l.source = l.prefill(ctx)
 	}
@@ -85,6 +86,24 @@
 	return where != dispatch.PlaceLater
 }
 
+// The ranks that engines know, 0 first.
+const (
+	leastRank = 9
+	// freshRank is added to the route's own rank, and lateRank besides for a
+	// request that has missed its target: where memory runs out, an engine puts
+	// off one that loses little by it.
+	freshRank = 2
+	lateRank  = 3
+)
+
+func enginePriority(r *routetable.Route, waited time.Duration) int {
+	rank := r.Priority + freshRank
+	if r.Target > 0 && waited+usualStart > r.Target {
+		rank += lateRank
+	}
+	return min(rank, leastRank)
+}
+
 // silence is how long a caller waits for the next event of a stream, its first
 // one too, before it leaves: two seconds, four times the target or eight times
 // the longest pause, whichever is longest.
