--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -24,6 +24,10 @@
 	freshPause = 25 * time.Millisecond
 	// latePause is that of one that is late: ten fresh ones ask in between.
 	latePause = 250 * time.Millisecond
+	// lateStart is what may pass from a place to the first part where a burst
+	// has filled the readers: beyond it the caller has left, and what was read
+	// for it is lost.
+	lateStart = 800 * time.Millisecond
 )
 
 // Pause is how long a request waits before it asks again, after it has waited
@@ -32,7 +36,7 @@
 	if w.Patience > 0 && waited+w.Start+w.Length > w.Patience {
 		return 0, true
 	}
-	if w.Silence > 0 && waited+w.Start+latePause > w.Silence {
+	if w.Silence > 0 && waited+lateStart > w.Silence {
 		return 0, true
 	}
 	if w.Target > 0 && waited+w.Start < w.Target {
