coordinator: members that are gone for good are removed, and join anew when they return

Cause: a core that is replaced machine by machine keeps the votes of disks that are gone; after some replacements the loss of one more stops the group. Ruled out: counting on the same instance's new disk alone (the successor may have another name and address). Before: TestCoreIsReplacedMachineByMachine and TestRemovedMemberJoinsAgain fail.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	leadingSince time.Time            // zero when not leading
 	lastLook     time.Time            // as leader
 	currentUntil time.Time
+	started      time.Time
 	reporting    map[string]bool // entries whose change is being committed
 }
 
@@ -48,6 +49,9 @@
 
 // Run works until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.started = time.Now()
+	c.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, joinInterval, c.keepMembership) })
 	group.Go(func() error { return every(ctx, seenInterval, c.reportSeen) })
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/storage/faultfs"
 )
 
 func TestGroupForms(t *testing.T) {
@@ -96,6 +98,50 @@
 	})
 }
 
+// The core is replaced machine by machine: each one that goes is gone for good,
+// and an empty one comes at another address. Members that are gone must not
+// count for quorums for ever.
+func TestCoreIsReplacedMachineByMachine(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		for n := range 3 {
+			f.instances[n].stop()
+			f.instances[n].stop = func() {}
+			seeds := []string{f.instances[n+1].address, f.instances[n].address, f.instances[n+2].address}
+			fresh := &instance{address: fmt.Sprint("fresh", n), disk: faultfs.New(), seeds: seeds}
+			f.instances = append(f.instances, fresh)
+			f.start(fresh)
+			live := f.instances[n+1:]
+			f.await(60*time.Second, "only live voters", func() bool {
+				for _, i := range live {
+					if i.voters() != len(live) || !i.isMember() {
+						return false
+					}
+				}
+				return true
+			})
+			assert.NilError(t, f.put(fresh, int64(n+1)))
+		}
+	})
+}
+
+// A member is away so long that it was removed, and comes back with its disk,
+// whose log still names it a member. It joins anew.
+func TestRemovedMemberJoinsAgain(t *testing.T) {
+	runFleet(t, 5, func(t *testing.T, f *fleet) {
+		f.formed()
+		away := f.instances[4]
+		away.stop()
+		f.await(60*time.Second, "removed", func() bool { return f.instances[0].voters() == 4 })
+		assert.NilError(t, f.put(f.instances[0], 1))
+		f.start(away)
+		took := f.await(15*time.Second, "a voter again", func() bool {
+			return f.instances[0].voters() == 5 && away.machine.Document().GetVersion() == 1
+		})
+		assert.Assert(t, took < 6*time.Second, "%v", took)
+	})
+}
+
 // An instance is cut off. It must not answer with an older configuration, nor
 // confirm that an endpoint leaves: the entries would never hear of it.
 func TestCutOffInstanceAnswersNothing(t *testing.T) {
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -30,6 +30,7 @@
 	address   string
 	disk      *faultfs.FS
 	bootstrap bool
+	seeds     []string
 	node      *replica.Node
 	machine   *catalog.Machine
 	*Coordinator
@@ -48,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, net: &testkit.Network{}, orders: orders}
 		for i := range n {
-			f.instances = append(f.instances, &instance{address: fmt.Sprint("control", i), disk: faultfs.New(), bootstrap: true})
+			f.instances = append(f.instances, &instance{address: fmt.Sprint("control", i), disk: faultfs.New(), bootstrap: true, seeds: firstSeeds})
 		}
 		for _, i := range f.instances {
 			f.start(i)
@@ -62,7 +63,8 @@
 	})
 }
 
-func (f *fleet) seeds() []string { return []string{"control0", "control1", "control2"} }
+// firstSeeds are what all instances are told at the first start.
+var firstSeeds = []string{"control0", "control1", "control2"}
 
 func (f *fleet) start(i *instance) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,7 +79,7 @@
 	i.Coordinator = New(Options{
 		Group: node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
 		Self:  &pb.Member{InstanceId: i.address, DiskId: node.DiskID(), RpcAddress: i.address},
-		Seeds: f.seeds(), Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
+		Seeds: i.seeds, Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
 		Orders: f.orders, OrderLease: 3 * time.Second,
 	})
 	f.net.Serve(i.address, i.Coordinator, pb.DRPCConsensusDescription{}, pb.DRPCCoordinatorDescription{})
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -12,10 +12,12 @@
 const fleetName = "fleet"
 
 // keepMembership makes this disk a member: it forms the group, or asks to join
-// it, until the membership shows it.
+// it, until the membership shows it. A member that has not heard of a leader
+// for long asks too: it may have been removed while it was away, which its own
+// log doesn't show.
 func (c *Coordinator) keepMembership(ctx context.Context) {
 	status := c.options.Group.Status()
-	if c.isMember() {
+	if c.isMember() && !c.outOfTouch(time.Now()) {
 		return
 	}
 	if !status.Initialised && c.forms() {
@@ -25,6 +27,12 @@
 	c.askToJoin(ctx)
 }
 
+func (c *Coordinator) outOfTouch(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.currentUntil) > outOfTouch && now.Sub(c.started) > outOfTouch
+}
+
 func (c *Coordinator) isMember() bool {
 	for _, m := range c.options.Group.Status().Members {
 		if m.Member.DiskId == c.options.Self.DiskId {
@@ -154,6 +162,40 @@
 	}
 }
 
+// removeLost removes a voter that has been silent for long, one at a time. An
+// instance that was replaced by another one would else count for quorums for
+// ever, and after some replacements the loss of one more would stop the group.
+// One that is only away joins anew when it is back.
+func (c *Coordinator) removeLost() {
+	var lost *pb.Member
+	heard := 0
+	for _, m := range c.options.Group.Status().Members {
+		switch {
+		case m.Member.Learner:
+		case m.Member.DiskId == c.options.Self.DiskId || m.LastContactMs >= 0 && m.LastContactMs < silentMember.Milliseconds():
+			heard++
+		case m.LastContactMs > lostMember.Milliseconds() || m.LastContactMs < 0 && c.ledFor(lostMember):
+			lost = m.Member
+		}
+	}
+	if lost == nil || heard < c.options.firstVoters() || !c.beginReport(lost.DiskId) {
+		return
+	}
+	go func() {
+		defer c.endReport(lost.DiskId)
+		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+		defer cancel()
+		_, err := c.options.Group.ProposeMember(ctx, true, lost)
+		c.options.Part.Warn("Member removed.", "instance", lost.InstanceId, "disk", lost.DiskId, "heard", heard, "err", err)
+	}()
+}
+
+func (c *Coordinator) ledFor(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.leadingSince.IsZero() && time.Since(c.leadingSince) > d
+}
+
 func (c *Coordinator) identify(ctx context.Context, m *pb.Member) {
 	defer c.endReport(m.RpcAddress)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -25,6 +25,11 @@
 	// silentMember is how long a member may be unheard before the leader asks
 	// at its address who is there: twenty heartbeats of the group.
 	silentMember = 2 * time.Second
+	// lostMember is how long a voter may be unheard before it is removed: longer
+	// than restarts, cuts and power losses that pass. outOfTouch is how long a
+	// member goes without a leader before it asks whether it still is one.
+	lostMember = 20 * time.Second
+	outOfTouch = 3 * time.Second
 	// joinInterval is the pause between two tries to join or to form the group.
 	joinInterval = 250 * time.Millisecond
 	// callTimeout bounds one call to another control instance. A live peer
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -114,6 +114,7 @@
 		return
 	}
 	c.findReplacedDisks(ctx)
+	c.removeLost()
 	if expired := c.overdue(time.Now()); expired != nil {
 		c.expire(ctx, expired)
 	}
