--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -4,16 +4,28 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 )
 
-// comeAgain is when a caller whose request did not run may come again, and
-// comeAgainSpread by how much that is drawn out, so that callers turned away
-// together don't return together.
+// When a caller whose request did not run may come again, as parts of its
+// patience: it has waited here in vain already, and a burst lasts some seconds.
+// The spread keeps callers that were turned away together from returning
+// together. A caller without a known patience gets comeAgain.
 const (
 	comeAgain       = 400 * time.Millisecond
-	comeAgainSpread = 600 * time.Millisecond
+	comeAgainShare  = 0.1
+	comeAgainSpread = 0.15
 )
 
+// retryAfter is drawn between the two; point is even in [0, 1).
+func retryAfter(patience time.Duration, point float64) time.Duration {
+	if patience <= 0 {
+		return comeAgain
+	}
+	return time.Duration((comeAgainShare + comeAgainSpread*point) * float64(patience))
+}
+
 // giveUp makes the final answer of an exchange that no endpoint answered whole.
 // One that has begun is broken off at the caller too, never ended as if whole.
 func (l *life) giveUp(ctx context.Context, reason string) *Refusal {
@@ -22,7 +34,7 @@
 		return nil
 	}
 	if !l.ran {
-		after := comeAgain + time.Duration(l.router.options.Random()*float64(comeAgainSpread))
+		after := retryAfter(l.x.Patience, l.router.options.Random())
 		return &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: after}
 	}
 	if errors.Is(context.Cause(ctx), errTimeUp) {
@@ -32,6 +44,7 @@
 }
 
 func (l *life) brokenOff(ctx context.Context, reason string) {
+	l.writeTrail()
 	l.router.options.Part.Info("Broken off.", "request", l.x.ID, "reason", reason, "after", l.lastID,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen,
 		"took_ms", time.Since(l.x.Received).Milliseconds(), "left_by", context.Cause(ctx))
@@ -45,18 +58,55 @@
 		l.reportServed()
 		return
 	}
+	l.writeTrail()
 	l.router.options.Part.Info("Refused.", "request", l.x.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen, "sends", l.sends,
 		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "left_by", context.Cause(ctx))
 }
 
+// log notes a decision with what decided it. The lines of an exchange are
+// written when it ends badly, late, or after more than one send: one that went
+// well is told by its last line alone, so that the volume stays small.
 func (l *life) log(sentence string, keyvals ...any) {
-	l.router.options.Part.Debug(sentence, append([]any{
-		"request", l.x.ID, "route", l.route.Name, "version", l.version, "service", l.service, "sends", l.sends,
-	}, keyvals...)...)
+	if len(l.trail) < mostTrail {
+		l.trail = append(l.trail, step{at: time.Now(), sentence: sentence, keyvals: keyvals})
+	} else {
+		l.untold++
+	}
+}
+
+// mostTrail bounds the decisions that are kept of one exchange. The first ones
+// tell how it began; of a long wait the rest is alike.
+const mostTrail = 24
+
+// step is one decision.
+type step struct {
+	at       time.Time
+	sentence string
+	keyvals  []any
+}
+
+func (l *life) writeTrail() {
+	for _, s := range l.trail {
+		l.router.options.Part.Info(s.sentence, append([]any{
+			"request", l.x.ID, "route", l.route.Name, "version", l.version, "at_ms", s.at.Sub(l.x.Received).Milliseconds(),
+		}, s.keyvals...)...)
+	}
+	if l.untold > 0 {
+		l.router.options.Part.Info("More decisions like these.", "request", l.x.ID, "count", l.untold)
+	}
+	l.trail = nil
+}
+
+// lateAnswer tells whether the first part was passed on after the target.
+func (l *life) lateAnswer() bool {
+	return l.route.Target > 0 && l.firstAt.Sub(l.x.Received) > l.route.Target
 }
 
 func (l *life) reportServed() {
+	if l.lateAnswer() || l.last != dispatch.OutcomeServed || l.sends > 1 {
+		l.writeTrail()
+	}
 	tokens, output := 0, 0
 	if p := l.x.Prompt; p != nil {
 		tokens, output = p.Tokens, p.MaxOutput
--- /dev/null
+++ b/internal/relay/explain_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+)
+
+// An on-call engineer has the ID of a failed request and the log. It must tell
+// what was decided, by which figures and how old, and what came of it.
+func TestLogExplainsAFailure(t *testing.T) {
+	for name, test := range map[string]struct {
+		world func() *world
+		want  []string
+	}{
+		"refused for want of memory": {
+			func() *world { return newWorld(stream).model() },
+			[]string{`"relay: No room."`, `"relay: Refused."`, "verdict=not-run", `reason="no endpoint can take it"`, "sends=0"},
+		},
+		"lost after it was sent": {
+			func() *world { return newWorld(atMostOnce, fails(true)) },
+			[]string{`"relay: Chosen."`, "among=3", "age_ms=-1", `"relay: Refused."`, "verdict=unknown", "reason=lost", "runs=1"},
+		},
+		"broken off in the middle": {
+			func() *world {
+				return newWorld(stream, gives(func() *Reply { return reply(200, errCut, event("1")+event("2")) }))
+			},
+			[]string{`"relay: Chosen."`, `"relay: Broken off."`, "after=2", "reason=lost"},
+		},
+		"sent twice": {
+			func() *world {
+				return newWorld(idempotent, fails(true), gives(func() *Reply { return ok("good") }))
+			},
+			[]string{`"relay: Sent again."`, "cause=lost", "budget_left=", `"relay: Answered."`, "sends=2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var lines bytes.Buffer
+				logger, err := logging.New(&lines, logging.LevelInfo)
+				assert.NilError(t, err)
+				w := test.world()
+				w.router.options.Part = logging.For(logger, "relay")
+				x := exchange()
+				if w.view.Table.Service("s").Engine != nil {
+					x = modelExchange()
+					for range 10000 {
+						w.endpoints.rooms = append(w.endpoints.rooms, ErrNoRoom)
+					}
+				}
+				w.serve(t, x)
+				for _, part := range test.want {
+					assert.Check(t, strings.Contains(lines.String(), part), "no %s in\n%s", part, lines.String())
+				}
+				for _, line := range strings.Split(strings.TrimSpace(lines.String()), "\n") {
+					assert.Check(t, strings.Contains(line, "request=x1"), line)
+				}
+			})
+		})
+	}
+}
+
+// A request that was answered at once and in time leaves one line.
+func TestGoodAnswerLeavesOneLine(t *testing.T) {
+	var lines bytes.Buffer
+	logger, err := logging.New(&lines, logging.LevelInfo)
+	assert.NilError(t, err)
+	w := newWorld(idempotent, gives(func() *Reply { return ok("good") }))
+	w.router.options.Part = logging.For(logger, "relay")
+	w.serve(t, exchange())
+	assert.Equal(t, strings.Count(lines.String(), "\n"), 1)
+}
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -35,6 +35,9 @@
 	last      dispatch.Outcome
 	chosen    string // endpoint sent to last
 
+	trail  []step // decisions so far
+	untold int    // decisions beyond those kept
+
 	sentAt    time.Time // of the newest send
 	firstAt   time.Time // when the first byte was passed on
 	prefillMs int64     // that a prefill took; 0 without one
@@ -65,7 +68,8 @@
 		}
 		switch Next(l.standing(a)) {
 		case StepAgain:
-			l.log("Sent again.", "cause", a.outcome, "after", l.lastID, "err", a.err)
+			l.log("Sent again.", "cause", a.outcome, "after", l.lastID, "err", a.err,
+				"budget_left", l.router.options.Budget.Left(time.Now(), l.service))
 		case StepDeliver:
 			if l.begun {
 				return l.giveUp(ctx, a.outcome.String())
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -159,6 +159,7 @@
 	case errors.Is(err, ErrNoRoom):
 		l.router.options.Book.Full(now, e)
 		l.router.metrics.noRoom.Inc()
+		l.log("No room.", "endpoint", e.ID, "tokens", l.memory())
 	case ctx.Err() == nil:
 		l.router.options.Book.Note(now, e, outcomeOf(err))
 		l.log("No memory was set aside.", "endpoint", e.ID, "err", err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -277,6 +277,15 @@
 	})
 }
 
+// A caller that is turned away comes again when a burst is over, not at once,
+// and those turned away together don't come together.
+func TestRetryAfter(t *testing.T) {
+	assert.Equal(t, retryAfter(0, 0.5), comeAgain)
+	first, last := retryAfter(14*time.Second, 0), retryAfter(14*time.Second, 0.999)
+	assert.Equal(t, first, 1400*time.Millisecond)
+	assert.Assert(t, last > 3400*time.Millisecond && last < 14*time.Second/3)
+}
+
 func TestSplitter(t *testing.T) {
 	s := splitter{}
 	whole, id := s.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))
