relay: silent endpoints are left after a bounded time

Bounds: memory 0.2 s, a prefill 2 s or four times its estimate, one try of an idempotent call twice its target. TestSilentEndpointIsLeft fails without each.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -182,6 +182,11 @@
 }
 
 func (l *life) exchange(ctx context.Context, c *Call) attempt {
+	if limit := l.tryLimit(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, limit, errSilent)
+		defer cancel()
+	}
 	reply, err := l.router.options.Endpoints.Send(ctx, c)
 	if err != nil {
 		return l.failed(err)
@@ -209,6 +214,20 @@
 	return l.whole(reply)
 }
 
+// tryFactor bounds one try of an idempotent exchange, in times of its target.
+// An endpoint that went silent on an open connection is known by nothing else,
+// and the exchange would spend all its time there while others are free.
+const tryFactor = 2
+
+// tryLimit is the longest that one try may take; 0 for no limit, where it is
+// the last one or the exchange may not run again.
+func (l *life) tryLimit() time.Duration {
+	if l.route.Kind != routetable.KindIdempotent || l.runs+1 >= l.route.MaxAttempts || !l.haveAnother() {
+		return 0
+	}
+	return tryFactor * l.route.Target
+}
+
 // failed sorts a send without an answer.
 func (l *life) failed(err error) attempt {
 	var failure *SendError
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -20,6 +20,14 @@
 	// holdLife is how long memory is set aside: a prefill with others before
 	// it takes up to a second.
 	holdLife = 1800 * time.Millisecond
+	// reserveTimeout bounds a question for memory, which an endpoint answers at
+	// once; one that doesn't is frozen or cut off, and the request must not
+	// spend its wait on it.
+	reserveTimeout = 200 * time.Millisecond
+	// leastPrefill and prefillFactor bound a prefill: at a reader that answers,
+	// it takes about what was estimated.
+	leastPrefill  = 2 * time.Second
+	prefillFactor = 4
 	// mostAsked bounds the endpoints asked for memory in one go. The first one
 	// is that with the most room by what is known here; others' news is late.
 	mostAsked = 3
@@ -152,10 +160,15 @@
 
 // reserve sets memory aside for the prompt and what will likely be generated.
 func (l *life) reserve(ctx context.Context, e *dispatch.Endpoint) (string, error) {
-	hold, err := l.router.options.Endpoints.Reserve(ctx, e, l.memory(), min(holdLife, l.engine.HoldLife))
+	asking, cancel := context.WithTimeoutCause(ctx, reserveTimeout, errSilent)
+	defer cancel()
+	hold, err := l.router.options.Endpoints.Reserve(asking, e, l.memory(), min(holdLife, l.engine.HoldLife))
 	now := time.Now()
 	switch {
 	case err == nil:
+	case errors.Is(err, errSilent):
+		l.router.options.Book.Note(now, e, dispatch.OutcomeUnreachable)
+		l.log("Silent when asked for memory.", "endpoint", e.ID)
 	case errors.Is(err, ErrNoRoom):
 		l.router.options.Book.Full(now, e)
 		l.router.metrics.noRoom.Inc()
@@ -198,7 +211,10 @@
 	book := l.router.options.Book
 	book.Begin(time.Now(), choice.Endpoint, work)
 	began := time.Now()
-	result, outcome := l.readPrompt(ctx, choice.Endpoint)
+	whole := book.ReadingTime(l.service, l.x.Prompt.Tokens, choice.Before)
+	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
+	defer cancel()
+	result, outcome := l.readPrompt(reading, choice.Endpoint)
 	l.prefillMs = time.Since(began).Milliseconds()
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
 	if outcome == dispatch.OutcomeServed {
@@ -226,7 +242,10 @@
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
 		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
-		if ctx.Err() != nil {
+		switch {
+		case errors.Is(err, errSilent):
+			return nil, dispatch.OutcomeUnreachable
+		case ctx.Err() != nil:
 			return nil, dispatch.OutcomeGivenUp
 		}
 		return nil, outcomeOf(err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -286,6 +286,64 @@
 	assert.Assert(t, last > 4500*time.Millisecond && last < 14*time.Second/3, "callers heed a third of their patience")
 }
 
+// silentFirst endpoints don't answer the first call of a kind.
+type silentFirst struct {
+	*fakes
+	reserve, prefill, run bool
+}
+
+func (s *silentFirst) Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (string, error) {
+	if s.reserve {
+		s.reserve = false
+		<-ctx.Done()
+		return "", &SendError{Sent: true, Cause: context.Cause(ctx)}
+	}
+	return s.fakes.Reserve(ctx, e, tokens, life)
+}
+
+func (s *silentFirst) Send(ctx context.Context, c *Call) (*Reply, error) {
+	if c.Prefill && s.prefill || !c.Prefill && s.run {
+		s.prefill, s.run = s.prefill && !c.Prefill, s.run && c.Prefill
+		<-ctx.Done()
+		return nil, &SendError{Sent: true, Cause: context.Cause(ctx)}
+	}
+	return s.fakes.Send(ctx, c)
+}
+
+// An endpoint is frozen or cut off without a reset: it takes a call and says
+// nothing. The request must not wait there until its caller has left.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	served := gives(func() *Reply { return ok(event("1")) })
+	for name, test := range map[string]struct {
+		silent silentFirst
+		within time.Duration
+	}{
+		"asked for memory": {silentFirst{reserve: true}, 250 * time.Millisecond},
+		"reads a prompt":   {silentFirst{prefill: true}, 2500 * time.Millisecond},
+		"idempotent call":  {silentFirst{run: true}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(idempotent, served)
+				x := exchange()
+				if !test.silent.run {
+					w, x = newWorld(stream, served).model(), modelExchange()
+				}
+				if test.silent.reserve {
+					w.endpoints.answers = []answer{gives(func() *Reply { return ok("{}") }), served}
+				}
+				test.silent.fakes = w.endpoints
+				w.router.options.Endpoints = &test.silent
+				began := time.Now()
+				c, refusal := w.serve(t, x)
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, c.text.String(), event("1"))
+				assert.Assert(t, time.Since(began) < test.within, "%v", time.Since(began))
+			})
+		})
+	}
+}
+
 func TestSplitter(t *testing.T) {
 	s := splitter{}
 	whole, id := s.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -9,6 +9,9 @@
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
+// errSilent is why a call ends whose endpoint has not answered in its time.
+var errSilent = errors.New("the endpoint is silent")
+
 // errTimeUp is why an exchange's context ends at its time limit.
 var errTimeUp = errors.New("the time for the answer is up")
 
