--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -49,7 +49,7 @@
 	l.writeTrail()
 	l.router.options.Part.Info("Broken off.", "request", l.x.ID, "reason", reason, "after", l.lastID,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen,
-		"took_ms", time.Since(l.x.Received).Milliseconds(), "left_by", context.Cause(ctx))
+		"took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
 	l.aborted = true
 	l.caller.Abort()
 }
@@ -63,7 +63,7 @@
 	l.writeTrail()
 	l.router.options.Part.Info("Refused.", "request", l.x.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen, "sends", l.sends,
-		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "left_by", context.Cause(ctx))
+		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
 }
 
 // log notes a decision with what decided it. The lines of an exchange are
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -24,7 +24,7 @@
 		},
 		"lost after it was sent": {
 			func() *world { return newWorld(atMostOnce, fails(true)) },
-			[]string{`"relay: Chosen."`, "among=3", "age_ms=-1", `"relay: Refused."`, "verdict=unknown", "reason=lost", "runs=1"},
+			[]string{`"relay: Chosen."`, "among=3", "age_ms=-1", `"relay: Refused."`, "verdict=unknown", "reason=lost", "runs=1", "err=cut"},
 		},
 		"broken off in the middle": {
 			func() *world {
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -33,6 +33,7 @@
 	begun     bool       // the caller got the head of the answer
 	lastID    string
 	last      dispatch.Outcome
+	lastErr   error  // of the newest send
 	chosen    string // endpoint sent to last
 
 	trail  []step // decisions so far
@@ -174,7 +175,7 @@
 	}
 	book.End(time.Now(), c.Endpoint, work, a.outcome)
 	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
-	l.last = a.outcome
+	l.last, l.lastErr = a.outcome, a.err
 	if a.outcome != dispatch.OutcomeUnreachable && a.outcome != dispatch.OutcomeMisfit {
 		l.source = nil // taken, or gone: an endpoint that had it without taking it can't be told
 	}
@@ -261,26 +262,28 @@
 
 // deliver passes a whole answer on.
 func (l *life) deliver(a attempt) {
-	l.begun = true
-	l.caller.Begin(a.reply.Status, a.reply.Header, int64(len(a.body)))
+	l.begin(a.reply, int64(len(a.body)))
 	if len(a.body) > 0 {
 		l.write(a.body)
 	}
 }
 
+// begin passes the head of an answer on.
+func (l *life) begin(reply *Reply, length int64) {
+	l.begun, l.firstAt = true, time.Now()
+	l.caller.Begin(reply.Status, reply.Header, length)
+}
+
 // write passes a part on. A caller that can't be written to has left, which
 // its context tells too.
 func (l *life) write(p []byte) bool {
-	if l.writes++; l.writes == 1 {
-		l.firstAt = time.Now()
-	}
+	l.writes++
 	return l.caller.Write(p) == nil
 }
 
 // long passes on an answer that is too long to be held.
 func (l *life) long(reply *Reply, first []byte) attempt {
-	l.begun = true
-	l.caller.Begin(reply.Status, reply.Header, reply.Length)
+	l.begin(reply, reply.Length)
 	buffer := first
 	for {
 		if !l.write(buffer) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -48,8 +48,7 @@
 
 func (l *life) passOn(reply *Reply, events []byte) bool {
 	if !l.begun {
-		l.begun = true
-		l.caller.Begin(reply.Status, reply.Header, -1)
+		l.begin(reply, -1)
 	}
 	return l.write(events)
 }
@@ -58,8 +57,7 @@
 // end of an event are the endpoint's last ones and are passed on.
 func (l *life) endOfEvents(reply *Reply, events *splitter) attempt {
 	if !l.begun {
-		l.begun = true
-		l.caller.Begin(reply.Status, reply.Header, -1)
+		l.begin(reply, -1)
 	}
 	if events.rest() && !l.write(events.held) {
 		return attempt{outcome: dispatch.OutcomeGivenUp, reply: reply}
