--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -25,8 +25,9 @@
 	// spend its wait on it.
 	reserveTimeout = 200 * time.Millisecond
 	// leastPrefill and prefillFactor bound a prefill: at a reader that answers,
-	// it takes about what was estimated.
-	leastPrefill  = 2 * time.Second
+	// it takes about what was estimated. The least is under holdLife, so that
+	// the endpoint that generates the answer can still read the prompt itself.
+	leastPrefill  = 1200 * time.Millisecond
 	prefillFactor = 4
 	// mostAsked bounds the endpoints asked for memory in one go. The first one
 	// is that with the most room by what is known here; others' news is late.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -319,7 +319,7 @@
 		within time.Duration
 	}{
 		"asked for memory": {silentFirst{reserve: true}, 250 * time.Millisecond},
-		"reads a prompt":   {silentFirst{prefill: true}, 2500 * time.Millisecond},
+		"reads a prompt":   {silentFirst{prefill: true}, 1500 * time.Millisecond},
 		"idempotent call":  {silentFirst{run: true}, 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
