--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/operator"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // startPatience bounds each step of a fleet's start.
@@ -235,12 +236,8 @@
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !sleep.For(ctx, wait) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // The client's time bounds.
@@ -190,12 +191,5 @@
 	c.mu.Lock()
 	wait := backoff/2 + time.Duration(c.random.Int64N(int64(backoff)))
 	c.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, wait)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // ErrUnavailable: no leader with a quorum was reached in time. What was asked
@@ -101,12 +102,8 @@
 
 // pause waits for a moment, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleep.For(ctx, d) {
 		return trace.Wrap(ErrUnavailable, "%v", ctx.Err())
 	}
+	return nil
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/relay"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // The intervals of a Follower.
@@ -100,21 +101,12 @@
 		if err := f.ask(ctx, way, member); err != nil && ctx.Err() == nil {
 			f.options.Part.Info("Turns to another control instance.", "from", member, "err", err)
 			member = ""
-			pause(ctx, turnPause)
+			sleep.For(ctx, turnPause)
 		}
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // next gives a member that the other way doesn't ask, in turn.
 func (f *Follower) next(way int) string {
 	f.mu.Lock()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // caller sends a job, and again as its stream says, until it has an answer.
@@ -21,7 +23,7 @@
 		a = c.once(ctx, j)
 		a.repeats = noAnswers + refusals
 		wait, again := c.again(j, a, &noAnswers, &refusals)
-		if !again || !sleep(ctx, wait) {
+		if !again || !sleep.For(ctx, wait) {
 			return a
 		}
 	}
@@ -68,15 +70,3 @@
 	}
 	return 0, false
 }
-
-// sleep gives false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -10,6 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // Options are what a run needs besides its experiment.
@@ -121,7 +123,7 @@
 		j.intended = started.Add(at)
 		j.counted = at >= r.experiment.Warmup
 		j.tally = t
-		if wait := time.Until(j.intended); wait > 0 && !sleep(ctx, wait) {
+		if wait := time.Until(j.intended); wait > 0 && !sleep.For(ctx, wait) {
 			return trace.Wrap(ctx.Err())
 		}
 		r.start(requests, &j)
--- a/internal/membership/pull.go
+++ b/internal/membership/pull.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
@@ -20,7 +20,7 @@
 		if err == nil {
 			backoff = shortestPullBackoff
 			if a.follower.state != before {
-				a.pause(ctx, pullSpacing)
+				sleep.For(ctx, pullSpacing)
 			}
 			continue
 		}
@@ -28,21 +28,12 @@
 			after = 0 // the whole state
 		}
 		a.part.Debug("Pull failed.", "err", err)
-		a.pause(ctx, backoff)
+		sleep.For(ctx, backoff)
 		backoff = min(2*backoff, longestPullBackoff)
 	}
 	return nil
 }
 
-func (a *Agent) pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (a *Agent) pull(ctx context.Context, after uint64) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/provision/carrier.go
+++ b/internal/provision/carrier.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/orders"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
 
@@ -92,7 +93,7 @@
 		if err == nil && reply.GetIdle() {
 			return true
 		}
-		sleep(ctx, stopPoll)
+		sleep.For(ctx, stopPoll)
 	}
 	return false
 }
@@ -102,7 +103,7 @@
 		if _, err := c.quiesce(ctx, id, change, stopLife); err != nil && ctx.Err() == nil {
 			c.options.Part.Debug("Stop of grants not renewed.", "endpoint", change.Engine.Target.ID, "err", err)
 		}
-		sleep(ctx, stopRenew)
+		sleep.For(ctx, stopRenew)
 	}
 }
 
@@ -157,12 +158,3 @@
 	}
 	return text
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // engines is a service of model endpoints in virtual time. Readers read one
@@ -93,7 +94,7 @@
 	done := began.Add(took)
 	e.free[c.Endpoint.ID] = done
 	e.mu.Unlock()
-	if !wait(ctx, time.Until(done)) {
+	if !sleep.For(ctx, time.Until(done)) {
 		e.waste(c.Exchange.Prompt.Tokens)
 		return nil, &SendError{Sent: true, Cause: context.Cause(ctx)}
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // The figures of model requests.
@@ -24,11 +24,6 @@
 	// once; one that doesn't is frozen or cut off, and the request must not
 	// spend its wait on it.
 	reserveTimeout = 200 * time.Millisecond
-	// leastPrefill and prefillFactor bound a prefill: at a reader that answers,
-	// it takes about what was estimated. The least is under holdLife, so that
-	// the endpoint that generates the answer can still read the prompt itself.
-	leastPrefill  = 1200 * time.Millisecond
-	prefillFactor = 4
 	// mostAsked bounds the endpoints asked for memory in one go. The first one
 	// is that with the most room by what is known here; others' news is late.
 	mostAsked = 3
@@ -80,39 +75,12 @@
 			}
 		}
 		pause, giveUp := waiting.Pause(time.Since(l.x.Received))
-		if giveUp || !wait(ctx, pause) {
+		if giveUp || !sleep.For(ctx, pause) {
 			return nil
 		}
 	}
 }
 
-// canBeRead tells whether the prompt would be read soon once it has a place.
-func (l *life) canBeRead() bool {
-	if l.x.Prompt == nil || l.prefilled {
-		return true
-	}
-	_, where := l.chooseReader()
-	return where != dispatch.PlaceLater
-}
-
-// The ranks that engines know, 0 first.
-const (
-	leastRank = 9
-	// freshRank is added to the route's own rank, and lateRank besides for a
-	// request that has missed its target: where memory runs out, an engine puts
-	// off one that loses little by it.
-	freshRank = 2
-	lateRank  = 3
-)
-
-func enginePriority(r *routetable.Route, waited time.Duration) int {
-	rank := r.Priority + freshRank
-	if r.Target > 0 && waited+usualStart > r.Target {
-		rank += lateRank
-	}
-	return min(rank, leastRank)
-}
-
 // silence is how long a caller waits for the next event of a stream, its first
 // one too, before it leaves: two seconds, four times the target or eight times
 // the longest pause, whichever is longest.
@@ -120,17 +88,6 @@
 	return max(2*time.Second, 4*r.Target, 8*r.EventGap)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // findPlace asks the endpoints with the most room by what is known here. found
 // is false when there are no endpoints to ask.
 func (l *life) findPlace(ctx context.Context) (at *place, found bool) {
@@ -190,95 +147,6 @@
 	l.router.options.Endpoints.DropHold(ctx, at.endpoint, at.hold)
 }
 
-// prefilled is the result of a prefill that was not taken yet.
-type prefilled struct {
-	endpoint *dispatch.Endpoint
-	handle   string
-}
-
-// prefill reads the prompt at a prefill endpoint; nil where that failed, and
-// the decode endpoint reads it itself.
-func (l *life) prefill(ctx context.Context) *prefilled {
-	if l.x.Prompt == nil || l.prefilled {
-		return nil
-	}
-	choice, where := l.chooseReader()
-	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
-	if where != dispatch.PlaceReader {
-		return nil
-	}
-	l.prefilled = true
-	work := dispatch.Work{Prompt: l.x.Prompt.Tokens, Memory: l.x.Prompt.Tokens}
-	book := l.router.options.Book
-	book.Begin(time.Now(), choice.Endpoint, work)
-	began := time.Now()
-	whole := book.ReadingTime(l.service, l.x.Prompt.Tokens, choice.Before)
-	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
-	defer cancel()
-	result, outcome := l.readPrompt(reading, choice.Endpoint)
-	l.prefillMs = time.Since(began).Milliseconds()
-	l.router.metrics.reading.Observe(time.Since(began).Seconds())
-	if outcome == dispatch.OutcomeServed {
-		book.HaveRead(time.Now(), choice.Endpoint, l.x.Prompt.Tokens, time.Since(began))
-	}
-	book.End(time.Now(), choice.Endpoint, work, outcome)
-	return result
-}
-
-// chooseReader picks the endpoint that reads prompts for others with the least
-// before it, and tells whether this one is read there.
-func (l *life) chooseReader() (dispatch.Choice, dispatch.Place) {
-	book, tokens := l.router.options.Book, l.x.Prompt.Tokens
-	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(tokens))
-	if !ok {
-		return choice, dispatch.PlaceOwn
-	}
-	alone := book.ReadingTime(l.service, tokens, 0)
-	return choice, dispatch.Reading{Gap: l.route.EventGap}.Choose(alone, book.ReadingTime(l.service, tokens, choice.Before))
-}
-
-func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
-	call := l.call(e)
-	call.Prefill = true
-	reply, err := l.router.options.Endpoints.Send(ctx, call)
-	if err != nil {
-		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
-		switch {
-		case errors.Is(err, errSilent):
-			return nil, dispatch.OutcomeUnreachable
-		case ctx.Err() != nil:
-			return nil, dispatch.OutcomeGivenUp
-		}
-		return nil, outcomeOf(err)
-	}
-	defer reply.Body.Close()
-	if reply.Load != nil {
-		l.router.options.Book.Told(time.Now(), e.ID, *reply.Load)
-	}
-	switch {
-	case reply.Misfit:
-		return nil, dispatch.OutcomeMisfit
-	case reply.NotRun:
-		return nil, dispatch.OutcomeFull
-	case reply.Status != http.StatusOK:
-		return nil, dispatch.OutcomeFailed
-	}
-	result, err := l.router.options.Endpoints.Prefilled(reply)
-	if err != nil {
-		l.log("Prefill's answer was cut off.", "endpoint", e.ID, "err", err)
-		return nil, dispatch.OutcomeLost
-	}
-	return &prefilled{endpoint: e, handle: result.Handle}, dispatch.OutcomeServed
-}
-
-func outcomeOf(err error) dispatch.Outcome {
-	var failure *SendError
-	if errors.As(err, &failure) && !failure.Sent {
-		return dispatch.OutcomeUnreachable
-	}
-	return dispatch.OutcomeLost
-}
-
 // fill measures a decode endpoint by its memory, which is what limits it: a
 // prompt of thousands of tokens fills a tenth of it.
 func (l *life) fill() dispatch.Measure {
@@ -292,11 +160,3 @@
 		return (used + float64(memory)) / float64(total)
 	}
 }
-
-// byPrompt measures a prefill endpoint by the prompts before this one, in
-// units of this one: each delays it by its own reading.
-func byPrompt(tokens int) dispatch.Measure {
-	return func(_ *dispatch.Endpoint, _ int, prompt, _ int, others float64) float64 {
-		return float64(prompt)/float64(max(1, tokens)) + others
-	}
-}
--- /dev/null
+++ b/internal/relay/prefill.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+)
+
+// The bounds of a prefill.
+const (
+	// leastPrefill and prefillFactor bound a prefill: at a reader that answers,
+	// it takes about what was estimated. The least is under holdLife, so that
+	// the endpoint that generates the answer can still read the prompt itself.
+	leastPrefill  = 1200 * time.Millisecond
+	prefillFactor = 4
+)
+
+// prefilled is the result of a prefill that was not taken yet.
+type prefilled struct {
+	endpoint *dispatch.Endpoint
+	handle   string
+}
+
+// prefill reads the prompt at a prefill endpoint; nil where that failed, and
+// the decode endpoint reads it itself.
+func (l *life) prefill(ctx context.Context) *prefilled {
+	if l.x.Prompt == nil || l.prefilled {
+		return nil
+	}
+	choice, where := l.chooseReader()
+	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
+	if where != dispatch.PlaceReader {
+		return nil
+	}
+	l.prefilled = true
+	work := dispatch.Work{Prompt: l.x.Prompt.Tokens, Memory: l.x.Prompt.Tokens}
+	book := l.router.options.Book
+	book.Begin(time.Now(), choice.Endpoint, work)
+	began := time.Now()
+	whole := book.ReadingTime(l.service, l.x.Prompt.Tokens, choice.Before)
+	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
+	defer cancel()
+	result, outcome := l.readPrompt(reading, choice.Endpoint)
+	l.prefillMs = time.Since(began).Milliseconds()
+	l.router.metrics.reading.Observe(time.Since(began).Seconds())
+	if outcome == dispatch.OutcomeServed {
+		book.HaveRead(time.Now(), choice.Endpoint, l.x.Prompt.Tokens, time.Since(began))
+	}
+	book.End(time.Now(), choice.Endpoint, work, outcome)
+	return result
+}
+
+// chooseReader picks the endpoint that reads prompts for others with the least
+// before it, and tells whether this one is read there.
+func (l *life) chooseReader() (dispatch.Choice, dispatch.Place) {
+	book, tokens := l.router.options.Book, l.x.Prompt.Tokens
+	choice, ok := l.choose(dispatch.StagePrefill, nil, byPrompt(tokens))
+	if !ok {
+		return choice, dispatch.PlaceOwn
+	}
+	alone := book.ReadingTime(l.service, tokens, 0)
+	return choice, dispatch.Reading{Gap: l.route.EventGap}.Choose(alone, book.ReadingTime(l.service, tokens, choice.Before))
+}
+
+func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
+	call := l.call(e)
+	call.Prefill = true
+	reply, err := l.router.options.Endpoints.Send(ctx, call)
+	if err != nil {
+		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
+		switch {
+		case errors.Is(err, errSilent):
+			return nil, dispatch.OutcomeUnreachable
+		case ctx.Err() != nil:
+			return nil, dispatch.OutcomeGivenUp
+		}
+		return nil, outcomeOf(err)
+	}
+	defer reply.Body.Close()
+	if reply.Load != nil {
+		l.router.options.Book.Told(time.Now(), e.ID, *reply.Load)
+	}
+	switch {
+	case reply.Misfit:
+		return nil, dispatch.OutcomeMisfit
+	case reply.NotRun:
+		return nil, dispatch.OutcomeFull
+	case reply.Status != http.StatusOK:
+		return nil, dispatch.OutcomeFailed
+	}
+	result, err := l.router.options.Endpoints.Prefilled(reply)
+	if err != nil {
+		l.log("Prefill's answer was cut off.", "endpoint", e.ID, "err", err)
+		return nil, dispatch.OutcomeLost
+	}
+	return &prefilled{endpoint: e, handle: result.Handle}, dispatch.OutcomeServed
+}
+
+func outcomeOf(err error) dispatch.Outcome {
+	var failure *SendError
+	if errors.As(err, &failure) && !failure.Sent {
+		return dispatch.OutcomeUnreachable
+	}
+	return dispatch.OutcomeLost
+}
+
+// canBeRead tells whether the prompt would be read soon once it has a place.
+func (l *life) canBeRead() bool {
+	if l.x.Prompt == nil || l.prefilled {
+		return true
+	}
+	_, where := l.chooseReader()
+	return where != dispatch.PlaceLater
+}
+
+// byPrompt measures a prefill endpoint by the prompts before this one, in
+// units of this one: each delays it by its own reading.
+func byPrompt(tokens int) dispatch.Measure {
+	return func(_ *dispatch.Endpoint, _ int, prompt, _ int, others float64) float64 {
+		return float64(prompt)/float64(max(1, tokens)) + others
+	}
+}
--- a/internal/replica/patient.go
+++ b/internal/replica/patient.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 	"github.com/hyssopsail/hyssopsail/internal/storage"
 )
 
@@ -28,9 +29,7 @@
 			return node, err
 		}
 		options.Part.Warn("The data folder can't be opened; trying again.", "err", err)
-		select {
-		case <-time.After(reopenPause):
-		case <-ctx.Done():
+		if !sleep.For(ctx, reopenPause) {
 			return nil, trace.Wrap(ctx.Err(), "the data folder could not be opened: %v", err)
 		}
 	}
--- a/internal/route/absence.go
+++ b/internal/route/absence.go
@@ -72,7 +72,7 @@
 		if !now.Before(r.seen.waitEnd(p)) || !now.Before(deadline) {
 			return nil
 		}
-		if sleep(ctx, absencePoll) != nil {
+		if pause(ctx, absencePoll) != nil {
 			return nil
 		}
 	}
--- a/internal/route/begin.go
+++ b/internal/route/begin.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // leastWait keeps a guard that answers "wait" with no time from being asked
@@ -40,7 +41,7 @@
 		if after >= in.remaining() {
 			return false, final(refused(callerapi.CodeOverloaded, "others of its kind are being tried alone", after))
 		}
-		if s := sleep(ctx, after); s != nil {
+		if s := pause(ctx, after); s != nil {
 			return false, s
 		}
 	}
@@ -58,17 +59,10 @@
 	return s
 }
 
-// sleep waits for d; a setback tells that ctx ended first.
-func sleep(ctx context.Context, d time.Duration) *setback {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+// pause waits for d; a setback tells that ctx ended first.
+func pause(ctx context.Context, d time.Duration) *setback {
+	if d > 0 && !sleep.For(ctx, d) {
 		return &setback{cause: fromContext(ctx)}
 	}
+	return nil
 }
--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -137,7 +137,7 @@
 			return keyClaim{}, step.failure
 		}
 		ran = ran || step.ran
-		if s := sleep(ctx, step.wait); s != nil {
+		if s := pause(ctx, step.wait); s != nil {
 			return keyClaim{}, unknownFate()
 		}
 	}
--- a/internal/route/leftover.go
+++ b/internal/route/leftover.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	for _, l := range m.cancelled {
 		for m.router.stillHeld(ctx, l) {
-			if sleep(ctx, gonePause) != nil {
+			if pause(ctx, gonePause) != nil {
 				return
 			}
 		}
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -21,7 +21,7 @@
 	soonest := predictWaits(nil, allowed(decode, m.avoid), m.class.output).decode
 	a.plan = m.policies.Start.Plan(a.startInput(soonest))
 	if !a.plan.ReserveFirst {
-		return sleep(ctx, a.plan.Delay)
+		return pause(ctx, a.plan.Delay)
 	}
 	h, s := a.take(ctx, a.wantDecode(m.remaining()))
 	if s != nil {
@@ -29,7 +29,7 @@
 	}
 	a.decode = h
 	again := m.policies.Start.Plan(a.startInput(h.grant.ReadyIn))
-	return sleep(ctx, min(again.Delay, m.remaining()))
+	return pause(ctx, min(again.Delay, m.remaining()))
 }
 
 func (a *attempt) wantDecode(wait time.Duration) want {
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -111,7 +111,7 @@
 		if s.cause != causeFull || time.Until(a.kv.expires) < fullPause {
 			return s
 		}
-		if sleep(local, fullPause) != nil {
+		if pause(local, fullPause) != nil {
 			return &setback{cause: causeFull, endpoint: a.decode.target.ID}
 		}
 	}
