--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -15,18 +15,18 @@
 		if len(m.endpoints) >= MaxRecords {
 			return false
 		}
-		r.Revision, r.Registered = index, index
-		m.endpoints[r.Id] = r
+		r.Registered = index
+		m.put(index, r)
 		return true
 	}
 	if !Changes(known, r) {
 		return false
 	}
-	r.Revision, r.Registered = index, known.Registered
+	r.Registered = known.Registered
 	if known.Assigned != r.Stage {
 		r.Assigned = known.Assigned
 	}
-	m.endpoints[r.Id] = r
+	m.put(index, r)
 	return true
 }
 
@@ -37,14 +37,21 @@
 		return false
 	}
 	changed := proto.Clone(known).(*pb.EndpointRecord)
-	changed.Assigned, changed.Revision = a.Stage, index
+	changed.Assigned = a.Stage
 	if a.Stage == known.Stage {
 		changed.Assigned = pb.Stage_STAGE_UNSPECIFIED
 	}
-	m.endpoints[a.Id] = changed
+	m.put(index, changed)
 	return true
 }
 
+// put stores a changed record.
+func (m *Machine) put(index uint64, r *pb.EndpointRecord) {
+	r.Revision = index
+	m.endpoints[r.Id] = r
+	m.changes.add(index, r.Id, m.endpoints)
+}
+
 // Changes tells whether heartbeat r changes what is known of its endpoint.
 func Changes(known, r *pb.EndpointRecord) bool {
 	if known == nil {
@@ -77,11 +84,11 @@
 	if known.GetState() == pb.EndpointState_ENDPOINT_STATE_GONE {
 		return false
 	}
-	gone := &pb.EndpointRecord{Id: id, State: pb.EndpointState_ENDPOINT_STATE_GONE, Revision: index, Registered: index}
+	gone := &pb.EndpointRecord{Id: id, State: pb.EndpointState_ENDPOINT_STATE_GONE, Registered: index}
 	if known != nil {
 		gone.Service, gone.Address, gone.Registered = known.Service, known.Address, known.Registered
 	}
-	m.endpoints[id] = gone
+	m.put(index, gone)
 	m.dropOldTombstones()
 	return true
 }
@@ -113,8 +120,8 @@
 			continue
 		}
 		silent := proto.Clone(known).(*pb.EndpointRecord)
-		silent.State, silent.Revision = pb.EndpointState_ENDPOINT_STATE_SILENT, index
-		m.endpoints[expected.Id] = silent
+		silent.State = pb.EndpointState_ENDPOINT_STATE_SILENT
+		m.put(index, silent)
 		changed = true
 	}
 	for _, expected := range e.Entries {
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -24,6 +24,7 @@
 	document  *pb.ConfigDocument
 	endpoints map[string]*pb.EndpointRecord
 	entries   map[string]*pb.EntryRecord
+	changes   changeList
 	revision  uint64
 	applied   uint64
 	changed   chan struct{} // closed and replaced at each change of the revision
@@ -119,6 +120,7 @@
 	for _, e := range s.Entries {
 		m.entries[e.Id] = e
 	}
+	m.changes.rebuild(m.endpoints)
 	m.revision, m.applied = s.Revision, index
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -187,3 +188,51 @@
 	assert.Equal(t, len(endpoints), keptTombstones)
 	assert.Assert(t, l.machine.Endpoint("0") == nil)
 }
+
+// The list of changes answers as a scan of all records would, over random
+// commands and after a snapshot.
+func TestSinceAgreesWithAScan(t *testing.T) {
+	l := newLog(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range 2000 {
+		id := fmt.Sprint(random.IntN(30))
+		switch random.IntN(4) {
+		case 0:
+			l.retire(fmt.Sprint(random.IntN(300)))
+		case 1:
+			l.expire(id, l.machine.Endpoint(id).GetRevision())
+		case 2:
+			l.assign(id, pb.Stage_STAGE_DECODE)
+		default:
+			l.report(id, uint64(n), ready)
+		}
+		held := uint64(random.IntN(int(l.index) + 1))
+		want := map[string]bool{}
+		all, _ := l.machine.Records()
+		for _, e := range all {
+			if e.Revision > held {
+				want[e.Id] = true
+			}
+		}
+		got := map[string]bool{}
+		for _, e := range l.machine.Since(0, held).Endpoints {
+			assert.Assert(t, !got[e.Id], "twice")
+			got[e.Id] = true
+		}
+		assert.DeepEqual(t, got, want)
+	}
+	assert.Assert(t, len(l.machine.changes.list) <= staleShare*len(l.machine.endpoints)+staleShare)
+}
+
+func BenchmarkSince(b *testing.B) {
+	m := NewMachine()
+	for n := range 12000 {
+		r := &pb.EndpointRecord{Id: fmt.Sprint(n), State: ready, Sequence: 1}
+		data, err := proto.Marshal(&pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: r}})
+		assert.NilError(b, err)
+		m.Apply(uint64(n+1), data)
+	}
+	for b.Loop() {
+		m.Since(0, 11990)
+	}
+}
--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -57,11 +57,7 @@
 	if m.document.GetVersion() > version {
 		d.Document = m.document
 	}
-	for _, e := range m.endpoints {
-		if e.Revision > revision {
-			d.Endpoints = append(d.Endpoints, e)
-		}
-	}
+	d.Endpoints = m.changes.since(revision, m.endpoints)
 	return d
 }
 
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -60,8 +60,25 @@
 	return nil
 }
 
+// commitReport tries once: an endpoint sends its next heartbeat, or turns to
+// another member, by itself. One that leaves is waited for: it may be gone
+// before it finds a member that knows a leader.
+//
+// Failure: thousands of endpoints start with the fleet, before there is a
+// leader. Heartbeats that each tried on until their time was up took all of
+// the processor, and the group was never formed. The guard holds because what
+// can't be committed now is answered at once, and few are tried at a time.
 func (c *Coordinator) commitReport(ctx context.Context, r *pb.EndpointRecord) error {
-	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: r}})
+	if !c.reports.TryAcquire(1) {
+		return trace.Wrap(ErrUnavailable, "%d heartbeats are being committed", mostReports)
+	}
+	defer c.reports.Release(1)
+	command := &pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: r}}
+	commit := c.commitOnce
+	if r.State == pb.EndpointState_ENDPOINT_STATE_DRAINING {
+		commit = c.commit
+	}
+	err := commit(ctx, command)
 	c.options.Part.Info("Endpoint reported.", "endpoint", r.Id, "service", r.Service, "address", r.Address,
 		"state", r.State, "stage", r.Stage, "seq", r.Sequence, "err", err)
 	return err
@@ -74,6 +91,19 @@
 	return err
 }
 
+// commitOnce is commit without a second try.
+func (c *Coordinator) commitOnce(ctx context.Context, command *pb.CatalogCommand) error {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	index, err := c.propose(ctx, data)
+	if err != nil {
+		return trace.Wrap(ErrUnavailable, "%v", err)
+	}
+	return nilOrUnavailable(c.options.Machine.AwaitApplied(ctx, index))
+}
+
 // commit has a command applied, here too, before it returns nil. All commands
 // are idempotent, so one whose outcome is uncertain is just sent again.
 func (c *Coordinator) commit(ctx context.Context, command *pb.CatalogCommand) error {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
@@ -21,7 +22,9 @@
 type Coordinator struct {
 	options Options
 	metrics *metrics
-	stages  *stages // used by the goroutine that leads alone
+	ready   chan struct{}       // closed once this member was in touch
+	reports *semaphore.Weighted // heartbeats that are being committed
+	stages  *stages             // used by the goroutine that leads alone
 
 	mu           sync.Mutex
 	heardHere    map[string]bool      // endpoints heard since the last report to the leader
@@ -39,6 +42,8 @@
 	c := &Coordinator{
 		options:     options,
 		metrics:     newMetrics(options.Metrics),
+		ready:       make(chan struct{}),
+		reports:     semaphore.NewWeighted(mostReports),
 		heardHere:   map[string]bool{},
 		entriesHere: map[string]bool{},
 		heard:       map[string]time.Time{},
@@ -73,6 +78,12 @@
 	}
 }
 
+// Ready is closed once this member has been in touch with a leader. Before
+// that it can answer nobody but its peers, and should not be listening for
+// others: a refused connection costs it nothing, while each one that it takes
+// keeps it from forming the group.
+func (c *Coordinator) Ready() <-chan struct{} { return c.ready }
+
 // current tells whether this member was in touch with a live leader lately.
 func (c *Coordinator) current(now time.Time) bool {
 	c.mu.Lock()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -303,3 +303,26 @@
 		assert.Equal(t, len(holders), 2)
 	})
 }
+
+// Thousands of endpoints start with the fleet and report before there is a
+// leader. Each must be turned away at once, so that the group can form, and be
+// taken in once it has.
+func TestHeartbeatsBeforeThereIsALeader(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.cut(true, f.instances[1])
+		report := func(n int) error {
+			r := &pb.EndpointRecord{Id: fmt.Sprint(n), Service: "s", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_READY, Sequence: 1}
+			return f.instances[1].ReportEndpoint(f.within(time.Second), r)
+		}
+		began := time.Now()
+		for n := range 1000 {
+			assert.ErrorIs(t, report(n), ErrUnavailable)
+		}
+		assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+		f.cut(false, f.instances[1])
+		f.formed()
+		for n := range 1000 {
+			assert.NilError(t, report(n))
+		}
+	})
+}
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -44,6 +44,10 @@
 	retryPause = 40 * time.Millisecond
 )
 
+// mostReports bounds the heartbeats that a member commits at a time. A commit
+// takes some milliseconds, so that this many are thousands a second.
+const mostReports = 64
+
 // mostFirstVoters bounds how many voters must hold a command before the first
 // one is accepted: a group of fewer disks would lose it with one of them.
 const mostFirstVoters = 3
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -39,6 +39,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.currentUntil.IsZero() {
+		close(c.ready)
+	}
 	if c.currentUntil.Before(sent) {
 		c.options.Part.Info("In touch with the leader.", "leader", c.leaderAddress())
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -30,8 +30,18 @@
 	// is still dark must not keep the entry from asking one that is up. The
 	// answer is due at once, as no wait is asked for.
 	firstTimeout = 200 * time.Millisecond
-	// turnPause is the wait before the next member is asked after a failure.
-	turnPause = 50 * time.Millisecond
+	// turnPause is the wait before the next member is asked after a failure. It
+	// grows by turnGrowth with each one, to longestTurn at most: hundreds of
+	// entries that start with the fleet would else take all of the processor of
+	// the few members they know, and the group would never be formed.
+	turnPause   = 50 * time.Millisecond
+	turnGrowth  = 1.15
+	longestTurn = 500 * time.Millisecond
+	// newsPause is the wait after news before the next question, for each entry
+	// of the fleet, and at most longestNewsPause: while endpoints register by
+	// the hundred, members would else answer each entry once for each of them.
+	newsPause        = time.Millisecond
+	longestNewsPause = 500 * time.Millisecond
 	// ways is to how many members questions are open at a time.
 	ways = 2
 )
@@ -94,6 +104,7 @@
 
 func (f *Follower) follow(ctx context.Context, way int) error {
 	member := ""
+	pause := turnPause
 	for ctx.Err() == nil {
 		if member == "" {
 			member = f.next(way)
@@ -101,8 +112,11 @@
 		if err := f.ask(ctx, way, member); err != nil && ctx.Err() == nil {
 			f.options.Part.Info("Turns to another control instance.", "from", member, "err", err)
 			member = ""
-			sleep.For(ctx, turnPause)
+			sleep.For(ctx, pause)
+			pause = min(time.Duration(turnGrowth*float64(pause)), longestTurn)
+			continue
 		}
+		pause = turnPause
 	}
 	return nil
 }
@@ -157,7 +171,9 @@
 		}
 		return err
 	}
-	f.take(reply)
+	if f.take(reply) {
+		sleep.For(ctx, min(time.Duration(reply.Entries)*newsPause, longestNewsPause))
+	}
 	if !reply.Current {
 		return trace.ConnectionProblem(nil, "the member is out of touch")
 	}
@@ -185,8 +201,8 @@
 	}, f.nudged
 }
 
-// take takes in an answer.
-func (f *Follower) take(reply *pb.FollowReply) {
+// take takes in an answer, and tells whether it held news.
+func (f *Follower) take(reply *pb.FollowReply) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(reply.Members) > 0 {
@@ -210,6 +226,7 @@
 	if changed || f.view.Load() == nil {
 		f.view.Store(f.build())
 	}
+	return changed
 }
 
 // takeDocument puts a newer document into force.
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -238,6 +238,20 @@
 	})
 }
 
+// Hundreds of entries start with the fleet, and no member knows a leader for
+// seconds. They must not ask so often that none is ever elected.
+func TestEntriesAskLessOftenWhileNobodyIsInTouch(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		for _, m := range f.members {
+			m.set(true)
+		}
+		time.Sleep(5 * time.Second)
+		before := f.questions()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, f.questions()-before < 60, "asked %d times in 10 s", f.questions()-before)
+	})
+}
+
 // A document that passed the checks can't be read here: the one before stays
 // in force.
 func TestUnreadableDocument(t *testing.T) {
