--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,7 +22,7 @@
 type Coordinator struct {
 	options Options
 	metrics *metrics
-	ready   chan struct{}       // closed once this member was in touch
+	ready   chan struct{}       // closed by isReady
 	reports *semaphore.Weighted // heartbeats that are being committed
 	stages  *stages             // used by the goroutine that leads alone
 
@@ -34,6 +34,7 @@
 	lastLook     time.Time            // as leader
 	currentUntil time.Time
 	started      time.Time
+	isReady      bool            // ready is closed
 	reporting    map[string]bool // entries whose change is being committed
 }
 
@@ -78,10 +79,10 @@
 	}
 }
 
-// Ready is closed once this member has been in touch with a leader. Before
-// that it can answer nobody but its peers, and should not be listening for
-// others: a refused connection costs it nothing, while each one that it takes
-// keeps it from forming the group.
+// Ready is closed once this member has been in touch with the leader of a group
+// that takes commands. Before that it can answer nobody but its peers, and
+// should not be listening for others: a refused connection costs it nothing,
+// while each one that it takes keeps it from forming the group.
 func (c *Coordinator) Ready() <-chan struct{} { return c.ready }
 
 // current tells whether this member was in touch with a live leader lately.
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -35,13 +35,24 @@
 		f.cut(true, f.instances[0])
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, f.instances[0].node.Status().IsLeader)
+		assert.Assert(t, !closed(f.instances[0].Ready()), "it would be asked what it can't answer")
 		assert.ErrorIs(t, f.put(f.instances[0], 1), ErrUnavailable)
 		f.cut(false, f.instances[0])
 		f.formed()
 		assert.NilError(t, f.put(f.instances[0], 1))
+		f.await(time.Second, "ready", func() bool { return closed(f.instances[0].Ready()) })
 	})
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // The first seed comes back with an empty disk while the others are down. It
 // must not take the fleet for a new one: it would answer with no configuration,
 // where one was acknowledged.
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -39,7 +39,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.currentUntil.IsZero() {
+	if !c.isReady && c.voters() >= c.options.firstVoters() {
+		c.isReady = true
 		close(c.ready)
 	}
 	if c.currentUntil.Before(sent) {
