coordinator: one line when a member loses its leader

Cause: the log told when a member was in touch again, not when it had stopped being: an engineer saw 503 answers without a reason. Behaviour as before besides the line; package tests pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -35,6 +35,7 @@
 	currentUntil time.Time
 	started      time.Time
 	isReady      bool            // ready is closed
+	inTouch      bool            // as the log said last
 	reporting    map[string]bool // entries whose change is being committed
 }
 
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -35,20 +35,37 @@
 	}
 	if err != nil {
 		c.putBackSeen(request)
+		c.noteOutOfTouch(time.Now(), err)
 		return
 	}
+	c.noteInTouch(sent)
+}
+
+func (c *Coordinator) noteInTouch(sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isReady && c.voters() >= c.options.firstVoters() {
 		c.isReady = true
 		close(c.ready)
 	}
-	if c.currentUntil.Before(sent) {
+	if !c.inTouch {
 		c.options.Part.Info("In touch with the leader.", "leader", c.leaderAddress())
 	}
+	c.inTouch = true
 	c.currentUntil = sent.Add(currentFor)
 }
 
+// noteOutOfTouch writes one line when this member stops being current.
+func (c *Coordinator) noteOutOfTouch(now time.Time, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inTouch || now.Before(c.currentUntil) {
+		return
+	}
+	c.inTouch = false
+	c.options.Part.Warn("Out of touch with the leader.", "since", c.currentUntil.UTC().Format(time.RFC3339Nano), "err", cause)
+}
+
 func (c *Coordinator) takeSeen() *pb.SeenRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
