relay: memory left behind by an exchange that ends unserved is freed

Cause: Endpoints.Release was called by nobody. A prompt read for a request whose caller then left, or whose endpoints were all unreachable or full, kept its memory until the handle lapsed (0.5 s by the site's settings), and the final answer waited up to a second for the dropped hold.

Ruled out: freeing before the final answer (it delays the caller), freeing only what surely was not taken (of a lost or rejected send it isn't known; freeing what is gone does nothing).

Before: TestMemoryOfAnExchangeThatEndsUnservedIsFreed fails in all six cases, TestFinalAnswerDoesNotWaitForMemoryToBeFreed too. After: both pass, as does TestTakenMemoryIsLeftAlone.

--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -71,8 +71,9 @@
 	calls    []Call
 	rooms    []error // answers of Reserve; none left: room
 	reserved int
-	dropped  int
-	released int
+	dropped  []string // endpoint and hold
+	released []string // endpoint and handle
+	slowFree time.Duration
 }
 
 func (f *fakes) Send(_ context.Context, c *Call) (*Reply, error) {
@@ -106,9 +107,20 @@
 	return fmt.Sprint("hold", f.reserved), nil
 }
 
-func (f *fakes) DropHold(context.Context, *dispatch.Endpoint, string) { f.dropped++ }
+func (f *fakes) DropHold(_ context.Context, e *dispatch.Endpoint, hold string) {
+	f.freed(&f.dropped, e.ID+" "+hold)
+}
+
+func (f *fakes) Release(_ context.Context, e *dispatch.Endpoint, handle string) {
+	f.freed(&f.released, e.ID+" "+handle)
+}
 
-func (f *fakes) Release(context.Context, *dispatch.Endpoint, string) { f.released++ }
+func (f *fakes) freed(list *[]string, what string) {
+	time.Sleep(f.slowFree)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*list = append(*list, what)
+}
 
 // caller takes an answer.
 type caller struct {
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -54,6 +54,7 @@
 
 func (l *life) run(ctx context.Context) *Refusal {
 	l.tried = map[string]bool{}
+	defer l.releaseSource()
 	for {
 		endpoint, call := l.prepare(ctx)
 		if endpoint == nil {
@@ -175,12 +176,23 @@
 	book.End(time.Now(), c.Endpoint, work, a.outcome)
 	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
 	l.last, l.lastErr = a.outcome, a.err
-	if a.outcome != dispatch.OutcomeUnreachable && a.outcome != dispatch.OutcomeMisfit {
-		l.source = nil // taken, or gone: an endpoint that had it without taking it can't be told
-	}
+	l.settleSource(a.outcome)
 	return a
 }
 
+// settleSource ends the use of the prompt that was read elsewhere. An endpoint
+// that wasn't reached, or wasn't the one meant, has not taken it. Of others it
+// isn't known: freeing what is gone does nothing.
+func (l *life) settleSource(o dispatch.Outcome) {
+	switch o {
+	case dispatch.OutcomeServed:
+		l.source = nil
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeMisfit:
+	default:
+		l.releaseSource()
+	}
+}
+
 func (l *life) exchange(ctx context.Context, c *Call) attempt {
 	if limit := l.tryLimit(); limit > 0 {
 		var cancel context.CancelFunc
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -19,6 +19,8 @@
 	reading   prometheus.Histogram
 	readWhere *prometheus.CounterVec
 	running   prometheus.Gauge
+	// leftToLapse counts what was not freed for want of a place in giveBacks.
+	leftToLapse prometheus.Counter
 }
 
 // answerBuckets reach from a plain call's answer to the longest patience, s.
@@ -55,6 +57,10 @@
 			Name: "hyssopsail_relay_prompts_total",
 			Help: "Prompts by where they were read.",
 		}, []string{"place"}),
+		leftToLapse: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_left_to_lapse_total",
+			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
+		}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -138,15 +138,6 @@
 	return hold, err
 }
 
-func (l *life) dropPlace(at *place) {
-	if at.hold == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	l.router.options.Endpoints.DropHold(ctx, at.endpoint, at.hold)
-}
-
 // fill measures a decode endpoint by its memory, which is what limits it: a
 // prompt of thousands of tokens fills a tenth of it.
 func (l *life) fill() dispatch.Measure {
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -22,8 +22,6 @@
 	// wayMargin is taken off the time that an endpoint is told it has: the
 	// way to it and back takes as long.
 	wayMargin = 10 * time.Millisecond
-	// releaseTimeout bounds the freeing of a prefill's result.
-	releaseTimeout = time.Second
 )
 
 // Options tell a Router what it works with.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -17,13 +17,14 @@
 
 // Router takes exchanges to their answers.
 type Router struct {
-	options Options
-	metrics *metrics
+	options   Options
+	metrics   *metrics
+	giveBacks giveBacks
 }
 
 // New makes a Router.
 func New(options Options) *Router {
-	return &Router{options: options, metrics: newMetrics(options.Metrics)}
+	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks()}
 }
 
 // Serve takes an exchange to its answer. It gives nil when the caller got one,
