--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -108,31 +108,14 @@
 	servers := make([]staging.Server, 0, len(records))
 	for _, e := range records {
 		servers = append(servers, staging.Server{
-			ID: e.Id, Stage: stageOf(e.Stage), Ready: true, Assigned: stageOf(e.Assigned), Registered: e.Registered,
+			ID: e.Id, Stage: e.Stage, Ready: true, Assigned: e.Assigned, Registered: e.Registered,
 		})
 	}
 	if change, ok := planner.Step(now, servers); ok {
-		s.assign(ctx, change.ID, recordStage(change.Stage))
+		s.assign(ctx, change.ID, change.Stage)
 	}
 }
 
-func stageOf(stage pb.Stage) staging.Stage {
-	switch stage {
-	case pb.Stage_STAGE_PREFILL:
-		return staging.StagePrefill
-	case pb.Stage_STAGE_DECODE:
-		return staging.StageDecode
-	}
-	return 0
-}
-
-func recordStage(stage staging.Stage) pb.Stage {
-	if stage == staging.StagePrefill {
-		return pb.Stage_STAGE_PREFILL
-	}
-	return pb.Stage_STAGE_DECODE
-}
-
 // assign has all entries know that an endpoint is to change; an unspecified
 // stage puts it back to work.
 func (s *stages) assign(ctx context.Context, id string, stage pb.Stage) {
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -44,14 +44,7 @@
 	}
 }
 
-// Read counts a prompt as read, before the exchange ends.
-func (b *Book) Read(e *Endpoint, tokens int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state(e.ID).prompt -= tokens
-}
-
-// End counts an exchange out. w is what Begin counted, less what Read took.
+// End counts an exchange out. w is what Begin counted.
 func (b *Book) End(now time.Time, e *Endpoint, w Work, o Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -124,16 +117,6 @@
 	b.state(e.ID).fullAt = now
 }
 
-// InFlight counts the exchanges of this entry at an endpoint.
-func (b *Book) InFlight(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := b.states[id]; s != nil {
-		return s.own
-	}
-	return 0
-}
-
 // Sweep forgets endpoints that were not used for a while.
 func (b *Book) Sweep(now time.Time) {
 	b.mu.Lock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -153,7 +153,7 @@
 	b.Note(at(0), list[1], OutcomeServed)
 	b.Sweep(at(2 * idleState))
 	assert.Equal(t, len(b.states), 1)
-	assert.Equal(t, b.InFlight("e0"), 1)
+	assert.Equal(t, b.states["e0"].own, 1)
 }
 
 // Many callers fail at once: sends again stay under the fleet's bound, and the
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -12,14 +12,13 @@
 
 // Endpoint is one incarnation of an endpoint that may get work.
 type Endpoint struct {
-	ID         string
-	Service    string
-	Address    string
-	Zone       string
-	Stage      Stage
-	Slots      int
-	Models     []string
-	Registered uint64 // order in which the incarnations were first heard
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Stage   Stage
+	Slots   int
+	Models  []string
 }
 
 // HasModel tells whether the endpoint runs a model; an endpoint that names
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -258,7 +258,7 @@
 
 func endpointOf(e *pb.EndpointRecord) *dispatch.Endpoint {
 	endpoint := &dispatch.Endpoint{
-		ID: e.Id, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots), Registered: e.Registered,
+		ID: e.Id, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots),
 	}
 	switch e.Stage {
 	case pb.Stage_STAGE_PREFILL:
--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -5,30 +5,23 @@
 	"math"
 	"slices"
 	"time"
-)
-
-// Stage is what an endpoint does.
-type Stage int
 
-// The stages.
-const (
-	StagePrefill Stage = iota + 1
-	StageDecode
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
 // Server is one endpoint as it is known.
 type Server struct {
 	ID         string
-	Stage      Stage
-	Ready      bool  // takes work, or is being changed
-	Assigned   Stage // that it is being changed to; 0 for none
+	Stage      pb.Stage
+	Ready      bool     // takes work, or is being changed
+	Assigned   pb.Stage // that it is being changed to; unspecified for none
 	Registered uint64
 }
 
 // Change is what one endpoint is to become.
 type Change struct {
 	ID    string
-	Stage Stage
+	Stage pb.Stage
 }
 
 // The figures of a plan.
@@ -73,9 +66,9 @@
 		return Change{}, false
 	}
 	if short {
-		return pick(ready, StageDecode, StagePrefill)
+		return pick(ready, pb.Stage_STAGE_DECODE, pb.Stage_STAGE_PREFILL)
 	}
-	return pick(ready, StagePrefill, StageDecode)
+	return pick(ready, pb.Stage_STAGE_PREFILL, pb.Stage_STAGE_DECODE)
 }
 
 // Due is how many of n endpoints read prompts.
@@ -86,7 +79,7 @@
 func readyOf(servers []Server) []Server {
 	var ready []Server
 	for _, s := range servers {
-		if s.Ready && s.Stage != 0 {
+		if s.Ready && s.Stage != pb.Stage_STAGE_UNSPECIFIED {
 			ready = append(ready, s)
 		}
 	}
@@ -97,10 +90,10 @@
 // the changes under way are done.
 func countReaders(servers []Server) (readers, changing int) {
 	for _, s := range servers {
-		if cmp.Or(s.Assigned, s.Stage) == StagePrefill {
+		if cmp.Or(s.Assigned, s.Stage) == pb.Stage_STAGE_PREFILL {
 			readers++
 		}
-		if s.Assigned != 0 {
+		if s.Assigned != pb.Stage_STAGE_UNSPECIFIED {
 			changing++
 		}
 	}
@@ -109,8 +102,8 @@
 
 // pick takes the newest endpoint of a stage: it holds the fewest cached
 // prompts.
-func pick(servers []Server, from, to Stage) (Change, bool) {
-	servers = slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Stage != from || s.Assigned != 0 })
+func pick(servers []Server, from, to pb.Stage) (Change, bool) {
+	servers = slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Stage != from || s.Assigned != pb.Stage_STAGE_UNSPECIFIED })
 	if len(servers) == 0 {
 		return Change{}, false
 	}
--- a/internal/staging/planner_test.go
+++ b/internal/staging/planner_test.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
 func servers(prefill, decode int) []Server {
 	var list []Server
 	for n := range prefill + decode {
-		stage := StagePrefill
+		stage := pb.Stage_STAGE_PREFILL
 		if n >= prefill {
-			stage = StageDecode
+			stage = pb.Stage_STAGE_DECODE
 		}
 		list = append(list, Server{ID: fmt.Sprint(n), Stage: stage, Ready: true, Registered: uint64(n)})
 	}
@@ -34,14 +36,14 @@
 func TestShares(t *testing.T) {
 	for _, test := range []struct {
 		prefill, decode int
-		want            Stage // 0 for no change
+		want            pb.Stage // 0 for no change
 	}{
-		{5, 7, StageDecode},
+		{5, 7, pb.Stage_STAGE_DECODE},
 		{3, 9, 0},
-		{2, 10, StagePrefill},
-		{0, 12, StagePrefill},
+		{2, 10, pb.Stage_STAGE_PREFILL},
+		{0, 12, pb.Stage_STAGE_PREFILL},
 		{1, 1, 0},
-		{2, 0, StageDecode},
+		{2, 0, pb.Stage_STAGE_DECODE},
 		{1, 0, 0},
 		{0, 0, 0},
 	} {
@@ -68,11 +70,11 @@
 // work at a time.
 func TestChangesUnderWayAreCounted(t *testing.T) {
 	list := servers(5, 7)
-	list[4].Assigned, list[3].Assigned = StageDecode, StageDecode
+	list[4].Assigned, list[3].Assigned = pb.Stage_STAGE_DECODE, pb.Stage_STAGE_DECODE
 	_, ok := run(&Planner{}, list, 10*time.Second)
 	assert.Assert(t, !ok, "two of twelve are changing, and three will be left")
 	list = servers(6, 6)
-	list[5].Assigned, list[4].Assigned = StageDecode, StageDecode
+	list[5].Assigned, list[4].Assigned = pb.Stage_STAGE_DECODE, pb.Stage_STAGE_DECODE
 	_, ok = run(&Planner{}, list, 10*time.Second)
 	assert.Assert(t, !ok, "two of twelve are changing")
 	list[5].Assigned = 0
