route: a daemon that has just joined waits for its first survey before it says no endpoint

Cause of e2e.TestGracefulStopOfEachDaemonUnderLoad's one failure beside four busy processes (503 no-permitted-zone from i0 a second after its start), by reading: a daemon is current, and in the address lists, as soon as it holds its lease; its follower's index is empty until the first poll of all homes has ended, and its own joining moves homes. A place that was never seen was refused at once.

Ruled out: a later readiness. Other entries list a daemon by the view, so callers would come all the same.

--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -88,6 +88,10 @@
 // Follower is how a request finds endpoints and takes their slots.
 type Follower interface {
 	Candidates(q Query) []Candidate
+	// Surveyed gives when each followed home had been asked for the first time
+	// since this process joined; false: not yet, and the lack of a candidate
+	// says nothing.
+	Surveyed() (time.Time, bool)
 	// Take asks the home; exactly one of grant and refusal is set when err is
 	// nil.
 	Take(ctx context.Context, r GrantRequest) (grant *Grant, refusal *Refusal, err error)
--- a/internal/endpoint/follower.go
+++ b/internal/endpoint/follower.go
@@ -19,7 +19,9 @@
 	options FollowerOptions
 	metrics *followerMetrics
 	index   atomic.Pointer[index]
-	gives   chan give
+	// surveyed is when the first poll of all homes ended; nil: it has not.
+	surveyed atomic.Pointer[time.Time]
+	gives    chan give
 
 	mu    sync.Mutex
 	peers *peers
@@ -66,6 +68,15 @@
 	return f.index.Load().candidates(time.Now(), q)
 }
 
+// Surveyed implements Follower.
+func (f *HomeClient) Surveyed() (time.Time, bool) {
+	at := f.surveyed.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 // Run polls, renews and gives back until ctx ends.
 func (f *HomeClient) Run(ctx context.Context) error {
 	var workers sync.WaitGroup
@@ -137,6 +148,17 @@
 		})
 	}
 	calls.Wait()
+	f.noteSurvey(homes)
+}
+
+// noteSurvey keeps when the first poll of any home ended. A home that did not
+// answer counts as asked: it may be gone.
+func (f *HomeClient) noteSurvey(homes []fleet.Instance) {
+	if len(homes) == 0 || f.surveyed.Load() != nil {
+		return
+	}
+	now := time.Now()
+	f.surveyed.Store(&now)
 }
 
 func (f *HomeClient) dropUnfollowed(homes []fleet.Instance) {
--- a/internal/route/absence.go
+++ b/internal/route/absence.go
@@ -47,19 +47,31 @@
 	s.times[p] = now
 }
 
-// waitEnd gives until when endpoints for a place may come back.
-func (s *seen) waitEnd(p place) time.Time {
+// last tells when endpoints for a place were last known.
+func (s *seen) last(p place) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last, known := s.times[p]
-	if !known {
-		return time.Time{}
+	at, known := s.times[p]
+	return at, known
+}
+
+// mayAppear tells whether endpoints for a place that has none may still come.
+//
+// Failure: a daemon that has just joined is given to callers before its
+// follower has heard of any endpoint, or while its own joining moves their
+// homes; requests in its first second are refused although endpoints are idle.
+// The guard holds because a place that was never seen counts as last seen when
+// all homes had been asked.
+func (r *Router) mayAppear(p place, now time.Time) bool {
+	if last, known := r.seen.last(p); known {
+		return now.Before(last.Add(homeMove))
 	}
-	return last.Add(homeMove)
+	surveyed, done := r.opts.Follower.Surveyed()
+	return !done || now.Before(surveyed.Add(homeMove))
 }
 
-// candidates asks the follower, and waits for endpoints that were there a
-// moment ago until homeMove has passed, deadline or ctx ends.
+// candidates asks the follower, and waits while endpoints may still appear,
+// until deadline or ctx ends.
 func (r *Router) candidates(ctx context.Context, q endpoint.Query, deadline time.Time) []endpoint.Candidate {
 	p := place{kind: q.Kind, model: q.Model.String(), service: q.Service, zones: q.Permitted.Class()}
 	for {
@@ -69,7 +81,7 @@
 			r.seen.note(p, now)
 			return found
 		}
-		if !now.Before(r.seen.waitEnd(p)) || !now.Before(deadline) {
+		if !now.Before(deadline) || !r.mayAppear(p, now) {
 			return nil
 		}
 		if pause(ctx, absencePoll) != nil {
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -30,6 +30,12 @@
 	return out
 }
 
+func (w *world) Surveyed() (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.surveyedAt, !w.surveying
+}
+
 func (w *world) Take(ctx context.Context, r endpoint.GrantRequest) (*endpoint.Grant, *endpoint.Refusal, error) {
 	if f := w.next("take", r.Endpoint); f.stall {
 		<-ctx.Done()
--- a/internal/route/relaycost_test.go
+++ b/internal/route/relaycost_test.go
@@ -167,6 +167,8 @@
 	return []endpoint.Candidate{{ID: "x1", Incarnation: relayIncarnation, Zone: "howrah", Address: f.engine, Role: q.Kind, Slots: 1 << 20}}
 }
 
+func (f *relayFleet) Surveyed() (time.Time, bool) { return time.Time{}, true }
+
 func (f *relayFleet) Take(_ context.Context, r endpoint.GrantRequest) (*endpoint.Grant, *endpoint.Refusal, error) {
 	return &endpoint.Grant{
 		Endpoint: "x1", Incarnation: relayIncarnation, Address: f.engine, Zone: "howrah", Attempt: r.Attempt, Kind: r.Kind,
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -45,7 +45,11 @@
 	onClaim  func()
 	events   []timeline.Event
 	noBudget bool // no retry is left
-	links    *schedule.LinkTable
+	// surveying: the follower has not asked all homes yet; surveyedAt is when it
+	// had, long ago when zero.
+	surveying  bool
+	surveyedAt time.Time
+	links      *schedule.LinkTable
 	// cancelLag is the time that a cancel takes until it is confirmed.
 	cancelLag time.Duration
 	// takeLag is the time that a home takes to grant a decode slot, whether or
@@ -135,6 +139,21 @@
 	w.list = append(w.list, c)
 }
 
+// hide takes all endpoints out of sight and gives them for show.
+func (w *world) hide() []endpoint.Candidate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.list
+	w.list = nil
+	return known
+}
+
+func (w *world) show(known []endpoint.Candidate) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list = known
+}
+
 // router makes a Router in this world.
 func (w *world) router(bounds route.Bounds) *route.Router { return w.routerWith(engines{w}, bounds) }
 
