--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -47,9 +47,18 @@
 // its context tells too.
 func (l *life) write(p []byte) bool {
 	l.writes++
+	l.notePause(time.Now())
 	return l.caller.Write(p) == nil
 }
 
+// notePause keeps the longest pause between two parts.
+func (l *life) notePause(now time.Time) {
+	if !l.writtenAt.IsZero() && now.Sub(l.writtenAt) > l.pause {
+		l.pause, l.pauseAt = now.Sub(l.writtenAt), l.writtenAt
+	}
+	l.writtenAt = now
+}
+
 // long passes on an answer that is too long to be held.
 func (l *life) long(reply *Reply, first []byte) attempt {
 	l.begin(reply, reply.Length)
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -101,9 +101,19 @@
 	l.trail = nil
 }
 
-// lateAnswer tells whether the first part was passed on after the target.
+// lateAnswer tells whether the first part was passed on after the target, or
+// another one after a longer pause than the route's.
 func (l *life) lateAnswer() bool {
-	return l.route.Target > 0 && l.firstAt.Sub(l.x.Received) > l.route.Target
+	lateFirst := l.route.Target > 0 && l.firstAt.Sub(l.x.Received) > l.route.Target
+	return lateFirst || l.route.EventGap > 0 && l.pause > l.route.EventGap
+}
+
+// pauseStart is when the longest pause began, ms after the arrival; 0 without one.
+func (l *life) pauseStart() int64 {
+	if l.pauseAt.IsZero() {
+		return 0
+	}
+	return l.pauseAt.Sub(l.x.Received).Milliseconds()
 }
 
 func (l *life) reportServed() {
@@ -118,5 +128,5 @@
 		"service", l.service, "endpoint", l.chosen, "outcome", l.last, "sends", l.sends, "runs", l.runs,
 		"prompt", tokens, "output", output, "prefill_ms", l.prefillMs,
 		"sent_ms", l.sentAt.Sub(l.x.Received).Milliseconds(), "first_ms", l.firstAt.Sub(l.x.Received).Milliseconds(),
-		"took_ms", time.Since(l.x.Received).Milliseconds(), "writes", l.writes, "last_event", l.lastID)
+		"took_ms", time.Since(l.x.Received).Milliseconds(), "writes", l.writes, "pause_ms", l.pause.Milliseconds(), "pause_at_ms", l.pauseStart(), "last_event", l.lastID)
 }
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -42,6 +42,9 @@
 	firstAt   time.Time // when the first byte was passed on
 	prefillMs int64     // that a prefill took; 0 without one
 	writes    int
+	writtenAt time.Time     // of the newest part passed on
+	pause     time.Duration // longest one between two parts
+	pauseAt   time.Time     // when it began
 }
 
 // attempt is what one send gave.
