staging: readers by the square root of the load they carry

Load pattern: a fleet that is short of memory for answers. A quarter of the endpoints as readers suits 12 of them and takes memory from 60. Clumps of prompts even out over many readers, so the spare ones grow by the square root.

Ruled out: a smaller share for all (8 of 60 read too slowly). Left: a demand told by entries, for a mix other than the one assumed.

--- a/internal/staging/planner.go
+++ b/internal/staging/planner.go
@@ -26,13 +26,16 @@
 
 // The figures of a plan.
 const (
-	// prefillShare is the part of the endpoints that read prompts for others.
-	// A prompt of 3,000 tokens takes one some 0.1 s, and its answer some 0.4
-	// s of one decode endpoint's memory, so both are equally full at a fifth; the
-	// readers need spare speed, since what waits there misses its target.
-	// Measured over six days of bursts and faults, as a mark from 0 to 1 for what
-	// callers got: 0.60 at 2 of 12, 0.73 at 3, 0.65 at 4.
-	prefillShare = 0.25
+	// readingLoad is the part of a service's endpoints that would be busy with
+	// reading all the time at the load that it is built for: a prompt of 3,000
+	// tokens takes one some 0.1 s, and its answer some 4 s of an eighth of a
+	// generating one's memory.
+	readingLoad = 0.12
+	// spareReaders is how many more there are, in square roots of that load:
+	// prompts come in clumps, and what waits at a reader misses its target. By
+	// the square root, since clumps even out over many readers; a share that
+	// suits 12 endpoints takes memory for answers from 60, where it is short.
+	spareReaders = 1.5
 	// wrongFor is how long the shares must be off before one is changed. An
 	// endpoint that crashed is missed only once its heartbeats have stopped for
 	// some four seconds, and is back by then in most cases.
@@ -73,7 +76,8 @@
 
 // Due is how many of n endpoints read prompts.
 func Due(n int) int {
-	return max(1, int(math.Round(float64(n)*prefillShare)))
+	load := readingLoad * float64(n)
+	return max(1, int(math.Round(load+spareReaders*math.Sqrt(load))))
 }
 
 func readyOf(servers []Server) []Server {
