replica: a member whose disk refuses for a while reopens its folder

A Node made by NewPatient now closes its store, reads the folder anew as a restart would (the store copies what it reads into fresh, synced files, so nothing is built on a failed sync) and goes on.

Ruled out: trying the same write again (after a failed sync the kernel may have dropped the pages).

The daemon's own members still stop for good (TestBadDiskStepsDown, unchanged).

--- a/internal/replica/failures_test.go
+++ b/internal/replica/failures_test.go
@@ -235,6 +235,68 @@
 	}
 }
 
+// A disk is full, fails a sync, or hangs for some seconds, and then works again.
+// Its process goes on without a restart: it never claims to lead meanwhile, takes
+// up what it missed, applies nothing twice, and is a voter that counts.
+func TestBadDiskComesBack(t *testing.T) {
+	tables := []struct {
+		name  string
+		spoil func(h *machineHost) (mend func())
+	}{
+		{"full", func(h *machineHost) func() { h.disk.SetCapacity(1); return func() { h.disk.SetCapacity(0) } }},
+		{"fails a sync", func(h *machineHost) func() { h.disk.FailSyncs(1); return func() {} }},
+		{"stalls", func(h *machineHost) func() { return h.disk.Stall() }},
+	}
+	for _, row := range tables {
+		for _, who := range []string{"leader", "follower"} {
+			t.Run(row.name+" of a "+who, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t)
+					c.options = func(o *Options) { o.Reopen, o.SnapshotEntries, o.KeepEntries = true, 8, 2 }
+					c.add("a", "b", "c")
+					c.init("a", "b", "c")
+					c.proposeMany("before", 20)
+					bad := c.leader()
+					if who == "follower" {
+						bad = c.others(bad)[0]
+					}
+					mend := row.spoil(bad)
+					_, _ = bad.node.Propose(short(t), []byte("caught"))
+					c.proposeMany("after", 20)
+					time.Sleep(4 * time.Second)
+					mend()
+					time.Sleep(2 * time.Second)
+					assert.Equal(t, len(bad.ended), 0)
+					assert.Assert(t, !bad.node.Status().StorageFailed)
+					good, third := c.others(bad)[0], c.others(bad)[1]
+					c.kill(third.name)
+					c.proposeTo(c.leaderOf([]*machineHost{bad, good}), "by two")
+					time.Sleep(time.Second)
+					assert.DeepEqual(t, bad.state.list(), good.state.list())
+				})
+			})
+		}
+	}
+}
+
+// A planned stop comes while a disk hangs: it ends without the disk.
+func TestStopWhileADiskHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.options = func(o *Options) { o.Reopen = true }
+		c.add("a", "b", "c")
+		c.init("a", "b", "c")
+		bad := c.leader()
+		release := bad.disk.Stall()
+		defer release()
+		_, err := bad.node.Propose(context.Background(), []byte("caught"))
+		assert.ErrorIs(t, err, ErrUncertain)
+		time.Sleep(5 * time.Second)
+		bad.stop()
+		assert.NilError(t, <-bad.ended)
+	})
+}
+
 // A leader is frozen for longer than its lease, with a read and a change in
 // hand; meanwhile another leads and commits. When the first wakes, the read
 // must not be answered from its old state, nor the change be confirmed.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -26,6 +26,7 @@
 // locks to order.
 type Node struct {
 	options Options
+	diskID  string
 	store   *storage.Store
 	core    *consensus.Core
 	group   string
@@ -34,7 +35,8 @@
 	inbox     chan event
 	done      chan struct{} // closed when Run ends
 	published atomic.Pointer[published]
-	failed    atomic.Bool // storage failed
+	failed    atomic.Bool   // storage failed
+	written   chan struct{} // closed when the newest write has ended
 	metrics   *metrics
 
 	applied   uint64
@@ -58,7 +60,7 @@
 		return nil, trace.Wrap(err)
 	}
 	n := &Node{
-		options: options, store: store, group: store.Group(),
+		options: options, diskID: store.DiskID(), store: store, group: store.Group(),
 		known: map[string]string{},
 		inbox: make(chan event, inboxLength), done: make(chan struct{}),
 		metrics:   newMetrics(options.Registerer),
@@ -71,14 +73,14 @@
 }
 
 func (n *Node) restore(state consensus.State) error {
-	if s := state.Snapshot; s != nil {
+	if s := state.Snapshot; s != nil && s.Index > n.applied {
 		if err := n.options.Machine.Restore(s.Index, s.Data); err != nil {
 			return trace.Wrap(err, "snapshot %d can't be restored", s.Index)
 		}
 		n.applied = s.Index
 	}
 	core, err := consensus.New(consensus.Config{
-		ID:                n.store.DiskID(),
+		ID:                n.diskID,
 		ElectionTimeout:   n.options.ElectionTimeout,
 		HeartbeatInterval: n.options.HeartbeatInterval,
 		Random:            rand.New(rand.NewPCG(n.options.Seed, 0)),
@@ -92,28 +94,46 @@
 }
 
 // DiskID implements Group.
-func (n *Node) DiskID() string { return n.store.DiskID() }
+func (n *Node) DiskID() string { return n.diskID }
 
-// Run works until ctx ends, which gives nil, or the storage fails, which
-// gives ErrStorage. It may be called once.
+// Run works until ctx ends, which gives nil, or the storage fails for good,
+// which gives ErrStorage. It may be called once.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
+	n.options.Part.Info("Started.", "disk", n.DiskID(), "group", n.group)
+	for {
+		err := n.work(ctx)
+		if err == nil {
+			n.stop(ErrNotLeader)
+			return trace.Wrap(n.store.Close())
+		}
+		n.failStorage(err)
+		if !n.options.Reopen {
+			return trace.Wrap(ErrStorage, "%v", err)
+		}
+		if err := n.reopen(ctx); err != nil || ctx.Err() != nil {
+			n.stop(ErrStorage)
+			return err
+		}
+	}
+}
+
+// work takes in events and carries out what is due until ctx ends, which gives
+// nil, or the storage fails.
+func (n *Node) work(ctx context.Context) error {
 	ticker := time.NewTicker(n.options.Tick)
 	defer ticker.Stop()
-	n.options.Part.Info("Started.", "disk", n.DiskID(), "group", n.group)
 	for {
 		select {
 		case <-ctx.Done():
-			n.stop(ErrNotLeader)
-			return trace.Wrap(n.store.Close())
+			return nil
 		case <-ticker.C:
 		case e := <-n.inbox:
 			e.run(n, time.Now())
 			n.drain(e.size())
 		}
 		if err := n.turn(); err != nil {
-			n.failStorage(err)
-			return trace.Wrap(ErrStorage, "%v", err)
+			return err
 		}
 	}
 }
@@ -152,12 +172,12 @@
 	return nil
 }
 
-// failStorage ends this member for good. Its files may not hold what it would
-// promise next, and what it was asked last may or may not be on them, so it
-// sends nothing more and leaves proposals uncertain.
+// failStorage ends this member's work on its open files. They may not hold what
+// it would promise next, and what it was asked last may or may not be on them,
+// so it sends nothing more and leaves proposals uncertain.
 func (n *Node) failStorage(cause error) {
 	n.failed.Store(true)
-	n.options.Part.Error("Storage failed; this member stops for good.", "err", cause)
+	n.options.Part.Error("Storage failed.", "reopens", n.options.Reopen, "err", cause)
 	n.metrics.storageFailed.Set(1)
 	n.stop(ErrStorage)
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -47,6 +47,10 @@
 	// StorageTimeout is the longest a write and its sync may take before
 	// the disk counts as failed, besides a second for each 10 MiB.
 	StorageTimeout time.Duration
+	// Reopen has the member read its data folder anew after a failed write, and
+	// go on when it can be written again, as a restarted process would. Without
+	// it Run ends.
+	Reopen bool
 	// SnapshotEntries or SnapshotBytes of applied entries make a new snapshot
 	// due; KeepEntries of them stay in memory for members that lag a little.
 	SnapshotEntries uint64
--- a/internal/replica/patient.go
+++ b/internal/replica/patient.go
@@ -16,12 +16,13 @@
 const reopenPause = 500 * time.Millisecond
 
 // NewPatient is New for a disk that may refuse for a while: it tries until the
-// folder opens or ctx ends. A folder that can't be trusted is not tried again.
+// folder opens or ctx ends, and the Node reopens it after a failed write. A folder that can't be trusted is not tried again.
 //
 // Failure: a full disk refuses the first write of a start. A process that ends
 // then is started again and again, at the cost of a start each time, and is
 // held back by its supervisor just when the disk works again.
 func NewPatient(ctx context.Context, options Options) (*Node, error) {
+	options.Reopen = true
 	for {
 		node, err := New(options)
 		var corrupt *storage.ErrCorrupt
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -49,12 +49,17 @@
 // guarded runs a write of size bytes to the disk, and gives up on a disk that
 // takes too long. A stalled disk would otherwise block the loop: the member
 // neither leads nor steps down, and its callers wait. The write may still end
-// later; nothing is built on it, since the caller stops this member for good.
+// later; nothing is built on it, since the caller stops this member or reads the
+// folder anew.
 func (n *Node) guarded(size int, write func() error) error {
 	began := time.Now()
 	limit := n.options.StorageTimeout + time.Duration(size)*time.Second/slowestDisk
-	result := make(chan error, 1)
-	go func() { result <- write() }()
+	result, ended := make(chan error, 1), make(chan struct{})
+	n.written = ended
+	go func() {
+		defer close(ended)
+		result <- write()
+	}()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -77,7 +82,7 @@
 }
 
 func (n *Node) apply(r consensus.Ready) error {
-	if s := r.Snapshot; s != nil {
+	if s := r.Snapshot; s != nil && s.Index > n.applied {
 		if err := n.options.Machine.Restore(s.Index, s.Data); err != nil {
 			return trace.Wrap(err, "snapshot %d can't be restored", s.Index)
 		}
@@ -85,6 +90,9 @@
 		n.options.Part.Info("Took over a snapshot.", "index", s.Index)
 	}
 	for _, e := range r.Committed {
+		if e.Index <= n.applied {
+			continue // applied before the folder was reopened
+		}
 		var result []byte
 		if e.Kind == pb.EntryKind_ENTRY_KIND_COMMAND {
 			result = n.options.Machine.Apply(e.Index, e.Data)
@@ -98,7 +106,11 @@
 
 // snapshotIfDue bounds the log on disk and in memory.
 func (n *Node) snapshotIfDue() error {
-	entries := n.applied - n.core.Status().Snapshot
+	status := n.core.Status()
+	if status.Applied < n.applied {
+		return nil // reopened: the core has not heard yet what is committed
+	}
+	entries := n.applied - status.Snapshot
 	if entries < n.options.SnapshotEntries && n.newBytes < n.options.SnapshotBytes {
 		return nil
 	}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -27,9 +27,10 @@
 		Term: p.status.Term, Commit: p.status.Commit, Applied: p.status.Applied,
 		StorageFailed: n.failed.Load(), Initialised: p.group != "",
 	}
-	s.IsLeader = p.status.Role == consensus.Leader && !n.hasEnded()
+	works := !n.hasEnded() && !s.StorageFailed
+	s.IsLeader = p.status.Role == consensus.Leader && works
 	for _, m := range p.status.Membership.GetMembers() {
-		if m.DiskId == p.status.Leader && !n.hasEnded() {
+		if m.DiskId == p.status.Leader && works {
 			s.Leader = m
 		}
 		s.Members = append(s.Members, progressOf(m, p.status, n.DiskID()))
