route: homes that are being handed over are asked again, not counted as full

By reading: three answers that another is home, that the endpoint isn't known yet, or no answer, used up the request's tries within some ms.

Before: TestServesWhatComesWhileHomesAreHandedOver fails. After: it passes, and TestHandOverWithoutEndIsRefused bounds the wait to the time of a move.

--- a/internal/route/absence_test.go
+++ b/internal/route/absence_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 )
 
@@ -48,3 +49,27 @@
 		assert.Equal(t, time.Since(began), time.Duration(0))
 	})
 }
+
+// An instance stops and another one joins in the same second. Each home that a
+// request asks for a slot has just given the endpoint away, and the slots
+// themselves are free: requests were refused as if all were taken.
+func TestServesWhatComesWhileHomesAreHandedOver(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.refuseTakes(pb.GrantStatus_GRANT_STATUS_NOT_HOME)
+		time.AfterFunc(500*time.Millisecond, func() { w.refuseTakes(0) })
+		served(t, w.router(route.Bounds{}), modelRequest(), &sink{})
+		w.assertFree(t)
+	})
+}
+
+// Homes that never settle are not waited for longer than a move takes.
+func TestHandOverWithoutEndIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.refuseTakes(pb.GrantStatus_GRANT_STATUS_NOT_HOME)
+		began := time.Now()
+		failure := failed(t, w.router(route.Bounds{}), modelRequest())
+		assert.Equal(t, failure.Code, callerapi.CodeOverloaded)
+		assert.Equal(t, failure.Outcome, callerapi.OutcomeNotRun)
+		assert.Assert(t, time.Since(began) <= 2100*time.Millisecond, "%v", time.Since(began))
+	})
+}
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
 )
@@ -23,16 +24,28 @@
 
 // take chooses an endpoint and asks its home for a slot, going to another
 // endpoint when the first one's home refuses.
+//
+// Failure guarded: an instance stops while another joins, and each home that is
+// asked has just given the endpoint away, has not heard of it yet, or is gone.
+// Counted as refusals, such answers used up the request's endpoints within some
+// ms while their slots were free. They are asked again, for as long as a move
+// takes.
 func (a *attempt) take(ctx context.Context, w want) (*hold, *setback) {
 	began := time.Now()
-	avoid := a.run.avoid.with()
+	avoid, moving := a.run.avoid.with(), false
 	var last *setback
-	for range grantTries {
+	for tries := 0; tries < grantTries; {
 		chosen, s := a.pick(ctx, w, avoid)
-		if s != nil && last == nil {
+		switch {
+		case s != nil && last == nil:
 			return nil, s
-		}
-		if s != nil {
+		case s != nil && moving && time.Since(began) < homeMove:
+			if s := pause(ctx, absencePoll); s != nil {
+				return nil, s
+			}
+			avoid, moving = a.run.avoid.with(), false
+			continue
+		case s != nil:
 			return nil, last
 		}
 		left := max(w.wait-time.Since(began), 0)
@@ -45,6 +58,10 @@
 		}
 		avoid.add(chosen.ID)
 		last = worse(last, s)
+		moving = moving || s.moved
+		if !s.moved {
+			tries++
+		}
 	}
 	return nil, last
 }
@@ -131,15 +148,20 @@
 		m.router.returnUnused(grant)
 		return nil, &setback{cause: fromContext(ctx)}
 	case err != nil:
-		return nil, &setback{cause: causeFull}
+		return nil, &setback{cause: causeFull, moved: true}
 	case refusal != nil:
 		m.event(timeline.KindGrantRefused, a.id, c.ID)
-		return nil, &setback{cause: causeFull, retryAfter: refusal.RetryAfter}
+		return nil, &setback{cause: causeFull, retryAfter: refusal.RetryAfter, moved: homeMoves(refusal.Status)}
 	}
 	m.event(timeline.KindGranted, a.id, c.ID)
 	return newHold(*grant, time.Now()), nil
 }
 
+// homeMoves tells whether a refusal is for want of the right home, not of a slot.
+func homeMoves(s pb.GrantStatus) bool {
+	return s == pb.GrantStatus_GRANT_STATUS_NOT_HOME || s == pb.GrantStatus_GRANT_STATUS_UNKNOWN_ENDPOINT
+}
+
 // returnUnused gives back a grant that came too late to be used.
 func (r *Router) returnUnused(g *endpoint.Grant) {
 	if g != nil {
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -38,6 +38,7 @@
 	code       engineapi.Code
 	retryAfter time.Duration
 	failure    *Failure // with causeFinal
+	moved      bool     // with causeFull: another home may give a slot in a moment
 }
 
 // faultless tells whether the endpoint has nothing to do with it.
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -154,6 +154,13 @@
 	w.list = known
 }
 
+// refuseTakes has each home refuse each slot so; 0: no more.
+func (w *world) refuseTakes(status pb.GrantStatus) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refuse = endpoint.Refusal{Status: status}
+}
+
 // router makes a Router in this world.
 func (w *world) router(bounds route.Bounds) *route.Router { return w.routerWith(engines{w}, bounds) }
 
