--- a/cmd/hyssopsail/app.go
+++ b/cmd/hyssopsail/app.go
@@ -41,6 +41,7 @@
 	addOrder,
 	addControl,
 	addTimeline,
+	addExplain,
 	addHashKey,
 	addLoad,
 	addReport,
--- /dev/null
+++ b/cmd/hyssopsail/explain.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/explain"
+)
+
+// explainCommand tells a request's story from log files; it asks no daemon.
+type explainCommand struct {
+	app     *app
+	request string
+	paths   []string
+}
+
+// standardInput stands for itself among files.
+const standardInput = "-"
+
+func addExplain(a *app, parser *kingpin.Application) {
+	c := &explainCommand{app: a}
+	command := parser.Command("explain", "Tell what became of a request, and why, from the logs of all processes. Asks no daemon.")
+	command.Flag("request", "The request's ID, as its caller gave it.").Required().StringVar(&c.request)
+	command.Arg("file", "Log files, each named after its process; - for standard input.").Default(standardInput).StringsVar(&c.paths)
+	command.Action(a.do(c.run))
+}
+
+func (c *explainCommand) run() error {
+	var lines []explain.Line
+	others := 0
+	for _, path := range c.paths {
+		read, skipped, err := readLog(path)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		lines, others = append(lines, read...), others+skipped
+	}
+	story, ok := explain.Of(lines, c.request)
+	if !ok {
+		return trace.NotFound("none of %d log lines names request %s (%d other lines)", len(lines), c.request, others)
+	}
+	if c.app.format == formatTable {
+		return trace.Wrap(story.Write(c.app.out))
+	}
+	return c.app.show(story)
+}
+
+func readLog(path string) ([]explain.Line, int, error) {
+	if path == standardInput {
+		return explain.Read("stdin", os.Stdin)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, 0, trace.ConvertSystemError(err)
+	}
+	defer closeLog(f)
+	return explain.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
+}
+
+// closeLog closes a file that was only read: nothing is lost if that fails.
+func closeLog(f io.Closer) { _ = f.Close() }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,87 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const sample = `  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: Chosen." request=aa route=r version=3 at_ms=0 endpoint=i-1 stage=2 among=9 cost=0.44 own=1 others=0 age_ms=2671
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No room." request=aa route=r version=3 at_ms=1 endpoint=i-1 tokens=1663
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: More decisions like these." request=aa count=12
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: Refused." request=aa verdict=not-run reason="no endpoint can take it" route=r version=3 endpoint= sends=0 runs=0 took_ms=652 err=null left_by=null
+not a log line
+  11.3 edge-2 ts=2026-01-29T00:18:10Z level=info msg="relay: Chosen." request=bb route=q version=3 at_ms=0 endpoint=i-2 stage=0 among=4
+  11.4 edge-2 ts=2026-01-29T00:18:10Z level=info msg="relay: Refused." request=bb verdict=unknown reason=lost route=q version=3 endpoint=i-2 sends=1 runs=1 took_ms=48 err="read: reset\nby peer" left_by=null
+  15.0 core-1 ts=2026-01-29T00:17:01Z level=warn msg="coordinator: Endpoint is silent." endpoint=i-2 revision=44 err=null
+  15.0 edge-1 ts=2026-01-29T00:18:14Z level=info msg="follower: Endpoint changed." endpoint=i-2 state=SILENT revision=51
+  15.0 edge-2 ts=2026-01-29T00:18:14Z level=info msg="follower: Endpoint changed." endpoint=i-2 state=SILENT revision=51
+  15.1 edge-1 ts=2026-01-29T00:18:14Z level=info msg="relay: Broken off." request=cc reason=lost after=7 endpoint=i-2 took_ms=910 err=EOF left_by=null
+  16.0 edge-1 ts=2026-01-29T00:18:15Z level=info msg="relay: Answered." request=dd endpoint=i-3 outcome=served sends=1 prompt=2000 output=900 prefill_ms=200 sent_ms=950 first_ms=1200 took_ms=4000 pause_ms=410 pause_at_ms=2100
+`
+
+func story(t *testing.T, request string) (Story, string) {
+	t.Helper()
+	lines, others, err := Read("stdin", strings.NewReader(sample))
+	assert.NilError(t, err)
+	assert.Equal(t, others, 1)
+	s, ok := Of(lines, request)
+	assert.Assert(t, ok)
+	var b strings.Builder
+	assert.NilError(t, s.Write(&b))
+	return s, b.String()
+}
+
+func TestSummaries(t *testing.T) {
+	for request, want := range map[string]string{
+		"aa": "refused (not-run) after 652 ms: no endpoint can take it; it was sent to nobody, 1 endpoints had no room for it (and 12 more decisions like these)",
+		"bb": "refused (unknown) after 48 ms: lost; it was sent 1 times, last to i-2, and may have run there; error: read: reset\nby peer",
+		"cc": "broken off after event 7 and 910 ms: lost; the answer came from i-2; error: EOF",
+		"dd": "answered by i-3 (served) in 4000 ms, its first part after 1200 ms: 750 ms until it had a place, 200 ms for its prompt, 250 ms until the endpoint gave the first part; the longest pause between parts was 410 ms, 2100 ms after its arrival",
+	} {
+		s, _ := story(t, request)
+		assert.Equal(t, s.Summary, want)
+	}
+}
+
+// An endpoint died under two requests. The story of one tells of the other, and
+// of the missed heartbeats, though that process's clock is a minute behind;
+// what each entry noted in the same words stands once.
+func TestStoryTellsOfTheEndpoint(t *testing.T) {
+	s, text := story(t, "bb")
+	assert.Equal(t, len(s.Decisions), 2)
+	e := s.Endpoints[0]
+	assert.Equal(t, e.ID, "i-2")
+	assert.Equal(t, len(e.Known), 2)
+	assert.Equal(t, e.Known[1].Times, 2)
+	assert.DeepEqual(t, e.Lost, []string{"cc"})
+	assert.Assert(t, strings.Contains(text, "at edge-2:\n       +0 ms  relay: Chosen. route=q version=3 endpoint=i-2"))
+	assert.Assert(t, strings.Contains(text, "2026-01-29T00:17:01Z  core-1  coordinator: Endpoint is silent. revision=44"))
+	assert.Assert(t, strings.Contains(text, `err="read: reset; by peer"`))
+}
+
+func TestUnknownRequest(t *testing.T) {
+	lines, _, err := Read("stdin", strings.NewReader(sample))
+	assert.NilError(t, err)
+	_, ok := Of(lines, "zz")
+	assert.Assert(t, !ok)
+	_, _, err = Read("stdin", strings.NewReader(strings.Repeat("x", longestLine+1)))
+	assert.Assert(t, err != nil)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(sample)
+	f.Add(`ts=1 msg="unterminated`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, _, err := Read("p", strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			if s, ok := Of(lines, l.Get(keyRequest)); ok {
+				assert.NilError(t, s.Write(&strings.Builder{}))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/explain/write.go
@@ -0,0 +1,53 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Write prints a story for people.
+func (s Story) Write(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s: %s\n", s.Request, s.Summary)
+	process := ""
+	for _, l := range s.Decisions {
+		if l.Process != process {
+			process = l.Process
+			fmt.Fprintf(&b, "\nat %s:\n", process)
+		}
+		at := ""
+		if ms := l.Get(keyAt); ms != "" {
+			at = "+" + ms + " ms"
+		}
+		fmt.Fprintf(&b, "  %10s  %s\n", at, l.text("level", keyRequest, keyAt))
+	}
+	for _, e := range s.Endpoints {
+		e.write(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return trace.Wrap(err)
+}
+
+func (e Endpoint) write(b *strings.Builder) {
+	if len(e.Known)+e.Count == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\nof endpoint %s:\n", e.ID)
+	for _, n := range e.Known {
+		l := n.First
+		times := ""
+		if n.Times > 1 {
+			times = fmt.Sprintf(" (%d lines like it)", n.Times)
+		}
+		fmt.Fprintf(b, "  %s  %s  %s%s\n", l.Time, l.Process, l.text("level", keyEndpoint), times)
+	}
+	if e.More > 0 {
+		fmt.Fprintf(b, "  and %d more notes\n", e.More)
+	}
+	if e.Count > 0 {
+		fmt.Fprintf(b, "  %d other requests ended badly there: %s\n", e.Count, strings.Join(e.Lost, ", "))
+	}
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
@@ -47,6 +48,14 @@
 	return &Refusal{Verdict: VerdictUnknown, Reason: reason}
 }
 
+// reasonOfEnd tells why an exchange's context ended.
+func reasonOfEnd(ctx context.Context) string {
+	if errors.Is(context.Cause(ctx), errTimeUp) {
+		return "the time is up"
+	}
+	return "the caller has left"
+}
+
 func (l *life) brokenOff(ctx context.Context, reason string) {
 	l.writeTrail()
 	l.router.options.Part.Info("Broken off.", "request", l.x.ID, "reason", reason, "after", l.lastID,
@@ -68,6 +77,9 @@
 		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
 }
 
+// rounded is a figure as precise as a reader needs it.
+func rounded(x float64) float64 { return math.Round(100*x) / 100 }
+
 // log notes a decision with what decided it. The lines of an exchange are
 // written when it ends badly, late, or after more than one send: one that went
 // well is told by its last line alone, so that the volume stays small.
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -68,7 +68,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return l.giveUp(ctx, "the time is up")
+			return l.giveUp(ctx, reasonOfEnd(ctx))
 		}
 		switch Next(l.standing(a)) {
 		case StepAgain:
@@ -147,7 +147,7 @@
 	choice, ok := l.router.options.Book.Choose(time.Now(), candidates, fill)
 	if ok {
 		l.log("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "among", choice.Among,
-			"cost", choice.Cost, "own", choice.Own, "others", choice.Others, "age_ms", choice.AgeMs)
+			"cost", rounded(choice.Cost), "own", choice.Own, "others", rounded(choice.Others), "age_ms", choice.AgeMs)
 	}
 	return choice, ok
 }
