relay: a stream that lost its endpoint goes on past the target of its first part

The target counts before the first send alone; afterwards the wait is for the next part.

Before: TestStreamGoesOnLongAfterItsTarget fails in both its cases. After: it passes.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -63,15 +63,13 @@
 
 // awaitPlace asks for memory until there is some, or the wait is in vain.
 func (l *life) awaitPlace(ctx context.Context) *place {
-	waiting := dispatch.Waiting{
-		Target: l.route.Target, Patience: l.deadline.Sub(l.x.Received), Silence: silence(l.route),
-		Start: usualStart, Length: l.answerTime(),
-	}
+	since, waiting := l.waiting()
 	defer l.router.metrics.waited(time.Now())
 	for {
-		pause, giveUp := waiting.Pause(time.Since(l.x.Received))
+		pause, giveUp := waiting.Pause(time.Since(since))
 		if giveUp {
-			l.log("No answer could end in time.", "patience", l.x.Patience, "estimate", waiting.Length)
+			l.log("Waits no longer.", "waited_ms", time.Since(since).Milliseconds(), "target_ms", waiting.Target.Milliseconds(),
+				"patience_ms", waiting.Patience.Milliseconds(), "answer_ms", waiting.Length.Milliseconds())
 			return nil
 		}
 		if l.canBeRead() {
@@ -86,6 +84,25 @@
 	}
 }
 
+// waiting is how the exchange waits, and from when its wait counts.
+//
+// Failure guarded: an endpoint dies under a stream, long after the target for
+// its first part. One that could go on elsewhere must not be given up for that
+// target; its caller now waits for the next part.
+func (l *life) waiting() (since time.Time, w dispatch.Waiting) {
+	since = l.x.Received
+	w = dispatch.Waiting{Target: l.route.Target, Silence: silence(l.route), Start: usualStart, Length: l.answerTime()}
+	if l.sends > 0 {
+		w.Target = 0
+	}
+	if l.begun {
+		since = l.writtenAt
+		w.Length = max(0, w.Length-since.Sub(l.firstAt))
+	}
+	w.Patience = l.deadline.Sub(since)
+	return since, w
+}
+
 // answerTime is about how long the answer takes from its first part. A caller
 // that comes back late in its time with a long answer to wait for would be cut
 // off in the middle of it, and the memory that it held is lost to others.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -390,3 +390,26 @@
 		})
 	}
 }
+
+// A model server dies two seconds into a stream that may be resumed, long after
+// the target for the first part. It goes on at another server: a target that
+// was met, or missed, at the beginning says nothing about the rest.
+func TestStreamGoesOnLongAfterItsTarget(t *testing.T) {
+	for name, first := range map[string]func() *Reply{
+		"in its middle":         func() *Reply { return reply(200, errCut, event("1")) },
+		"before its first part": func() *Reply { return reply(200, errCut) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := func(*Call) (*Reply, error) { time.Sleep(2 * time.Second); return first(), nil }
+				w := newWorld(stream, gives(func() *Reply { return ok("{}") }), slow,
+					gives(func() *Reply { return ok(event("2")) })).model()
+				w.route.Resumable = true
+				c, refusal := w.serve(t, modelExchange())
+				assert.Assert(t, refusal == nil)
+				assert.Assert(t, !c.aborted)
+				assert.Assert(t, strings.HasSuffix(c.text.String(), event("2")))
+			})
+		})
+	}
+}
