--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -69,20 +71,15 @@
 func (c *Coordinator) takeSeen() *pb.SeenRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	request := &pb.SeenRequest{Member: c.options.Self.DiskId, Endpoints: keys(c.heardHere), Entries: keys(c.entriesHere)}
+	request := &pb.SeenRequest{
+		Member:    c.options.Self.DiskId,
+		Endpoints: slices.Collect(maps.Keys(c.heardHere)), Entries: slices.Collect(maps.Keys(c.entriesHere)),
+	}
 	clear(c.heardHere)
 	clear(c.entriesHere)
 	return request
 }
 
-func keys(set map[string]bool) []string {
-	list := make([]string, 0, len(set))
-	for key := range set {
-		list = append(list, key)
-	}
-	return list
-}
-
 func (c *Coordinator) putBackSeen(request *pb.SeenRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dispatch/answering.go
+++ b/internal/dispatch/answering.go
@@ -20,10 +20,7 @@
 	seen := float64(took) / float64(estimate)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pace, ok := b.paces[service]
-	if !ok {
-		pace = float64(firstPace)
-	}
+	pace := b.pace(service)
 	b.paces[service] = pace + paceFade*(min(seen, 3*pace)-pace)
 }
 
@@ -31,9 +28,14 @@
 func (b *Book) AnswerTime(service string, estimate int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pace, ok := b.paces[service]
-	if !ok {
-		pace = float64(firstPace)
+	return time.Duration(b.pace(service) * float64(estimate))
+}
+
+// pace is that of a service's answers, ns a token of their estimates. It is
+// called with b.mu held.
+func (b *Book) pace(service string) float64 {
+	if pace, ok := b.paces[service]; ok {
+		return pace
 	}
-	return time.Duration(pace * float64(estimate))
+	return float64(firstPace)
 }
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "slices"
+
 // Stage is the part of a model request that an endpoint serves.
 type Stage int
 
@@ -24,15 +26,7 @@
 // HasModel tells whether the endpoint runs a model; an endpoint that names
 // none is taken to run all.
 func (e *Endpoint) HasModel(name string) bool {
-	if name == "" || len(e.Models) == 0 {
-		return true
-	}
-	for _, m := range e.Models {
-		if m == name {
-			return true
-		}
-	}
-	return false
+	return name == "" || len(e.Models) == 0 || slices.Contains(e.Models, name)
 }
 
 // Load is what an endpoint told of itself with an answer.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/go-logfmt/logfmt"
@@ -50,14 +51,10 @@
 func (l Line) text(skipped ...string) string {
 	var b strings.Builder
 	b.WriteString(l.Message)
-fields:
 	for _, f := range l.Fields {
-		for _, key := range skipped {
-			if f.Key == key {
-				continue fields
-			}
+		if !slices.Contains(skipped, f.Key) {
+			b.WriteString(" " + f.Key + "=" + quoted(f.Value))
 		}
-		b.WriteString(" " + f.Key + "=" + quoted(f.Value))
 	}
 	return b.String()
 }
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -33,8 +33,9 @@
 
 // Note is what one or more processes noted in the same words.
 type Note struct {
-	First Line `json:"first"`
-	Times int  `json:"times"`
+	First Line   `json:"first"`
+	Times int    `json:"times"`
+	text  string // of First, by which others are told to be alike
 }
 
 // Of tells the story of a request; ok is false when no line names it.
@@ -89,7 +90,7 @@
 func (e *Endpoint) note(l Line) {
 	text := l.text()
 	for n := range e.Known {
-		if e.Known[n].First.text() == text {
+		if e.Known[n].text == text {
 			e.Known[n].Times++
 			return
 		}
@@ -98,7 +99,7 @@
 		e.More++
 		return
 	}
-	e.Known = append(e.Known, Note{First: l, Times: 1})
+	e.Known = append(e.Known, Note{First: l, Times: 1, text: text})
 }
 
 // The last lines of a request.
