An incarnation is an ID and a start; heartbeats of other writers name no endpoint

Cause: a server may start again under its ID and then counts anew. By sequence numbers alone its heartbeats looked old, and a tombstone by ID never let it back: it was lost for good, or its old state was obeyed. Change: `born` orders incarnations of one ID, sequence numbers order within one: catalog, tombstones (also of an endpoint that left unheard), stage under assignment, expiry, orders (the report's start must be the record's), an entry's book and the endpoints that an exchange has tried. Refusals are counted, their log lines bounded. Not covered: a leave names no start on the wire today, so a late leave of an earlier incarnation would retire the one that is known. A start in the far future from another writer outranks the true one.

--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -6,30 +6,45 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// reportEndpoint takes in a heartbeat that changes an endpoint's record. A
-// heartbeat that was delayed carries a lower sequence number than the record
-// and is dropped: it would bring an endpoint back that has said it leaves.
+// reportEndpoint takes in a heartbeat that changes an endpoint's record.
 func (m *Machine) reportEndpoint(index uint64, r *pb.EndpointRecord) bool {
 	known := m.endpoints[r.Id]
-	if known == nil {
-		if len(m.endpoints) >= MaxRecords {
-			return false
-		}
-		r.Registered = index
-		m.put(index, r)
-		return true
-	}
-	if !Changes(known, r) {
+	switch {
+	case !Changes(known, r):
 		return false
-	}
-	r.Registered = known.Registered
-	if known.Assigned != r.Stage {
-		r.Assigned = known.Assigned
+	case known == nil && len(m.endpoints) >= MaxRecords:
+		return false
+	case leftUnheard(known):
+		m.put(index, tombstone(r, r.Born, known.Registered))
+		return true
+	case known == nil || r.Born > known.Born:
+		// A new incarnation holds nothing of before: no stage is assigned to it.
+		r.Registered = index
+	default:
+		r.Registered = known.Registered
+		if known.Assigned != r.Stage {
+			r.Assigned = known.Assigned
+		}
 	}
 	m.put(index, r)
 	return true
 }
 
+// leftUnheard tells whether a record stands for an endpoint that left before
+// any heartbeat of it was taken in, so that its start isn't known. The first
+// heartbeat that comes then was on its way when it left; it tells the start.
+func leftUnheard(known *pb.EndpointRecord) bool {
+	return known != nil && known.State == pb.EndpointState_ENDPOINT_STATE_GONE && known.Born == 0 && known.Service == ""
+}
+
+// tombstone stands for an incarnation of r's endpoint that is gone.
+func tombstone(r *pb.EndpointRecord, born, registered uint64) *pb.EndpointRecord {
+	return &pb.EndpointRecord{
+		Id: r.Id, Service: r.Service, Address: r.Address, Born: born, Registered: registered,
+		State: pb.EndpointState_ENDPOINT_STATE_GONE,
+	}
+}
+
 // assignStage takes an endpoint out of work for a change of its stage.
 func (m *Machine) assignStage(index uint64, a *pb.AssignStage) bool {
 	known := m.endpoints[a.Id]
@@ -53,14 +68,39 @@
 }
 
 // Changes tells whether heartbeat r changes what is known of its endpoint.
+//
+// Incarnations of one ID are ordered by their start, heartbeats of one
+// incarnation by their sequence number. Failure guarded: a heartbeat is
+// delayed until its sender has said that it leaves, or has started anew under
+// its ID. Taken in, it would bring back what is gone, and requests would go
+// there. An older start or a lower number is dropped, and an incarnation that
+// is gone stays so, while a newer start replaces whatever was known.
 func Changes(known, r *pb.EndpointRecord) bool {
-	if known == nil {
+	switch {
+	case known == nil:
 		return true
+	case r.Born != known.Born:
+		return r.Born > known.Born
+	case known.State == pb.EndpointState_ENDPOINT_STATE_GONE || r.Sequence <= known.Sequence:
+		return false
 	}
-	if known.State == pb.EndpointState_ENDPOINT_STATE_GONE || r.Sequence <= known.Sequence {
+	return !alike(known, r) && !Contradicts(known, r)
+}
+
+// Contradicts tells whether heartbeat r can't be of the incarnation that is
+// known, though it bears its ID and start: a process keeps its service, address
+// and zone, and remains a model endpoint or a plain one.
+//
+// Failure guarded: something else reports under the ID of a live endpoint.
+// Taken in, it would take the endpoint's work away or send it astray. Once the
+// incarnation is silent, there is no good record left to keep.
+func Contradicts(known, r *pb.EndpointRecord) bool {
+	if !Live(known) || known.Born != r.Born {
 		return false
 	}
-	return !alike(known, r)
+	plain := known.Stage == pb.Stage_STAGE_UNSPECIFIED
+	return known.Service != r.Service || known.Address != r.Address || known.Zone != r.Zone ||
+		plain != (r.Stage == pb.Stage_STAGE_UNSPECIFIED)
 }
 
 // alike compares what a heartbeat says, not when it was said.
@@ -77,18 +117,20 @@
 	return true
 }
 
-// retireEndpoint ends an incarnation. One that was never heard of gets a
-// tombstone too: its first heartbeat may still be on its way.
-func (m *Machine) retireEndpoint(index uint64, id string) bool {
-	known := m.endpoints[id]
-	if known.GetState() == pb.EndpointState_ENDPOINT_STATE_GONE {
-		return false
+// retireEndpoint ends an incarnation: the one that is known, or the one that
+// the command names. One that was never heard of gets a tombstone too: its first
+// heartbeat may still be on its way.
+func (m *Machine) retireEndpoint(index uint64, r *pb.RetireEndpoint) bool {
+	known := m.endpoints[r.GetId()]
+	if known == nil {
+		known = &pb.EndpointRecord{Id: r.GetId(), Registered: index}
 	}
-	gone := &pb.EndpointRecord{Id: id, State: pb.EndpointState_ENDPOINT_STATE_GONE, Registered: index}
-	if known != nil {
-		gone.Service, gone.Address, gone.Registered = known.Service, known.Address, known.Registered
+	named := r.GetBorn() != 0
+	isGone := known.State == pb.EndpointState_ENDPOINT_STATE_GONE
+	if named && r.Born < known.Born || isGone && r.GetBorn() <= known.Born {
+		return false // an earlier incarnation, or one that is gone already
 	}
-	m.put(index, gone)
+	m.put(index, tombstone(known, max(known.Born, r.GetBorn()), known.Registered))
 	m.dropOldTombstones()
 	return true
 }
--- /dev/null
+++ b/internal/catalog/incarnation_test.go
@@ -0,0 +1,139 @@
+package catalog
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// heartbeat is one of endpoint e.
+func heartbeat(born, seq uint64, state pb.EndpointState, change ...func(*pb.EndpointRecord)) *pb.EndpointRecord {
+	r := &pb.EndpointRecord{
+		Id: "e", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 6, State: state,
+		Stage: pb.Stage_STAGE_DECODE, Sequence: seq, Born: born,
+	}
+	for _, c := range change {
+		c(r)
+	}
+	return r
+}
+
+func (l *log) take(r *pb.EndpointRecord) {
+	l.t.Helper()
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_ReportEndpoint{ReportEndpoint: proto.Clone(r).(*pb.EndpointRecord)}})
+}
+
+func (l *log) retireBorn(born uint64) {
+	l.t.Helper()
+	l.apply(&pb.CatalogCommand{Kind: &pb.CatalogCommand_RetireEndpoint{RetireEndpoint: &pb.RetireEndpoint{Id: "e", Born: born}}})
+}
+
+// again puts the state through a snapshot, as a member with an empty disk gets it.
+func (l *log) again() {
+	l.t.Helper()
+	data, err := l.machine.Snapshot()
+	assert.NilError(l.t, err)
+	l.machine = NewMachine()
+	assert.NilError(l.t, l.machine.Restore(l.index, data))
+}
+
+// A caller's requests fail although the endpoint is back: it crashed or left,
+// and started again under its ID, where its counts start anew. By sequence
+// numbers alone its heartbeats look old, and a tombstone would bar it for good.
+func TestEndpointStartsAgainUnderItsID(t *testing.T) {
+	for name, before := range map[string]func(l *log){
+		"crashed":         func(*log) {},
+		"draining":        func(l *log) { l.take(heartbeat(100, 41, draining)) },
+		"left":            func(l *log) { l.retireBorn(0) },
+		"left, told so":   func(l *log) { l.retireBorn(100) },
+		"silent":          func(l *log) { l.expire("e", l.machine.Endpoint("e").Revision) },
+		"under an order":  func(l *log) { l.assign("e", pb.Stage_STAGE_PREFILL) },
+		"left, snapshot":  func(l *log) { l.retireBorn(0); l.again() },
+		"order, snapshot": func(l *log) { l.assign("e", pb.Stage_STAGE_PREFILL); l.again() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLog(t)
+			l.take(heartbeat(100, 40, ready))
+			before(l)
+			elsewhere := func(r *pb.EndpointRecord) { r.Address, r.Service, r.Zone = "10.0.0.2:80", "other", "y" }
+			l.take(heartbeat(200, 1, ready, elsewhere))
+			got := l.machine.Endpoint("e")
+			assert.Equal(t, got.State, ready)
+			assert.Equal(t, got.Born, uint64(200))
+			assert.Equal(t, got.Address, "10.0.0.2:80")
+			assert.Equal(t, got.Registered, l.index)
+			assert.Equal(t, got.Assigned, pb.Stage_STAGE_UNSPECIFIED, "it knows of no order")
+			l.take(heartbeat(200, 2, draining, elsewhere))
+			assert.Equal(t, l.machine.Endpoint("e").State, draining, "its own counts hold")
+		})
+	}
+}
+
+// Requests go to an endpoint that is leaving, or to an address that it had
+// before. What an earlier incarnation said was held up on the way, and arrives
+// after the new one has started.
+func TestWhatAnEarlierIncarnationSaidIsDropped(t *testing.T) {
+	l := newLog(t)
+	l.take(heartbeat(100, 40, ready))
+	l.take(heartbeat(200, 3, draining))
+	held := proto.Clone(l.machine.Endpoint("e"))
+	for _, late := range []*pb.EndpointRecord{
+		heartbeat(100, 41, ready), heartbeat(100, 90, draining), heartbeat(0, 90, ready), heartbeat(200, 2, ready), heartbeat(199, 1, ready),
+	} {
+		l.take(late)
+		assert.Assert(t, proto.Equal(l.machine.Endpoint("e"), held), "%v", late)
+	}
+	l.retireBorn(100)
+	assert.Assert(t, proto.Equal(l.machine.Endpoint("e"), held), "the leave of the one before")
+	l.retireBorn(200)
+	assert.Equal(t, l.machine.Endpoint("e").State, gone)
+	for _, late := range []*pb.EndpointRecord{heartbeat(200, 9, ready), heartbeat(100, 99, ready), heartbeat(0, 99, ready)} {
+		l.take(late)
+		assert.Equal(t, l.machine.Endpoint("e").State, gone)
+	}
+}
+
+// An endpoint leaves before any heartbeat of it was taken in; then one of them
+// arrives. It must not come back by it, but may by a start after that.
+func TestEndpointLeavesUnheard(t *testing.T) {
+	l := newLog(t)
+	l.retireBorn(0)
+	l.take(heartbeat(100, 7, ready))
+	assert.Equal(t, l.machine.Endpoint("e").State, gone)
+	l.take(heartbeat(100, 8, ready))
+	assert.Equal(t, l.machine.Endpoint("e").State, gone)
+	l.take(heartbeat(200, 1, ready))
+	assert.Equal(t, l.machine.Endpoint("e").State, ready)
+}
+
+// A good endpoint loses its work, or requests go astray: something else reports
+// under its ID and start. A process keeps its service, address and zone. Once
+// it is silent there is no good record to keep.
+func TestContradictionsAreDropped(t *testing.T) {
+	for name, change := range map[string]func(*pb.EndpointRecord){
+		"service": func(r *pb.EndpointRecord) { r.Service = "other" },
+		"address": func(r *pb.EndpointRecord) { r.Address = "10.0.0.9:80" },
+		"zone":    func(r *pb.EndpointRecord) { r.Zone = "y" },
+		"kind":    func(r *pb.EndpointRecord) { r.Stage = pb.Stage_STAGE_UNSPECIFIED },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLog(t)
+			l.take(heartbeat(100, 1, ready))
+			held := proto.Clone(l.machine.Endpoint("e")).(*pb.EndpointRecord)
+			odd := heartbeat(100, 2, ready, change)
+			assert.Assert(t, Contradicts(held, odd))
+			l.take(odd)
+			assert.Assert(t, proto.Equal(l.machine.Endpoint("e"), held))
+			l.expire("e", held.Revision)
+			l.take(heartbeat(100, 3, ready, change))
+			assert.Equal(t, l.machine.Endpoint("e").State, ready)
+		})
+	}
+	l := newLog(t)
+	l.take(heartbeat(100, 1, ready))
+	turned := heartbeat(100, 2, ready, func(r *pb.EndpointRecord) { r.Stage = pb.Stage_STAGE_PREFILL })
+	assert.Assert(t, !Contradicts(l.machine.Endpoint("e"), turned), "an order changes its stage")
+}
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -67,7 +67,7 @@
 	case *pb.CatalogCommand_ReportEndpoint:
 		return m.reportEndpoint(index, kind.ReportEndpoint)
 	case *pb.CatalogCommand_RetireEndpoint:
-		return m.retireEndpoint(index, kind.RetireEndpoint.GetId())
+		return m.retireEndpoint(index, kind.RetireEndpoint)
 	case *pb.CatalogCommand_ReportEntry:
 		return m.reportEntry(index, kind.ReportEntry)
 	case *pb.CatalogCommand_AssignStage:
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -47,14 +47,18 @@
 
 func (c *Coordinator) takeHeartbeat(ctx context.Context, r *pb.EndpointRecord) error {
 	known := c.options.Machine.Endpoint(r.Id)
+	if catalog.Contradicts(known, r) {
+		return trace.Wrap(ErrContradiction, "endpoint %s of service %s at %s", r.Id, known.Service, known.Address)
+	}
 	if catalog.Changes(known, r) {
 		if err := c.commitReport(ctx, r); err != nil {
 			return err
 		}
+		known = c.options.Machine.Endpoint(r.Id)
 	} else if !c.current(time.Now()) {
 		return trace.Wrap(ErrUnavailable, "this member is out of touch")
 	}
-	if known.GetState() != pb.EndpointState_ENDPOINT_STATE_GONE {
+	if known.GetState() != pb.EndpointState_ENDPOINT_STATE_GONE && known.GetBorn() == r.Born {
 		c.noteHeard(r.Id)
 	}
 	return nil
@@ -80,17 +84,28 @@
 	}
 	err := commit(ctx, command)
 	c.options.Part.Info("Endpoint reported.", "endpoint", r.Id, "service", r.Service, "address", r.Address,
-		"state", r.State, "stage", r.Stage, "seq", r.Sequence, "err", err)
+		"state", r.State, "stage", r.Stage, "born", r.Born, "seq", r.Sequence, "err", err)
 	return err
 }
 
-// RetireEndpoint ends an endpoint's incarnation for good.
-func (c *Coordinator) RetireEndpoint(ctx context.Context, id string) error {
-	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_RetireEndpoint{RetireEndpoint: &pb.RetireEndpoint{Id: id}}})
-	c.options.Part.Info("Endpoint left.", "endpoint", id, "err", err)
+// RetireEndpoint ends an endpoint's incarnation for good: the one that started
+// at born, Unix ms, or the one that is known where born is 0.
+func (c *Coordinator) RetireEndpoint(ctx context.Context, id string, born uint64) error {
+	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_RetireEndpoint{RetireEndpoint: &pb.RetireEndpoint{Id: id, Born: born}}})
+	c.options.Part.Info("Endpoint left.", "endpoint", id, "born", born, "err", err)
 	return err
 }
 
+// RefuseHeartbeat notes a heartbeat that could not be taken in. Whoever sends
+// them may send many: lines are bounded, the counter tells the rest.
+func (c *Coordinator) RefuseHeartbeat(id string, cause error) {
+	c.metrics.heartbeats.WithLabelValues("refused").Inc()
+	if !c.refusals.Allow() {
+		return
+	}
+	c.options.Part.Warn("Heartbeat was refused.", "endpoint", id, "err", cause)
+}
+
 // commitOnce is commit without a second try.
 func (c *Coordinator) commitOnce(ctx context.Context, command *pb.CatalogCommand) error {
 	data, err := proto.Marshal(command)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
@@ -18,6 +19,10 @@
 // may or may not come into force.
 var ErrUnavailable = errors.New("no quorum of control instances answers")
 
+// ErrContradiction: a heartbeat bears the ID and start of a live endpoint, and
+// says what can't be true of it.
+var ErrContradiction = errors.New("the heartbeat contradicts what its endpoint said before")
+
 // Coordinator is one control instance.
 type Coordinator struct {
 	options Options
@@ -25,6 +30,8 @@
 	ready   chan struct{}       // closed by isReady
 	reports *semaphore.Weighted // heartbeats that are being committed
 	stages  *stages             // used by the goroutine that leads alone
+	// refusals bounds the log lines on heartbeats that were refused.
+	refusals *rate.Limiter
 
 	mu           sync.Mutex
 	heardHere    map[string]bool      // endpoints heard since the last report to the leader
@@ -46,6 +53,7 @@
 		metrics:     newMetrics(options.Metrics),
 		ready:       make(chan struct{}),
 		reports:     semaphore.NewWeighted(mostReports),
+		refusals:    rate.NewLimiter(refusalLines, refusalBurst),
 		heardHere:   map[string]bool{},
 		entriesHere: map[string]bool{},
 		heard:       map[string]time.Time{},
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -169,7 +169,7 @@
 		assert.ErrorIs(t, f.put(lost, 9), ErrUnavailable)
 		report := &pb.EndpointRecord{Id: "e", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_DRAINING, Sequence: 1}
 		assert.ErrorIs(t, lost.ReportEndpoint(f.within(time.Second), report), ErrUnavailable)
-		assert.ErrorIs(t, lost.RetireEndpoint(f.within(time.Second), "e"), ErrUnavailable)
+		assert.ErrorIs(t, lost.RetireEndpoint(f.within(time.Second), "e", 0), ErrUnavailable)
 		reply, err := lost.Follow(f.within(time.Second), &pb.FollowRequest{})
 		assert.NilError(t, err)
 		assert.Assert(t, !reply.Current)
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -48,6 +48,14 @@
 // takes some milliseconds, so that this many are thousands a second.
 const mostReports = 64
 
+// refusalLines bounds the log lines on refused heartbeats in a second, after a
+// first refusalBurst: enough to name each sender of a few, and small beside the
+// lines of a change of hundreds of endpoints.
+const (
+	refusalLines = 1
+	refusalBurst = 20
+)
+
 // mostFirstVoters bounds how many voters must hold a command before the first
 // one is accepted: a group of fewer disks would lose it with one of them.
 const mostFirstVoters = 3
--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -13,8 +13,9 @@
 // EndpointStatus is what an endpoint says of its orders.
 type EndpointStatus struct {
 	Stage    pb.Stage
-	Busy     bool  // an order is under way
-	Accepted int64 // orders accepted in this incarnation
+	Busy     bool   // an order is under way
+	Accepted int64  // orders accepted in this incarnation
+	Born     uint64 // start of this incarnation, Unix ms; 0 where it doesn't say
 }
 
 // StageOrder asks an endpoint to change its stage.
@@ -158,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if status.Born != 0 && status.Born != e.Born {
+		return nil // another incarnation, whose heartbeat is on its way
+	}
 	if status.Busy || status.Stage == e.Assigned {
 		return nil // its heartbeat will say so
 	}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -12,17 +12,17 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	states map[string]*state
+	states map[Incarnation]*state
 	speeds map[string]*speed  // of reading prompts, by service
 	paces  map[string]float64 // of answers, ns a token of their estimates, by service
 }
 
 // NewBook makes an empty book for an entry in a zone.
 func NewBook(zone string, seed uint64) *Book {
-	return &Book{zone: zone, random: rand.New(rand.NewPCG(seed, 1)), states: map[string]*state{}, speeds: map[string]*speed{}, paces: map[string]float64{}}
+	return &Book{zone: zone, random: rand.New(rand.NewPCG(seed, 1)), states: map[Incarnation]*state{}, speeds: map[string]*speed{}, paces: map[string]float64{}}
 }
 
-func (b *Book) state(id string) *state {
+func (b *Book) state(id Incarnation) *state {
 	s := b.states[id]
 	if s == nil {
 		s = &state{}
@@ -35,7 +35,7 @@
 func (b *Book) Begin(now time.Time, e *Endpoint, w Work) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(e.ID)
+	s := b.state(e.Incarnation())
 	s.own++
 	s.prompt += w.Prompt
 	s.memory += w.Memory
@@ -49,7 +49,7 @@
 func (b *Book) End(now time.Time, e *Endpoint, w Work, o Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(e.ID)
+	s := b.state(e.Incarnation())
 	s.own--
 	s.prompt -= w.Prompt
 	s.memory -= w.Memory
@@ -61,7 +61,7 @@
 func (b *Book) Note(now time.Time, e *Endpoint, o Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(e.ID).note(now, o)
+	b.state(e.Incarnation()).note(now, o)
 }
 
 func (s *state) note(now time.Time, o Outcome) {
@@ -103,10 +103,10 @@
 }
 
 // Told takes in the load that an endpoint put on an answer.
-func (b *Book) Told(now time.Time, id string, l Load) {
+func (b *Book) Told(now time.Time, e *Endpoint, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := b.state(e.Incarnation())
 	s.others = max(0, float64(l.Running+l.Waiting-s.own))
 	s.toldAt = now
 }
@@ -115,7 +115,7 @@
 func (b *Book) Full(now time.Time, e *Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(e.ID).fullAt = now
+	b.state(e.Incarnation()).fullAt = now
 }
 
 // Sweep forgets endpoints that were not used for a while.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -48,7 +48,7 @@
 	var best, last Choice
 	var lastOpens time.Time
 	for _, e := range candidates {
-		s := b.state(e.ID)
+		s := b.state(e.Incarnation())
 		c := b.weigh(now, e, s, fill, base)
 		if s.open(now) {
 			among++
@@ -79,7 +79,7 @@
 func (b *Book) leastFaults(candidates []*Endpoint) float64 {
 	least := 1.0
 	for _, e := range candidates {
-		least = min(least, b.state(e.ID).faults)
+		least = min(least, b.state(e.Incarnation()).faults)
 	}
 	return least
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -49,7 +49,7 @@
 func TestToldLoadFades(t *testing.T) {
 	b := NewBook("z", 1)
 	list := endpoints(2)
-	b.Told(at(0), "e0", Load{Running: 8, Waiting: 2, Slots: 10})
+	b.Told(at(0), &Endpoint{ID: "e0"}, Load{Running: 8, Waiting: 2, Slots: 10})
 	assert.Equal(t, shares(b, at(0), list, 20)["e1"], 20)
 	assert.Assert(t, shares(b, at(2*time.Second), list, 100)["e0"] > 20)
 }
@@ -153,7 +153,7 @@
 	b.Note(at(0), list[1], OutcomeServed)
 	b.Sweep(at(2 * idleState))
 	assert.Equal(t, len(b.states), 1)
-	assert.Equal(t, b.states["e0"].own, 1)
+	assert.Equal(t, b.states[Incarnation{ID: "e0"}].own, 1)
 }
 
 // Many callers fail at once: sends again stay under the fleet's bound, and the
@@ -278,3 +278,22 @@
 	b.HaveAnswered("s", 0, time.Second)
 	assert.Equal(t, b.AnswerTime("other", 1000), 1000*firstPace)
 }
+
+// An endpoint that was passed over starts again under its ID. It holds nothing
+// of this entry's work any more and failed nobody: what was counted for the one
+// before must neither keep work away nor be taken off the new one's count.
+func TestNewIncarnationIsJudgedAnew(t *testing.T) {
+	b := NewBook("z", 1)
+	before, after := &Endpoint{ID: "e", Slots: 10}, &Endpoint{ID: "e", Born: 200, Slots: 10}
+	b.Begin(at(0), before, Work{Prompt: 3000, Memory: 4000})
+	b.Note(at(0), before, OutcomeUnreachable)
+	c, ok := b.Choose(at(1), []*Endpoint{after}, ByPlaces)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Among, 1)
+	assert.Equal(t, c.Own, 0)
+	b.Begin(at(1), after, Work{})
+	b.End(at(2), before, Work{Prompt: 3000, Memory: 4000}, OutcomeLost)
+	c, _ = b.Choose(at(3), []*Endpoint{after}, ByPlaces)
+	assert.Equal(t, c.Own, 1)
+	assert.Assert(t, c.Cost < 0.5)
+}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -12,9 +12,17 @@
 	StageDecode               // generates, and reads prompts at a lower speed
 )
 
+// Incarnation names one run of an endpoint's process: it may start again under
+// its ID, and then holds nothing of what it held before.
+type Incarnation struct {
+	ID   string
+	Born uint64
+}
+
 // Endpoint is one incarnation of an endpoint that may get work.
 type Endpoint struct {
 	ID      string
+	Born    uint64 // start of the process, Unix ms; 0 where it doesn't say
 	Service string
 	Address string
 	Zone    string
@@ -23,6 +31,9 @@
 	Models  []string
 }
 
+// Incarnation names the run of the process that the endpoint stands for.
+func (e *Endpoint) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
+
 // HasModel tells whether the endpoint runs a model; an endpoint that names
 // none is taken to run all.
 func (e *Endpoint) HasModel(name string) bool {
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -29,7 +29,7 @@
 		b.speeds[e.Service] = s
 	}
 	s.tokensPerSecond = max(seen, s.tokensPerSecond-speedFade*(s.tokensPerSecond-seen))
-	state := b.state(e.ID)
+	state := b.state(e.Incarnation())
 	state.waited = max(0, s.tokensPerSecond/seen-1)
 	state.waitedAt = now
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -217,7 +217,7 @@
 			f.endpoints[e.Id] = e
 			changed = true
 			f.options.Part.Info("Endpoint changed.", "endpoint", e.Id, "service", e.Service, "address", e.Address,
-				"state", e.State, "stage", e.Stage, "revision", e.Revision)
+				"state", e.State, "stage", e.Stage, "born", e.Born, "revision", e.Revision)
 		}
 	}
 	// A member whose own log is behind may not take the revision back; what it
@@ -258,7 +258,7 @@
 
 func endpointOf(e *pb.EndpointRecord) *dispatch.Endpoint {
 	endpoint := &dispatch.Endpoint{
-		ID: e.Id, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots),
+		ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots),
 	}
 	switch e.Stage {
 	case pb.Stage_STAGE_PREFILL:
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -21,7 +21,7 @@
 	engine   *routetable.Engine
 	deadline time.Time
 
-	tried     map[string]bool // endpoints that were sent to
+	tried     map[dispatch.Incarnation]bool // endpoints that were sent to
 	sends     int
 	runs      int        // sends that may have run
 	ran       bool       // it may have run somewhere
@@ -56,7 +56,7 @@
 }
 
 func (l *life) run(ctx context.Context) *Refusal {
-	l.tried = map[string]bool{}
+	l.tried = map[dispatch.Incarnation]bool{}
 	defer l.releaseSource()
 	for {
 		endpoint, call := l.prepare(ctx)
@@ -142,7 +142,7 @@
 	return choice.Endpoint, l.call(choice.Endpoint)
 }
 
-func (l *life) choose(stage dispatch.Stage, tried map[string]bool, fill dispatch.Measure) (dispatch.Choice, bool) {
+func (l *life) choose(stage dispatch.Stage, tried map[dispatch.Incarnation]bool, fill dispatch.Measure) (dispatch.Choice, bool) {
 	candidates := l.router.candidates(l.service, stage, l.model(), tried)
 	choice, ok := l.router.options.Book.Choose(time.Now(), candidates, fill)
 	if ok {
@@ -168,7 +168,7 @@
 		work.Prompt = l.x.Prompt.Tokens
 	}
 	book.Begin(time.Now(), c.Endpoint, work)
-	l.tried[c.Endpoint.ID] = true
+	l.tried[c.Endpoint.Incarnation()] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
 	l.sentAt = time.Now()
@@ -212,7 +212,7 @@
 	defer reply.Body.Close()
 	l.arrived = true
 	if reply.Load != nil {
-		l.router.options.Book.Told(time.Now(), c.Endpoint.ID, *reply.Load)
+		l.router.options.Book.Told(time.Now(), c.Endpoint, *reply.Load)
 	}
 	if reply.Misfit {
 		return attempt{outcome: dispatch.OutcomeMisfit, reply: reply}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -132,7 +132,7 @@
 // findPlace asks the endpoints with the most room by what is known here. found
 // is false when there are no endpoints to ask.
 func (l *life) findPlace(ctx context.Context) (at *place, found bool) {
-	full := map[string]bool{}
+	full := map[dispatch.Incarnation]bool{}
 	for id := range l.tried {
 		full[id] = true
 	}
@@ -152,7 +152,7 @@
 		if ctx.Err() != nil {
 			return nil, found
 		}
-		full[choice.Endpoint.ID] = true
+		full[choice.Endpoint.Incarnation()] = true
 	}
 	return nil, found
 }
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -81,7 +81,7 @@
 	}
 	defer reply.Body.Close()
 	if reply.Load != nil {
-		l.router.options.Book.Told(time.Now(), e.ID, *reply.Load)
+		l.router.options.Book.Told(time.Now(), e, *reply.Load)
 	}
 	switch {
 	case reply.Misfit:
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -77,12 +77,12 @@
 }
 
 // candidates lists a service's endpoints of a stage that were not tried.
-func (r *Router) candidates(service string, stage dispatch.Stage, model string, tried map[string]bool) []*dispatch.Endpoint {
+func (r *Router) candidates(service string, stage dispatch.Stage, model string, tried map[dispatch.Incarnation]bool) []*dispatch.Endpoint {
 	view := r.options.View()
 	all := view.Endpoints[service]
 	list := make([]*dispatch.Endpoint, 0, len(all))
 	for _, e := range all {
-		if e.Stage == stage && !tried[e.ID] && e.HasModel(model) {
+		if e.Stage == stage && !tried[e.Incarnation()] && e.HasModel(model) {
 			list = append(list, e)
 		}
 	}
