catalog: an endpoint that registers at an address silences who had it before

Cause: an endpoint that crashed stayed "ready" until it had missed its heartbeats for 4.2 s, though another one already answered at its address. Ruled out: an earlier silence (it would silence endpoints whose heartbeats are lost on a lossy link); a planner that waits longer (it would leave real losses unmended). It is part of the replicated state, where members must not differ by their settings: no switch.

--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -20,6 +20,7 @@
 	case known == nil || r.Born > known.Born:
 		// A new incarnation holds nothing of before: no stage is assigned to it.
 		r.Registered = index
+		m.silenceAt(index, r)
 	default:
 		r.Registered = known.Registered
 		if known.Assigned != r.Stage {
@@ -30,6 +31,26 @@
 	return true
 }
 
+// silenceAt silences the endpoints that had the address of one that registers.
+//
+// Failure guarded: an endpoint crashes and another one starts at its address.
+// The record of the first stayed in use until its heartbeats had been missed, for
+// some four seconds: requests went to it and were turned away, and the planner of
+// stages counted one endpoint too many and took a good one out of work for ten
+// seconds. What is silenced by mistake, as by a heartbeat that was delayed until
+// its sender had died, is back with its own next heartbeat.
+func (m *Machine) silenceAt(index uint64, r *pb.EndpointRecord) {
+	for _, other := range m.endpoints {
+		if other.Id == r.Id || other.Address != r.Address || !Live(other) {
+			continue
+		}
+		silent := proto.Clone(other).(*pb.EndpointRecord)
+		silent.State = pb.EndpointState_ENDPOINT_STATE_SILENT
+		silent.Assigned = pb.Stage_STAGE_UNSPECIFIED
+		m.put(index, silent)
+	}
+}
+
 // leftUnheard tells whether a record stands for an endpoint that left before
 // any heartbeat of it was taken in, so that its start isn't known. The first
 // heartbeat that comes then was on its way when it left; it tells the start.
--- a/internal/catalog/incarnation_test.go
+++ b/internal/catalog/incarnation_test.go
@@ -137,3 +137,28 @@
 	turned := heartbeat(100, 2, ready, func(r *pb.EndpointRecord) { r.Stage = pb.Stage_STAGE_PREFILL })
 	assert.Assert(t, !Contradicts(l.machine.Endpoint("e"), turned), "an order changes its stage")
 }
+
+// Requests are turned away by an endpoint that is full of life: it crashed, and
+// another one started at its address, under another ID. The record of the first
+// must not stay in use until its heartbeats have been missed.
+func TestAnotherEndpointAtTheAddress(t *testing.T) {
+	l := newLog(t)
+	named := func(id, address string) func(*pb.EndpointRecord) {
+		return func(r *pb.EndpointRecord) { r.Id, r.Address = id, address }
+	}
+	l.take(heartbeat(0, 40, ready))
+	l.assign("e", pb.Stage_STAGE_PREFILL)
+	l.take(heartbeat(0, 3, ready, named("other", "10.0.0.7:80")))
+	held := l.index
+	l.take(heartbeat(0, 1, ready, named("new", "10.0.0.1:80")))
+	assert.Equal(t, l.machine.Endpoint("e").State, silent)
+	assert.Equal(t, l.machine.Endpoint("e").Assigned, pb.Stage_STAGE_UNSPECIFIED)
+	assert.Equal(t, l.machine.Endpoint("other").State, ready)
+	assert.Equal(t, len(l.machine.Since(0, held).Endpoints), 2, "readers hear of both")
+	// A heartbeat of the first that was delayed brings it back as any silent one;
+	// one that was never heard of and comes late doesn't keep the new one out.
+	l.take(heartbeat(0, 1, ready, named("late", "10.0.0.1:80")))
+	assert.Equal(t, l.machine.Endpoint("new").State, silent)
+	l.take(heartbeat(0, 2, ready, named("new", "10.0.0.1:80")))
+	assert.Equal(t, l.machine.Endpoint("new").State, ready)
+}
