coordinator: an order needs the start that its endpoint's heartbeats told, and no other

A report without a start passed the check although the record had one, and a fleet whose heartbeats tell no start but whose reports do would never have had its stages changed.

--- a/internal/coordinator/stages.go
+++ b/internal/coordinator/stages.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	if status.Born != 0 && status.Born != e.Born {
+	if e.Born != 0 && status.Born != e.Born {
 		return nil // another incarnation, whose heartbeat is on its way
 	}
 	if status.Busy || status.Stage == e.Assigned {
