coordinator: the test of orders counts turns, and a cut-off leader has a test of its own

Change: a turn is a new token. The test asks for two turns, the lease between them and one holder a token, whoever leads; before, the pause was not looked at where the same instance led again. That another instance takes over is asked for where it must: a leader that is cut off. Endpoints have addresses of their own.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -275,46 +275,75 @@
 
 // The leader that gives orders dies. Endpoints that don't check fencing tokens
 // would obey both in turn: the next one waits out the lease of the one before,
-// and its token is higher.
+// and its token is higher. The next one may be the same instance, back from its
+// restart: it remembers no order, so that it has to wait as well.
 func TestOrdersComeFromOneHolder(t *testing.T) {
 	orders := &recordedOrders{failed: errors.New("no answer")}
 	runFleetWith(t, 3, orders, func(t *testing.T, f *fleet) {
 		f.formed()
-		report := func(n int) {
-			for e := range 8 {
-				r := &pb.EndpointRecord{
-					Id: string(rune('a' + e)), Service: "s", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_READY,
-					Stage: pb.Stage_STAGE_PREFILL, Sequence: uint64(n + 1),
-				}
-				_ = f.instances[n%3].ReportEndpoint(f.within(time.Second), r)
-			}
-		}
-		var first *instance
-		for n := range 60 {
-			report(n)
-			time.Sleep(500 * time.Millisecond)
-			if n == 16 {
-				first = f.leader(f.instances...)
-				f.restart(first, false)
-			}
-		}
-		orders.mu.Lock()
-		defer orders.mu.Unlock()
-		assert.Assert(t, len(orders.given) > 2)
-		assert.Equal(t, orders.given[0].Stage, pb.Stage_STAGE_DECODE)
+		giveOrders(f, func(first *instance) { f.restart(first, false) })
+		checkTurns(t, orders)
+	})
+}
+
+// The leader that gives orders is cut off from the others, and goes on running.
+// Another instance takes over, and the one before gives no more orders.
+func TestOrdersOfALeaderThatIsCutOff(t *testing.T) {
+	orders := &recordedOrders{failed: errors.New("no answer")}
+	runFleetWith(t, 3, orders, func(t *testing.T, f *fleet) {
+		f.formed()
+		giveOrders(f, func(first *instance) { f.cut(true, first) })
+		checkTurns(t, orders)
 		holders := map[string]bool{}
-		for n, o := range orders.given {
+		for _, o := range orders.given {
 			holders[o.Holder] = true
-			if n == 0 || orders.given[n-1].Holder == o.Holder {
-				continue
-			}
-			assert.Assert(t, o.Token > orders.given[n-1].Token)
-			assert.Assert(t, orders.at[n].Sub(orders.at[n-1]) > 3*time.Second)
 		}
 		assert.Equal(t, len(holders), 2)
 	})
 }
 
+// giveOrders lets eight endpoints report for half a minute, too many of which
+// read prompts. After eight seconds, when the first orders were given, the
+// leader meets its fate.
+func giveOrders(f *fleet, fate func(leader *instance)) {
+	for n := range 60 {
+		for e := range 8 {
+			id := string(rune('a' + e))
+			r := &pb.EndpointRecord{
+				Id: id, Service: "s", Address: id + ":1", State: pb.EndpointState_ENDPOINT_STATE_READY,
+				Stage: pb.Stage_STAGE_PREFILL, Sequence: uint64(n + 1),
+			}
+			_ = f.instances[n%3].ReportEndpoint(f.within(time.Second), r)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if n == 16 {
+			fate(f.leader(f.instances...))
+		}
+	}
+}
+
+// checkTurns sees that orders came in two turns, with a rising token, and that
+// the lease passed between them.
+func checkTurns(t *testing.T, orders *recordedOrders) {
+	t.Helper()
+	orders.mu.Lock()
+	defer orders.mu.Unlock()
+	assert.Assert(t, len(orders.given) > 2)
+	assert.Equal(t, orders.given[0].Stage, pb.Stage_STAGE_DECODE)
+	turns := 1
+	for n, o := range orders.given[1:] {
+		before := orders.given[n]
+		if o.Token == before.Token {
+			assert.Equal(t, o.Holder, before.Holder)
+			continue
+		}
+		turns++
+		assert.Assert(t, o.Token > before.Token)
+		assert.Assert(t, orders.at[n+1].Sub(orders.at[n]) > 3*time.Second)
+	}
+	assert.Equal(t, turns, 2)
+}
+
 // Thousands of endpoints start with the fleet and report before there is a
 // leader. Each must be turned away at once, so that the group can form, and be
 // taken in once it has.
--- a/internal/coordinator/incarnation_test.go
+++ b/internal/coordinator/incarnation_test.go
@@ -67,7 +67,7 @@
 		for n := range 30 {
 			for e := range 8 {
 				r := &pb.EndpointRecord{
-					Id: string(rune('a' + e)), Service: "s", Address: "a:1", State: pb.EndpointState_ENDPOINT_STATE_READY,
+					Id: string(rune('a' + e)), Service: "s", Address: string(rune('a'+e)) + ":1", State: pb.EndpointState_ENDPOINT_STATE_READY,
 					Stage: pb.Stage_STAGE_PREFILL, Sequence: uint64(n + 1), Born: 100,
 				}
 				_ = f.instances[n%3].ReportEndpoint(f.within(time.Second), r)
