coordinator: voters that were replaced are removed before they can stop the group

Two control instances were replaced within 16 s. Those that were gone stayed voters for 20 s, so that eight voters stood against six instances. The final fault took two disks, which must be borne: four of eight are no majority, no leader came, and entries that had started anew served by whatever configuration a member still had. Ruled out: 20 s shortened for all (a change during a cut would be held by fewer disks than the losses that must be borne); a member that leaves at its planned stop (it would change the membership at each restart); counting by instance or zone (nothing tells a successor from an addition). Change: where two or more voters are silent and the losses that must be borne (`tolerance`, from the fleet's settings) would then stop the group, silent voters go after 3 s, as long as those that are heard bear these losses by themselves.

--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -23,6 +23,7 @@
 	net       *testkit.Network
 	instances []*instance
 	orders    Orders
+	tolerance int // of losses at once
 }
 
 // instance is one control instance with its disk.
@@ -45,9 +46,15 @@
 
 // runFleetWith is runFleet with a way to give orders.
 func runFleetWith(t *testing.T, n int, orders Orders, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	runFleetOf(t, n, fleet{orders: orders}, test)
+}
+
+// runFleetOf is runFleet with the orders and the tolerance of a fleet.
+func runFleetOf(t *testing.T, n int, like fleet, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: &testkit.Network{}, orders: orders}
+		f := &fleet{t: t, net: &testkit.Network{}, orders: like.orders, tolerance: like.tolerance}
 		for i := range n {
 			f.instances = append(f.instances, &instance{address: fmt.Sprint("control", i), disk: faultfs.New(), bootstrap: true, seeds: firstSeeds})
 		}
@@ -80,7 +87,7 @@
 		Group: node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
 		Self:  &pb.Member{InstanceId: i.address, DiskId: node.DiskID(), RpcAddress: i.address},
 		Seeds: i.seeds, Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
-		Orders: f.orders, OrderLease: 3 * time.Second,
+		Orders: f.orders, OrderLease: 3 * time.Second, Tolerance: f.tolerance,
 	})
 	f.net.Serve(i.address, i.Coordinator, pb.DRPCConsensusDescription{}, pb.DRPCCoordinatorDescription{})
 	ended := make(chan struct{}, 3)
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -30,6 +30,10 @@
 	// member goes without a leader before it asks whether it still is one.
 	lostMember = 20 * time.Second
 	outOfTouch = 3 * time.Second
+	// lostSuccessor is lostMember where a silent voter endangers the group. What
+	// is only restarted is back within a second or two, and the users' fleets
+	// give a successor four to six seconds until the one before stops counting.
+	lostSuccessor = 3 * time.Second
 	// joinInterval is the pause between two tries to join or to form the group.
 	joinInterval = 250 * time.Millisecond
 	// callTimeout bounds one call to another control instance. A live peer
@@ -44,6 +48,9 @@
 	retryPause = 40 * time.Millisecond
 )
 
+// fewestReplaced is how many silent voters endanger a group at least.
+const fewestReplaced = 2
+
 // mostReports bounds the heartbeats that a member commits at a time. A commit
 // takes some milliseconds, so that this many are thousands a second.
 const mostReports = 64
@@ -73,6 +80,8 @@
 	// Bootstrap allows the first of the seeds to form a new group on its empty
 	// disk. It is true only when the whole fleet starts for the first time.
 	Bootstrap bool
+	// Tolerance is how many instances may be lost at the same time, disks too.
+	Tolerance int
 	// EndpointSilence is how long an endpoint may be unheard before it counts
 	// as silent; three heartbeats and some slack.
 	EndpointSilence time.Duration
--- /dev/null
+++ b/internal/coordinator/replaced_test.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/storage/faultfs"
+)
+
+// Entries handle requests by an old configuration, and no change is taken any
+// more. Two of six instances were replaced by others within some seconds; then
+// all lose power, and two more come back with empty disks, which is what the
+// fleet bears. The two that are gone for good still count as voters, so that the
+// four disks that are left are no majority of eight.
+func TestReplacedInstancesDontStopTheGroup(t *testing.T) {
+	runFleetOf(t, 6, fleet{tolerance: 2}, func(t *testing.T, f *fleet) {
+		f.formed()
+		for n := range 2 {
+			f.instances[n].stop()
+			f.instances[n].stop = func() {}
+			fresh := &instance{address: fmt.Sprint("fresh", n), disk: faultfs.New(), seeds: []string{"control2", "control3", "control4"}}
+			f.instances = append(f.instances, fresh)
+			f.start(fresh)
+			f.await(5*time.Second, "the successor a member", fresh.isMember)
+		}
+		// Each successor has had the time after which it counts.
+		time.Sleep(6 * time.Second)
+		live := f.instances[2:]
+		f.await(2*time.Second, "a change taken", func() bool { return f.put(live[2], 7) == nil })
+		for _, i := range live {
+			i.stop()
+		}
+		for n, i := range live {
+			if n < 2 {
+				i.disk = faultfs.New()
+			}
+			i.bootstrap = false
+			f.start(i)
+		}
+		f.await(15*time.Second, "a change taken after the fault", func() bool { return f.put(live[2], 8) == nil })
+	})
+}
+
+func TestEndangered(t *testing.T) {
+	for _, test := range []struct {
+		name                     string
+		heard, silent, tolerance int
+		want                     bool
+	}{
+		{"nobody silent", 5, 0, 1, false},
+		{"one of five down", 4, 1, 1, false},
+		{"one of three down", 2, 1, 1, false},
+		{"one replaced, of six", 6, 1, 2, false},
+		{"two replaced, of six", 6, 2, 2, true},
+		{"two of five cut off", 3, 2, 1, true},
+		{"three of five cut off", 2, 3, 1, false},
+		{"two of six cut off", 4, 2, 2, false},
+		{"one of six down", 5, 1, 2, false},
+		{"three replaced, of five", 5, 3, 1, true},
+	} {
+		assert.Equal(t, endangered(test.heard, test.silent, test.tolerance), test.want, test.name)
+	}
+}
