--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -109,8 +109,10 @@
 		if member == "" {
 			member = f.next(way)
 		}
-		if err := f.ask(ctx, way, member); err != nil && ctx.Err() == nil {
-			f.options.Part.Info("Turns to another control instance.", "from", member, "err", err)
+		asking, transfer := rpc.WithTransfer(ctx)
+		if err := f.ask(asking, way, member); err != nil && ctx.Err() == nil {
+			f.options.Part.Info("Turns to another control instance.", "from", member,
+				"took_ms", transfer.Took().Milliseconds(), "received_bytes", transfer.Received(), "err", err)
 			member = ""
 			sleep.For(ctx, pause)
 			pause = min(time.Duration(turnGrowth*float64(pause)), longestTurn)
--- a/internal/rpc/countedconn.go
+++ b/internal/rpc/countedconn.go
@@ -14,12 +14,14 @@
 	net.Conn
 	received atomic.Uint64
 	sent     atomic.Uint64
+	transfer atomic.Pointer[Transfer] // of the call that the connection carries
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(uint64(n))
+	c.transfer.Load().Arrived(n)
 	return n, err
 }
 
@@ -48,6 +50,7 @@
 // Invoke implements drpc.Conn.
 func (c measuredConn) Invoke(ctx context.Context, rpc string, encoding drpc.Encoding, in, out drpc.Message) error {
 	defer c.metrics.ended(sideClient, rpc, c.counted)
+	c.counted.transfer.Store(TransferOf(ctx))
 	return c.Conn.Invoke(ctx, rpc, encoding, in, out)
 }
 
--- a/internal/testkit/network.go
+++ b/internal/testkit/network.go
@@ -164,6 +164,7 @@
 	if err != nil {
 		return err
 	}
+	rpc.TransferOf(ctx).Arrived(proto.Size(reply.(proto.Message)))
 	return c.network.pass(enc, reply, out)
 }
 
