coordinator: two failing tests of configurations that grow

The first replays what the users saw: three growths by 1,400 routes, an entry behind a link of 10 Mbit/s, and the third is never in force ("not in 2s: the configuration of 4200 routes"). The second is the same limit at a start: an entry without a picture gives its first question up after 0.2 s and gets none of 276,646 bytes twice. The emulated network has links of a limited rate for both.

--- /dev/null
+++ b/internal/coordinator/growth_test.go
@@ -0,0 +1,127 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/follower"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// entryRate is what a link of 10 Mbit/s carries, bytes a second.
+const entryRate = 1_250_000
+
+// inForceWithin is how long a confirmed change may take to be in force at each
+// entry: 2 s where the bound is shortest.
+const inForceWithin = 2 * time.Second
+
+// An operator adds 1,400 routes, three times, each time with a small change
+// right behind; both are confirmed within 0.3 s. Entries behind links of 10 Mbit/s
+// served on by the configuration before: after the second growth for up to
+// 4 s, after the third for ever. Each of an entry's two open questions was
+// answered with the whole document, and given up after 0.9 s whatever had come:
+// "Turns to another control instance. took_ms=901 received_bytes=491520", of
+// 543,208 bytes. What had come was thrown away and asked for again elsewhere.
+func TestConfigurationThatGrowsIsInForceInTime(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		entry := f.startEntry("entry")
+		version := int64(0)
+		for growth := range 3 {
+			routes := 1400 * (growth + 1)
+			for range 2 {
+				version++
+				assert.NilError(t, f.putRoutes(f.instances[growth], version, routes))
+			}
+			f.await(inForceWithin, fmt.Sprint("the configuration of ", routes, " routes"), entry.serves(version, routes))
+		}
+	})
+}
+
+// The configuration has grown, and then all machines lose power. The members are
+// back within a second, but no entry got a picture again: its first question is
+// given up after 0.2 s, in which a link of 10 Mbit/s carries 250,000 bytes, while
+// two answers of 276,646 bytes were on their way.
+func TestEntryStartsWithAConfigurationThatHasGrown(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		assert.NilError(t, f.putRoutes(f.instances[0], 1, 1400))
+		entry := f.startEntry("entry")
+		f.await(inForceWithin, "a first picture", entry.serves(1, 1400))
+	})
+}
+
+// entry is a follower behind a link of its own.
+type entry struct{ *follower.Follower }
+
+// startEntry starts an entry that works until the test ends.
+func (f *fleet) startEntry(address string) entry {
+	f.net.SetRate(address, entryRate)
+	e := entry{follower.New(follower.Options{
+		Dialer: f.net.Dialer(address), Seeds: firstSeeds, Decode: decodeRoutes,
+		Self: func() *pb.EntryRecord { return &pb.EntryRecord{Id: address, Name: address} },
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		assert.NilError(f.t, <-ended)
+	})
+	return e
+}
+
+// serves tells whether a version is in force with its last route.
+func (e entry) serves(version int64, routes int) func() bool {
+	return func() bool {
+		view := e.View()
+		if view == nil || view.Table == nil || view.Table.Version != version {
+			return false
+		}
+		return view.Table.Match("example", routePath(routes-1)) != nil
+	}
+}
+
+// putRoutes sends a configuration with a number of routes.
+func (f *fleet) putRoutes(i *instance, version int64, routes int) error {
+	return i.PutDocument(f.within(2*time.Second), version, documentOf(version, routes))
+}
+
+// documentOf writes a configuration of about 195 bytes a route. Equal routes of
+// two versions are equal to the byte.
+func documentOf(version int64, routes int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for n := range routes {
+		fmt.Fprintf(&b, `{"name":"r-%s","host":"example","path_prefix":"%s","route_type":"idempotent","timeout_ms":3000,`+
+			`"target_latency_ms":300,"priority":2,"service":"app","max_attempts":2,"resumable":false},`, routePath(n)[1:9], routePath(n))
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+// routePath gives the prefix of the n-th route, alike for equal n.
+func routePath(n int) string {
+	return fmt.Sprintf("/%08x/", rand.New(rand.NewPCG(uint64(n), 0)).Uint32())
+}
+
+// decodeRoutes reads what documentOf wrote.
+func decodeRoutes(source []byte) (*routetable.Document, error) {
+	d := &routetable.Document{}
+	if _, err := fmt.Sscanf(string(source[:40]), `{"version":%d,`, &d.Version); err != nil {
+		return nil, err
+	}
+	for n := range bytes.Count(source, []byte(`"path_prefix"`)) {
+		d.Routes = append(d.Routes, routetable.Route{
+			Name: fmt.Sprint(n), Host: "example", Prefix: routePath(n), Backends: []routetable.Backend{{Service: "app", Weight: 1}},
+		})
+	}
+	return d, nil
+}
--- a/internal/testkit/network.go
+++ b/internal/testkit/network.go
@@ -24,6 +24,7 @@
 	cut     map[direction]bool
 	calls   map[string]int // by receiver
 	bytes   int
+	links   map[string]*link // by receiver
 	hold    func(from, to, name string)
 }
 
@@ -64,6 +65,18 @@
 	}
 }
 
+// SetRate gives the process at an address a link that brings it rate bytes a
+// second, shared by all answers on their way to it. It counts for calls that
+// begin later.
+func (n *Network) SetRate(to string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links == nil {
+		n.links = make(map[string]*link)
+	}
+	n.links[to] = newLink(rate)
+}
+
 // OnRequest calls do before each request of this kind leaves from; a nil do
 // ends that. There is one do at a time.
 func (n *Network) OnRequest(from, name string, do func(to string)) {
@@ -138,6 +151,7 @@
 	c.network.mu.Lock()
 	to, up := c.network.servers[c.to]
 	hold := c.network.hold
+	link := c.network.links[c.from]
 	if up {
 		c.network.calls[c.to]++
 	}
@@ -164,7 +178,9 @@
 	if err != nil {
 		return err
 	}
-	rpc.TransferOf(ctx).Arrived(proto.Size(reply.(proto.Message)))
+	if err := link.carry(ctx, proto.Size(reply.(proto.Message))); err != nil {
+		return err
+	}
 	return c.network.pass(enc, reply, out)
 }
 
