blocks, follower, coordinator: a change of the configuration costs what it changes, and no transfer is given up for its length

Cause: entries got whole documents, two at a time, in answers that had 0.9 s in all (0.2 s without a picture); larger ones were thrown away when most of them was there, and asked for again.

Change: documents are split into blocks by content (restic/chunker, zstd). The log carries what a change adds; entries fetch what they lack from the two members that told them, in parts of at most 64 KB compressed, and keep what has come across members and newer versions. rpc.Transfer ends calls for silence instead of length.

Tests: TestConfigurationThatGrowsIsInForceInTime and TestEntryStartsWithAConfigurationThatHasGrown failed 1 of 1 each, pass now (-race).

A first draft let the two ways share blocks without asking only members that had told of the version: TestSilentConnectionHoldsUpNothing failed, as blocks asked of a silent member were waited for; blocks are asked of tellers first.

Control instances of this build and earlier ones can't be in one group.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hyssopsail/hyssopsail/internal/blocks"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -21,7 +22,8 @@
 // replica.StateMachine; readers on other goroutines get immutable values.
 type Machine struct {
 	mu        sync.Mutex // guards all below; nothing else is locked inside
-	document  *pb.ConfigDocument
+	document  *blocks.Document
+	replaced  *blocks.Document // the one before document, for those who still take it in
 	endpoints map[string]*pb.EndpointRecord
 	entries   map[string]*pb.EntryRecord
 	addresses addressIndex // of endpoints
@@ -66,6 +68,8 @@
 	switch kind := c.Kind.(type) {
 	case *pb.CatalogCommand_PutDocument:
 		return m.putDocument(kind.PutDocument)
+	case *pb.CatalogCommand_PutBlocks:
+		return m.putBlocks(kind.PutBlocks)
 	case *pb.CatalogCommand_ReportEndpoint:
 		return m.reportEndpoint(index, kind.ReportEndpoint)
 	case *pb.CatalogCommand_RetireEndpoint:
@@ -80,21 +84,14 @@
 	return false
 }
 
-// putDocument takes a higher version. The same or a lower one changes
-// nothing: it is a repeat, or was overtaken.
-func (m *Machine) putDocument(d *pb.ConfigDocument) bool {
-	if d.Version <= m.document.GetVersion() {
-		return false
-	}
-	m.document = d
-	return true
-}
-
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := &pb.CatalogSnapshot{Document: m.document, Revision: m.revision}
+	s := &pb.CatalogSnapshot{Revision: m.revision}
+	if m.document != nil {
+		s.Document, s.Outline = configDocument(m.document), m.document.Outline()
+	}
 	for _, e := range m.endpoints {
 		s.Endpoints = append(s.Endpoints, e)
 	}
@@ -111,9 +108,13 @@
 	if err := proto.Unmarshal(data, s); err != nil {
 		return trace.Wrap(err)
 	}
+	document, err := restoreDocument(s)
+	if err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.document = s.Document
+	m.document, m.replaced = document, nil
 	m.endpoints = make(map[string]*pb.EndpointRecord, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		m.endpoints[e.Id] = e
--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -8,13 +8,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// Document gives the newest document, nil before the first.
-func (m *Machine) Document() *pb.ConfigDocument {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.document
-}
-
 // Endpoint gives an endpoint's record, nil when it is not known.
 func (m *Machine) Endpoint(id string) *pb.EndpointRecord {
 	m.mu.Lock()
@@ -44,7 +37,7 @@
 
 // Delta is what changed after a revision.
 type Delta struct {
-	Document  *pb.ConfigDocument // nil when not newer
+	Outline   *pb.Outline // of the document; nil when not newer
 	Revision  uint64
 	Endpoints []*pb.EndpointRecord
 	More      bool // further changes follow after Revision
@@ -55,13 +48,13 @@
 // not make it begin again and again.
 const mostDelta = 512
 
-// Since gives what a reader lacks that holds a document version and a revision.
+// Since gives what a reader lacks that knows a document version and a revision.
 func (m *Machine) Since(version int64, revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := Delta{Revision: m.revision}
-	if m.document.GetVersion() > version {
-		d.Document = m.document
+	if m.document.Version() > version {
+		d.Outline = m.document.Outline()
 	}
 	d.Endpoints, d.More = m.changes.since(revision, mostDelta, m.endpoints)
 	if d.More {
--- a/internal/coordinator/commands.go
+++ b/internal/coordinator/commands.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hyssopsail/hyssopsail/internal/blocks"
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
@@ -14,14 +15,31 @@
 // PutDocument commits a configuration document, which the caller has checked.
 // A version that is not higher than the one held is a success without effect.
 func (c *Coordinator) PutDocument(ctx context.Context, version int64, source []byte) error {
-	document := &pb.ConfigDocument{Version: version, Source: source}
-	err := c.commit(ctx, &pb.CatalogCommand{Kind: &pb.CatalogCommand_PutDocument{PutDocument: document}})
+	err := c.putDocument(ctx, blocks.Split(version, source))
 	c.metrics.documents.WithLabelValues(resultOf(err)).Inc()
 	c.metrics.version.Set(float64(c.options.Machine.Document().GetVersion()))
 	c.options.Part.Info("Configuration was sent.", "version", version, "bytes", len(source), "err", err)
 	return err
 }
 
+// putDocument commits what the document in force lacks. Where another one came
+// into force meanwhile the command may lack blocks and change nothing, and is
+// made anew.
+func (c *Coordinator) putDocument(ctx context.Context, document *blocks.Document) error {
+	for {
+		base := c.options.Machine.InForce()
+		command := catalog.PutBlocks(document, base)
+		if err := c.commit(ctx, command); err != nil {
+			return err
+		}
+		if c.options.Machine.InForce().Version() >= document.Version() {
+			return nil
+		}
+		c.options.Part.Info("Configuration is sent again, another one came before it.",
+			"version", document.Version(), "base", base.Version(), "in_force", c.options.Machine.InForce().Version())
+	}
+}
+
 // ReadDocument gives the newest document, nil when there is none yet. It asks
 // the leader's quorum: a member that was cut off holds an older one.
 func (c *Coordinator) ReadDocument(ctx context.Context) (*pb.ConfigDocument, error) {
--- a/internal/coordinator/growth_test.go
+++ b/internal/coordinator/growth_test.go
@@ -100,7 +100,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
 	for n := range routes {
-		fmt.Fprintf(&b, `{"name":"r-%s","host":"example","path_prefix":"%s","route_type":"idempotent","timeout_ms":3000,`+
+		fmt.Fprintf(&b, `{"name":"r-%s","host":"example","beginning":"%s","repeatable":"idempotent","timeout_ms":3000,`+
 			`"target_latency_ms":300,"priority":2,"service":"app","max_attempts":2,"resumable":false},`, routePath(n)[1:9], routePath(n))
 	}
 	b.WriteString("]}")
@@ -118,7 +118,7 @@
 	if _, err := fmt.Sscanf(string(source[:40]), `{"version":%d,`, &d.Version); err != nil {
 		return nil, err
 	}
-	for n := range bytes.Count(source, []byte(`"path_prefix"`)) {
+	for n := range bytes.Count(source, []byte(`"beginning"`)) {
 		d.Routes = append(d.Routes, routetable.Route{
 			Name: fmt.Sprint(n), Host: "example", Prefix: routePath(n), Backends: []routetable.Backend{{Service: "app", Weight: 1}},
 		})
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/blocks"
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
@@ -67,7 +68,7 @@
 	delta := c.options.Machine.Since(request.DocumentVersion, request.Revision)
 	reply := &pb.FollowReply{
 		Current:   c.current(time.Now()) && delta.Revision >= request.Revision,
-		Document:  delta.Document,
+		Outline:   delta.Outline,
 		Revision:  delta.Revision,
 		Endpoints: delta.Endpoints,
 		More:      delta.More,
@@ -79,6 +80,19 @@
 	return reply
 }
 
+// Blocks implements pb.DRPCCoordinatorServer.
+func (c *Coordinator) Blocks(_ context.Context, request *pb.BlocksRequest) (*pb.BlocksReply, error) {
+	sums := make([]blocks.Sum, 0, len(request.Blocks))
+	for _, name := range request.Blocks {
+		sum, err := blocks.ParseSum(name)
+		if err != nil {
+			return nil, err
+		}
+		sums = append(sums, sum)
+	}
+	return &pb.BlocksReply{Packed: c.options.Machine.Blocks(sums)}, nil
+}
+
 // takeEntry notes that an entry was heard, and commits what is new about it
 // in the background: the entry's own question need not wait for it.
 func (c *Coordinator) takeEntry(r *pb.EntryRecord) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,8 +10,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/hyssopsail/hyssopsail/internal/dispatch"
-	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/blocks"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/relay"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
@@ -18,67 +18,38 @@
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
-// The intervals of a Follower.
-const (
-	// followWait is how long a member may hold a question without news.
-	followWait = 500 * time.Millisecond
-	// followTimeout is after how long a question is given up: a member that
-	// was cut off is left within 0.9 s, and the other question goes on meanwhile.
-	followTimeout = followWait + 400*time.Millisecond
-	// firstTimeout is followTimeout while there is no picture at all: after all
-	// instances lost power, members come back one after the other, and one that
-	// is still dark must not keep the entry from asking one that is up. The
-	// answer is due at once, as no wait is asked for.
-	firstTimeout = 200 * time.Millisecond
-	// turnPause is the wait before the next member is asked after a failure. It
-	// grows by turnGrowth with each one, to longestTurn at most: hundreds of
-	// entries that start with the fleet would else take all of the processor of
-	// the few members they know, and the group would never be formed.
-	turnPause   = 50 * time.Millisecond
-	turnGrowth  = 1.15
-	longestTurn = 500 * time.Millisecond
-	// newsPause is the wait after news before the next question, for each entry
-	// of the fleet, and at most longestNewsPause: while endpoints register by
-	// the hundred, members would else answer each entry once for each of them.
-	newsPause        = time.Millisecond
-	longestNewsPause = 500 * time.Millisecond
-	// ways is to how many members questions are open at a time.
-	ways = 2
-)
-
-// Options tell a Follower what it works with.
-type Options struct {
-	Dialer rpc.Dialer
-	Part   logging.Part
-	// Seeds are the rpc addresses of control instances known at the start.
-	Seeds []string
-	// Decode reads a document as the operator sent it.
-	Decode func(source []byte) (*routetable.Document, error)
-	// Self tells what is said of this entry with each question.
-	Self func() *pb.EntryRecord
-	// Entries, when set, is told how many entries take callers.
-	Entries func(n int)
-}
+// errOutOfTouch: a member answered, and knows no leader.
+var errOutOfTouch = errors.New("the member is out of touch")
 
 // Follower keeps the picture.
 type Follower struct {
 	options Options
+	metrics *metrics
 	view    atomic.Pointer[relay.View]
 	turn    atomic.Uint64
 
 	mu        sync.Mutex // guards the fields below
 	members   []string
-	document  int64
+	download  download
+	tellers   []string // members that told of the version on its way
 	table     *routetable.Table
 	revision  uint64
 	endpoints map[string]*pb.EndpointRecord
-	asked     [ways]string // member that each way asks
-	nudged    chan struct{}
+	asked     [ways]string    // member that each way asks
+	nudged    context.Context // ends when members are to be asked anew
+	nudge     context.CancelFunc
+	woken     chan struct{} // closed and replaced when there may be blocks to ask for
 }
 
 // New makes a Follower; Run makes it work.
 func New(options Options) *Follower {
-	return &Follower{options: options, endpoints: map[string]*pb.EndpointRecord{}, members: options.Seeds, nudged: make(chan struct{})}
+	nudged, nudge := context.WithCancel(context.Background())
+	return &Follower{
+		options: options, metrics: newMetrics(options.Metrics),
+		members: options.Seeds, endpoints: map[string]*pb.EndpointRecord{},
+		download: download{asked: map[blocks.Sum]bool{}},
+		nudged:   nudged, nudge: nudge, woken: make(chan struct{}),
+	}
 }
 
 // View gives the newest picture; nil before the first.
@@ -89,6 +60,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for way := range ways {
 		group.Go(func() error { return f.follow(ctx, way) })
+		group.Go(func() error { return f.fetch(ctx, way) })
 	}
 	return group.Wait()
 }
@@ -98,8 +70,8 @@
 func (f *Follower) Nudge() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.nudged)
-	f.nudged = make(chan struct{})
+	f.nudge()
+	f.nudged, f.nudge = context.WithCancel(context.Background())
 }
 
 func (f *Follower) follow(ctx context.Context, way int) error {
@@ -109,10 +81,7 @@
 		if member == "" {
 			member = f.next(way)
 		}
-		asking, transfer := rpc.WithTransfer(ctx)
-		if err := f.ask(asking, way, member); err != nil && ctx.Err() == nil {
-			f.options.Part.Info("Turns to another control instance.", "from", member,
-				"took_ms", transfer.Took().Milliseconds(), "received_bytes", transfer.Received(), "err", err)
+		if err := f.ask(ctx, member); err != nil && ctx.Err() == nil {
 			member = ""
 			sleep.For(ctx, pause)
 			pause = min(time.Duration(turnGrowth*float64(pause)), longestTurn)
@@ -147,37 +116,31 @@
 }
 
 // ask puts one question to a member.
-func (f *Follower) ask(ctx context.Context, way int, member string) error {
+func (f *Follower) ask(ctx context.Context, member string) error {
 	request, nudged := f.request()
-	timeout := followTimeout
+	silence := followSilence
 	if request.Revision == 0 {
-		timeout = firstTimeout
+		silence = firstSilence
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	asking, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	interrupted := atomic.Bool{}
-	go func() {
-		select {
-		case <-nudged:
-			interrupted.Store(true)
-			cancel()
-		case <-done:
-		}
-	}()
-	reply, err := f.call(ctx, member, request)
-	if err != nil {
-		if interrupted.Load() {
+	defer context.AfterFunc(nudged, cancel)()
+	watched, transfer := rpc.WithTransfer(asking, silence)
+	reply, err := f.call(watched, member, request)
+	if err = transfer.End(watched, err); err != nil {
+		if nudged.Err() != nil {
 			return nil
 		}
+		f.options.Part.Info("Turns to another control instance.", "from", member,
+			"took_ms", transfer.Took().Milliseconds(), "received_bytes", transfer.Received(), "err", err)
 		return err
 	}
-	if f.take(reply) && !reply.More {
+	if f.take(member, reply) && !reply.More {
 		sleep.For(ctx, min(time.Duration(reply.Entries)*newsPause, longestNewsPause))
 	}
 	if !reply.Current {
-		return trace.ConnectionProblem(nil, "the member is out of touch")
+		f.options.Part.Info("Turns to another control instance, this one is out of touch.", "from", member)
+		return errOutOfTouch
 	}
 	return nil
 }
@@ -190,7 +153,7 @@
 	return pb.NewDRPCCoordinatorClient(conn).Follow(ctx, request)
 }
 
-func (f *Follower) request() (*pb.FollowRequest, <-chan struct{}) {
+func (f *Follower) request() (*pb.FollowRequest, context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	wait := followWait
@@ -198,78 +161,7 @@
 		wait = turnPause
 	}
 	return &pb.FollowRequest{
-		DocumentVersion: f.document, Revision: f.revision,
+		DocumentVersion: f.download.known(), Revision: f.revision,
 		Self: f.options.Self(), WaitMs: uint32(wait.Milliseconds()),
 	}, f.nudged
 }
-
-// take takes in an answer, and tells whether it held news.
-func (f *Follower) take(reply *pb.FollowReply) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(reply.Members) > 0 {
-		f.members = reply.Members
-	}
-	if f.options.Entries != nil && reply.Entries > 0 {
-		f.options.Entries(int(reply.Entries))
-	}
-	changed := f.takeDocument(reply.Document)
-	for _, e := range reply.Endpoints {
-		if known := f.endpoints[e.Id]; known == nil || known.Revision < e.Revision {
-			f.endpoints[e.Id] = e
-			changed = true
-			f.options.Part.Info("Endpoint changed.", "endpoint", e.Id, "service", e.Service, "address", e.Address,
-				"state", e.State, "stage", e.Stage, "born", e.Born, "revision", e.Revision)
-		}
-	}
-	// A member whose own log is behind may not take the revision back; what it
-	// lacks would be asked for again, and what it holds is older.
-	f.revision = max(f.revision, reply.Revision)
-	if changed || f.view.Load() == nil {
-		f.view.Store(f.build())
-	}
-	return changed
-}
-
-// takeDocument puts a newer document into force.
-func (f *Follower) takeDocument(d *pb.ConfigDocument) bool {
-	if d.GetVersion() <= f.document {
-		return false
-	}
-	document, err := f.options.Decode(d.Source)
-	if err != nil {
-		// It was checked before it was committed.
-		f.options.Part.Error("A committed configuration can't be read; the one before stays in force.", "version", d.Version, "err", err)
-		return false
-	}
-	f.document = d.Version
-	f.table = routetable.Compile(document)
-	f.options.Part.Info("Configuration is in force.", "version", d.Version, "routes", len(document.Routes))
-	return true
-}
-
-func (f *Follower) build() *relay.View {
-	view := &relay.View{Table: f.table, Endpoints: map[string][]*dispatch.Endpoint{}}
-	for _, e := range f.endpoints {
-		if e.State == pb.EndpointState_ENDPOINT_STATE_READY && e.Assigned == pb.Stage_STAGE_UNSPECIFIED {
-			view.Endpoints[e.Service] = append(view.Endpoints[e.Service], endpointOf(e))
-		}
-	}
-	return view
-}
-
-func endpointOf(e *pb.EndpointRecord) *dispatch.Endpoint {
-	endpoint := &dispatch.Endpoint{
-		ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots),
-	}
-	switch e.Stage {
-	case pb.Stage_STAGE_PREFILL:
-		endpoint.Stage = dispatch.StagePrefill
-	case pb.Stage_STAGE_DECODE:
-		endpoint.Stage = dispatch.StageDecode
-	}
-	for _, m := range e.Models {
-		endpoint.Models = append(endpoint.Models, m.Name)
-	}
-	return endpoint
-}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/blocks"
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
@@ -48,7 +49,16 @@
 		}
 	}
 	delta := m.machine.Since(r.DocumentVersion, r.Revision)
-	return &pb.FollowReply{Current: !out, Document: delta.Document, Revision: delta.Revision, Endpoints: delta.Endpoints, Entries: 3}, nil
+	return &pb.FollowReply{Current: !out, Outline: delta.Outline, Revision: delta.Revision, Endpoints: delta.Endpoints, Entries: 3}, nil
+}
+
+// Blocks answers from the catalog as well.
+func (m *member) Blocks(_ context.Context, r *pb.BlocksRequest) (*pb.BlocksReply, error) {
+	var sums []blocks.Sum
+	for _, name := range r.Blocks {
+		sums = append(sums, blocks.Sum(name))
+	}
+	return &pb.BlocksReply{Packed: m.machine.Blocks(sums)}, nil
 }
 
 // questions counts what the members were asked.
--- /dev/null
+++ b/internal/follower/options.go
@@ -0,0 +1,62 @@
+package follower
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/rpc"
+)
+
+// The intervals of a Follower.
+const (
+	// followWait is how long a member may hold a question without news.
+	followWait = 500 * time.Millisecond
+	// followSilence is after how long without a byte a question is given up: a
+	// member that was cut off is left within 0.9 s, and the other question goes on
+	// meanwhile.
+	followSilence = followWait + 400*time.Millisecond
+	// firstSilence is followSilence while there is no picture at all: after all
+	// instances lost power, members come back one after the other, and one that
+	// is still dark must not keep the entry from asking one that is up. The
+	// answer is due at once, as no wait is asked for.
+	firstSilence = 200 * time.Millisecond
+	// blocksSilence is the same for blocks, which a member answers at once: two
+	// retransmissions of a lost packet take less.
+	blocksSilence = 400 * time.Millisecond
+	// turnPause is the wait before the next member is asked after a failure. It
+	// grows by turnGrowth with each one, to longestTurn at most: hundreds of
+	// entries that start with the fleet would else take all of the processor of
+	// the few members they know, and the group would never be formed.
+	turnPause   = 50 * time.Millisecond
+	turnGrowth  = 1.15
+	longestTurn = 500 * time.Millisecond
+	// newsPause is the wait after news before the next question, for each entry
+	// of the fleet, and at most longestNewsPause: while endpoints register by
+	// the hundred, members would else answer each entry once for each of them.
+	newsPause        = time.Millisecond
+	longestNewsPause = 500 * time.Millisecond
+	// ways is to how many members questions are open at a time.
+	ways = 2
+	// mostAsked is how many blocks are asked for at a time: some 64 KB
+	// compressed, so that two members share the blocks of a start.
+	mostAsked = 32
+)
+
+// Options tell a Follower what it works with.
+type Options struct {
+	Dialer  rpc.Dialer
+	Part    logging.Part
+	Metrics prometheus.Registerer // nil for none
+	// Seeds are the rpc addresses of control instances known at the start.
+	Seeds []string
+	// Decode reads a document as the operator sent it.
+	Decode func(source []byte) (*routetable.Document, error)
+	// Self tells what is said of this entry with each question.
+	Self func() *pb.EntryRecord
+	// Entries, when set, is told how many entries take callers.
+	Entries func(n int)
+}
--- a/internal/rpc/transfer_test.go
+++ b/internal/rpc/transfer_test.go
@@ -2,15 +2,45 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-func TestTransferCountsWhatArrives(t *testing.T) {
-	ctx, transfer := WithTransfer(context.Background())
-	TransferOf(ctx).Arrived(3)
-	TransferOf(ctx).Arrived(4)
-	assert.Equal(t, transfer.Received(), int64(7))
-	TransferOf(context.Background()).Arrived(5) // nobody watches
+const silence = 100 * time.Millisecond
+
+// A peer that sends a little now and then is waited for, however long the whole
+// takes.
+func TestTransferIsNotEndedForItsLength(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, transfer := WithTransfer(context.Background(), silence)
+		for range 100 {
+			time.Sleep(silence * 9 / 10)
+			TransferOf(ctx).Arrived(1)
+		}
+		assert.NilError(t, ctx.Err())
+		assert.NilError(t, transfer.End(ctx, nil))
+		assert.Equal(t, transfer.Received(), int64(100))
+		TransferOf(context.Background()).Arrived(5) // nobody watches
+	})
+}
+
+func TestTransferIsEndedForSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, transfer := WithTransfer(context.Background(), silence)
+		time.Sleep(silence / 2)
+		transfer.Arrived(1)
+		<-ctx.Done()
+		assert.Equal(t, transfer.Took(), silence*3/2)
+		assert.ErrorIs(t, transfer.End(ctx, ctx.Err()), ErrSilent)
+	})
+}
+
+func TestTransferPassesOnOtherErrors(t *testing.T) {
+	ctx, transfer := WithTransfer(context.Background(), silence)
+	other := errors.New("refused")
+	assert.Equal(t, transfer.End(ctx, other), other)
 }
