--- /dev/null
+++ b/internal/coordinator/behind_test.go
@@ -0,0 +1,27 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// An operator looks for entries that a change did not reach, while changes come
+// all the time and entries come and go.
+func TestEntriesThatAreBehind(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
+	v := newEntryVersions()
+	v.heard("a", 1, 1, at(0))
+	v.heard("b", 1, 1, at(0))
+	assert.Equal(t, v.behind(1, at(100)), 0)
+	assert.Equal(t, v.behind(2, at(3000)), 0, "silent ones are forgotten")
+	for ms := 3000; ms <= 6000; ms += 500 { // a change each half second
+		newest := int64(2 + (ms-3000)/500)
+		v.heard("a", newest-1, newest, at(ms))
+		v.heard("b", 1, newest, at(ms))
+	}
+	assert.Equal(t, v.behind(8, at(6100)), 1, "b alone has missed changes for long")
+	v.heard("b", 8, 8, at(6200))
+	assert.Equal(t, v.behind(8, at(6300)), 0)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -25,11 +25,12 @@
 
 // Coordinator is one control instance.
 type Coordinator struct {
-	options Options
-	metrics *metrics
-	ready   chan struct{}       // closed by isReady
-	reports *semaphore.Weighted // heartbeats that are being committed
-	stages  *stages             // used by the goroutine that leads alone
+	options  Options
+	metrics  *metrics
+	ready    chan struct{}       // closed by isReady
+	reports  *semaphore.Weighted // heartbeats that are being committed
+	stages   *stages             // used by the goroutine that leads alone
+	versions *entryVersions
 	// refusals bounds the log lines on heartbeats that were refused.
 	refusals *rate.Limiter
 
@@ -50,7 +51,7 @@
 func New(options Options) *Coordinator {
 	c := &Coordinator{
 		options:     options,
-		metrics:     newMetrics(options.Metrics),
+		versions:    newEntryVersions(),
 		ready:       make(chan struct{}),
 		reports:     semaphore.NewWeighted(mostReports),
 		refusals:    rate.NewLimiter(refusalLines, refusalBurst),
@@ -59,10 +60,16 @@
 		heard:       map[string]time.Time{},
 		reporting:   map[string]bool{},
 	}
+	c.metrics = newMetrics(options.Metrics, c.entriesBehind)
 	c.stages = newStages(c)
 	return c
 }
 
+// entriesBehind is for the metrics.
+func (c *Coordinator) entriesBehind() float64 {
+	return float64(c.versions.behind(c.options.Machine.InForce().Version(), time.Now()))
+}
+
 // Run works until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	c.mu.Lock()
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -15,8 +15,12 @@
 	expired    *prometheus.CounterVec
 }
 
-func newMetrics(to prometheus.Registerer) *metrics {
+func newMetrics(to prometheus.Registerer, behind func() float64) *metrics {
 	with := promauto.With(to)
+	with.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "hyssopsail_coordinator_entries_behind_count",
+		Help: "Entries that ask this member and whose configuration was replaced over 2 s ago.",
+	}, behind)
 	return &metrics{
 		heartbeats: with.NewCounterVec(prometheus.CounterOpts{
 			Name: "hyssopsail_coordinator_heartbeats_total",
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -46,6 +46,7 @@
 func (c *Coordinator) Follow(ctx context.Context, request *pb.FollowRequest) (*pb.FollowReply, error) {
 	if request.Self.GetId() != "" {
 		c.takeEntry(request.Self)
+		c.versions.heard(request.Self.Id, request.InForce, c.options.Machine.InForce().Version(), time.Now())
 	}
 	timer := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maxFollowWait))
 	defer timer.Stop()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,6 +27,10 @@
 	metrics *metrics
 	view    atomic.Pointer[relay.View]
 	turn    atomic.Uint64
+	began   time.Time
+	// behind is when a version was told that is not in force yet, after began; 0
+	// when the newest is.
+	behind atomic.Int64
 
 	mu        sync.Mutex // guards the fields below
 	members   []string
@@ -46,7 +50,7 @@
 func New(options Options) *Follower {
 	nudged, nudge := context.WithCancel(context.Background())
 	return &Follower{
-		options: options, metrics: newMetrics(options.Metrics),
+		options: options, metrics: newMetrics(options.Metrics), began: time.Now(),
 		members: options.Seeds, endpoints: map[string]*pb.EndpointRecord{},
 		download: download{asked: map[blocks.Sum]bool{}},
 		nudged:   nudged, nudge: nudge, woken: make(chan struct{}),
@@ -56,6 +60,16 @@
 // View gives the newest picture; nil before the first.
 func (f *Follower) View() *relay.View { return f.view.Load() }
 
+// Behind tells for how long a newer configuration than that of View has been
+// known, 0 while there is none.
+func (f *Follower) Behind() time.Duration {
+	since := f.behind.Load()
+	if since == 0 {
+		return 0
+	}
+	return max(0, time.Since(f.began)-time.Duration(since))
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -162,7 +176,7 @@
 		wait = turnPause
 	}
 	return &pb.FollowRequest{
-		DocumentVersion: f.download.known(), Revision: f.revision,
+		DocumentVersion: f.download.known(), InForce: f.download.document.Version(), Revision: f.revision,
 		Self: f.options.Self(), WaitMs: uint32(wait.Milliseconds()),
 	}, f.nudged
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -289,3 +289,29 @@
 		assert.Assert(t, f.questions() >= asked+2)
 	})
 }
+
+// A newer configuration is told and its blocks don't come: whoever asks learns for
+// how long that has been so, until they come.
+func TestBehind(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.commit(document(1, "one"))
+		time.Sleep(time.Second)
+		assert.Equal(t, f.follower.Behind(), time.Duration(0))
+		blocked := true
+		f.net.OnRequest("entry", "Blocks", func(string) {
+			if blocked {
+				time.Sleep(time.Hour)
+			}
+		})
+		f.commit(document(2, "two"))
+		time.Sleep(2 * time.Second)
+		f.commit(document(3, "three"))
+		time.Sleep(time.Second)
+		behind := f.follower.Behind()
+		assert.Assert(t, behind > 2900*time.Millisecond && behind <= 3*time.Second, "%v", behind)
+		blocked = false
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, f.inForce(), "three")
+		assert.Equal(t, f.follower.Behind(), time.Duration(0))
+	})
+}
--- a/internal/follower/picture.go
+++ b/internal/follower/picture.go
@@ -57,6 +57,7 @@
 	}
 	f.tellers = []string{member}
 	f.metrics.known.Set(float64(outline.Version))
+	f.behind.CompareAndSwap(0, int64(time.Since(f.began)))
 	f.wakeFetchers()
 	f.finishDocument()
 	return true
@@ -72,6 +73,7 @@
 		return
 	}
 	f.putIntoForce(document)
+	f.behind.Store(0)
 }
 
 func (f *Follower) putIntoForce(d *blocks.Document) {
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -34,4 +34,10 @@
 	Part      logging.Part
 	Metrics   prometheus.Registerer // nil for none
 	Random    func() float64        // even in [0, 1), safe for concurrent use
+	// Behind tells for how long a newer configuration than the one of View has been
+	// known, 0 while there is none; nil: nobody knows.
+	Behind func() time.Duration
+	// ApplyWithin is how long a confirmed configuration may take to be in force at
+	// each entry; 0 for no limit.
+	ApplyWithin time.Duration
 }
--- /dev/null
+++ b/internal/relay/outdated_test.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// An entry was told of a newer configuration and can't get it, as its link is
+// choked. It must not go on sending requests where the newer one may forbid it,
+// and a route that it doesn't know may be there: neither request is at fault.
+func TestOutdatedConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		behind  time.Duration
+		within  time.Duration
+		path    string
+		served  bool
+		verdict Verdict // where it is not served
+	}{
+		{"newest", 0, 2 * time.Second, "/p/1", true, 0},
+		{"on its way", time.Second, 2 * time.Second, "/p/1", true, 0},
+		{"late", 1600 * time.Millisecond, 2 * time.Second, "/p/1", false, VerdictNotRun},
+		{"late, no limit", time.Hour, 0, "/p/1", true, 0},
+		{"no route", 0, 2 * time.Second, "/q/1", false, VerdictNoRoute},
+		{"no route, on its way", time.Millisecond, 2 * time.Second, "/q/1", false, VerdictNotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(idempotent, gives(func() *Reply { return ok("good") }))
+			w.router.options.Behind = func() time.Duration { return test.behind }
+			w.router.options.ApplyWithin = test.within
+			x := exchange()
+			x.Path, x.Target = test.path, test.path
+			_, refusal := w.serve(t, x)
+			if test.served {
+				assert.Assert(t, refusal == nil)
+				return
+			}
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Verdict, test.verdict)
+			assert.Equal(t, refusal.RetryAfter > 0, test.verdict == VerdictNotRun)
+		})
+	}
+}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -36,10 +36,16 @@
 		refusal := &Refusal{Verdict: VerdictNotRun, Reason: "no configuration is known yet", RetryAfter: comeAgain}
 		return r.metrics.refused(refusal)
 	}
+	if refusal := r.refuseOutdated(); refusal != nil {
+		r.options.Part.Warn("Refused by an outdated configuration.", "request", x.ID, "version", view.Table.Version,
+			"behind_ms", r.behind().Milliseconds())
+		return r.metrics.refused(refusal)
+	}
 	route := view.Table.Match(x.Host, x.Path)
 	if route == nil {
-		r.options.Part.Info("No route.", "request", x.ID, "host", x.Host, "path", x.Path, "version", view.Table.Version)
-		return r.metrics.refused(&Refusal{Verdict: VerdictNoRoute, Reason: "no route leads there"})
+		r.options.Part.Info("No route.", "request", x.ID, "host", x.Host, "path", x.Path, "version", view.Table.Version,
+			"behind_ms", r.behind().Milliseconds())
+		return r.metrics.refused(r.noRoute())
 	}
 	if limit := view.Table.Limits.BodyBytes; limit > 0 && len(x.Body) > limit {
 		return r.metrics.refused(&Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"})
