coordinator, follower, blocks: entries that are gone are forgotten; a pause and a name that stood twice

What a control instance remembers of each entry's version was dropped only when metrics were read: each start of an entry has an ID of its own, so that it grew without a bound where nobody reads them (TestEntriesThatAreGoneAreForgotten: 1000 of 1000 were kept before, at most 4 now). The growing pause of the two loops of a follower stands once, and Assembly.Add gives no name that nobody used. Nothing else changes.

--- a/internal/blocks/assembly.go
+++ b/internal/blocks/assembly.go
@@ -77,21 +77,21 @@
 	return list
 }
 
-// Add takes in a compressed block, whose name its content gives, and tells that
-// name. One that is not wanted, as it was asked for an earlier version, is left.
-func (a *Assembly) Add(packed []byte) (Sum, error) {
+// Add takes in a compressed block, whose name its content gives. One that is not
+// wanted, as it was asked for an earlier version, is left.
+func (a *Assembly) Add(packed []byte) error {
 	if a.unpacker == nil {
 		a.unpacker = newUnpacker()
 	}
 	block, err := a.unpacker.DecodeAll(packed, nil)
 	if err != nil {
-		return Sum{}, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	sum := sumOf(block)
 	if a.wanted[sum] {
 		a.keep(sum, block, packed)
 	}
-	return sum, nil
+	return nil
 }
 
 // Whole tells whether all blocks are here.
--- a/internal/blocks/blocks_test.go
+++ b/internal/blocks/blocks_test.go
@@ -40,7 +40,7 @@
 	for _, sum := range assembly.Missing(1<<20, nil) {
 		packed := from.Packed(sum)
 		cost += len(packed)
-		_, err := assembly.Add(packed)
+		err := assembly.Add(packed)
 		assert.NilError(t, err)
 	}
 	document, err := assembly.Document()
@@ -81,7 +81,7 @@
 	assert.NilError(t, err)
 	half := left.Missing(len(first.Outline().Blocks)/2, nil)
 	for _, sum := range half {
-		_, err := left.Add(first.Packed(sum))
+		err := left.Add(first.Packed(sum))
 		assert.NilError(t, err)
 	}
 	second := Split(2, text(upTo(3010)...))
@@ -90,7 +90,7 @@
 	missing := len(goesOn.Missing(1<<20, nil))
 	assert.Assert(t, missing <= len(second.Outline().Blocks)-len(half), "%d", missing)
 	for _, sum := range goesOn.Missing(1<<20, nil) {
-		_, err := goesOn.Add(second.Packed(sum))
+		err := goesOn.Add(second.Packed(sum))
 		assert.NilError(t, err)
 	}
 	document, err := goesOn.Document()
@@ -119,10 +119,10 @@
 	d := Split(1, text(upTo(1000)...))
 	a, err := Assemble(d.Outline(), nil, nil)
 	assert.NilError(t, err)
-	_, err = a.Add([]byte("no block"))
+	err = a.Add([]byte("no block"))
 	assert.Assert(t, err != nil)
 	other := Split(1, text(5000, 5001))
-	_, err = a.Add(other.Packed(Sum(other.Outline().Blocks[0])))
+	err = a.Add(other.Packed(Sum(other.Outline().Blocks[0])))
 	assert.NilError(t, err)
 	assert.Equal(t, len(a.Missing(1<<20, nil)), len(d.Outline().Blocks))
 	_, err = a.Document()
@@ -168,7 +168,7 @@
 	f.Fuzz(func(t *testing.T, packed []byte) {
 		a, err := Assemble(d.Outline(), nil, nil)
 		assert.NilError(t, err)
-		if _, err := a.Add(packed); err != nil {
+		if err := a.Add(packed); err != nil {
 			return
 		}
 		if document, err := a.Document(); err == nil {
--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	for _, packed := range c.Packed {
-		if _, err := assembly.Add(packed); err != nil {
+		if err := assembly.Add(packed); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/coordinator/behind.go
+++ b/internal/coordinator/behind.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	entries map[string]entryVersion
 	newest  []newestVersion // oldest first; the first is the last that has settled
+	swept   time.Time       // when silent entries were last forgotten
 }
 
 // entryVersion is what one entry told last.
@@ -38,12 +39,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.settle(newest, now)
+	v.forgetSilent(now)
 	v.entries[entry] = entryVersion{version: version, told: now}
 }
 
 // behind counts the entries whose version had been replaced for behindAfter when
-// they told it last. Those that are silent here are forgotten: they ask others, or
-// are gone.
+// they told it last. Those that are silent here don't count: they ask others, or are
+// gone.
 func (v *entryVersions) behind(newest int64, now time.Time) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -53,14 +55,27 @@
 		settled = first.version
 	}
 	behind := 0
+	for _, e := range v.entries {
+		if now.Sub(e.told) <= entrySilence && e.version < settled {
+			behind++
+		}
+	}
+	return behind
+}
+
+// forgetSilent is called with v.mu held. Entries are forgotten as others are heard:
+// each start of an entry has an ID of its own, and who reads the metrics may never
+// come.
+func (v *entryVersions) forgetSilent(now time.Time) {
+	if now.Sub(v.swept) < entrySilence {
+		return
+	}
+	v.swept = now
 	for id, e := range v.entries {
 		if now.Sub(e.told) > entrySilence {
 			delete(v.entries, id)
-		} else if e.version < settled {
-			behind++
 		}
 	}
-	return behind
 }
 
 // settle is called with v.mu held.
--- a/internal/coordinator/behind_test.go
+++ b/internal/coordinator/behind_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,3 +26,13 @@
 	v.heard("b", 8, 8, at(6200))
 	assert.Equal(t, v.behind(8, at(6300)), 0)
 }
+
+// Entries restart all day, each time under another ID, and nobody reads the metrics.
+// What is remembered of them must not grow.
+func TestEntriesThatAreGoneAreForgotten(t *testing.T) {
+	v := newEntryVersions()
+	for n := range 1000 {
+		v.heard(fmt.Sprint(n), 1, 1, time.Unix(int64(n), 0))
+	}
+	assert.Assert(t, len(v.entries) <= 4, "%d", len(v.entries))
+}
--- a/internal/follower/download.go
+++ b/internal/follower/download.go
@@ -63,7 +63,7 @@
 		return len(packed), nil // a version that was overtaken
 	}
 	for _, p := range packed {
-		if _, err := d.assembly.Add(p); err != nil {
+		if err := d.assembly.Add(p); err != nil {
 			return came, err
 		}
 		came++
--- a/internal/follower/fetch.go
+++ b/internal/follower/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -28,7 +27,7 @@
 		}
 		failures++
 		sleep.For(ctx, pause)
-		pause = min(time.Duration(turnGrowth*float64(pause)), longestTurn)
+		pause = longer(pause)
 	}
 	return nil
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -101,7 +101,7 @@
 		if err := f.ask(ctx, way, member); err != nil && ctx.Err() == nil {
 			member = ""
 			sleep.For(ctx, pause)
-			pause = min(time.Duration(turnGrowth*float64(pause)), longestTurn)
+			pause = longer(pause)
 			continue
 		}
 		pause = turnPause
@@ -109,6 +109,11 @@
 	return nil
 }
 
+// longer gives the pause after one that was followed by another failure.
+func longer(pause time.Duration) time.Duration {
+	return min(time.Duration(turnGrowth*float64(pause)), longestTurn)
+}
+
 // next gives a member that the other way doesn't ask, in turn.
 func (f *Follower) next(way int) string {
 	f.mu.Lock()
