allocation, relay: a home of the service says where a model request goes

Hypothesis. 191 entries place 115 model requests a second at 97 endpoints that each of them meets once in minutes: they ask endpoint after endpoint that is full, and large prompts are refused though there is room. One account for all entries finds it.

The control instance of the highest hash with a service keeps account of the memory that each request was promised at each endpoint, and of how long each reader is busy; entries ask it before any endpoint, and wait there in turn when all is full. It is advice: the endpoint's own word stays final, entries without a home place as before, and nothing that runs once depends on it. Switch: `without: [allotment]`.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	reports  *reports
 	stages   *stages // used by the goroutine that leads alone
 	versions *entryVersions
+	models   modelEndpoints
 	// refusals bounds the log lines on heartbeats that were refused.
 	refusals *rate.Limiter
 
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -121,6 +121,22 @@
 	b.state(e.Incarnation()).fullAt = now
 }
 
+// Zone is the entry's own.
+func (b *Book) Zone() string { return b.zone }
+
+// PassedOver lists the IDs of the endpoints that are passed over now.
+func (b *Book) PassedOver(now time.Time, endpoints []*Endpoint) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []string
+	for _, e := range endpoints {
+		if s := b.states[e.Incarnation()]; s != nil && !s.open(now) {
+			list = append(list, e.ID)
+		}
+	}
+	return list
+}
+
 // Sweep forgets endpoints that were not used for a while.
 func (b *Book) Sweep(now time.Time) {
 	b.mu.Lock()
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -35,10 +35,13 @@
 	// Staging changes which endpoints read and which generate. Off: they stay as
 	// they registered.
 	Staging Mechanism = "staging"
+	// Allotment has the home of a service say where a model request goes. Off:
+	// each entry asks endpoints by what it knows itself.
+	Allotment Mechanism = "allotment"
 )
 
 var mechanisms = []Mechanism{
-	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging,
+	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
 }
 
 // Policy tells which mechanisms work. The zero Policy has all of them on. It is
--- a/internal/dispatch/reading.go
+++ b/internal/dispatch/reading.go
@@ -84,6 +84,18 @@
 	gapShare = 0.75
 )
 
+// Bounds gives how much may stand before a prompt at a reader that takes some
+// time by itself there, and whether the prompt may be read where its answer is
+// generated.
+func (r Reading) Bounds(alone time.Duration) (longestBacklog time.Duration, readsOwn bool) {
+	own := ownReadingFactor * alone
+	return max(readerWait, own) - alone, r.mayReadOwn(own)
+}
+
+func (r Reading) mayReadOwn(own time.Duration) bool {
+	return r.Policy.Has(OwnReading) && (r.Gap == 0 || own <= time.Duration(gapShare*float64(r.Gap)))
+}
+
 // Choose tells where the prompt is read: alone is how long it takes at a
 // reader by itself, and whole with those before it.
 func (r Reading) Choose(alone, whole time.Duration) Place {
@@ -91,7 +103,7 @@
 	if whole <= max(readerWait, 2*alone) || whole <= own {
 		return PlaceReader
 	}
-	if r.Policy.Has(OwnReading) && (r.Gap == 0 || own <= time.Duration(gapShare*float64(r.Gap))) {
+	if r.mayReadOwn(own) {
 		return PlaceOwn
 	}
 	return PlaceLater
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -33,6 +33,16 @@
 	lateStart = 800 * time.Millisecond
 )
 
+// Left is how long a request may still wait for a place, after it has waited
+// for some time.
+func (w Waiting) Left(waited time.Duration) time.Duration {
+	left := w.Patience - w.Length
+	if w.Target > 0 {
+		left = min(left, w.Target)
+	}
+	return left - w.Start - waited
+}
+
 // Pause is how long a request waits before it asks again, after it has waited
 // for some time; give up is true when no answer could come in time.
 func (w Waiting) Pause(waited time.Duration) (pause time.Duration, giveUp bool) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -71,6 +71,13 @@
 	return max(0, time.Since(f.began)-time.Duration(since))
 }
 
+// Members gives the addresses of the control instances that are known.
+func (f *Follower) Members() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -30,6 +30,7 @@
 	holds  map[string]heldRoom  // by name
 	free   map[string]time.Time // when a reader is done with what it has
 	named  int
+	noRoom int // questions for memory that were refused
 	wasted int // tokens that were read and not used
 	memory int // of each, tokens
 }
@@ -59,6 +60,7 @@
 	defer e.mu.Unlock()
 	e.lapse()
 	if e.used[at.ID]+tokens > e.memory {
+		e.noRoom++
 		return "", ErrNoRoom
 	}
 	e.named++
@@ -210,7 +212,7 @@
 // burst is how a replayed load was served.
 type burst struct {
 	asked, inTarget, late, refused int
-	wasted                         int
+	wasted, noRoom                 int
 }
 
 // load is how many requests a second come at a time after the beginning.
@@ -242,23 +244,30 @@
 	var result burst
 	synctest.Test(t, func(t *testing.T) {
 		e := newEngines(memory)
-		result = play(t, of, newEntries(e, readers, generating, holds, policy), e)
+		result = play(t, of, newEntries(e, fleetShape{entries: 7, readers: readers, generating: generating, holds: holds}, policy, nil), e)
 	})
 	return result
 }
 
-// newEntries makes seven entries before readers and generating endpoints.
-func newEntries(e *engines, readers, generating int, holds bool, policy dispatch.Policy) []*Router {
+// fleetShape is how many there are of each.
+type fleetShape struct {
+	entries, readers, generating int
+	holds                        bool // endpoints set memory aside
+}
+
+// newEntries makes entries before readers and generating endpoints. allotter gives
+// each its own; nil for none.
+func newEntries(e *engines, shape fleetShape, policy dispatch.Policy, allotter func(entry int) Allotter) []*Router {
 	view := &View{Endpoints: map[string][]*dispatch.Endpoint{}}
-	for n := range readers + generating {
+	for n := range shape.readers + shape.generating {
 		stage := dispatch.StageDecode
-		if n < readers {
+		if n < shape.readers {
 			stage = dispatch.StagePrefill
 		}
 		view.Endpoints["s"] = append(view.Endpoints["s"], &dispatch.Endpoint{ID: fmt.Sprint("e", n), Service: "s", Slots: 64, Stage: stage})
 	}
 	engine := &routetable.Engine{Slots: 64, KVTokens: e.memory}
-	if holds {
+	if shape.holds {
 		engine.HoldLife = 2 * time.Second
 	}
 	view.Table = routetable.Compile(&routetable.Document{
@@ -269,14 +278,18 @@
 		}},
 	})
 	var entries []*Router
-	for n := range 7 {
+	for n := range shape.entries {
 		random := rand.New(rand.NewPCG(uint64(n), 7))
 		var mu sync.Mutex
-		entries = append(entries, New(Options{
+		options := Options{
 			View: func() *View { return view }, Endpoints: e, Book: dispatch.NewBook("", uint64(n), policy), Policy: policy,
 			Budget: dispatch.NewBudget(time.Now().Add(-time.Minute), 0.2, 10*time.Second, 8), Part: logging.Part{},
 			Random: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
-		}))
+		}
+		if allotter != nil {
+			options.Allotter = allotter(n)
+		}
+		entries = append(entries, New(options))
 	}
 	return entries
 }
@@ -317,7 +330,7 @@
 		})
 	}
 	all.Wait()
-	b.wasted = e.wasted
+	b.wasted, b.noRoom = e.wasted, e.noRoom
 	return b
 }
 
--- a/internal/relay/giveback.go
+++ b/internal/relay/giveback.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 )
 
 // The bounds of freeing memory that engines keep for an exchange.
@@ -46,6 +48,7 @@
 
 // dropPlace frees the room that was set aside for the exchange.
 func (l *life) dropPlace(at *place) {
+	l.settleAllotted(dispatch.OutcomeGivenUp)
 	if at.hold == "" {
 		return
 	}
--- a/internal/relay/herd_test.go
+++ b/internal/relay/herd_test.go
@@ -31,7 +31,7 @@
 	assert.NilError(t, err)
 	var h herd
 	synctest.Test(t, func(t *testing.T) {
-		entries := newEntries(newEngines(engineMemory), 3, 9, true, policy)
+		entries := newEntries(newEngines(engineMemory), fleetShape{entries: 7, readers: 3, generating: 9, holds: true}, policy, nil)
 		random := rand.New(rand.NewPCG(3, 5))
 		var mu sync.Mutex
 		var all sync.WaitGroup
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -38,9 +39,10 @@
 	trail  []step // decisions so far
 	untold int    // decisions beyond those kept
 
-	sentAt    time.Time // of the newest send
-	firstAt   time.Time // when the first byte was passed on
-	prefillMs int64     // that a prefill took; 0 without one
+	sentAt    time.Time         // of the newest send
+	firstAt   time.Time         // when the first byte was passed on
+	allotted  *allocation.Place // in use; nil for none
+	prefillMs int64             // that a prefill took; 0 without one
 	writes    int
 	writtenAt time.Time     // of the newest part passed on
 	pause     time.Duration // longest one between two parts
@@ -183,6 +185,7 @@
 		book.HaveAnswered(l.service, l.estimate(), time.Since(l.firstAt))
 	}
 	l.settleSource(a.outcome)
+	l.settleAllotted(a.outcome)
 	return a
 }
 
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
@@ -33,7 +34,8 @@
 // place is memory at an endpoint for one request.
 type place struct {
 	endpoint *dispatch.Endpoint
-	hold     string // empty where endpoints don't set memory aside
+	hold     string            // empty where endpoints don't set memory aside
+	allotted *allocation.Place // nil where no home gave it
 }
 
 // prepareModel finds memory for the whole request where it will run, and only
@@ -44,6 +46,7 @@
 	if at == nil {
 		return nil, nil
 	}
+	l.allotted = at.allotted
 	call := l.call(at.endpoint)
 	call.Hold = at.hold
 	call.Priority = l.rank()
@@ -61,7 +64,10 @@
 	return at.endpoint, call
 }
 
-// awaitPlace asks for memory until there is some, or the wait is in vain.
+// awaitPlace asks for memory until there is some, or the wait is in vain. Where a
+// home says that there is none, endpoints are not asked as well: who asks them
+// takes the room that comes free from those who wait for it in turn, and from
+// large requests most.
 func (l *life) awaitPlace(ctx context.Context) *place {
 	since, waiting := l.waiting()
 	defer l.router.metrics.waited(time.Now())
@@ -72,12 +78,18 @@
 				"patience_ms", waiting.Patience.Milliseconds(), "answer_ms", waiting.Length.Milliseconds())
 			return nil
 		}
-		if l.canBeRead() {
-			at, found := l.findPlace(ctx)
-			if at != nil || !found {
-				return at
+		at, asked := l.allot(ctx, waiting.Left(time.Since(since)))
+		if asked {
+			pause = allotPause
+		} else if l.canBeRead() {
+			found := false
+			if at, found = l.findPlace(ctx); !found {
+				return nil
 			}
 		}
+		if at != nil {
+			return at
+		}
 		if !sleep.For(ctx, pause) {
 			return nil
 		}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -29,6 +29,7 @@
 	View      func() *View
 	Endpoints Endpoints
 	Book      *dispatch.Book
+	Allotter  Allotter // nil: entries place requests by themselves
 	Budget    *dispatch.Budget
 	Policy    dispatch.Policy
 	Part      logging.Part
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -30,7 +30,7 @@
 	if l.readsOwn() {
 		return nil
 	}
-	choice, where := l.chooseReader()
+	choice, where := l.readerFor()
 	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
 	if where != dispatch.PlaceReader {
 		return nil
@@ -45,6 +45,7 @@
 	defer cancel()
 	result, outcome := l.readPrompt(reading, choice.Endpoint)
 	l.prefillMs = time.Since(began).Milliseconds()
+	l.tellRead(outcome, book.ReadingTime(l.service, l.x.Prompt.Tokens, 0), time.Since(began))
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
 	if outcome == dispatch.OutcomeServed {
 		book.HaveRead(time.Now(), choice.Endpoint, l.x.Prompt.Tokens, time.Since(began))
@@ -69,6 +70,20 @@
 // returned tells whether the caller already holds a part of the answer.
 func (l *life) returned() bool { return l.x.After != "" }
 
+// readerFor gives the reader that the home named, or the one chosen here.
+func (l *life) readerFor() (dispatch.Choice, dispatch.Place) {
+	if l.allotted == nil {
+		return l.chooseReader()
+	}
+	e := l.endpoint(dispatch.StagePrefill, l.allotted.Reader)
+	if e == nil {
+		return dispatch.Choice{}, dispatch.PlaceOwn
+	}
+	alone := l.router.options.Book.ReadingTime(l.service, l.x.Prompt.Tokens, 0)
+	before := float64(l.allotted.Backlog) / float64(max(alone, time.Millisecond))
+	return dispatch.Choice{Endpoint: e, Before: before}, dispatch.PlaceReader
+}
+
 // chooseReader picks the endpoint that reads prompts for others with the least
 // before it, and tells whether this one is read there.
 func (l *life) chooseReader() (dispatch.Choice, dispatch.Place) {
