allocation, relay: lost answers say nothing of an endpoint, slowness fades, unused reading is given back

By reading: an answer that was lost on its way kept a sound endpoint from the whole fleet for up to 1.4 s (a fleet of nine loses a ninth); a reader that was slow once counted as slow until it was chosen again, which it never was; a reader stayed promised to requests whose place turned out to be full.

Ruled out: places that nobody gives back (entries settle all that they end, and those of dead entries go after two seconds).

--- a/internal/allocation/account.go
+++ b/internal/allocation/account.go
@@ -18,9 +18,9 @@
 	// trialFor is how long one request tries an endpoint that was left alone,
 	// before others follow: an endpoint that says nothing is known by then.
 	trialFor = 400 * time.Millisecond
-	// slowFade is by how much a promise that is kept lessens the slowness of a
-	// reader: after some ten of them it counts as sound.
-	slowFade = 0.8
+	// slowLife is the time in which a seen slowness of a reader loses half of its
+	// weight: readers are held up for some seconds, and the end must show soon.
+	slowLife = time.Second
 	// lapseFactor and lapseSlack bound how long a place counts that nobody gives
 	// back, as when an entry died: its answers end with it.
 	lapseFactor = 2
@@ -74,13 +74,12 @@
 	b := a.book(grant.Endpoint)
 	b.held = append(b.held, held{
 		exchange: ask.Exchange, entry: ask.Entry, prompt: ask.Prompt, output: ask.Output, capacity: ask.Capacity,
-		since: now, length: grant.Backlog + ask.Reading + ask.Length,
+		reader: grant.Reader, reading: ask.Reading, since: now, length: grant.Backlog + ask.Reading + ask.Length,
 	})
 	b.tried(now)
 	if grant.Reader != "" {
 		r := a.book(grant.Reader)
-		r.busyUntil = now.Add(grant.Backlog + r.reading(ask))
-		r.slowness *= slowFade
+		r.busyUntil = now.Add(grant.Backlog + ask.Reading)
 		r.tried(now)
 	}
 }
@@ -119,7 +118,7 @@
 		if !e.Reads || !e.fits(ask) || !b.open(now) {
 			continue
 		}
-		wait := max(0, b.busyUntil.Sub(now)) + b.reading(ask) - ask.Reading
+		wait := max(0, b.busyUntil.Sub(now)) + b.reading(now, ask) - ask.Reading
 		cost := wait
 		if e.Zone != zone {
 			cost += crossZoneRead
@@ -143,12 +142,23 @@
 	switch o {
 	case OutcomeFull:
 		b.refused(now, settled)
+		a.giveBackReading(settled)
 	case OutcomeGone:
 		b.gone(now, entry)
+		a.giveBackReading(settled)
 	case OutcomeDone:
 	}
 }
 
+// giveBackReading takes back what a reader was promised to for a request that found
+// no place after all.
+func (a *Account) giveBackReading(h held) {
+	if h.reader != "" {
+		r := a.book(h.reader)
+		r.busyUntil = r.busyUntil.Add(-h.reading)
+	}
+}
+
 // Read takes in that a reader did not read as promised.
 func (a *Account) Read(now time.Time, reader, entry string, o Outcome, promised, took time.Duration) {
 	b := a.book(reader)
@@ -156,9 +166,7 @@
 		b.gone(now, entry)
 		return
 	}
-	late := max(0, took-promised)
-	b.busyUntil = b.busyUntil.Add(late)
-	b.slowness = max(b.slowness, float64(late)/float64(max(promised, time.Millisecond)))
+	b.wasLate(now, promised, max(0, took-promised))
 }
 
 // DropEntries forgets the places of entries that are gone: their callers'
--- a/internal/allocation/book.go
+++ b/internal/allocation/book.go
@@ -10,7 +10,9 @@
 	exchange       string
 	entry          string
 	prompt, output int
-	capacity       int // of the endpoint
+	capacity       int           // of the endpoint
+	reader         string        // that was promised; empty for none
+	reading        time.Duration // of that promise
 	since          time.Time
 	length         time.Duration // from reading to the end
 }
@@ -24,7 +26,8 @@
 	held      []held
 	unknown   unknownUse
 	busyUntil time.Time // as a reader
-	slowness  float64   // as a reader: by how much longer it takes than promised, 0 for none
+	slowness  float64   // as a reader, as seen: by how much longer it took than promised, 0 for none
+	slowAt    time.Time // when that was seen
 	leftUntil time.Time // left alone until then
 	onTrial   bool      // was left alone, and is to be tried by one request
 	goneBy    string    // entry that could not reach it last
@@ -56,8 +59,22 @@
 }
 
 // reading is how long a reader takes for a prompt.
-func (b *book) reading(ask Ask) time.Duration {
-	return time.Duration((1 + b.slowness) * float64(ask.Reading))
+func (b *book) reading(now time.Time, ask Ask) time.Duration {
+	return time.Duration((1 + b.slownessNow(now)) * float64(ask.Reading))
+}
+
+// slownessNow fades with time: a reader that nobody chooses while it counts as slow
+// would else never show that it is sound again.
+func (b *book) slownessNow(now time.Time) float64 {
+	age := max(0, now.Sub(b.slowAt))
+	return b.slowness * float64(slowLife) / float64(slowLife+age)
+}
+
+// wasLate takes in that a prompt came back later than promised.
+func (b *book) wasLate(now time.Time, promised, late time.Duration) {
+	b.busyUntil = b.busyUntil.Add(late)
+	b.slowness = max(b.slownessNow(now), float64(late)/float64(max(promised, time.Millisecond)))
+	b.slowAt = now
 }
 
 // unknownUse is memory in use that the account knows only by an endpoint's refusal.
--- a/internal/allocation/doc.go
+++ b/internal/allocation/doc.go
@@ -9,5 +9,6 @@
 // to endpoints that are full, and never a promise.
 //
 // Account is pure: the time and what is known go in. Server and Client are the
-// shells. Locks: Server.mu and Client.mu are leaves.
+// shells. Locks: Client.mu is a leaf. Server.mu is held while the Fleet is asked for
+// entries, whose lock is a leaf.
 package allocation
--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -125,12 +125,14 @@
 	})
 }
 
-// endOf sorts how a call ended by what others need to know of its endpoint.
+// endOf sorts how a call ended by what others need to know of its endpoint. An
+// answer that was lost shows nothing of it: sound endpoints lose some, and a fleet of
+// a few can't do without them.
 func endOf(o dispatch.Outcome) allocation.Outcome {
 	switch o {
 	case dispatch.OutcomeFull:
 		return allocation.OutcomeFull
-	case dispatch.OutcomeUnreachable, dispatch.OutcomeMisfit, dispatch.OutcomeLost:
+	case dispatch.OutcomeUnreachable, dispatch.OutcomeMisfit:
 		return allocation.OutcomeGone
 	}
 	return allocation.OutcomeDone
@@ -143,6 +145,8 @@
 		return allocation.OutcomeFull
 	case ctx.Err() != nil:
 		return allocation.OutcomeDone
+	case errors.Is(err, errSilent):
+		return allocation.OutcomeGone
 	}
-	return allocation.OutcomeGone
+	return endOf(outcomeOf(err))
 }
