relay, allocation, explain: who was refused for want of a place can be told why

An entry that is told by the home that nothing is free logged only that it waits no longer: from a request's ID nobody could tell what the home knew. The home's answer now names how many endpoints could have generated the answer and the tokens free at the emptiest, the entry logs them, and `hyssopsail explain` says so in its first line (explain.TestSummaries, relay.TestLogExplainsAFailure). No decision changes.

--- a/internal/allocation/account.go
+++ b/internal/allocation/account.go
@@ -109,6 +109,19 @@
 	return best
 }
 
+// Room sums up what is free for a request.
+func (a *Account) Room(now time.Time, endpoints []Endpoint, ask Ask) Room {
+	var r Room
+	for i := range endpoints {
+		e := &endpoints[i]
+		if !e.Reads && e.fits(ask) {
+			r.Among++
+			r.MostFree = max(r.MostFree, ask.Capacity-a.book(e.ID).used(now))
+		}
+	}
+	return r
+}
+
 // reader picks the reader that is free first; nil when there are none.
 func (a *Account) reader(now time.Time, endpoints []Endpoint, ask Ask, zone string) (best *Endpoint, backlog time.Duration) {
 	var least time.Duration
--- a/internal/allocation/ask.go
+++ b/internal/allocation/ask.go
@@ -36,6 +36,13 @@
 	Backlog  time.Duration // of the reader before this prompt
 }
 
+// Room is what an account knows of the room for a request, for those who ask why
+// there was none.
+type Room struct {
+	Among    int // endpoints that could generate the answer, full or not
+	MostFree int // tokens at the emptiest of them
+}
+
 // fits tells whether a request may go there, room aside.
 func (e *Endpoint) fits(ask Ask) bool {
 	if ask.Model != "" && len(e.Models) > 0 && !slices.Contains(e.Models, ask.Model) {
--- a/internal/allocation/client.go
+++ b/internal/allocation/client.go
@@ -59,6 +59,7 @@
 // Place is a grant, and where it is given back.
 type Place struct {
 	Grant
+	Room     Room // where there was none
 	Home     string
 	Service  string
 	Exchange string
@@ -82,7 +83,8 @@
 	}
 	c.answered(home)
 	grant := Grant{Endpoint: reply.Endpoint, Reader: reply.Reader, Backlog: time.Duration(reply.BacklogMs) * time.Millisecond}
-	return Place{Grant: grant, Home: home, Service: service, Exchange: ask.Exchange}, nil
+	room := Room{Among: int(reply.Among), MostFree: int(reply.MostFree)}
+	return Place{Grant: grant, Room: room, Home: home, Service: service, Exchange: ask.Exchange}, nil
 }
 
 func (c *Client) request(service string, ask Ask, wait time.Duration) *pb.AllotRequest {
--- a/internal/allocation/server.go
+++ b/internal/allocation/server.go
@@ -45,7 +45,19 @@
 		grant = s.await(ctx, r.Service, w, min(longestWait, millis(r.WaitMs)))
 	}
 	s.metrics.count(grant, w != nil)
-	return &pb.AllotReply{Endpoint: grant.Endpoint, Reader: grant.Reader, BacklogMs: uint32(grant.Backlog.Milliseconds())}, nil
+	reply := &pb.AllotReply{Endpoint: grant.Endpoint, Reader: grant.Reader, BacklogMs: uint32(grant.Backlog.Milliseconds())}
+	if grant.Endpoint == "" {
+		room := s.room(r.Service, ask)
+		reply.Among, reply.MostFree = uint32(room.Among), uint32(room.MostFree)
+	}
+	return reply, nil
+}
+
+func (s *Server) room(service string, ask Ask) Room {
+	endpoints := s.fleet.ModelEndpoints(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.desk(service).account.Room(time.Now(), endpoints, ask)
 }
 
 func askOf(r *pb.AllotRequest) Ask {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -11,6 +11,9 @@
   11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No room." request=aa route=r version=3 at_ms=1 endpoint=i-1 tokens=1663
   11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: More decisions like these." request=aa count=12
   11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: Refused." request=aa verdict=not-run reason="no endpoint can take it" route=r version=3 endpoint= sends=0 runs=0 took_ms=652 err=null left_by=null
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No place came free." request=ee route=r version=3 at_ms=101 home=10.1.0.1:7000 tokens=7766 among=9 most_free=5100
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No place came free." request=ee route=r version=3 at_ms=207 home=10.1.0.1:7000 tokens=7766 among=9 most_free=6200
+  11.2 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: Refused." request=ee verdict=not-run reason="no endpoint can take it" route=r version=3 endpoint= sends=0 runs=0 took_ms=651 err=null left_by=null
 not a log line
   11.3 edge-2 ts=2026-01-29T00:18:10Z level=info msg="relay: Chosen." request=bb route=q version=3 at_ms=0 endpoint=i-2 stage=0 among=4
   11.4 edge-2 ts=2026-01-29T00:18:10Z level=info msg="relay: Refused." request=bb verdict=unknown reason=lost route=q version=3 endpoint=i-2 sends=1 runs=1 took_ms=48 err="read: reset\nby peer" left_by=null
@@ -36,6 +39,7 @@
 func TestSummaries(t *testing.T) {
 	for request, want := range map[string]string{
 		"aa": "refused (not-run) after 652 ms: no endpoint can take it; it was sent to nobody, 1 endpoints had no room for it (and 12 more decisions like these)",
+		"ee": "refused (not-run) after 651 ms: no endpoint can take it; it was sent to nobody, the home of its service had no place for it in 2 questions",
 		"bb": "refused (unknown) after 48 ms: lost; it was sent 1 times, last to i-2, and may have run there; error: read: reset\nby peer",
 		"cc": "broken off after event 7 and 910 ms: lost; the answer came from i-2; error: EOF",
 		"dd": "answered by i-3 (served) in 4000 ms, its first part after 1200 ms: 750 ms until it had a place, 200 ms for its prompt, 250 ms until the endpoint gave the first part; the longest pause between parts was 410 ms, 2100 ms after its arrival",
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -108,6 +108,7 @@
 	brokenOff = "relay: Broken off."
 	refused   = "relay: Refused."
 	noRoom    = "relay: No room."
+	noPlace   = "relay: No place came free."
 	more      = "relay: More decisions like these."
 )
 
@@ -146,6 +147,8 @@
 func refusal(l Line, lines []Line) string {
 	text := fmt.Sprintf("refused (%s) after %s ms: %s", l.Get("verdict"), l.Get("took_ms"), l.Get("reason"))
 	switch {
+	case l.Get("sends") == "0" && count(lines, noPlace) > 0:
+		text += fmt.Sprintf("; it was sent to nobody, the home of its service had no place for it in %d questions%s", count(lines, noPlace), untold(lines))
 	case l.Get("sends") == "0":
 		text += fmt.Sprintf("; it was sent to nobody, %d endpoints had no room for it%s", count(lines, noRoom), untold(lines))
 	case l.Get("runs") == "0":
--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -40,9 +40,10 @@
 		return nil, false
 	}
 	if given.Endpoint == "" {
+		l.log("No place came free.", "home", given.Home, "tokens", l.memory(), "among", given.Room.Among, "most_free", given.Room.MostFree)
 		return nil, true
 	}
-	l.log("Allotted.", "endpoint", given.Endpoint, "reader", given.Reader, "backlog_ms", given.Backlog.Milliseconds())
+	l.log("Allotted.", "home", given.Home, "endpoint", given.Endpoint, "reader", given.Reader, "backlog_ms", given.Backlog.Milliseconds())
 	return l.takeAllotted(ctx, given), true
 }
 
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // An on-call engineer has the ID of a failed request and the log. It must tell
@@ -22,6 +26,14 @@
 			func() *world { return newWorld(stream).model() },
 			[]string{`"relay: No room."`, `"relay: Refused."`, "verdict=not-run", `reason="no endpoint can take it"`, "sends=0"},
 		},
+		"refused for want of a place, by the home": {
+			func() *world {
+				w := newWorld(stream).model()
+				w.router.options.Allotter = fullHome{}
+				return w
+			},
+			[]string{`"relay: No place came free."`, "home=10.1.0.1:7000", "among=9", "most_free=5100", `"relay: Refused."`, "verdict=not-run", "sends=0"},
+		},
 		"lost after it was sent": {
 			func() *world { return newWorld(atMostOnce, fails(true)) },
 			[]string{`"relay: Chosen."`, "among=3", "age_ms=-1", `"relay: Refused."`, "verdict=unknown", "reason=lost", "runs=1", "err=cut"},
@@ -75,3 +87,17 @@
 	w.serve(t, exchange())
 	assert.Equal(t, strings.Count(lines.String(), "\n"), 1)
 }
+
+// fullHome has no place for anybody.
+type fullHome struct{}
+
+func (fullHome) Allot(ctx context.Context, _ string, _ allocation.Ask, wait time.Duration) (allocation.Place, error) {
+	sleep.For(ctx, wait)
+	return allocation.Place{Home: "10.1.0.1:7000", Room: allocation.Room{Among: 9, MostFree: 5100}}, nil
+}
+
+func (fullHome) Settle(context.Context, allocation.Place, allocation.Outcome) error { return nil }
+
+func (fullHome) Read(context.Context, allocation.Place, allocation.Outcome, time.Duration, time.Duration) error {
+	return nil
+}
