relay: an endpoint that this entry has not heard of yet is not told to be unreachable

Cause, by reading: a home knows an endpoint some tenths of a second before all entries do, and names it first, as it is the emptiest. Entries that lag told the home that it could not be reached, so that a new endpoint was kept from all entries for up to a second. They now give the place back and leave that endpoint out of their own next question (relay.TestEndpointThatIsNotKnownHereYet).

--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -51,7 +51,10 @@
 func (l *life) takeAllotted(ctx context.Context, given allocation.Place) *place {
 	e := l.endpoint(dispatch.StageDecode, given.Endpoint)
 	if e == nil {
-		l.settle(given, allocation.OutcomeGone)
+		// It has just registered, and this entry hasn't heard of it yet: nothing is
+		// wrong with it.
+		l.unseen = append(l.unseen, given.Endpoint)
+		l.settle(given, allocation.OutcomeDone)
 		return nil
 	}
 	hold, err := l.reserve(ctx, e)
@@ -83,6 +86,7 @@
 		reading := dispatch.Reading{Gap: l.route.EventGap, Policy: l.router.options.Policy}
 		a.LongestBacklog, a.ReadsOwn = reading.Bounds(a.Reading)
 	}
+	a.Excluded = append(a.Excluded, l.unseen...)
 	for id := range l.tried {
 		a.Excluded = append(a.Excluded, id.ID)
 	}
--- a/internal/relay/allot_test.go
+++ b/internal/relay/allot_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,3 +135,47 @@
 		h.net.SetCut(true, fmt.Sprint("entry", n), h.members...)
 	}
 }
+
+// An endpoint has just registered: the home knows it, and it is the emptiest, but
+// some entries have not heard of it yet. They must go elsewhere, and must not tell
+// that it can't be reached, which would keep all others from it.
+func TestEndpointThatIsNotKnownHereYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(stream).model()
+		h := &ahead{}
+		w.router.options.Allotter = h
+		w.serve(t, modelExchange())
+		synctest.Wait()
+		assert.Assert(t, len(h.asks) > 1)
+		assert.DeepEqual(t, h.asks[1].Excluded, []string{"new"})
+		assert.DeepEqual(t, h.settled, []allocation.Outcome{allocation.OutcomeDone})
+	})
+}
+
+// ahead is a home that names an endpoint which nobody else knows.
+type ahead struct {
+	mu      sync.Mutex
+	asks    []allocation.Ask
+	settled []allocation.Outcome
+}
+
+func (h *ahead) Allot(_ context.Context, _ string, ask allocation.Ask, _ time.Duration) (allocation.Place, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asks = append(h.asks, ask)
+	if len(h.asks) > 1 {
+		return allocation.Place{}, allocation.ErrNoHome
+	}
+	return allocation.Place{Grant: allocation.Grant{Endpoint: "new"}}, nil
+}
+
+func (h *ahead) Settle(_ context.Context, _ allocation.Place, o allocation.Outcome) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settled = append(h.settled, o)
+	return nil
+}
+
+func (h *ahead) Read(context.Context, allocation.Place, allocation.Outcome, time.Duration, time.Duration) error {
+	return nil
+}
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -42,6 +42,7 @@
 	sentAt    time.Time         // of the newest send
 	firstAt   time.Time         // when the first byte was passed on
 	allotted  *allocation.Place // in use; nil for none
+	unseen    []string          // endpoints that a home named and that are not known here
 	prefillMs int64             // that a prefill took; 0 without one
 	writes    int
 	writtenAt time.Time     // of the newest part passed on
