keyhash: hashes of keys in a package of their own

Cause: callers' keys on the users' platform need the same hash as the settings tree's, below the layer of settings. Moved whole, no second copy: settings.KeyHash is keyhash.Hash, settings.HashKey is keyhash.Of. No change of behaviour; tests as before.

--- a/cmd/hyssopsail/hashkey.go
+++ b/cmd/hyssopsail/hashkey.go
@@ -7,7 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // hashKeyCommand prints the hash of a key, or of a new one.
@@ -45,12 +45,12 @@
 func (c *hashKeyCommand) pair() (keyPair, error) {
 	if c.file != "" {
 		key, err := readKey(c.file)
-		return keyPair{Hash: string(settings.HashKey(key))}, trace.Wrap(err)
+		return keyPair{Hash: string(keyhash.Of(key))}, trace.Wrap(err)
 	}
 	raw := make([]byte, keyBytes)
 	if _, err := rand.Read(raw); err != nil {
 		return keyPair{}, trace.Wrap(err)
 	}
 	key := hex.EncodeToString(raw)
-	return keyPair{Key: key, Hash: string(settings.HashKey(key))}, nil
+	return keyPair{Key: key, Hash: string(keyhash.Of(key))}, nil
 }
--- a/cmd/hyssopsail/settings_send.go
+++ b/cmd/hyssopsail/settings_send.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/operator"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
@@ -100,7 +101,7 @@
 
 // changeID names a change by who does what, so that the same command run again
 // after a lost reply is the same change, and any other is another.
-func changeID(who settings.KeyHash, change *pb.ChangeSubtree) string {
+func changeID(who keyhash.Hash, change *pb.ChangeSubtree) string {
 	hash := sha256.New()
 	_, _ = fmt.Fprintf(hash, "%s\x00%s\x00%d\x00", who, change.Name, change.ExpectedVersion) // a hash takes any write
 	_, _ = hash.Write(change.Yaml)
--- a/internal/capacity/settings.go
+++ b/internal/capacity/settings.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // The keys of a measured fleet.
@@ -48,7 +48,7 @@
 caller_kinds:
   - {kind: sorter, patience: 10s, priority: 5}
 timeouts: {address_keep: 1s}
-`, modelName, serviceName, settings.HashKey(endpointKey), settings.HashKey(operatorKey))
+`, modelName, serviceName, keyhash.Of(endpointKey), keyhash.Of(operatorKey))
 	return b.String()
 }
 
@@ -68,7 +68,7 @@
 wasted_prefill_weight: 0.5
 share: %d
 limits: {concurrent: 1000, prompt_tokens: 16000}
-`, teamName(n), settings.HashKey(teamKey(n)), strings.Join(permitted(n), ", "), modelName, serviceName, 1+revision%100)
+`, teamName(n), keyhash.Of(teamKey(n)), strings.Join(permitted(n), ", "), modelName, serviceName, 1+revision%100)
 }
 
 // permitted gives all zones to two teams of three, and two to the third, so
--- a/internal/control/fixture_test.go
+++ b/internal/control/fixture_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 	"github.com/hyssopsail/hyssopsail/internal/testkit"
@@ -28,7 +29,7 @@
 
 func teamYAML(name string, zones ...string) []byte {
 	text := "team: %s\nkey_hashes: [%q]\npermitted_zones: [%s]\nmodels: [fibre]\n"
-	return fmt.Appendf(nil, text, name, settings.HashKey(name), strings.Join(zones, ", "))
+	return fmt.Appendf(nil, text, name, keyhash.Of(name), strings.Join(zones, ", "))
 }
 
 func testOptions() MachineOptions {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/operator"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
@@ -261,7 +262,7 @@
 weight_store: {rate: 1GB/s, concurrent_loads: 2}
 caller_kinds:
   - {kind: any, patience: 10s, priority: 5}
-`, settings.HashKey(endpointKey), settings.HashKey(operatorKey))
+`, keyhash.Of(endpointKey), keyhash.Of(operatorKey))
 	if p.timeouts != "" {
 		b.WriteString("timeouts:\n" + p.timeouts)
 	}
@@ -275,7 +276,7 @@
 models: [m]
 services: [s]
 targets: {first_token: 1600ms, token_gap: 38ms}
-`, name, settings.HashKey(key), strings.Join(zones, ", "))
+`, name, keyhash.Of(key), strings.Join(zones, ", "))
 }
 
 // awaitCurrent waits until the instances serve.
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -33,7 +34,7 @@
 
 func teamDocument(n int, version uint64) *pb.SubtreeDocument {
 	name := fmt.Sprint("team", n)
-	yaml := fmt.Appendf(nil, "team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah]\nmodels: [fibre]\n", name, settings.HashKey(name))
+	yaml := fmt.Appendf(nil, "team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah]\nmodels: [fibre]\n", name, keyhash.Of(name))
 	return &pb.SubtreeDocument{Name: "teams/" + name, Version: version, Yaml: yaml}
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,8 +9,8 @@
 	"net/url"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
-	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
 
 // ClientOptions say whom to ask and with which key.
@@ -52,7 +52,7 @@
 }
 
 // KeyHash names the key that the client shows.
-func (c *Client) KeyHash() settings.KeyHash { return settings.HashKey(c.options.Key) }
+func (c *Client) KeyHash() keyhash.Hash { return keyhash.Of(c.options.Key) }
 
 // ReplyError is a refusal by a daemon.
 type ReplyError struct {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -10,7 +10,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 	"github.com/gravitational/trace"
 
-	"github.com/hyssopsail/hyssopsail/internal/settings"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // Bounds of the handler.
@@ -26,12 +26,12 @@
 
 type handler struct {
 	options Options
-	secret  settings.KeyHash
+	secret  keyhash.Hash
 }
 
 // NewHandler makes the operators' HTTP handler.
 func NewHandler(options Options) http.Handler {
-	h := &handler{options: options, secret: settings.HashKey(options.Secret.Hex())}
+	h := &handler{options: options, secret: keyhash.Of(options.Secret.Hex())}
 	router := chi.NewRouter()
 	router.Route("/v1", func(r chi.Router) {
 		r.Use(middleware.Throttle(maxConcurrent))
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	"github.com/hyssopsail/hyssopsail/internal/config"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -48,8 +49,8 @@
 var (
 	secret    = config.Secret{9}
 	operators = []settings.Operator{
-		{Name: "root", KeyHash: settings.HashKey("root-key"), Subtrees: []string{"*"}},
-		{Name: "lead", KeyHash: settings.HashKey("lead-key"), Subtrees: []string{"teams/a"}},
+		{Name: "root", KeyHash: keyhash.Of("root-key"), Subtrees: []string{"*"}},
+		{Name: "lead", KeyHash: keyhash.Of("lead-key"), Subtrees: []string{"teams/a"}},
 	}
 )
 
--- a/internal/orders/issuer_test.go
+++ b/internal/orders/issuer_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engine"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
@@ -83,7 +84,7 @@
 // settings applies a fleet subtree with these lines more.
 func (w *world) settings(t *testing.T, lines string) {
 	yaml := fmt.Sprintf("availability_zones: [{name: howrah, region: r}]\noperators: [{name: o, key_hash: %q, subtrees: [\"*\"]}]\n%s",
-		settings.HashKey("key"), lines)
+		keyhash.Of("key"), lines)
 	r := w.apply(&pb.Command{Body: &pb.Command_ChangeSubtree{ChangeSubtree: &pb.ChangeSubtree{
 		Name: settings.FleetSubtree, ChangeId: "c", Author: "o", Yaml: []byte(yaml),
 	}}})
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/strictyaml"
 )
@@ -18,7 +19,7 @@
 		Fleet:    defaultFleet(),
 		Teams:    map[fleet.Team]Team{},
 		Versions: map[string]uint64{},
-		teamOf:   map[KeyHash]fleet.Team{},
+		teamOf:   map[keyhash.Hash]fleet.Team{},
 	}
 }
 
--- a/internal/settings/credentials.go
+++ b/internal/settings/credentials.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // Patterns of Operator.Subtrees.
@@ -16,7 +17,7 @@
 // anything is looked up, so the time taken tells nothing of any key: who
 // guesses can't choose the leading bits of a hash.
 func (t *Tree) TeamByKey(key string) (Team, bool) {
-	name, ok := t.teamByHash(HashKey(key))
+	name, ok := t.teamByHash(keyhash.Of(key))
 	if !ok {
 		return Team{}, false
 	}
@@ -33,7 +34,7 @@
 	return owns
 }
 
-func (t *Tree) teamByHash(hash KeyHash) (fleet.Team, bool) {
+func (t *Tree) teamByHash(hash keyhash.Hash) (fleet.Team, bool) {
 	index := t.teamOf
 	if index == nil {
 		index = t.keyIndex()
--- a/internal/settings/fixture_test.go
+++ b/internal/settings/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"strings"
 	"testing"
 
@@ -51,7 +52,7 @@
 
 func fill(text string) []byte {
 	for _, name := range []string{"ROOT", "LEAD", "SORTERS"} {
-		text = strings.ReplaceAll(text, "%"+name+"%", string(HashKey(strings.ToLower(name)+"-key")))
+		text = strings.ReplaceAll(text, "%"+name+"%", string(keyhash.Of(strings.ToLower(name)+"-key")))
 	}
 	return []byte(text)
 }
@@ -82,5 +83,5 @@
 // teamText is a small team's subtree; its key is its name.
 func teamText(name string) []byte {
 	return fmt.Appendf(nil, "team: %s\nkey_hashes: [%q]\npermitted_zones: [howrah, barasat]\nmodels: [fibre]\n"+
-		"services: [bank]\ntargets: {first_token: 1600ms, token_gap: 38ms}\nlimits: {concurrent: 40, prompt_tokens: 20000}\n", name, HashKey(name))
+		"services: [bank]\ntargets: {first_token: 1600ms, token_gap: 38ms}\nlimits: {concurrent: 40, prompt_tokens: 20000}\n", name, keyhash.Of(name))
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -4,21 +4,22 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // Fleet is the fleet subtree: what all teams share.
 type Fleet struct {
-	Zones        []Zone       `yaml:"availability_zones"` // at least one
-	Links        []Link       `yaml:"links"`              // KV transfer links between zones
-	Models       []Model      `yaml:"models"`
-	Services     []Service    `yaml:"services"` // plain services
-	EndpointKeys []KeyHash    `yaml:"endpoint_key_hashes"`
-	Operators    []Operator   `yaml:"operators"`
-	WeightStore  WeightStore  `yaml:"weight_store"`
-	Decisions    Decisions    `yaml:"decisions"`
-	Provision    Provision    `yaml:"provision"`
-	Timeouts     Timeouts     `yaml:"timeouts"`
-	Callers      []CallerKind `yaml:"caller_kinds"` // defaults for teams
+	Zones        []Zone         `yaml:"availability_zones"` // at least one
+	Links        []Link         `yaml:"links"`              // KV transfer links between zones
+	Models       []Model        `yaml:"models"`
+	Services     []Service      `yaml:"services"` // plain services
+	EndpointKeys []keyhash.Hash `yaml:"endpoint_key_hashes"`
+	Operators    []Operator     `yaml:"operators"`
+	WeightStore  WeightStore    `yaml:"weight_store"`
+	Decisions    Decisions      `yaml:"decisions"`
+	Provision    Provision      `yaml:"provision"`
+	Timeouts     Timeouts       `yaml:"timeouts"`
+	Callers      []CallerKind   `yaml:"caller_kinds"` // defaults for teams
 }
 
 // Zone declares an availability zone.
@@ -41,9 +42,6 @@
 // ByteSize is bytes; in YAML "64KB", "128MB" (powers of 1000).
 type ByteSize int64
 
-// KeyHash is "sha256:" and 64 hex digits.
-type KeyHash string
-
 // Model declares a model that engines may load.
 type Model struct {
 	Name            string        `yaml:"name"`
@@ -72,9 +70,9 @@
 // Operator may change the subtrees that match Subtrees ("*", "fleet",
 // "teams/*" or a full name).
 type Operator struct {
-	Name     string   `yaml:"name"`
-	KeyHash  KeyHash  `yaml:"key_hash"`
-	Subtrees []string `yaml:"subtrees"`
+	Name     string       `yaml:"name"`
+	KeyHash  keyhash.Hash `yaml:"key_hash"`
+	Subtrees []string     `yaml:"subtrees"`
 }
 
 // WeightStore bounds model loads over the fleet.
--- a/internal/settings/lookup_test.go
+++ b/internal/settings/lookup_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -105,7 +106,7 @@
 	team, ok := tree.TeamByKey("sorters-key")
 	assert.Assert(t, ok)
 	assert.Equal(t, team.Name, fleet.Team("sorters"))
-	for _, key := range []string{"", "sorters-kez", "root-key", string(HashKey("sorters-key"))} {
+	for _, key := range []string{"", "sorters-kez", "root-key", string(keyhash.Of("sorters-key"))} {
 		_, ok = tree.TeamByKey(key)
 		assert.Assert(t, !ok, key)
 	}
--- a/internal/settings/team.go
+++ b/internal/settings/team.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // Team is one team's subtree.
 type Team struct {
 	Name                fleet.Team               `yaml:"team"`
-	KeyHashes           []KeyHash                `yaml:"key_hashes"`      // at least one
+	KeyHashes           []keyhash.Hash           `yaml:"key_hashes"`      // at least one
 	PermittedZones      []fleet.AvailabilityZone `yaml:"permitted_zones"` // at least one
 	Models              []string                 `yaml:"models"`          // "model" or "model@version"
 	Services            []string                 `yaml:"services"`        // plain services
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // FleetSubtree is the name of the fleet's own subtree; TeamPrefix begins the
@@ -24,7 +25,7 @@
 	Teams    map[fleet.Team]Team
 	Versions map[string]uint64
 
-	teamOf map[KeyHash]fleet.Team // nil in a tree that was put together by hand
+	teamOf map[keyhash.Hash]fleet.Team // nil in a tree that was put together by hand
 }
 
 func (t *Tree) hasFleet() bool { return len(t.Fleet.Zones) > 0 }
@@ -50,11 +51,11 @@
 }
 
 // keyIndex gives a fresh map from key hash to team.
-func (t *Tree) keyIndex() map[KeyHash]fleet.Team {
+func (t *Tree) keyIndex() map[keyhash.Hash]fleet.Team {
 	if t.teamOf != nil {
 		return maps.Clone(t.teamOf)
 	}
-	index := make(map[KeyHash]fleet.Team, len(t.Teams))
+	index := make(map[keyhash.Hash]fleet.Team, len(t.Teams))
 	for name, team := range t.Teams {
 		for _, hash := range team.KeyHashes {
 			index[hash] = name
