--- a/internal/allocation/client.go
+++ b/internal/allocation/client.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
 
+	"github.com/hyssopsail/hyssopsail/internal/backoff"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -21,9 +21,7 @@
 	// homeTimeout bounds an answer beyond the wait that was asked for. A home
 	// answers within a few milliseconds; one that does not is frozen or cut off.
 	homeTimeout = 80 * time.Millisecond
-	// firstLeft is how long a home that failed is passed over; the time doubles
-	// with each failure in a row, to longestLeft at most: where no home can be
-	// reached, each question is time that a request has lost.
+	// firstLeft and longestLeft bound how long a home that failed is passed over.
 	firstLeft   = 2 * time.Second
 	longestLeft = 16 * time.Second
 	// settleTimeout bounds the word that a place is free.
@@ -40,20 +38,12 @@
 	entry   string // ID of this incarnation
 	dialer  Dialer
 	members func() []string
-
-	mu   sync.Mutex
-	left map[string]leftHome
-}
-
-// leftHome is a home that failed.
-type leftHome struct {
-	until time.Time
-	pause time.Duration // that it is passed over for now
+	failed  *backoff.Peers
 }
 
 // NewClient makes a Client that knows the control instances by members.
 func NewClient(entry string, dialer Dialer, members func() []string) *Client {
-	return &Client{entry: entry, dialer: dialer, members: members, left: map[string]leftHome{}}
+	return &Client{entry: entry, dialer: dialer, members: members, failed: backoff.New(firstLeft, longestLeft)}
 }
 
 // Place is a grant, and where it is given back.
@@ -77,11 +67,11 @@
 	reply, err := c.call(asking, home, c.request(service, ask, wait))
 	if err != nil {
 		if ctx.Err() == nil {
-			c.leave(home, time.Now())
+			c.failed.Failed(home, time.Now())
 		}
 		return Place{}, trace.Wrap(ErrNoHome, "%s: %v", home, err)
 	}
-	c.answered(home)
+	c.failed.Answered(home)
 	grant := Grant{Endpoint: reply.Endpoint, Reader: reply.Reader, Backlog: time.Duration(reply.BacklogMs) * time.Millisecond}
 	room := Room{Among: int(reply.Among), MostFree: int(reply.MostFree)}
 	return Place{Grant: grant, Room: room, Home: home, Service: service, Exchange: ask.Exchange}, nil
@@ -107,32 +97,16 @@
 // home is the control instance that all entries agree on for a service as long
 // as they know the same ones: the one of the highest hash with it.
 func (c *Client) home(service string, now time.Time) string {
-	members := c.members()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	best, most := "", uint64(0)
-	for _, m := range members {
+	for _, m := range c.members() {
 		weight := xxhash.Sum64String(service + "\x00" + m)
-		if !now.Before(c.left[m].until) && (best == "" || weight > most) {
+		if c.failed.Open(m, now) && (best == "" || weight > most) {
 			best, most = m, weight
 		}
 	}
 	return best
 }
 
-func (c *Client) answered(home string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.left, home)
-}
-
-func (c *Client) leave(home string, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	pause := max(firstLeft, min(2*c.left[home].pause, longestLeft))
-	c.left[home] = leftHome{until: now.Add(pause), pause: pause}
-}
-
 // Settle gives a place back, and tells how its use ended.
 func (c *Client) Settle(ctx context.Context, p Place, o Outcome) error {
 	return c.tell(ctx, p.Home, func(ctx context.Context, home pb.DRPCAllotterClient) error {
