quota, relay, follower, platform: callers' keys, revocation and quotas

Cause: the shifted deployment's configurations have teams with keys and quotas; keys went on to endpoints, unknown and revoked ones ran, quotas were not kept.

Keys are accepted for 0.95 of the limit after the last word that the configuration is the newest, counted from the question by a clock that goes on while a machine is suspended. Quotas are kept in equal shares by the control instances, one question for each request.

Ruled out: a configuration confirmed only once all entries have it (an entry that is cut off would hold up each change, and the operator waits no longer than the limit); a home for each team (two at once, or one that begins anew, spend a quota twice); a fixed share for each entry (27 requests of slack for 79 entries).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 	leadingSince time.Time            // zero when not leading
 	lastLook     time.Time            // as leader
 	currentUntil time.Time
+	confirmedAt  time.Duration // by Options.Uptime: until when all that was confirmed is known here; 0 before the first word
 	started      time.Time
 	isReady      bool            // ready is closed
 	inTouch      bool            // as the log said last
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -84,7 +84,8 @@
 	assert.NilError(f.t, err)
 	i.node = node
 	i.Coordinator = New(Options{
-		Group: node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
+		Uptime: uptime,
+		Group:  node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
 		Self:  &pb.Member{InstanceId: i.address, DiskId: node.DiskID(), RpcAddress: i.address},
 		Seeds: i.seeds, Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
 		Orders: f.orders, OrderLease: 3 * time.Second, Tolerance: f.tolerance,
@@ -167,3 +168,6 @@
 func (f *fleet) put(i *instance, version int64) error {
 	return i.PutDocument(f.within(time.Second), version, []byte(fmt.Sprint("document ", version)))
 }
+
+// uptime begins with a test's own time.
+func uptime() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/coordinator/growth_test.go
+++ b/internal/coordinator/growth_test.go
@@ -65,7 +65,7 @@
 func (f *fleet) startEntry(address string) entry {
 	f.net.SetRate(address, entryRate)
 	e := entry{follower.New(follower.Options{
-		Dialer: f.net.Dialer(address), Seeds: firstSeeds, Decode: decodeRoutes,
+		Dialer: f.net.Dialer(address), Seeds: firstSeeds, Decode: decodeRoutes, Uptime: uptime,
 		Self: func() *pb.EntryRecord { return &pb.EntryRecord{Id: address, Name: address} },
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -81,6 +81,9 @@
 	// EndpointSilence is how long an endpoint may be unheard before it counts
 	// as silent; three heartbeats and some slack.
 	EndpointSilence time.Duration
+	// Uptime is the clock by which entries are told how old this member's knowledge
+	// is; it goes on while the machine is suspended.
+	Uptime func() time.Duration
 	// Orders gives orders to model endpoints; nil: none are given.
 	Orders Orders
 	// OrderLease is for how long nobody else may give orders after one holder.
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -28,7 +28,7 @@
 // member is in touch; without one, entries and endpoints soon turn elsewhere.
 func (c *Coordinator) reportSeen(ctx context.Context) {
 	request := c.takeSeen()
-	sent := time.Now()
+	sent, uptime := time.Now(), c.options.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	index, err := c.sendSeen(ctx, request)
@@ -40,10 +40,12 @@
 		c.noteOutOfTouch(time.Now(), err)
 		return
 	}
-	c.noteInTouch(sent)
+	c.noteInTouch(sent, uptime)
 }
 
-func (c *Coordinator) noteInTouch(sent time.Time) {
+// noteInTouch takes in that the leader answered a report that was sent at a time, and
+// at an uptime of this machine: this member has applied what was committed by then.
+func (c *Coordinator) noteInTouch(sent time.Time, uptime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isReady && c.voters() >= c.options.firstVoters() {
@@ -55,6 +57,7 @@
 	}
 	c.inTouch = true
 	c.currentUntil = sent.Add(currentFor)
+	c.confirmedAt = uptime
 }
 
 // noteOutOfTouch writes one line when this member stops being current.
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -66,6 +66,7 @@
 }
 
 func (c *Coordinator) followReply(request *pb.FollowRequest) *pb.FollowReply {
+	confirmedAt := c.lastConfirmed()
 	delta := c.options.Machine.Since(request.DocumentVersion, request.Revision)
 	reply := &pb.FollowReply{
 		Current:   c.current(time.Now()) && delta.Revision >= request.Revision,
@@ -75,12 +76,27 @@
 		More:      delta.More,
 		Entries:   uint32(len(c.options.Machine.ReadyEntries())),
 	}
+	if confirmedAt > 0 {
+		reply.AgeUs = uint64((c.options.Uptime() - confirmedAt).Microseconds()) + 1
+	}
 	for _, m := range c.options.Group.Status().Members {
 		reply.Members = append(reply.Members, m.Member.RpcAddress)
 	}
 	return reply
 }
 
+// lastConfirmed is until when this member knows all documents that were confirmed, by
+// Options.Uptime; 0 before the leader's first word.
+func (c *Coordinator) lastConfirmed() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedAt
+}
+
+// Keepers tells how many control instances share teams' quotas, 0 while that isn't
+// known.
+func (c *Coordinator) Keepers() int { return len(c.options.Group.Status().Members) }
+
 // Blocks implements pb.DRPCCoordinatorServer.
 func (c *Coordinator) Blocks(_ context.Context, request *pb.BlocksRequest) (*pb.BlocksReply, error) {
 	sums := make([]blocks.Sum, 0, len(request.Blocks))
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -38,6 +38,7 @@
 	tellers   []string             // members that told of the version on its way
 	decoded   *routetable.Document // in force, nil before the first
 	table     *routetable.Table    // of decoded
+	words     confirmations        // of table, and of those on their way
 	revision  uint64
 	endpoints map[string]*pb.EndpointRecord
 	asked     [ways]string    // member that each way asks
@@ -147,6 +148,7 @@
 // ask puts one question of a way to a member.
 func (f *Follower) ask(ctx context.Context, way int, member string) error {
 	request, nudged := f.request()
+	asked := f.options.Uptime()
 	silence := followSilence
 	if request.Revision == 0 {
 		silence = firstSilence
@@ -165,6 +167,7 @@
 			"took_ms", transfer.Took().Milliseconds(), "received_bytes", transfer.Received(), "err", err)
 		return err
 	}
+	f.confirm(asked, request, reply)
 	if f.take(way, member, reply) && !reply.More {
 		sleep.For(ctx, min(time.Duration(reply.Entries)*newsPause, longestNewsPause))
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -102,7 +102,7 @@
 		f.follower = New(Options{
 			Dialer: f.net.Dialer("entry"), Seeds: seeds, Decode: decode,
 			Self:    func() *pb.EntryRecord { return &pb.EntryRecord{Id: "me"} },
-			Entries: func(n int) { f.entries.Store(int64(n)) },
+			Entries: func(n int) { f.entries.Store(int64(n)) }, Uptime: uptime,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
@@ -115,6 +115,9 @@
 
 func address(n int) string { return fmt.Sprint("control", n) }
 
+// uptime begins with a test's own time.
+func uptime() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // decode reads a document whose source is the name of its route.
 func decode(source []byte, _ *routetable.Document) (*routetable.Document, error) {
 	if string(source) == "bad" {
--- a/internal/follower/options.go
+++ b/internal/follower/options.go
@@ -58,6 +58,9 @@
 	Decode func(source []byte, before *routetable.Document) (*routetable.Document, error)
 	// Self tells what is said of this entry with each question.
 	Self func() *pb.EntryRecord
+	// Uptime is the clock that confirmations count by; it goes on while the machine is
+	// suspended.
+	Uptime func() time.Duration
 	// Entries, when set, is told how many entries take callers.
 	Entries func(n int)
 }
--- a/internal/follower/picture.go
+++ b/internal/follower/picture.go
@@ -85,6 +85,7 @@
 		return
 	}
 	f.decoded, f.table = decoded, routetable.Compile(decoded)
+	f.words.inForce(d.Version())
 	f.view.Store(f.build())
 	took := time.Since(f.download.began)
 	f.metrics.inForce.Set(float64(d.Version()))
@@ -94,7 +95,7 @@
 }
 
 func (f *Follower) build() *relay.View {
-	view := &relay.View{Table: f.table, Endpoints: map[string][]*dispatch.Endpoint{}}
+	view := &relay.View{Table: f.table, Confirmed: f.words.current, Endpoints: map[string][]*dispatch.Endpoint{}}
 	for _, e := range f.endpoints {
 		if e.State == pb.EndpointState_ENDPOINT_STATE_READY && e.Assigned == pb.Stage_STAGE_UNSPECIFIED {
 			view.Endpoints[e.Service] = append(view.Endpoints[e.Service], endpointOf(e))
--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,75 @@
+package quota
+
+import "time"
+
+// account is a keeper's share of one team's quota: a token bucket.
+type account struct {
+	limit  Limit
+	level  float64 // below 0 after a request that was larger than what was left
+	filled time.Time
+	grants []grant // of the last returnWithin, oldest first
+}
+
+// grant is what one request took.
+type grant struct {
+	id   uint64
+	cost float64
+	at   time.Time
+}
+
+func newAccount(now, began time.Time, limit Limit, share float64) *account {
+	earned := limit.PerSecond * now.Sub(began).Seconds()
+	return &account{limit: limit, level: share * min(earned, limit.Burst), filled: now}
+}
+
+// fill adds what the time has earned. A newer limit counts from now on.
+//
+// Failure guarded: an entry that lags behind still tells an older and higher limit. The
+// newest that any entry told counts for all.
+func (a *account) fill(now time.Time, limit Limit, share float64) {
+	a.earn(now, share)
+	if limit.Version > a.limit.Version {
+		a.limit = limit
+		a.level = min(a.level, share*limit.Burst)
+	}
+}
+
+func (a *account) earn(now time.Time, share float64) {
+	passed := max(0, now.Sub(a.filled).Seconds())
+	a.level = min(a.level+share*a.limit.PerSecond*passed, share*a.limit.Burst)
+	a.filled = now
+}
+
+// until is the time until something is left again.
+func (a *account) until(share float64) time.Duration {
+	perSecond := share * a.limit.PerSecond
+	if perSecond <= 0 {
+		return keptIdle
+	}
+	return min(time.Duration((1-a.level)/perSecond*float64(time.Second)), keptIdle)
+}
+
+func (a *account) take(now time.Time, id uint64, cost float64) {
+	a.forgetOld(now)
+	a.level -= cost
+	a.grants = append(a.grants, grant{id: id, cost: cost, at: now})
+}
+
+func (a *account) forgetOld(now time.Time) {
+	old := 0
+	for old < len(a.grants) && now.Sub(a.grants[old].at) > returnWithin {
+		old++
+	}
+	a.grants = append(a.grants[:0], a.grants[old:]...)
+}
+
+func (a *account) giveBack(now time.Time, id uint64) {
+	a.forgetOld(now)
+	for i, g := range a.grants {
+		if g.id == id {
+			a.level += g.cost
+			a.grants = append(a.grants[:i], a.grants[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
 // Exchange is one attempt of a caller: a request that is passed on unchanged,
 // with the traits that decide its way.
 type Exchange struct {
-	ID       string // of the attempt, as the caller gave it
+	ID       string       // of the attempt, as the caller gave it
+	Key      keyhash.Hash // that the caller showed; empty for none
 	Method   string
 	Host     string
 	Path     string
@@ -57,6 +59,7 @@
 // Call is an exchange on its way to one endpoint.
 type Call struct {
 	Exchange *Exchange
+	Team     string // of the caller; empty where callers need no key
 	Endpoint *dispatch.Endpoint
 	TimeLeft time.Duration // after which the endpoint may stop
 	Prefill  bool          // only read the prompt
@@ -140,8 +143,9 @@
 	Abort()
 }
 
-// View is what the entry knows of the fleet. It is immutable.
+// View is what the entry knows of the fleet. It is immutable, Confirmed aside.
 type View struct {
 	Table     *routetable.Table // nil before the first document
+	Confirmed *Confirmation     // of Table; nil before the first document
 	Endpoints map[string][]*dispatch.Endpoint
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -73,7 +73,7 @@
 	}
 	l.writeTrail()
 	l.router.options.Part.Info("Refused.", "request", l.x.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
-		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen, "sends", l.sends,
+		"route", l.route.Name, "team", teamName(l.team), "version", l.version, "service", l.service, "endpoint", l.chosen, "sends", l.sends,
 		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
 }
 
@@ -137,7 +137,7 @@
 	if p := l.x.Prompt; p != nil {
 		tokens, output = p.Tokens, p.MaxOutput
 	}
-	l.router.options.Part.Info("Answered.", "request", l.x.ID, "route", l.route.Name, "version", l.version,
+	l.router.options.Part.Info("Answered.", "request", l.x.ID, "route", l.route.Name, "team", teamName(l.team), "version", l.version,
 		"service", l.service, "endpoint", l.chosen, "outcome", l.last, "sends", l.sends, "runs", l.runs,
 		"prompt", tokens, "output", output, "prefill_ms", l.prefillMs,
 		"sent_ms", l.sentAt.Sub(l.x.Received).Milliseconds(), "first_ms", l.firstAt.Sub(l.x.Received).Milliseconds(),
--- a/internal/relay/giveback.go
+++ b/internal/relay/giveback.go
@@ -65,8 +65,10 @@
 	l.giveBack(func(ctx context.Context) { l.router.options.Endpoints.Release(ctx, read.endpoint, read.handle) })
 }
 
-func (l *life) giveBack(free func(ctx context.Context)) {
-	if !l.router.giveBacks.run(free) {
-		l.router.metrics.leftToLapse.Inc()
+func (l *life) giveBack(free func(ctx context.Context)) { l.router.giveBack(free) }
+
+func (r *Router) giveBack(free func(ctx context.Context)) {
+	if !r.giveBacks.run(free) {
+		r.metrics.leftToLapse.Inc()
 	}
 }
--- /dev/null
+++ b/internal/relay/identity_test.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/quota"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// withTeams has callers show keys: team "a" holds two of them, "b" one.
+func (w *world) withTeams() *world {
+	first := 0
+	d := &routetable.Document{
+		Version: 3, Services: []routetable.Service{{Name: "s"}}, Limits: routetable.Limits{BodyBytes: 100},
+		Teams: []routetable.Team{
+			{Name: "a", Keys: []keyhash.Hash{keyhash.Of("a1"), keyhash.Of("a2")}, Priority: &first},
+			{Name: "b", Keys: []keyhash.Hash{keyhash.Of("b1")}},
+		},
+	}
+	d.Routes = []routetable.Route{*w.route, *w.route}
+	d.Routes[1].Prefix, d.Routes[1].Anonymous = "/open/", true
+	w.route = &d.Routes[0]
+	w.view = &View{Table: routetable.Compile(d), Confirmed: &Confirmation{}, Endpoints: w.view.Endpoints}
+	return w
+}
+
+func shows(key string) *Exchange {
+	x := exchange()
+	if key != "" {
+		x.Key = keyhash.Of(key)
+	}
+	return x
+}
+
+// A caller shows a key, another team's, an unknown one or none. Only a key that a team
+// holds runs, the endpoint is told whose it is, and a route that is open to all asks
+// for none.
+func TestKeyDecidesTheTeam(t *testing.T) {
+	for _, test := range []struct {
+		name, key, path string
+		behind          time.Duration
+		team            string
+		verdict         Verdict
+		served          bool
+	}{
+		{name: "first key", key: "a1", team: "a", served: true},
+		{name: "second key", key: "a2", team: "a", served: true},
+		{name: "other team", key: "b1", team: "b", served: true},
+		{name: "unknown", key: "c1", verdict: VerdictNoKey},
+		{name: "none", verdict: VerdictNoKey},
+		{name: "unknown, a newer configuration is on its way", key: "c1", behind: time.Millisecond, verdict: VerdictNotRun},
+		{name: "open route", path: "/open/1", served: true},
+		{name: "open route with a key", key: "a1", path: "/open/1", served: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(idempotent, gives(func() *Reply { return ok("good") })).withTeams()
+			w.router.options.Behind = func() time.Duration { return test.behind }
+			x := shows(test.key)
+			if test.path != "" {
+				x.Path = test.path
+			}
+			_, refusal := w.serve(t, x)
+			if !test.served {
+				assert.Equal(t, refusal.Verdict, test.verdict)
+				assert.Equal(t, len(w.endpoints.calls), 0)
+				return
+			}
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, w.endpoints.calls[0].Team, test.team)
+		})
+	}
+}
+
+// A model request of a team has its prompt read first, is sent again, and goes on
+// elsewhere: each call bears the team's name.
+func TestEachCallBearsTheTeam(t *testing.T) {
+	w := newWorld(stream, gives(func() *Reply { return ok("handle") }), gives(notRun),
+		gives(func() *Reply { return ok("handle") }), gives(func() *Reply { return ok(event("1")) })).model().withTeams()
+	w.view.Table.Service("s").Engine = &routetable.Engine{KVTokens: 10000, HoldLife: 2 * time.Second}
+	x := modelExchange()
+	x.Key = keyhash.Of("b1")
+	_, refusal := w.serve(t, x)
+	assert.Assert(t, refusal == nil)
+	assert.Assert(t, len(w.endpoints.calls) >= 3)
+	for _, call := range w.endpoints.calls {
+		assert.Equal(t, call.Team, "b")
+	}
+}
+
+// A team's own rank goes before that of the route.
+func TestTeamsPriority(t *testing.T) {
+	r := &routetable.Route{Priority: 3}
+	first := 0
+	assert.Equal(t, enginePriority(r, nil, 0), 3+freshRank)
+	assert.Equal(t, enginePriority(r, &routetable.Team{}, 0), 3+freshRank)
+	assert.Equal(t, enginePriority(r, &routetable.Team{Priority: &first}, 0), freshRank)
+}
+
+// A key is taken away while an entry is cut off, stands still, or is suspended so that
+// its monotonic clock does. Its holder goes on sending there. The entry must refuse
+// before anyone can rely on the key being gone, must serve on until then, and again as
+// soon as it has a word; open routes don't depend on it.
+func TestKeysOfAnEntryThatIsCutOff(t *testing.T) {
+	const within = 5 * time.Second
+	for _, test := range []struct {
+		name   string
+		age    time.Duration
+		within time.Duration
+		path   string
+		served bool
+	}{
+		{"just confirmed", 0, within, "/p/1", true},
+		{"some time ago", 4700 * time.Millisecond, within, "/p/1", true},
+		{"too long ago", 4800 * time.Millisecond, within, "/p/1", false},
+		{"suspended for a day", 24 * time.Hour, within, "/p/1", false},
+		{"open route", 24 * time.Hour, within, "/open/1", true},
+		{"no limit", 24 * time.Hour, 0, "/p/1", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(idempotent, gives(func() *Reply { return ok("good") }), gives(func() *Reply { return ok("good") })).withTeams()
+			w.view.Confirmed.Raise(time.Hour)
+			w.router.options.RevokeWithin = test.within
+			uptime := time.Hour + test.age
+			w.router.options.Uptime = func() time.Duration { return uptime }
+			x := shows("a1")
+			x.Path = test.path
+			_, refusal := w.serve(t, x)
+			assert.Equal(t, refusal == nil, test.served)
+			if !test.served {
+				assert.Equal(t, refusal.Verdict, VerdictNotRun)
+				assert.Assert(t, refusal.RetryAfter > 0)
+				w.view.Confirmed.Raise(uptime)
+				_, refusal = w.serve(t, x)
+				assert.Assert(t, refusal == nil)
+			}
+		})
+	}
+}
+
+// An unknown key, a spent quota and an outdated configuration are told in the log by
+// the request's ID, its team and route. A key is never in it, nor its hash.
+func TestRefusalsOfCallersAreExplained(t *testing.T) {
+	var lines bytes.Buffer
+	logger, err := logging.New(&lines, logging.LevelInfo)
+	assert.NilError(t, err)
+	w := newWorld(idempotent).withTeams()
+	w.router.options.Part = logging.For(logger, "relay")
+	w.serve(t, shows("unknown-key"))
+	w.router.options.Quotas = &quotas{take: func() error { return &quota.SpentError{Again: time.Second} }}
+	w.view.Table.TeamOf(keyhash.Of("a1")).Quota = routetable.Quota{PerSecond: 1}
+	w.serve(t, shows("a1"))
+	w.router.options.RevokeWithin = time.Second
+	w.router.options.Uptime = func() time.Duration { return time.Hour }
+	w.serve(t, shows("a1"))
+	text := lines.String()
+	for _, want := range []string{
+		`"relay: No team has the key." request=x1 route=r shown=true`, `"relay: The quota is spent." request=x1 route=r team=a`,
+		`"relay: Refused, keys may have changed." request=x1`,
+	} {
+		assert.Assert(t, strings.Contains(text, want), "%s lacks %s", text, want)
+	}
+	for _, key := range []string{"unknown-key", "a1"} {
+		assert.Assert(t, !strings.Contains(text, key+" ") && !strings.Contains(text, string(keyhash.Of(key))), text)
+	}
+}
+
+// quotas are a team's quota by a script.
+type quotas struct {
+	take     func() error
+	costs    []float64
+	returned int
+	done     chan struct{} // told of each return
+}
+
+func (q *quotas) Take(_ context.Context, team string, _ quota.Limit, cost float64) (quota.Grant, error) {
+	q.costs = append(q.costs, cost)
+	return quota.Grant{Team: team}, q.take()
+}
+
+func (q *quotas) Return(context.Context, quota.Grant) error {
+	q.returned++
+	q.done <- struct{}{}
+	return nil
+}
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -17,7 +17,8 @@
 	x        *Exchange
 	caller   Caller
 	route    *routetable.Route
-	version  int64 // of the configuration that gave the route
+	team     *routetable.Team // nil where callers need no key
+	version  int64            // of the configuration that gave the route
 	service  string
 	engine   *routetable.Engine
 	deadline time.Time
@@ -157,7 +158,7 @@
 
 func (l *life) call(e *dispatch.Endpoint) *Call {
 	return &Call{
-		Exchange: l.x, Endpoint: e, TimeLeft: time.Until(l.deadline) - wayMargin, Priority: noRank,
+		Exchange: l.x, Team: teamName(l.team), Endpoint: e, TimeLeft: time.Until(l.deadline) - wayMargin, Priority: noRank,
 		Fresh: l.sends > 0, After: l.lastID,
 	}
 }
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -30,6 +30,7 @@
 	Endpoints Endpoints
 	Book      *dispatch.Book
 	Allotter  Allotter // nil: entries place requests by themselves
+	Quotas    Quotas   // nil: teams have none
 	Budget    *dispatch.Budget
 	Policy    dispatch.Policy
 	Part      logging.Part
@@ -41,4 +42,11 @@
 	// ApplyWithin is how long a confirmed configuration may take to be in force at
 	// each entry; 0 for no limit.
 	ApplyWithin time.Duration
+	// RevokeWithin is how long a key may be accepted after the confirmation of the
+	// configuration that took it away, by an entry that was cut off too; 0 for no
+	// limit.
+	RevokeWithin time.Duration
+	// Uptime is the clock that Confirmation counts by; it goes on while the machine is
+	// suspended.
+	Uptime func() time.Duration
 }
--- /dev/null
+++ b/internal/relay/quota.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/quota"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
+)
+
+// Quotas keeps teams within their quotas over all entries.
+type Quotas interface {
+	// Take takes a request's cost from a team's quota. The error is a
+	// *quota.SpentError or quota.ErrNoKeeper.
+	Take(ctx context.Context, team string, limit quota.Limit, cost float64) (quota.Grant, error)
+	// Return gives back what a request took that did not run.
+	Return(ctx context.Context, g quota.Grant) error
+}
+
+// The figures of a wait for a keeper of quotas.
+const (
+	// keeperShare is the part of a target that a request waits for any keeper:
+	// processes that were killed together are back within a second.
+	keeperShare = 0.6
+	// keeperPause is the wait between two tries.
+	keeperPause = 30 * time.Millisecond
+	// keeperSilence is how long the control instances may have been silent before a
+	// request no longer waits for them: this entry is cut off, and another one isn't.
+	keeperSilence = 1500 * time.Millisecond
+	// elsewhere is when a caller may come again who can be served by other entries at
+	// once.
+	elsewhere = 50 * time.Millisecond
+)
+
+// takeQuota takes what the exchange costs from its team's quota; nil where there is no
+// limit.
+//
+// Load pattern: one team sends many times its usual, over all entries, and fills the
+// endpoints' memory and the queues before the readers; every other team's requests
+// wait behind it and miss their targets. What is beyond the team's quota is told at
+// once to come again. Each request is asked for by itself: a model request is larger
+// than an entry's even part of a quota.
+func (r *Router) takeQuota(
+	ctx context.Context, x *Exchange, view *View, route *routetable.Route, team *routetable.Team,
+) (*quota.Grant, *Refusal) {
+	if team == nil || !team.Quota.Limited() || r.options.Quotas == nil {
+		return nil, nil
+	}
+	limit := quota.Limit{Version: view.Table.Version, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst}
+	cost := x.cost(team.Quota)
+	for {
+		grant, err := r.options.Quotas.Take(ctx, team.Name, limit, cost)
+		if err == nil {
+			return &grant, nil
+		}
+		var spent *quota.SpentError
+		if errors.As(err, &spent) {
+			return nil, r.overQuota(x, route, team, cost, spent)
+		}
+		waited := time.Since(x.Received)
+		cutOff := r.confirmedFor(view) > keeperSilence
+		if cutOff || waited > time.Duration(keeperShare*float64(route.Target)) || !sleep.For(ctx, keeperPause) {
+			r.options.Part.Warn("No keeper of quotas was asked.", "request", x.ID, "route", route.Name, "team", team.Name,
+				"waited_ms", waited.Milliseconds(), "cut_off", cutOff, "err", err)
+			return nil, &Refusal{Verdict: VerdictNotRun, Reason: "the team's quota can't be asked for here", RetryAfter: elsewhere}
+		}
+	}
+}
+
+func (r *Router) overQuota(x *Exchange, route *routetable.Route, team *routetable.Team, cost float64, spent *quota.SpentError) *Refusal {
+	r.options.Part.Info("The quota is spent.", "request", x.ID, "route", route.Name, "team", team.Name,
+		"cost", rounded(cost), "again_ms", spent.Again.Milliseconds())
+	after := max(spent.Again, retryAfter(x.Patience, r.options.Random()))
+	return &Refusal{Verdict: VerdictOverQuota, Reason: "the team's quota is spent", RetryAfter: after}
+}
+
+// cost is what the exchange counts in a quota.
+func (x *Exchange) cost(q routetable.Quota) float64 {
+	if x.Prompt == nil {
+		return q.Cost(0, false)
+	}
+	return q.Cost(x.Prompt.Tokens+x.Prompt.MaxOutput, true)
+}
+
+// returnQuota gives back what an exchange took that did not run, without waiting for
+// it.
+func (r *Router) returnQuota(x *Exchange, taken *quota.Grant) {
+	if taken == nil {
+		return
+	}
+	r.giveBack(func(ctx context.Context) {
+		if err := r.options.Quotas.Return(ctx, *taken); err != nil {
+			r.options.Part.Debug("A quota was not given back.", "request", x.ID, "team", taken.Team, "err", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/quota_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
+	"github.com/hyssopsail/hyssopsail/internal/quota"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// withQuota gives team "a" a quota of tokens, which answers by take.
+func (w *world) withQuota(take func() error) *quotas {
+	q := &quotas{take: take, done: make(chan struct{}, 10)}
+	w.withTeams()
+	w.router.options.Quotas = q
+	w.view.Table.TeamOf(keyhash.Of("a1")).Quota = routetable.Quota{Unit: routetable.UnitToken, PerSecond: 100, Burst: 100, Unsized: 7}
+	return q
+}
+
+func granted() error { return nil }
+
+// What a request costs is known before it runs: the prompt and the most that may be
+// generated, or what a request counts that tells no size.
+func TestCostOfARequest(t *testing.T) {
+	w := newWorld(idempotent, gives(func() *Reply { return ok("good") }), gives(func() *Reply { return ok("good") }))
+	q := w.withQuota(granted)
+	plain, model := shows("a1"), modelExchange()
+	model.Key = plain.Key
+	w.serve(t, plain)
+	w.serve(t, model)
+	assert.DeepEqual(t, q.costs, []float64{7, 1200})
+	w.serve(t, shows("b1")) // has no limit
+	assert.Equal(t, len(q.costs), 2)
+	assert.Equal(t, routetable.Quota{}.Cost(1200, true), 1.0)
+}
+
+// A team sends beyond its quota. Each request is told at once that it has not run, and
+// when to come back: not before there is something left, and not all together.
+func TestSpentQuotaIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(idempotent)
+		w.withQuota(func() error { return &quota.SpentError{Again: 3 * time.Second} })
+		began := time.Now()
+		_, refusal := w.serve(t, shows("a1"))
+		assert.Equal(t, refusal.Verdict, VerdictOverQuota)
+		assert.Equal(t, refusal.RetryAfter, 3*time.Second)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, len(w.endpoints.calls), 0)
+	})
+}
+
+// A request took its part of the quota and found no endpoint: it has not run, so its
+// team gets the part back. One that may have run costs what it costs.
+func TestQuotaOfWhatDidNotRunIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(atMostOnce, gives(notRun), gives(notRun), gives(notRun))
+		q := w.withQuota(granted)
+		_, refusal := w.serve(t, shows("a1"))
+		assert.Equal(t, refusal.Verdict, VerdictNotRun)
+		<-q.done
+		assert.Equal(t, q.returned, 1)
+
+		w.endpoints.answers = []answer{fails(true)}
+		_, refusal = w.serve(t, shows("a1"))
+		assert.Equal(t, refusal.Verdict, VerdictUnknown)
+		synctest.Wait()
+		assert.Equal(t, q.returned, 1)
+	})
+}
+
+// All control instances are killed at once and are back within a second: a request
+// waits for them as long as its target allows. An entry that is cut off from them
+// doesn't wait, since its callers can be served by others at once.
+func TestWaitForAKeeper(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		back   time.Duration // of the keepers
+		cutOff bool
+		waited time.Duration
+		served bool
+	}{
+		{"back soon", 200 * time.Millisecond, false, 210 * time.Millisecond, true},
+		{"gone", time.Hour, false, 570 * time.Millisecond, false},
+		{"cut off", time.Hour, true, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(idempotent, gives(func() *Reply { return ok("good") }))
+				began := time.Now()
+				w.withQuota(func() error {
+					if time.Since(began) < test.back {
+						return quota.ErrNoKeeper
+					}
+					return nil
+				})
+				w.router.options.Uptime = func() time.Duration { return time.Hour }
+				w.view.Confirmed.Raise(time.Hour - time.Second)
+				if test.cutOff {
+					w.view.Confirmed = &Confirmation{}
+				}
+				_, refusal := w.serve(t, shows("a1"))
+				assert.Equal(t, refusal == nil, test.served)
+				assert.Equal(t, time.Since(began), test.waited)
+				if refusal != nil {
+					assert.Equal(t, refusal.Verdict, VerdictNotRun)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/rank.go
+++ b/internal/relay/rank.go
@@ -29,11 +29,14 @@
 	if l.sends > 0 || l.returned() {
 		waited += l.route.Target
 	}
-	return enginePriority(l.route, waited)
+	return enginePriority(l.route, l.team, waited)
 }
 
-func enginePriority(r *routetable.Route, waited time.Duration) int {
+func enginePriority(r *routetable.Route, team *routetable.Team, waited time.Duration) int {
 	rank := r.Priority + freshRank
+	if team != nil && team.Priority != nil {
+		rank = *team.Priority + freshRank
+	}
 	if r.Target > 0 && waited+usualStart > r.Target {
 		rank += lateRank
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -50,10 +50,25 @@
 	if limit := view.Table.Limits.BodyBytes; limit > 0 && len(x.Body) > limit {
 		return r.metrics.refused(&Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"})
 	}
-	return r.run(ctx, x, caller, view, route)
+	team, refusal := r.identify(x, view, route)
+	if refusal != nil {
+		return r.metrics.refused(refusal)
+	}
+	taken, refusal := r.takeQuota(ctx, x, view, route, team)
+	if refusal != nil {
+		return r.metrics.refused(refusal)
+	}
+	refusal, ran := r.run(ctx, x, caller, view, route, team)
+	if !ran {
+		r.returnQuota(x, taken)
+	}
+	return refusal
 }
 
-func (r *Router) run(ctx context.Context, x *Exchange, caller Caller, view *View, route *routetable.Route) *Refusal {
+// run tells besides whether the exchange may have run.
+func (r *Router) run(
+	ctx context.Context, x *Exchange, caller Caller, view *View, route *routetable.Route, team *routetable.Team,
+) (refusal *Refusal, ran bool) {
 	deadline := x.Received.Add(route.Timeout)
 	if x.Patience > 0 && x.Patience < route.Timeout {
 		deadline = x.Received.Add(x.Patience)
@@ -63,16 +78,16 @@
 	defer cancel()
 	service := route.Choose(r.options.Random())
 	life := &life{
-		router: r, x: x, caller: caller, route: route, version: view.Table.Version,
+		router: r, x: x, caller: caller, route: route, team: team, version: view.Table.Version,
 		service: service, engine: engineOf(view.Table, service), deadline: deadline,
 	}
 	r.options.Budget.Request(time.Now(), service)
 	r.metrics.running.Inc()
 	defer r.metrics.running.Dec()
-	refusal := life.run(ctx)
+	refusal = life.run(ctx)
 	life.report(ctx, refusal)
 	r.metrics.end(life, refusal)
-	return refusal
+	return refusal, life.ran
 }
 
 func engineOf(table *routetable.Table, service string) *routetable.Engine {
--- a/internal/routetable/check.go
+++ b/internal/routetable/check.go
@@ -24,7 +24,7 @@
 		}
 		seen[at] = r.Name
 	}
-	return nil
+	return checkTeams(d.Teams)
 }
 
 // place is where a route stands.
--- a/internal/routetable/document.go
+++ b/internal/routetable/document.go
@@ -7,7 +7,9 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Teams hold the keys that callers show; nil: callers need none.
+	Teams  []Team
+	Limits Limits
 }
 
 // Kind tells what of an exchange may be repeated.
@@ -58,21 +60,35 @@
 	MaxAttempts int
 	// Resumable streams may go on at another endpoint after a given event.
 	Resumable bool
+	// Anonymous routes take requests without a key.
+	Anonymous bool
 	// Source is the text that the route was decoded from; empty where its
 	// document keeps none.
 	Source string
 }
 
-// BySource names the routes of a document, which may be nil, by their text.
-func (d *Document) BySource() map[string]*Route {
+// RoutesBySource names the routes of a document, which may be nil, by their text.
+func (d *Document) RoutesBySource() map[string]*Route {
 	if d == nil {
 		return nil
 	}
-	routes := make(map[string]*Route, len(d.Routes))
-	for i := range d.Routes {
-		routes[d.Routes[i].Source] = &d.Routes[i]
+	return bySource(d.Routes, func(r *Route) string { return r.Source })
+}
+
+// TeamsBySource names the teams of a document, which may be nil, by their text.
+func (d *Document) TeamsBySource() map[string]*Team {
+	if d == nil {
+		return nil
+	}
+	return bySource(d.Teams, func(t *Team) string { return t.Source })
+}
+
+func bySource[T any](list []T, source func(*T) string) map[string]*T {
+	named := make(map[string]*T, len(list))
+	for i := range list {
+		named[source(&list[i])] = &list[i]
 	}
-	return routes
+	return named
 }
 
 // Repeatable tells whether an exchange of this route may run again when it is
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -4,6 +4,8 @@
 	"net"
 	"slices"
 	"strings"
+
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 )
 
 // Table finds the route of an exchange. It is immutable.
@@ -13,6 +15,9 @@
 	routes   map[place]*Route
 	lengths  map[string][]int // of the prefixes of each host, longest first
 	services map[string]*Service
+	// teams are those of a document that has keys, by the hashes of these; nil
+	// where callers need none.
+	teams map[keyhash.Hash]*Team
 }
 
 // Compile makes the table of a checked document.
@@ -27,9 +32,23 @@
 	for i := range d.Routes {
 		t.add(&d.Routes[i])
 	}
+	t.teams = byKey(d.Teams)
 	return t
 }
 
+func byKey(teams []Team) map[keyhash.Hash]*Team {
+	if teams == nil {
+		return nil
+	}
+	owners := map[keyhash.Hash]*Team{}
+	for i := range teams {
+		for _, key := range teams[i].Keys {
+			owners[key] = &teams[i]
+		}
+	}
+	return owners
+}
+
 func (t *Table) add(r *Route) {
 	host := strings.ToLower(r.Host)
 	at := place{host: host, prefix: r.Prefix}
@@ -70,6 +89,13 @@
 	return strings.ToLower(host)
 }
 
+// NeedsKey tells whether a request on a route must show a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.teams != nil && !r.Anonymous }
+
+// TeamOf gives the team that holds a key, nil when none does. A request costs one
+// look, however many keys there are.
+func (t *Table) TeamOf(key keyhash.Hash) *Team { return t.teams[key] }
+
 // Service gives a service by name, nil when it is unknown.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- /dev/null
+++ b/internal/routetable/team.go
@@ -0,0 +1,97 @@
+package routetable
+
+import (
+	"math"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hyssopsail/hyssopsail/internal/keyhash"
+)
+
+// Team is a group of callers who share keys, a rank and a quota.
+type Team struct {
+	Name string
+	Keys []keyhash.Hash
+	// Priority ranks the team's requests instead of their route's; nil: the
+	// route's counts.
+	Priority *int
+	Quota    Quota
+	// Source is the text that the team was decoded from; empty where its document
+	// keeps none.
+	Source string
+}
+
+// Unit is what a quota counts.
+type Unit int
+
+// The units.
+const (
+	UnitRequest Unit = iota
+	UnitToken        // prompt and most output of a model request
+)
+
+// Quota bounds what a team may use of the fleet. The zero Quota has no limit.
+type Quota struct {
+	Unit      Unit
+	PerSecond float64 // 0 for no limit
+	Burst     float64 // saved up at most
+	// Unsized is what a request without a told size counts, where tokens count.
+	Unsized float64
+}
+
+// Limited tells whether there is a limit.
+func (q Quota) Limited() bool { return q.PerSecond > 0 }
+
+// Cost is what a request counts; tokens are those of a model request, and sized is
+// false where it told none.
+func (q Quota) Cost(tokens int, sized bool) float64 {
+	switch {
+	case q.Unit == UnitRequest:
+		return 1
+	case sized:
+		return float64(tokens)
+	}
+	return q.Unsized
+}
+
+func (t *Team) check() error {
+	if t.Name == "" {
+		return trace.BadParameter("a team has no name")
+	}
+	for _, value := range []float64{t.Quota.PerSecond, t.Quota.Burst, t.Quota.Unsized} {
+		if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+			return trace.BadParameter("team %q has a quota of %v", t.Name, value)
+		}
+	}
+	return nil
+}
+
+// emptyKey is the hash of a key without a single character.
+var emptyKey = keyhash.Of("")
+
+// checkTeams refuses teams that can't be told apart. Reasons name teams, never a
+// key or its hash: they go to logs and to whoever sent the document.
+func checkTeams(teams []Team) error {
+	names := make(map[string]bool, len(teams))
+	owners := map[keyhash.Hash]string{}
+	for i := range teams {
+		t := &teams[i]
+		if err := t.check(); err != nil {
+			return err
+		}
+		if names[t.Name] {
+			return trace.BadParameter("two teams have the name %q", t.Name)
+		}
+		names[t.Name] = true
+		for _, key := range t.Keys {
+			if key == emptyKey {
+				return trace.BadParameter("team %q has an empty key", t.Name)
+			}
+			if owner, taken := owners[key]; taken && owner != t.Name {
+				return trace.BadParameter("teams %q and %q share a key", owner, t.Name)
+			}
+			owners[key] = t.Name
+		}
+	}
+	return nil
+}
