quota, relay: a return within the target, and a reserve for small requests of a team over its quota

Its many small requests were turned away with the few large ones that used the quota.

Change: who is turned away for a quota comes back within 0.65 of its target. A request that costs less than a tenth of what the team's usual one does may go a quarter of a second's rate below nothing.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -8,6 +8,25 @@
 	level  float64 // below 0 after a request that was larger than what was left
 	filled time.Time
 	grants []grant // of the last returnWithin, oldest first
+	costs  costs
+}
+
+// The figures of the reserve.
+const (
+	// reserveTime is what the reserve takes to be earned back.
+	reserveTime = 250 * time.Millisecond
+	// smallShare is the part of the usual cost that a small request has at most.
+	smallShare = 0.1
+)
+
+// fitsReserve tells whether a request may be taken though nothing is left.
+//
+// Load pattern: a team sends more than its quota, most of it in a few large requests.
+// Its many small ones would be turned away with them, though all of them together cost
+// next to nothing.
+func (a *account) fitsReserve(cost, share float64) bool {
+	reserve := share * a.limit.PerSecond * reserveTime.Seconds()
+	return cost < smallShare*a.costs.usual() && a.level-cost >= -reserve
 }
 
 // grant is what one request took.
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -92,3 +92,42 @@
 	assert.Equal(t, len(l.teams), 1)
 	assert.Equal(t, len(l.teams["two"].grants), 1)
 }
+
+// A team sends twice its quota, nearly all of it in large requests. Its small ones, a
+// thirtieth of all, must be taken nonetheless; the large ones get the rest.
+func TestSmallRequestsOfATeamOverItsQuota(t *testing.T) {
+	const small, large = 200.0, 5000.0
+	over := Limit{Version: 1, PerSecond: 50_000, Burst: 50_000}
+	l := NewLedger(started, 1)
+	smallTaken, smallAsked, used := 0, 0, 0.0
+	const length = 60 * time.Second
+	for now := time.Duration(0); now < length; now += 50 * time.Millisecond {
+		if l.Take(at(now), "a", over, 1, large).Grant != 0 {
+			used += large
+		}
+		if now < 5*time.Second {
+			continue // it has not been seen yet what its requests cost
+		}
+		smallAsked++
+		if l.Take(at(now), "a", over, 1, small).Grant != 0 {
+			smallTaken++
+			used += small
+		}
+	}
+	assert.Equal(t, smallTaken, smallAsked)
+	assert.Assert(t, used > 0.98*over.PerSecond*length.Seconds(), "%v", used)
+	assert.Assert(t, used < over.PerSecond*length.Seconds()+over.Burst+large, "%v", used)
+}
+
+// Requests that all cost alike have no reserve: none of them is small.
+func TestEqualRequestsHaveNoReserve(t *testing.T) {
+	l := NewLedger(started, 1)
+	perRequest := Limit{Version: 1, PerSecond: 10, Burst: 10}
+	taken := 0
+	for range 100 {
+		if l.Take(at(time.Hour), "a", perRequest, 1, 1).Grant != 0 {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 10)
+}
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -29,6 +29,9 @@
 	// keeperSilence is how long the control instances may have been silent before a
 	// request no longer waits for them: this entry is cut off, and another one isn't.
 	keeperSilence = 1500 * time.Millisecond
+	// returnShare is the part of a target within which a caller is told to come again
+	// whose team has spent its quota; the rest is for the start of the answer.
+	returnShare = 0.65
 	// elsewhere is when a caller may come again who can be served by other entries at
 	// once.
 	elsewhere = 50 * time.Millisecond
@@ -72,10 +75,22 @@
 func (r *Router) overQuota(x *Exchange, route *routetable.Route, team *routetable.Team, cost float64, spent *quota.SpentError) *Refusal {
 	r.options.Part.Info("The quota is spent.", "request", x.ID, "route", route.Name, "team", team.Name,
 		"cost", rounded(cost), "again_ms", spent.Again.Milliseconds())
-	after := max(spent.Again, retryAfter(x.Patience, r.options.Random()))
+	after := returnToQuota(spent.Again, route.Target, r.options.Random())
 	return &Refusal{Verdict: VerdictOverQuota, Reason: "the team's quota is spent", RetryAfter: after}
 }
 
+// returnToQuota is when a caller may come again whose team has spent its quota: when
+// something may be left, and early enough for an answer in its target. point is even in
+// [0, 1), so that callers don't come back together.
+//
+// Load pattern: a team sends several times its quota for seconds. Who comes back after
+// its target takes a part of the quota for an answer that is late, from one that would
+// have been in time.
+func returnToQuota(again, target time.Duration, point float64) time.Duration {
+	inTime := time.Duration(returnShare * float64(target))
+	return again + time.Duration(point*float64(max(0, inTime-again)))
+}
+
 // cost is what the exchange counts in a quota.
 func (x *Exchange) cost(q routetable.Quota) float64 {
 	if x.Prompt == nil {
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -53,6 +53,26 @@
 	})
 }
 
+// A team's callers are turned away together. They must not come back together, not
+// before there is something left, and as long as that is in time, early enough for an
+// answer in their target.
+func TestReturnToQuota(t *testing.T) {
+	const target = 900 * time.Millisecond
+	for _, test := range []struct {
+		again       time.Duration
+		point       float64
+		first, last time.Duration
+	}{
+		{0, 0, 0, 0},
+		{10 * time.Millisecond, 0, 10 * time.Millisecond, 10 * time.Millisecond},
+		{10 * time.Millisecond, 0.999, 500 * time.Millisecond, 650 * time.Millisecond},
+		{3 * time.Second, 0.999, 3 * time.Second, 3 * time.Second},
+	} {
+		got := returnToQuota(test.again, target, test.point)
+		assert.Assert(t, got >= test.first && got <= test.last, "%v: %v", test, got)
+	}
+}
+
 // A request took its part of the quota and found no endpoint: it has not run, so its
 // team gets the part back. One that may have run costs what it costs.
 func TestQuotaOfWhatDidNotRunIsGivenBack(t *testing.T) {
