relay, coordinator: a word on keys as soon as there is a leader, and requests that wait for it

Cause: after all processes were killed, keys are accepted only once a leader says that the configuration is the newest.

Change: a member reports as soon as it knows another leader; a question of an entry is answered as soon as the member comes into touch; model requests at an entry that never had a word wait for it, up to 0.6 of their target.

Ruled out: a word by a majority of members before there is a leader (their logs hold the newest change and can't tell that it was committed); a shorter election (votes within 0.5 s of a leader's last word would let the old one read stale).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -45,6 +45,7 @@
 	started      time.Time
 	isReady      bool            // ready is closed
 	inTouch      bool            // as the log said last
+	touched      chan struct{}   // closed and replaced when this member comes into touch
 	reporting    map[string]bool // entries whose change is being committed
 }
 
@@ -59,6 +60,7 @@
 		entriesHere: map[string]bool{},
 		heard:       map[string]time.Time{},
 		reporting:   map[string]bool{},
+		touched:     make(chan struct{}),
 	}
 	c.metrics = newMetrics(options.Metrics, c.entriesBehind)
 	c.stages = newStages(c)
@@ -78,7 +80,7 @@
 	c.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, joinInterval, c.keepMembership) })
-	group.Go(func() error { return every(ctx, seenInterval, c.reportSeen) })
+	group.Go(func() error { return c.reportRegularly(ctx) })
 	group.Go(func() error { return every(ctx, leaderInterval, c.lead) })
 	group.Go(func() error { return c.reports.run(ctx) })
 	return group.Wait()
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -19,6 +19,8 @@
 	// away from a member that was cut off well within 2 s.
 	seenInterval = 300 * time.Millisecond
 	currentFor   = 900 * time.Millisecond
+	// leaderLook is the pause between two looks for a new leader.
+	leaderLook = 25 * time.Millisecond
 	// leaderInterval is the pause between two looks of the leader for members
 	// with a new disk and for records without heartbeats.
 	leaderInterval = 400 * time.Millisecond
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 func (c *Coordinator) noteHeard(endpoint string) {
@@ -24,6 +25,35 @@
 	c.entriesHere[entry] = true
 }
 
+// reportRegularly reports until ctx ends, and at once when there is another leader.
+//
+// Failure guarded: all instances were killed, or the leader died. Entries accept keys
+// only by a member that is in touch, and each moment until its next report is one in
+// which they turn all callers away.
+func (c *Coordinator) reportRegularly(ctx context.Context) error {
+	for {
+		leader := c.leaderAddress()
+		c.reportSeen(ctx)
+		if !c.awaitReport(ctx, leader) {
+			return nil
+		}
+	}
+}
+
+// awaitReport returns when the next report is due: after seenInterval, or once the
+// leader is another one than before. It is false when ctx ended first.
+func (c *Coordinator) awaitReport(ctx context.Context, before string) bool {
+	for began := time.Now(); time.Since(began) < seenInterval; {
+		if !sleep.For(ctx, leaderLook) {
+			return false
+		}
+		if leader := c.leaderAddress(); leader != "" && leader != before {
+			return true
+		}
+	}
+	return true
+}
+
 // reportSeen tells the leader who was heard here. Its answer shows that this
 // member is in touch; without one, entries and endpoints soon turn elsewhere.
 func (c *Coordinator) reportSeen(ctx context.Context) {
@@ -55,6 +85,10 @@
 	if !c.inTouch {
 		c.options.Part.Info("In touch with the leader.", "leader", c.leaderAddress())
 	}
+	if !time.Now().Before(c.currentUntil) {
+		close(c.touched)
+		c.touched = make(chan struct{})
+	}
 	c.inTouch = true
 	c.currentUntil = sent.Add(currentFor)
 	c.confirmedAt = uptime
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -41,8 +41,8 @@
 	return &pb.ReadIndexReply{Index: index}, nil
 }
 
-// Follow implements pb.DRPCCoordinatorServer: it answers when there is news,
-// or at the end of the wait.
+// Follow implements pb.DRPCCoordinatorServer: it answers when there is news, when this
+// member comes into touch, or at the end of the wait.
 func (c *Coordinator) Follow(ctx context.Context, request *pb.FollowRequest) (*pb.FollowReply, error) {
 	if request.Self.GetId() != "" {
 		c.takeEntry(request.Self)
@@ -50,6 +50,7 @@
 	}
 	timer := time.NewTimer(min(time.Duration(request.WaitMs)*time.Millisecond, maxFollowWait))
 	defer timer.Stop()
+	touched := c.awaitTouch(time.Now())
 	for {
 		revision, changed := c.options.Machine.Revision()
 		if revision > request.Revision {
@@ -57,6 +58,8 @@
 		}
 		select {
 		case <-changed:
+		case <-touched:
+			return c.followReply(request), nil
 		case <-timer.C:
 			return c.followReply(request), nil
 		case <-ctx.Done():
@@ -65,6 +68,17 @@
 	}
 }
 
+// awaitTouch gives a channel that is closed when this member comes into touch; nil while
+// it is in touch. Entries that ask one that is not wait for nothing but that.
+func (c *Coordinator) awaitTouch(now time.Time) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.currentUntil) {
+		return nil
+	}
+	return c.touched
+}
+
 func (c *Coordinator) followReply(request *pb.FollowRequest) *pb.FollowReply {
 	confirmedAt := c.lastConfirmed()
 	delta := c.options.Machine.Since(request.DocumentVersion, request.Revision)
--- a/internal/relay/identity_test.go
+++ b/internal/relay/identity_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -190,3 +191,46 @@
 	q.done <- struct{}{}
 	return nil
 }
+
+// All processes are killed and start again, and all callers come back before there is a
+// leader who can say which keys hold. A request must wait for that word as long as its
+// target allows, and must be judged by the configuration that is then in force. An entry
+// that was cut off later doesn't wait: others can serve its callers.
+func TestWaitForTheFirstWord(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		word   time.Duration // when it comes
+		cutOff bool
+		waited time.Duration
+		served bool
+	}{
+		{"comes soon", 300 * time.Millisecond, false, 300 * time.Millisecond, true},
+		{"comes too late", time.Hour, false, 540 * time.Millisecond, false},
+		{"came long ago", time.Hour, true, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(idempotent, gives(func() *Reply { return ok("good") })).withTeams()
+				w.router.options.RevokeWithin = 5 * time.Second
+				w.router.options.Uptime = func() time.Duration { return time.Hour }
+				if test.cutOff {
+					w.view.Confirmed.Raise(time.Minute)
+				}
+				began := time.Now()
+				newer := *w.view
+				newer.Confirmed = &Confirmation{}
+				newer.Confirmed.Raise(time.Hour)
+				older := w.view
+				w.router.options.View = func() *View {
+					if time.Since(began) < test.word {
+						return older
+					}
+					return &newer
+				}
+				_, refusal := w.serve(t, shows("a1"))
+				assert.Equal(t, refusal == nil, test.served)
+				assert.Equal(t, time.Since(began), test.waited)
+			})
+		})
+	}
+}
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -19,13 +19,8 @@
 	Return(ctx context.Context, g quota.Grant) error
 }
 
-// The figures of a wait for a keeper of quotas.
+// The figures of quotas.
 const (
-	// keeperShare is the part of a target that a request waits for any keeper:
-	// processes that were killed together are back within a second.
-	keeperShare = 0.6
-	// keeperPause is the wait between two tries.
-	keeperPause = 30 * time.Millisecond
 	// keeperSilence is how long the control instances may have been silent before a
 	// request no longer waits for them: this entry is cut off, and another one isn't.
 	keeperSilence = 1500 * time.Millisecond
@@ -45,13 +40,12 @@
 // wait behind it and miss their targets. What is beyond the team's quota is told at
 // once to come again. Each request is asked for by itself: a model request is larger
 // than an entry's even part of a quota.
-func (r *Router) takeQuota(
-	ctx context.Context, x *Exchange, view *View, route *routetable.Route, team *routetable.Team,
-) (*quota.Grant, *Refusal) {
+func (r *Router) takeQuota(ctx context.Context, x *Exchange, a admitted) (*quota.Grant, *Refusal) {
+	team, route := a.team, a.route
 	if team == nil || !team.Quota.Limited() || r.options.Quotas == nil {
 		return nil, nil
 	}
-	limit := quota.Limit{Version: view.Table.Version, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst}
+	limit := quota.Limit{Version: a.view.Table.Version, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst}
 	cost := x.cost(team.Quota)
 	for {
 		grant, err := r.options.Quotas.Take(ctx, team.Name, limit, cost)
@@ -62,11 +56,10 @@
 		if errors.As(err, &spent) {
 			return nil, r.overQuota(x, route, team, cost, spent)
 		}
-		waited := time.Since(x.Received)
-		cutOff := r.confirmedFor(view) > keeperSilence
-		if cutOff || waited > time.Duration(keeperShare*float64(route.Target)) || !sleep.For(ctx, keeperPause) {
+		cutOff := r.confirmedFor(a.view) > keeperSilence
+		if cutOff || !mayWait(x, route) || !sleep.For(ctx, controlPause) {
 			r.options.Part.Warn("No keeper of quotas was asked.", "request", x.ID, "route", route.Name, "team", team.Name,
-				"waited_ms", waited.Milliseconds(), "cut_off", cutOff, "err", err)
+				"waited_ms", time.Since(x.Received).Milliseconds(), "cut_off", cutOff, "err", err)
 			return nil, &Refusal{Verdict: VerdictNotRun, Reason: "the team's quota can't be asked for here", RetryAfter: elsewhere}
 		}
 	}
--- a/internal/relay/quota_test.go
+++ b/internal/relay/quota_test.go
@@ -103,8 +103,8 @@
 		waited time.Duration
 		served bool
 	}{
-		{"back soon", 200 * time.Millisecond, false, 210 * time.Millisecond, true},
-		{"gone", time.Hour, false, 570 * time.Millisecond, false},
+		{"back soon", 200 * time.Millisecond, false, 200 * time.Millisecond, true},
+		{"gone", time.Hour, false, 540 * time.Millisecond, false},
 		{"cut off", time.Hour, true, 0, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -31,34 +31,15 @@
 // whole or broken off, and a refusal when nothing was passed on. ctx ends when
 // the caller leaves.
 func (r *Router) Serve(ctx context.Context, x *Exchange, caller Caller) *Refusal {
-	view := r.options.View()
-	if view == nil || view.Table == nil {
-		refusal := &Refusal{Verdict: VerdictNotRun, Reason: "no configuration is known yet", RetryAfter: comeAgain}
-		return r.metrics.refused(refusal)
-	}
-	if refusal := r.refuseOutdated(); refusal != nil {
-		r.options.Part.Warn("Refused by an outdated configuration.", "request", x.ID, "version", view.Table.Version,
-			"behind_ms", r.behind().Milliseconds())
-		return r.metrics.refused(refusal)
-	}
-	route := view.Table.Match(x.Host, x.Path)
-	if route == nil {
-		r.options.Part.Info("No route.", "request", x.ID, "host", x.Host, "path", x.Path, "version", view.Table.Version,
-			"behind_ms", r.behind().Milliseconds())
-		return r.metrics.refused(r.noRoute())
-	}
-	if limit := view.Table.Limits.BodyBytes; limit > 0 && len(x.Body) > limit {
-		return r.metrics.refused(&Refusal{Verdict: VerdictTooLarge, Reason: "the body is over the limit"})
-	}
-	team, refusal := r.identify(x, view, route)
+	a, refusal := r.admit(ctx, x)
 	if refusal != nil {
 		return r.metrics.refused(refusal)
 	}
-	taken, refusal := r.takeQuota(ctx, x, view, route, team)
+	taken, refusal := r.takeQuota(ctx, x, a)
 	if refusal != nil {
 		return r.metrics.refused(refusal)
 	}
-	refusal, ran := r.run(ctx, x, caller, view, route, team)
+	refusal, ran := r.run(ctx, x, caller, a)
 	if !ran {
 		r.returnQuota(x, taken)
 	}
@@ -66,9 +47,8 @@
 }
 
 // run tells besides whether the exchange may have run.
-func (r *Router) run(
-	ctx context.Context, x *Exchange, caller Caller, view *View, route *routetable.Route, team *routetable.Team,
-) (refusal *Refusal, ran bool) {
+func (r *Router) run(ctx context.Context, x *Exchange, caller Caller, a admitted) (refusal *Refusal, ran bool) {
+	route := a.route
 	deadline := x.Received.Add(route.Timeout)
 	if x.Patience > 0 && x.Patience < route.Timeout {
 		deadline = x.Received.Add(x.Patience)
@@ -78,8 +58,8 @@
 	defer cancel()
 	service := route.Choose(r.options.Random())
 	life := &life{
-		router: r, x: x, caller: caller, route: route, team: team, version: view.Table.Version,
-		service: service, engine: engineOf(view.Table, service), deadline: deadline,
+		router: r, x: x, caller: caller, route: route, team: a.team, version: a.view.Table.Version,
+		service: service, engine: engineOf(a.view.Table, service), deadline: deadline,
 	}
 	r.options.Budget.Request(time.Now(), service)
 	r.metrics.running.Inc()
