quota: the middle of a quota's tolerance, and debts that are bounded by it

Cause: a share of a quota can't be kept exactly, and a request that is turned away below the quota is as wrong as one that runs beyond the tolerance. Debts of keepers had no bound but the size of a request.

Change: half of the tolerance that the settings tell is given, 0.4 of it may be owed by keepers together, the rest is for keepers that disagree on how many they are.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -25,7 +25,7 @@
 // Its many small ones would be turned away with them, though all of them together cost
 // next to nothing.
 func (a *account) fitsReserve(cost, share float64) bool {
-	reserve := share * a.limit.PerSecond * reserveTime.Seconds()
+	reserve := min(share*a.limit.Debt, share*a.limit.PerSecond*reserveTime.Seconds())
 	return cost < smallShare*a.costs.usual() && a.level-cost >= -reserve
 }
 
@@ -37,7 +37,7 @@
 }
 
 func newAccount(now, began time.Time, limit Limit, share float64) *account {
-	earned := limit.PerSecond * now.Sub(began).Seconds()
+	earned := limit.rate() * now.Sub(began).Seconds()
 	return &account{limit: limit, level: share * min(earned, limit.Burst), filled: now}
 }
 
@@ -55,17 +55,29 @@
 
 func (a *account) earn(now time.Time, share float64) {
 	passed := max(0, now.Sub(a.filled).Seconds())
-	a.level = min(a.level+share*a.limit.PerSecond*passed, share*a.limit.Burst)
+	a.level = min(a.level+share*a.limit.rate()*passed, share*a.limit.Burst)
 	a.filled = now
 }
 
-// until is the time until something is left again.
-func (a *account) until(share float64) time.Duration {
-	perSecond := share * a.limit.PerSecond
+// has tells whether a request may be taken. One that is larger than what is there goes
+// below nothing, as far as the limit allows; one that is larger than that too waits for
+// as much as can be saved up.
+func (a *account) has(cost, share float64) bool {
+	return a.level > 0 && a.level >= a.needed(cost, share)
+}
+
+func (a *account) needed(cost, share float64) float64 {
+	return min(cost-share*a.limit.Debt, share*a.limit.Burst)
+}
+
+// until is the time until a request may be taken.
+func (a *account) until(cost, share float64) time.Duration {
+	perSecond := share * a.limit.rate()
 	if perSecond <= 0 {
 		return keptIdle
 	}
-	return min(time.Duration((1-a.level)/perSecond*float64(time.Second)), keptIdle)
+	missing := max(1, a.needed(cost, share)) - a.level
+	return max(0, min(time.Duration(missing/perSecond*float64(time.Second)), keptIdle))
 }
 
 func (a *account) take(now time.Time, id uint64, cost float64) {
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -19,6 +19,9 @@
 	keepers = 8
 )
 
+// tolerance is that of the rule.
+var tolerance = Tolerance{Window: window, Overrun: overrun, Slack: slack}
+
 // ran is what a request cost that ran at a moment.
 type ran struct {
 	at   time.Duration
@@ -92,7 +95,7 @@
 	for seed := range uint64(400) {
 		random := rand.New(rand.NewPCG(seed, 0))
 		perSecond := 36_000 + random.Float64()*300_000
-		limit := Limit{Version: 1, PerSecond: perSecond, Burst: perSecond}
+		limit := tolerance.Limit(1, perSecond, perSecond)
 		bound := (perSecond*window.Seconds()+limit.Burst)*(1+overrun) + slack
 		used := most(play(random, limit))
 		assert.Assert(t, used <= bound, "seed %d: %v of %v", seed, used, bound)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -42,8 +42,8 @@
 }
 
 // Take takes a request's cost from a team's share, which is a part from 0 to 1 of its
-// limit. As long as anything is left it may go below 0: a request can be larger than
-// the share, and waits for nobody else's. A small one may also go into the reserve.
+// limit. A request can be larger than the share; a small one may also go into the
+// reserve.
 func (l *Ledger) Take(now time.Time, team string, limit Limit, share, cost float64) Taken {
 	l.forgetIdle(now)
 	l.newest = max(l.newest, limit.Version)
@@ -57,8 +57,8 @@
 	}
 	a.fill(now, limit, share)
 	a.costs.note(cost)
-	if a.level <= 0 && !a.fitsReserve(cost, share) {
-		return Taken{Again: a.until(share), Left: a.level}
+	if !a.has(cost, share) && !a.fitsReserve(cost, share) {
+		return Taken{Again: a.until(cost, share), Left: a.level}
 	}
 	grant := l.next
 	l.next++
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -11,7 +11,7 @@
 
 func at(d time.Duration) time.Time { return started.Add(d) }
 
-var limit = Limit{Version: 1, PerSecond: 100, Burst: 300}
+var limit = Limit{Version: 1, PerSecond: 100, Burst: 300, Debt: 1000}
 
 // A keeper dies right after it gave out all that was saved up, and another one begins
 // at its address. It must not give the same again.
@@ -47,7 +47,7 @@
 	assert.Equal(t, l.Take(now.Add(time.Second), "a", limit, 1, 0).Left, 20.0)
 	assert.Equal(t, l.Take(now.Add(time.Hour), "a", limit, 1, 0).Grant, uint64(0)) // forgotten, and known to be older
 	assert.Equal(t, l.Take(now.Add(time.Hour), "a", lower, 1, 0).Left, 20.0)
-	assert.Equal(t, l.Take(now, "a", Limit{Version: 3}, 1, 0).Again, keptIdle)
+	assert.Equal(t, l.Take(now, "a", Limit{Version: 3}, 1, 1).Again, keptIdle)
 }
 
 // What didn't run comes back once, and not when it comes too late: it could be spent
@@ -69,7 +69,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			l := NewLedger(started, 1)
-			still := Limit{Version: 1, PerSecond: 1e-9, Burst: 300}
+			still := Limit{Version: 1, PerSecond: 1e-9, Burst: 300, Debt: 1000}
 			l.teams["a"] = &account{limit: still, level: 300, filled: started}
 			taken := l.Take(started, "a", still, 1, 100)
 			for range test.times {
@@ -97,7 +97,7 @@
 // thirtieth of all, must be taken nonetheless; the large ones get the rest.
 func TestSmallRequestsOfATeamOverItsQuota(t *testing.T) {
 	const small, large = 200.0, 5000.0
-	over := Limit{Version: 1, PerSecond: 50_000, Burst: 50_000}
+	over := Limit{Version: 1, PerSecond: 50_000, Burst: 50_000, Debt: 20_000}
 	l := NewLedger(started, 1)
 	smallTaken, smallAsked, used := 0, 0, 0.0
 	const length = 60 * time.Second
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/quota"
 )
 
 // The bounds of a Router.
@@ -31,6 +32,8 @@
 	Book      *dispatch.Book
 	Allotter  Allotter // nil: entries place requests by themselves
 	Quotas    Quotas   // nil: teams have none
+	// QuotaTolerance is by how much teams may use more than their quotas.
+	QuotaTolerance quota.Tolerance
 	Budget    *dispatch.Budget
 	Policy    dispatch.Policy
 	Part      logging.Part
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -45,7 +45,7 @@
 	if team == nil || !team.Quota.Limited() || r.options.Quotas == nil {
 		return nil, nil
 	}
-	limit := quota.Limit{Version: a.view.Table.Version, PerSecond: team.Quota.PerSecond, Burst: team.Quota.Burst}
+	limit := r.options.QuotaTolerance.Limit(a.view.Table.Version, team.Quota.PerSecond, team.Quota.Burst)
 	cost := x.cost(team.Quota)
 	for {
 		grant, err := r.options.Quotas.Take(ctx, team.Name, limit, cost)
@@ -67,7 +67,7 @@
 
 func (r *Router) overQuota(x *Exchange, route *routetable.Route, team *routetable.Team, cost float64, spent *quota.SpentError) *Refusal {
 	r.options.Part.Info("The quota is spent.", "request", x.ID, "route", route.Name, "team", team.Name,
-		"cost", rounded(cost), "again_ms", spent.Again.Milliseconds())
+		"cost", rounded(cost), "per_second", rounded(team.Quota.PerSecond), "burst", rounded(team.Quota.Burst), "again_ms", spent.Again.Milliseconds())
 	after := returnToQuota(spent.Again, route.Target, r.options.Random())
 	return &Refusal{Verdict: VerdictOverQuota, Reason: "the team's quota is spent", RetryAfter: after}
 }
