explain, route, daemon: who was turned away is told why; slow callers of a stopping daemon

explain: one line tells of a missing or unknown key, a spent quota, an entry that can't tell whether keys hold, and a missing route; each gets a sentence (TestWhoWasTurnedAway, fails before). A stream that went on elsewhere is no longer told to have had its first part a negative time after it was sent.

route, daemon: e2e.TestGracefulStopOfEachDaemonUnderLoad was seen red once beside four busy loops. By its log the router closed 5.00 s after the daemon was off the address lists, the time for which callers may keep an address, and the calls that failed came some tenths of a second later, when the lease was given up: a caller that takes an address at the last moment and is slow to connect. The daemon now serves a second longer, and one that has closed says that it is leaving whatever else is true (TestSlowCallerOfADaemonThatHasLeft, fails before).

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -14,6 +14,9 @@
 	closeTimeout    = 5 * time.Second
 	abandonTimeout  = 2 * time.Second
 	drainShown      = 2 * time.Second // until the view shows this instance draining
+	// slowCallers is how long a caller may take from the last moment at which it may
+	// use an address until its request is here: it connects, and its machine is busy.
+	slowCallers = time.Second
 )
 
 // stop ends the daemon without cutting off a request: it leaves the address
@@ -64,9 +67,14 @@
 // name this instance, and its callers come when it has left and are refused.
 // The guard holds as an entry that hasn't learned of it within the settings
 // lease gives no address answers any more.
+//
+// Failure: a caller on a busy machine takes an address at the end of the time for
+// which it may be kept, and its call comes in some tenths of a second later, when
+// this daemon has given up its lease: it is told that it isn't known whether the
+// call has run. The guard holds for callers that take no longer than slowCallers.
 func (d *Daemon) awaitDraining() {
 	d.awaitShown()
-	time.Sleep(d.settingsLease())
+	time.Sleep(d.settingsLease() + slowCallers)
 }
 
 // awaitShown waits until this daemon's own view shows it draining.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -24,6 +24,37 @@
   16.0 edge-1 ts=2026-01-29T00:18:15Z level=info msg="relay: Answered." request=dd endpoint=i-3 outcome=served sends=1 prompt=2000 output=900 prefill_ms=200 sent_ms=950 first_ms=1200 took_ms=4000 pause_ms=410 pause_at_ms=2100
 `
 
+// Each line is all that the log has of a request that got no further.
+const doorSample = `  1.0 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No team has the key." request=k1 route=r shown=true version=3 behind_ms=0
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No team has the key." request=k2 route=r shown=false version=3 behind_ms=40
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=warn msg="relay: Refused, keys may have changed." request=k3 route=r version=3 unconfirmed_ms=4800
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: The quota is spent." request=q1 route=r team=sorters cost=5200 per_second=60000 burst=60000 again_ms=40
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=warn msg="relay: No keeper of quotas was asked." request=q2 route=r team=sorters waited_ms=540 cut_off=false err=x
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: No route." request=r1 host=h path=/p version=3 behind_ms=0
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=warn msg="relay: Refused by an outdated configuration." request=r2 version=3 behind_ms=2100
+  1.0 edge-1 ts=2026-01-29T00:18:10Z level=info msg="relay: Answered." request=s1 endpoint=i-3 outcome=served sends=2 prompt=2000 output=900 prefill_ms=200 sent_ms=3471 first_ms=1200 took_ms=6000 pause_ms=0
+`
+
+// A caller asks why it was turned away. One line must be enough to tell.
+func TestWhoWasTurnedAway(t *testing.T) {
+	lines, _, err := Read("stdin", strings.NewReader(doorSample))
+	assert.NilError(t, err)
+	for request, want := range map[string]string{
+		"k1": "refused (no-key): no team of version 3 has the key that it showed",
+		"k2": "refused (no-key): it showed no key, and its route needs one; a newer one had been on its way for 40 ms, so it was told to come again",
+		"k3": "refused (not-run): the entry last knew 4800 ms before that version 3 was the newest, and could not tell whether the key still held",
+		"q1": "refused (over-quota): it counts 5200, and of the quota of team sorters, 60000 a second and 60000 at once, nothing was left for 40 ms",
+		"q2": "refused (not-run): no control instance could be asked for the quota of team sorters in 540 ms",
+		"r1": "refused (no-route): no route of version 3 leads to host h and path /p",
+		"r2": "refused (not-run): version 3 was replaced 2100 ms before, and the newer one had not come",
+		"s1": "answered by i-3 (served) in 6000 ms, its first part after 1200 ms; it went on there after 3471 ms, and began elsewhere",
+	} {
+		s, ok := Of(lines, request)
+		assert.Assert(t, ok)
+		assert.Equal(t, s.Summary, want)
+	}
+}
+
 func story(t *testing.T, request string) (Story, string) {
 	t.Helper()
 	lines, others, err := Read("stdin", strings.NewReader(sample))
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -128,6 +128,9 @@
 func summary(lines []Line) string {
 	var parts []string
 	for _, l := range lines {
+		if text := turnedAway(l); text != "" {
+			parts = append(parts, text)
+		}
 		switch l.Message {
 		case refused:
 			parts = append(parts, refusal(l, lines))
@@ -185,7 +188,10 @@
 	if l.Get("outcome") == "failed" {
 		text += "; the failure is the endpoint's own and was passed on"
 	}
-	if number(l, "prompt") > 0 {
+	switch {
+	case first < sent:
+		text += fmt.Sprintf("; it went on there after %d ms, and began elsewhere", sent)
+	case number(l, "prompt") > 0:
 		text += fmt.Sprintf(": %d ms until it had a place, %d ms for its prompt, %d ms until the endpoint gave the first part", sent-prefill, prefill, first-sent)
 	}
 	if pause := number(l, "pause_ms"); pause > 0 {
--- /dev/null
+++ b/internal/explain/turnedaway.go
@@ -0,0 +1,41 @@
+package explain
+
+import "fmt"
+
+// turnedAway tells why a request got no further than the entry's door, by the one line
+// that the entry writes of it; "" for any other line.
+func turnedAway(l Line) string {
+	switch l.Message {
+	case "relay: No route.":
+		return fmt.Sprintf("refused (no-route): no route of version %s leads to host %s and path %s%s",
+			l.Get("version"), l.Get("host"), l.Get("path"), onItsWay(l))
+	case "relay: No team has the key.":
+		return fmt.Sprintf("refused (no-key): %s%s", keyOf(l), onItsWay(l))
+	case "relay: Refused, keys may have changed.":
+		return fmt.Sprintf("refused (not-run): the entry last knew %s ms before that version %s was the newest, and could not tell whether the key still held",
+			l.Get("unconfirmed_ms"), l.Get("version"))
+	case "relay: Refused by an outdated configuration.":
+		return fmt.Sprintf("refused (not-run): version %s was replaced %s ms before, and the newer one had not come", l.Get("version"), l.Get("behind_ms"))
+	case "relay: The quota is spent.":
+		return fmt.Sprintf("refused (over-quota): it counts %s, and of the quota of team %s, %s a second and %s at once, nothing was left for %s ms",
+			l.Get("cost"), l.Get("team"), l.Get("per_second"), l.Get("burst"), l.Get("again_ms"))
+	case "relay: No keeper of quotas was asked.":
+		return fmt.Sprintf("refused (not-run): no control instance could be asked for the quota of team %s in %s ms", l.Get("team"), l.Get("waited_ms"))
+	}
+	return ""
+}
+
+func keyOf(l Line) string {
+	if l.Get("shown") == "true" {
+		return "no team of version " + l.Get("version") + " has the key that it showed"
+	}
+	return "it showed no key, and its route needs one"
+}
+
+// onItsWay tells of a newer configuration that the entry knew of and did not have.
+func onItsWay(l Line) string {
+	if behind := number(l, "behind_ms"); behind > 0 {
+		return fmt.Sprintf("; a newer one had been on its way for %d ms, so it was told to come again", behind)
+	}
+	return ""
+}
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -34,11 +34,11 @@
 	Quotas    Quotas   // nil: teams have none
 	// QuotaTolerance is by how much teams may use more than their quotas.
 	QuotaTolerance quota.Tolerance
-	Budget    *dispatch.Budget
-	Policy    dispatch.Policy
-	Part      logging.Part
-	Metrics   prometheus.Registerer // nil for none
-	Random    func() float64        // even in [0, 1), safe for concurrent use
+	Budget         *dispatch.Budget
+	Policy         dispatch.Policy
+	Part           logging.Part
+	Metrics        prometheus.Registerer // nil for none
+	Random         func() float64        // even in [0, 1), safe for concurrent use
 	// Behind tells for how long a newer configuration than the one of View has been
 	// known, 0 while there is none; nil: nobody knows.
 	Behind func() time.Duration
--- a/internal/route/life_test.go
+++ b/internal/route/life_test.go
@@ -280,6 +280,21 @@
 	})
 }
 
+// A daemon has stopped for good and given up its lease; a caller that was slow to come
+// finds it still there. It must be told that the daemon is leaving and that its request
+// has not run, not that a lease was lost.
+func TestSlowCallerOfADaemonThatHasLeft(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		r := w.router(route.Bounds{})
+		assert.NilError(t, r.Drain(t.Context()))
+		w.freeze(true)
+		late := r.Model(t.Context(), modelRequest(), &sink{})
+		assert.Equal(t, late.Failure.Code, callerapi.CodeDraining)
+		assert.Equal(t, late.Failure.Outcome, callerapi.OutcomeNotRun)
+		assert.Equal(t, r.Refuses(fleet.Team("none"), "").Code, callerapi.CodeDraining)
+	})
+}
+
 // The decode slot was asked for while prefill ran; the caller hangs up before
 // the home answers, and the grant comes afterwards. Nobody would use it, and
 // the slot would stand empty until the grant's life ends.
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -60,13 +60,10 @@
 // that its body need not be read: a body that is never read can't linger in a
 // zone that the team forbids.
 func (r *Router) Refuses(team fleet.Team, key string) *Failure {
-	if failure := r.checkSelf(team); failure != nil {
-		return unsureOfKey(key, failure)
-	}
 	if r.flight.closed(time.Now()) {
 		return unsureOfKey(key, stopping())
 	}
-	return nil
+	return unsureOfKey(key, r.checkSelf(team))
 }
 
 // checkSelf refuses what this entry may not take.
@@ -90,6 +87,9 @@
 
 // enter counts a request in, or refuses it at once.
 func (r *Router) enter(team fleet.Team) (leave func(), failure *Failure) {
+	if r.flight.closed(time.Now()) {
+		return nil, stopping() // whatever else is true of an entry that leaves
+	}
 	if failure := r.checkSelf(team); failure != nil {
 		return nil, failure
 	}
