quota: an entry that is cut off from all keepers waits for three of them at most

Cause: eight silent keepers cost the first requests of an entry that is cut off 0.32 s, in which another entry serves their callers.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -33,6 +33,9 @@
 	// firstLeft and longestLeft bound how long a keeper that failed is passed over.
 	firstLeft   = 250 * time.Millisecond
 	longestLeft = 4 * time.Second
+	// mostFailed bounds the keepers that one question waits for in vain: where this
+	// many are silent it is this entry that is cut off.
+	mostFailed = 3
 	// returnTimeout bounds the word that a request did not run.
 	returnTimeout = 400 * time.Millisecond
 )
@@ -69,40 +72,64 @@
 	id     uint64
 }
 
+// answer is what came of asking one keeper.
+type answer int
+
+const (
+	answerGranted answer = iota
+	answerSpent          // nothing is left there
+	answerFailed         // it did not answer
+	answerNone           // it was not asked, since it failed a moment ago
+)
+
 // Take takes a request's cost from a team's quota. The error is a *SpentError or
 // ErrNoKeeper.
 func (c *Client) Take(ctx context.Context, team string, limit Limit, cost float64) (Grant, error) {
-	asked := false
+	spent, failed := 0, 0
 	for _, keeper := range c.shuffled() {
-		now := time.Now()
-		if !c.failed.Open(keeper, now) {
-			continue
+		if failed == mostFailed || ctx.Err() != nil {
+			break
 		}
-		if c.isSpent(team, keeper, now) {
-			asked = true
-			continue
+		grant, result := c.takeFrom(ctx, keeper, team, limit, cost)
+		switch result {
+		case answerGranted:
+			return grant, nil
+		case answerSpent:
+			spent++
+		case answerFailed:
+			failed++
+		case answerNone:
 		}
-		reply, err := c.ask(ctx, keeper, team, limit, cost)
-		if err != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			c.failed.Failed(keeper, time.Now())
-			continue
-		}
-		c.failed.Answered(keeper)
-		asked = true
-		if reply.Grant != 0 {
-			return Grant{Team: team, keeper: keeper, id: reply.Grant}, nil
-		}
-		c.noteSpent(team, keeper, time.Now(), time.Duration(reply.AgainMs)*time.Millisecond)
 	}
-	if !asked {
+	if spent == 0 {
 		return Grant{}, trace.Wrap(ErrNoKeeper)
 	}
 	return Grant{}, &SpentError{Again: c.again(team, time.Now())}
 }
 
+func (c *Client) takeFrom(ctx context.Context, keeper, team string, limit Limit, cost float64) (Grant, answer) {
+	now := time.Now()
+	switch {
+	case !c.failed.Open(keeper, now):
+		return Grant{}, answerNone
+	case c.isSpent(team, keeper, now):
+		return Grant{}, answerSpent
+	}
+	reply, err := c.ask(ctx, keeper, team, limit, cost)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.failed.Failed(keeper, time.Now())
+		}
+		return Grant{}, answerFailed
+	}
+	c.failed.Answered(keeper)
+	if reply.Grant == 0 {
+		c.noteSpent(team, keeper, time.Now(), time.Duration(reply.AgainMs)*time.Millisecond)
+		return Grant{}, answerSpent
+	}
+	return Grant{Team: team, keeper: keeper, id: reply.Grant}, answerGranted
+}
+
 // shuffled gives the keepers in any order, so that entries use all shares alike.
 func (c *Client) shuffled() []string {
 	keepers := slices.Clone(c.members())
--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// An entry is cut off from all keepers. No request may wait for each of them in turn:
+// its caller can be served by another entry in that time.
+func TestEntryThatIsCutOffFromAllKeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(9)
+		g.net.SetCut(true, "entry", g.members...)
+		c := g.client("entry")
+		began := time.Now()
+		for range 100 {
+			asked := time.Now()
+			_, err := c.Take(t.Context(), "team", limit, 1)
+			assert.ErrorIs(t, err, ErrNoKeeper)
+			assert.Assert(t, time.Since(asked) <= mostFailed*keeperTimeout)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
+	})
+}
+
 // No keeper can be reached: who asks is told, and asks again with the next request once
 // the first one is back.
 func TestNoKeeper(t *testing.T) {
