--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // account is a keeper's share of one team's quota: a token bucket.
 type account struct {
@@ -68,10 +71,10 @@
 func (a *account) until(cost, share float64) time.Duration {
 	perSecond := share * a.limit.rate()
 	if perSecond <= 0 {
-		return keptIdle
+		return longestAgain
 	}
 	missing := max(1, a.needed(cost, share)) - a.level
-	return max(0, min(time.Duration(missing/perSecond*float64(time.Second)), keptIdle))
+	return max(0, min(time.Duration(missing/perSecond*float64(time.Second)), longestAgain))
 }
 
 func (a *account) take(now time.Time, id uint64, cost float64) {
@@ -85,16 +88,15 @@
 	for old < len(a.grants) && now.Sub(a.grants[old].at) > returnWithin {
 		old++
 	}
-	a.grants = append(a.grants[:0], a.grants[old:]...)
+	a.grants = slices.Delete(a.grants, 0, old)
 }
 
 func (a *account) giveBack(now time.Time, id uint64) {
 	a.forgetOld(now)
-	for i, g := range a.grants {
-		if g.id == id {
-			a.level += g.cost
-			a.grants = append(a.grants[:i], a.grants[i+1:]...)
-			return
-		}
+	i := slices.IndexFunc(a.grants, func(g grant) bool { return g.id == id })
+	if i < 0 {
+		return
 	}
+	a.level += a.grants[i].cost
+	a.grants = slices.Delete(a.grants, i, i+1)
 }
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -186,7 +186,7 @@
 func (c *Client) again(team string, now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	least := keptIdle
+	least := longestAgain
 	for _, until := range c.spent[team] {
 		least = min(least, until.Sub(now))
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -11,6 +11,8 @@
 	// keptIdle is how long a team's account is kept that nobody uses. A full one
 	// holds what a new one would.
 	keptIdle = time.Minute
+	// longestAgain bounds when something may be left again, as of a quota of nothing.
+	longestAgain = time.Minute
 	// laggard is when an entry may ask again that knows an older configuration than
 	// others: it gets the newest one within this time, or is cut off.
 	laggard = 100 * time.Millisecond
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -41,7 +41,7 @@
 	limit := Limit{Version: r.Version, PerSecond: r.PerSecond, Burst: r.Burst, ExtraPerSecond: r.ExtraPerSecond, Debt: r.Debt, Reserve: r.Reserve}
 	taken := s.take(r.Team, limit, 1/float64(keepers), r.Cost)
 	s.metrics.count(r.Team, taken)
-	return &pb.TakeQuotaReply{Grant: taken.Grant, AgainMs: uint32(taken.Again.Milliseconds()), Left: taken.Left}, nil
+	return &pb.TakeQuotaReply{Grant: taken.Grant, AgainMs: uint32(taken.Again.Milliseconds())}, nil
 }
 
 func (s *Server) take(team string, limit Limit, share, cost float64) Taken {
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -72,11 +72,14 @@
 func (r *Router) overQuota(x *Exchange, route *routetable.Route, team *routetable.Team, cost float64, spent *quota.SpentError) *Refusal {
 	r.options.Part.Info("The quota is spent.", "request", x.ID, "route", route.Name, "team", team.Name,
 		"cost", rounded(cost), "per_second", rounded(team.Quota.PerSecond), "burst", rounded(team.Quota.Burst), "again_ms", spent.Again.Milliseconds())
-	after := max(spent.Again, retryAfter(x.Patience, r.options.Random()))
+	return &Refusal{Verdict: VerdictOverQuota, Reason: "the team's quota is spent", RetryAfter: r.returnAfter(x, route, spent)}
+}
+
+func (r *Router) returnAfter(x *Exchange, route *routetable.Route, spent *quota.SpentError) time.Duration {
 	if r.options.Policy.Has(dispatch.QuotaReturn) {
-		after = returnToQuota(spent.Again, route.Target, r.options.Random())
+		return returnToQuota(spent.Again, route.Target, r.options.Random())
 	}
-	return &Refusal{Verdict: VerdictOverQuota, Reason: "the team's quota is spent", RetryAfter: after}
+	return max(spent.Again, retryAfter(x.Patience, r.options.Random()))
 }
 
 // returnToQuota is when a caller may come again whose team has spent its quota: when
