relay: a line and a counter for each arrival beyond the first

An endpoint that turns a prompt's reading away has seen the request: what follows is an arrival beyond the first, and neither the log nor the budget knew of it. The line names what came of the arrival before, and what the entry thinks is left of the budget. No decision changes.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -28,14 +28,17 @@
 	runs      int        // sends that may have run
 	ran       bool       // it may have run somewhere
 	arrived   bool       // a send reached an endpoint: the next one is extra
+	arrivals  int        // sends that an endpoint has seen, accepted prefills left out
 	source    *prefilled // result of a prefill that was not taken yet
 	prefilled bool       // a prefill was asked for; a second one would be extra
 	aborted   bool       // the answer was broken off
 	begun     bool       // the caller got the head of the answer
 	lastID    string
 	last      dispatch.Outcome
-	lastErr   error  // of the newest send
-	chosen    string // endpoint sent to last
+	// lastArrival is what came of the newest send that an endpoint has seen.
+	lastArrival dispatch.Outcome
+	lastErr     error  // of the newest send
+	chosen      string // endpoint sent to last
 
 	trail  []step // decisions so far
 	untold int    // decisions beyond those kept
@@ -176,7 +179,11 @@
 	l.sends++
 	l.chosen = c.Endpoint.ID
 	l.sentAt = time.Now()
+	l.noteExtra(c.Endpoint, false)
 	a := l.exchange(ctx, c)
+	if a.outcome != dispatch.OutcomeUnreachable {
+		l.hasArrived(a.outcome)
+	}
 	if ctx.Err() != nil && a.outcome != dispatch.OutcomeServed {
 		a.outcome = dispatch.OutcomeGivenUp
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -19,6 +19,8 @@
 	reading   prometheus.Histogram
 	readWhere *prometheus.CounterVec
 	running   prometheus.Gauge
+	// extraArrivals counts sends that followed one which an endpoint had seen.
+	extraArrivals *prometheus.CounterVec
 	// leftToLapse counts what was not freed for want of a place in giveBacks.
 	leftToLapse prometheus.Counter
 }
@@ -57,6 +59,10 @@
 			Name: "hyssopsail_relay_prompts_total",
 			Help: "Prompts by where they were read.",
 		}, []string{"place"}),
+		extraArrivals: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_extra_arrivals_total",
+			Help: "Arrivals at endpoints beyond the first of an exchange, by what came of the one before.",
+		}, []string{"cause"}),
 		leftToLapse: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_left_to_lapse_total",
 			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -43,7 +43,11 @@
 	whole := book.ReadingTime(l.service, l.x.Prompt.Tokens, choice.Before)
 	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
 	defer cancel()
-	result, outcome := l.readPrompt(reading, choice.Endpoint)
+	l.noteExtra(choice.Endpoint, true)
+	result, outcome, arrived := l.readPrompt(reading, choice.Endpoint)
+	if arrived {
+		l.hasArrived(outcome)
+	}
 	l.prefillMs = time.Since(began).Milliseconds()
 	l.tellRead(outcome, book.ReadingTime(l.service, l.x.Prompt.Tokens, 0), time.Since(began))
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
@@ -95,20 +99,23 @@
 	return choice, reading.Choose(alone, book.ReadingTime(l.service, tokens, choice.Before))
 }
 
-func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
+// readPrompt tells besides whether the call is an arrival: one that was accepted is none,
+// and of one without an answer it isn't known.
+func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (result *prefilled, outcome dispatch.Outcome, arrived bool) {
 	call := l.call(e)
 	call.Prefill = true
 	call.Priority = l.rank()
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
 		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
+		sent := outcomeOf(err) == dispatch.OutcomeLost
 		switch {
 		case errors.Is(err, errSilent):
-			return nil, dispatch.OutcomeUnreachable
+			return nil, dispatch.OutcomeUnreachable, sent
 		case ctx.Err() != nil:
-			return nil, dispatch.OutcomeGivenUp
+			return nil, dispatch.OutcomeGivenUp, sent
 		}
-		return nil, outcomeOf(err)
+		return nil, outcomeOf(err), sent
 	}
 	defer reply.Body.Close()
 	if reply.Load != nil {
@@ -116,18 +123,18 @@
 	}
 	switch {
 	case reply.Misfit:
-		return nil, dispatch.OutcomeMisfit
+		return nil, dispatch.OutcomeMisfit, true
 	case reply.NotRun:
-		return nil, dispatch.OutcomeFull
+		return nil, dispatch.OutcomeFull, true
 	case reply.Status != http.StatusOK:
-		return nil, dispatch.OutcomeFailed
+		return nil, dispatch.OutcomeFailed, true
 	}
-	result, err := l.router.options.Endpoints.Prefilled(reply)
+	accepted, err := l.router.options.Endpoints.Prefilled(reply)
 	if err != nil {
 		l.log("Prefill's answer was cut off.", "endpoint", e.ID, "err", err)
-		return nil, dispatch.OutcomeLost
+		return nil, dispatch.OutcomeLost, false
 	}
-	return &prefilled{endpoint: e, handle: result.Handle}, dispatch.OutcomeServed
+	return &prefilled{endpoint: e, handle: accepted.Handle}, dispatch.OutcomeServed, false
 }
 
 func outcomeOf(err error) dispatch.Outcome {
