relay: leave for what follows a prefill is taken before it is sent

What callers saw: model requests reached endpoints up to four times while these turned work away, 106 to 218 arrivals beyond the first in 10 s where 77 to 114 are allowed. Cause: the entry counted sends of the exchange alone. A call that only has the prompt read is free when it is accepted, and an arrival when it is turned away, fails or is lost; the send after it was taken for the first. Class: an account of what others see, kept by what the sender means to do.

Why this works: before a prefill is asked for, leave for one more arrival is taken. It is given back when the prefill is accepted or reached nobody; otherwise it is the leave of the send that follows. Without leave the endpoint that generates the answer reads the prompt itself, so that nobody is refused for it.

--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -18,3 +18,43 @@
 	_, _ = w.serve(t, modelExchange())
 	assert.Assert(t, len(w.endpoints.calls) <= 1, "%d arrivals, and the budget allows none beyond the first", len(w.endpoints.calls))
 }
+
+// Guards against leave that is taken and never given back: the budget would shrink with
+// each prompt that is read elsewhere.
+func TestAcceptedReadingIsFree(t *testing.T) {
+	w := newWorld(routetable.KindStream, gives(func() *Reply { return ok("{}") }), gives(func() *Reply { return ok("data: 1\n\n") })).model()
+	before := w.budget.Left(time.Now(), "s")
+	_, refusal := w.serve(t, modelExchange())
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, len(w.endpoints.calls), 2)
+	left := w.budget.Left(time.Now(), "s")
+	assert.Assert(t, left >= before, "%v of %v is left", left, before)
+}
+
+// Guards against a request that is refused for want of budget after its reading was turned
+// away: leave for what follows is taken before.
+func TestTurnedAwayReadingLeavesOneSend(t *testing.T) {
+	w := newWorld(routetable.KindStream, gives(notRun), gives(func() *Reply { return ok("data: 1\n\n") })).model()
+	w.leaveOf(1)
+	_, refusal := w.serve(t, modelExchange())
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, len(w.endpoints.calls), 2)
+	assert.Assert(t, w.budget.Left(time.Now(), "s") < 1)
+}
+
+// Guards against sends that no endpoint has seen and that use up the budget.
+func TestUnreachedSendGivesItsLeaveBack(t *testing.T) {
+	w := newWorld(idempotent, fails(true), fails(false), gives(func() *Reply { return ok("whole") }))
+	w.leaveOf(1)
+	c, refusal := w.serve(t, exchange())
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, c.text.String(), "whole")
+	assert.Equal(t, len(w.endpoints.calls), 3)
+}
+
+// leaveOf has the budget give leave for so many arrivals beyond the first.
+func (w *world) leaveOf(n int) {
+	for w.budget.Left(time.Now(), "s") >= float64(n+1) {
+		w.budget.Reserve(time.Now(), "s")
+	}
+}
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -31,6 +31,10 @@
 		return nil
 	}
 	choice, where := l.readerFor()
+	leave := l.leaveToRead(where)
+	if leave == nil {
+		where = dispatch.PlaceOwn
+	}
 	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
 	if where != dispatch.PlaceReader {
 		return nil
@@ -43,7 +47,8 @@
 	whole := book.ReadingTime(l.service, l.x.Prompt.Tokens, choice.Before)
 	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
 	defer cancel()
-	result, outcome := l.readPrompt(reading, choice.Endpoint)
+	result, outcome, arrived := l.readPrompt(reading, choice.Endpoint)
+	l.settleReading(leave, choice.Endpoint, outcome, arrived)
 	l.prefillMs = time.Since(began).Milliseconds()
 	l.tellRead(outcome, book.ReadingTime(l.service, l.x.Prompt.Tokens, 0), time.Since(began))
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
@@ -95,20 +100,23 @@
 	return choice, reading.Choose(alone, book.ReadingTime(l.service, tokens, choice.Before))
 }
 
-func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (*prefilled, dispatch.Outcome) {
+// readPrompt tells besides whether the call counts as an arrival: one that was accepted
+// is free, and of one without an answer that isn't known.
+func (l *life) readPrompt(ctx context.Context, e *dispatch.Endpoint) (result *prefilled, outcome dispatch.Outcome, arrived bool) {
 	call := l.call(e)
 	call.Prefill = true
 	call.Priority = l.rank()
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
 		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
+		arrived = outcomeOf(err) == dispatch.OutcomeLost
 		switch {
 		case errors.Is(err, errSilent):
-			return nil, dispatch.OutcomeUnreachable
+			return nil, dispatch.OutcomeUnreachable, arrived
 		case ctx.Err() != nil:
-			return nil, dispatch.OutcomeGivenUp
+			return nil, dispatch.OutcomeGivenUp, arrived
 		}
-		return nil, outcomeOf(err)
+		return nil, outcomeOf(err), arrived
 	}
 	defer reply.Body.Close()
 	if reply.Load != nil {
@@ -116,18 +124,18 @@
 	}
 	switch {
 	case reply.Misfit:
-		return nil, dispatch.OutcomeMisfit
+		return nil, dispatch.OutcomeMisfit, true
 	case reply.NotRun:
-		return nil, dispatch.OutcomeFull
+		return nil, dispatch.OutcomeFull, true
 	case reply.Status != http.StatusOK:
-		return nil, dispatch.OutcomeFailed
+		return nil, dispatch.OutcomeFailed, true
 	}
 	accepted, err := l.router.options.Endpoints.Prefilled(reply)
 	if err != nil {
 		l.log("Prefill's answer was cut off.", "endpoint", e.ID, "err", err)
-		return nil, dispatch.OutcomeLost
+		return nil, dispatch.OutcomeLost, false
 	}
-	return &prefilled{endpoint: e, handle: accepted.Handle}, dispatch.OutcomeServed
+	return &prefilled{endpoint: e, handle: accepted.Handle}, dispatch.OutcomeServed, false
 }
 
 func outcomeOf(err error) dispatch.Outcome {
