catalog, coordinator, follower: entries that are gone share the slack for a window more

A member out of touch told its number as well.

A record of an entry that is gone now stays until it was unheard for the budgets' window; only members in touch tell the number, in a field of its own, so that the pace of questions doesn't change.

--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -191,12 +191,7 @@
 		changed = true
 	}
 	for _, expected := range e.Entries {
-		known := m.entries[expected.Id]
-		if known == nil || known.Revision != expected.Revision {
-			continue
-		}
-		delete(m.entries, expected.Id)
-		changed = true
+		changed = m.expireEntry(index, expected) || changed
 	}
 	return changed
 }
--- a/internal/catalog/read.go
+++ b/internal/catalog/read.go
@@ -35,6 +35,14 @@
 	return list
 }
 
+// Senders counts the entries that may send to endpoints, or did so a moment ago: all
+// that are not forgotten, those among them that are gone or don't take callers yet.
+func (m *Machine) Senders() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.entries)
+}
+
 // Delta is what changed after a revision.
 type Delta struct {
 	Outline   *pb.Outline // of the document; nil when not newer
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -251,6 +251,36 @@
 	})
 }
 
+// Guards against shares of a common budget that add up to more than the whole: entries that
+// are killed together count for a window more, also after all members were started anew.
+func TestSendersCountForAWindowAfterTheyAreGone(t *testing.T) {
+	runFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.formed()
+		senders := func(n int, id string) uint32 {
+			reply, err := f.instances[n].Follow(f.within(time.Second), &pb.FollowRequest{Self: &pb.EntryRecord{Id: id, Name: id, Ready: true}})
+			assert.NilError(t, err)
+			return reply.Senders
+		}
+		for range 4 {
+			for _, id := range []string{"a", "b", "c"} {
+				senders(0, id)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Equal(t, senders(1, "a"), uint32(3))
+		for _, i := range f.instances {
+			f.restart(i, false)
+		}
+		f.formed()
+		for began := time.Now(); time.Since(began) < senderKept-time.Second; time.Sleep(300 * time.Millisecond) {
+			if told := senders(1, "a"); told != 0 {
+				assert.Equal(t, told, uint32(3))
+			}
+		}
+		f.await(senderKept, "forgotten", func() bool { return senders(1, "a") == 1 })
+	})
+}
+
 // recordedOrders notes who gives orders.
 type recordedOrders struct {
 	mu     sync.Mutex
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -83,6 +83,9 @@
 	// EndpointSilence is how long an endpoint may be unheard before it counts
 	// as silent; three heartbeats and some slack.
 	EndpointSilence time.Duration
+	// SenderKept is how long an entry that isn't heard any more counts among those that
+	// share common budgets: their longest window.
+	SenderKept time.Duration
 	// Uptime is the clock by which entries are told how old this member's knowledge
 	// is; it goes on while the machine is suspended.
 	Uptime func() time.Duration
--- a/internal/coordinator/seen.go
+++ b/internal/coordinator/seen.go
@@ -195,7 +195,7 @@
 		}
 	}
 	for _, e := range entries {
-		if c.silentFor(e.Id, now) > entrySilence {
+		if c.silentFor(e.Id, now) > c.entryLimit(e) {
 			expired.Entries = append(expired.Entries, &pb.Expected{Id: e.Id, Revision: e.Revision})
 		}
 	}
@@ -205,6 +205,15 @@
 	return expired
 }
 
+// entryLimit is how long an entry may be unheard until it counts as gone, and then until
+// it is forgotten.
+func (c *Coordinator) entryLimit(e *pb.EntryRecord) time.Duration {
+	if e.Gone {
+		return max(entrySilence, c.options.SenderKept)
+	}
+	return entrySilence
+}
+
 // silentFor is called with c.mu held. A record that was never heard counts
 // from its first look.
 func (c *Coordinator) silentFor(id string, now time.Time) time.Duration {
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -90,6 +90,9 @@
 		More:      delta.More,
 		Entries:   uint32(len(c.options.Machine.ReadyEntries())),
 	}
+	if reply.Current {
+		reply.Senders = uint32(c.options.Machine.Senders())
+	}
 	if confirmedAt > 0 {
 		reply.AgeUs = uint64((c.options.Uptime() - confirmedAt).Microseconds()) + 1
 	}
--- a/internal/follower/options.go
+++ b/internal/follower/options.go
@@ -61,6 +61,7 @@
 	// Uptime is the clock that confirmations count by; it goes on while the machine is
 	// suspended.
 	Uptime func() time.Duration
-	// Entries, when set, is told how many entries take callers.
-	Entries func(n int)
+	// Senders, when set, is told by each member in touch how many entries may send to
+	// endpoints, or did so a moment ago.
+	Senders func(n int)
 }
--- a/internal/follower/picture.go
+++ b/internal/follower/picture.go
@@ -17,8 +17,8 @@
 	if len(reply.Members) > 0 {
 		f.members = reply.Members
 	}
-	if f.options.Entries != nil && reply.Entries > 0 {
-		f.options.Entries(int(reply.Entries))
+	if f.options.Senders != nil && reply.Current && reply.Senders > 0 {
+		f.options.Senders(int(reply.Senders))
 	}
 	f.filling.told(way, reply.More)
 	changed := f.takeEndpoints(reply.Endpoints)
