retrybudget, relay: an account of arrivals for each request

What a request's endpoints have seen, and the leave of its next send, are kept in one small type, so that the other life of a request can use it as it is. No decision changes.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -26,20 +26,19 @@
 
 	tried     map[dispatch.Incarnation]bool // endpoints that were sent to
 	sends     int
-	runs      int                // sends that may have run
-	ran       bool               // it may have run somewhere
-	arrivals  int                // sends that an endpoint has seen, accepted prefills left out
-	extra     *retrybudget.Extra // leave for the next send to be one more arrival; nil without
-	source    *prefilled         // result of a prefill that was not taken yet
-	prefilled bool               // a prefill was asked for; a second one would be extra
-	aborted   bool               // the answer was broken off
-	begun     bool               // the caller got the head of the answer
+	runs      int                  // sends that may have run
+	ran       bool                 // it may have run somewhere
+	account   *retrybudget.Account // of arrivals at endpoints
+	source    *prefilled           // result of a prefill that was not taken yet
+	prefilled bool                 // a prefill was asked for; a second one would be extra
+	aborted   bool                 // the answer was broken off
+	begun     bool                 // the caller got the head of the answer
 	lastID    string
 	last      dispatch.Outcome
-	// lastArrival is what came of the newest send, a prefill or the exchange itself.
-	lastArrival dispatch.Outcome
-	lastErr     error  // of the newest send
-	chosen      string // endpoint sent to last
+	// lastSeen is what came of the newest send, a prefill or the exchange itself.
+	lastSeen dispatch.Outcome
+	lastErr  error  // of the newest send
+	chosen   string // endpoint sent to last
 
 	trail  []step // decisions so far
 	untold int    // decisions beyond those kept
@@ -66,7 +65,7 @@
 func (l *life) run(ctx context.Context) *Refusal {
 	l.tried = map[dispatch.Incarnation]bool{}
 	defer l.releaseSource()
-	defer l.returnExtra()
+	defer l.account.Close()
 	for {
 		endpoint, call := l.prepare(ctx)
 		if endpoint == nil {
@@ -103,8 +102,8 @@
 		Runs: l.runs, MaxRuns: max(1, l.route.MaxAttempts), Sends: l.sends,
 		TimeLeft: time.Until(l.deadline), HaveAnother: l.haveAnother(), BudgetLeft: true,
 	}
-	if l.arrivals > 0 && Next(s) == StepAgain {
-		s.BudgetLeft = l.reserveExtra()
+	if Next(s) == StepAgain {
+		s.BudgetLeft = l.maySend()
 	}
 	return s
 }
@@ -188,7 +187,7 @@
 	book.End(time.Now(), c.Endpoint, work, a.outcome)
 	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
 	l.last, l.lastErr = a.outcome, a.err
-	l.lastArrival = a.outcome
+	l.lastSeen = a.outcome
 	if a.outcome == dispatch.OutcomeServed && c.After == "" {
 		book.HaveAnswered(l.service, l.estimate(), time.Since(l.firstAt))
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -60,8 +60,8 @@
 	life := &life{
 		router: r, x: x, caller: caller, route: route, team: a.team, version: a.view.Table.Version,
 		service: service, engine: engineOf(a.view.Table, service), deadline: deadline,
+		account: r.options.Budget.Open(time.Now(), service),
 	}
-	r.options.Budget.Request(time.Now(), service)
 	r.metrics.running.Inc()
 	defer r.metrics.running.Dec()
 	refusal = life.run(ctx)
