relay, dispatch: leave for a prefill is taken only where the reader refuses

A prefill that is the first arrival of its request needs no leave to keep the bound, since a send after it does.

Change: leave is taken before the prefill where the reader has turned an exchange away within 3 s, or the prefill may be an arrival beyond the first. Elsewhere it is taken after a refusal, and the request is refused where there is none.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -75,6 +75,7 @@
 		s.faults += (1 - s.faults) * faultShare
 	case OutcomeFull:
 		s.hard, s.trial = 0, false
+		s.refusedAt = now
 	case OutcomeMisfit:
 		s.misfits++
 		s.trial = false
@@ -121,6 +122,14 @@
 	b.state(e.Incarnation()).fullAt = now
 }
 
+// Refuses tells whether an endpoint has turned an exchange away lately.
+func (b *Book) Refuses(now time.Time, e *Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[e.Incarnation()]
+	return s != nil && !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < refusalLife
+}
+
 // Zone is the entry's own.
 func (b *Book) Zone() string { return b.zone }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -13,7 +13,9 @@
 	until   time.Time // passed over until then
 	trial   bool      // one exchange tries it after a pass-over
 	fullAt  time.Time // when it was last without room
-	misfits int       // answers in a row by another incarnation
+	// refusedAt is when it last turned an exchange away.
+	refusedAt time.Time
+	misfits   int // answers in a row by another incarnation
 	faults  float64   // moving share of exchanges that failed, 0 to 1
 	usedAt  time.Time
 
@@ -41,6 +43,9 @@
 	// fullLife is how long an endpoint without room is asked after the others.
 	// Answers end every 30 to 50 ms at one that is full.
 	fullLife = 60 * time.Millisecond
+	// refusalLife is how long after its last refusal an endpoint is likely to refuse
+	// again: overload lasts some seconds.
+	refusalLife = 3 * time.Second
 	// waitedLife is the time in which a seen wait loses half of its weight: a
 	// burst lasts some seconds, and its end must show soon.
 	waitedLife = time.Second
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -58,3 +59,20 @@
 		w.budget.Reserve(time.Now(), "s")
 	}
 }
+
+// Load pattern: readers turn prompts away while the budget is spent. A reader that did so
+// lately isn't asked without leave, and the endpoint that generates the answer reads the
+// prompt; nobody is refused for the reader's sake.
+func TestRefusingReaderIsNotAskedWithoutLeave(t *testing.T) {
+	w := newWorld(routetable.KindStream, gives(func() *Reply { return ok("data: 1\n\n") })).model()
+	w.leaveOf(0)
+	for _, e := range w.view.Endpoints["s"] {
+		if e.Stage == dispatch.StagePrefill {
+			w.router.options.Book.Note(time.Now(), e, dispatch.OutcomeFull)
+		}
+	}
+	_, refusal := w.serve(t, modelExchange())
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, len(w.endpoints.calls), 1)
+	assert.Assert(t, !w.endpoints.calls[0].Prefill)
+}
--- a/internal/relay/extra.go
+++ b/internal/relay/extra.go
@@ -17,31 +17,46 @@
 	return false
 }
 
-// leaveToRead takes leave for what follows a prefill that is turned away: the exchange
-// has then been seen once more than it would have been without. nil where the exchange is
-// not read at a reader, or the endpoint that generates the answer has to read the prompt.
-func (l *life) leaveToRead(where dispatch.Place) *retrybudget.Extra {
+// leaveToRead tells whether a prefill may be sent. A prefill that is accepted is free; one
+// that is turned away makes the send that follows an arrival beyond the first. Leave for
+// that is taken before, where the reader has turned others away lately or the prefill
+// itself may be an arrival beyond the first. Without it, the endpoint that generates the
+// answer reads the prompt.
+func (l *life) leaveToRead(reader *dispatch.Endpoint, where dispatch.Place) (leave *retrybudget.Extra, may bool) {
+	now := time.Now()
 	if where != dispatch.PlaceReader {
-		return nil
+		return nil, false
 	}
-	leave := l.account.Reserve(time.Now())
+	if l.account.Seen() == 0 && !l.router.options.Book.Refuses(now, reader) {
+		return nil, true
+	}
+	leave = l.account.Reserve(now)
 	if leave == nil {
 		l.router.metrics.extraRefused.Inc()
-		l.log("No budget for a prefill that may be turned away.", "budget_left", l.budgetLeft())
+		l.log("No budget for a prefill that may be turned away.", "reader", reader.ID, "budget_left", l.budgetLeft())
 	}
-	return leave
+	return leave, leave != nil
 }
 
 // settleReading settles the leave of a prefill.
 func (l *life) settleReading(leave *retrybudget.Extra, at *dispatch.Endpoint, outcome dispatch.Outcome, arrived bool) {
-	if !arrived {
-		leave.Return()
-	} else if l.account.ArrivedBy(time.Now(), leave) {
+	switch {
+	case arrived && l.account.ArrivedBy(time.Now(), leave):
 		l.noteExtra(at)
+	case !arrived && leave != nil:
+		leave.Return()
 	}
 	l.lastSeen = outcome
 }
 
+// whyUnsent tells why there is no endpoint to send to.
+func (l *life) whyUnsent() string {
+	if !l.account.MaySend(time.Now()) {
+		return "the fleet may not send it again"
+	}
+	return "no endpoint can take it"
+}
+
 // hasArrived takes in that an endpoint has seen a send, or may have.
 func (l *life) hasArrived(at *dispatch.Endpoint) {
 	if l.account.Arrived(time.Now()) {
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -69,7 +69,7 @@
 	for {
 		endpoint, call := l.prepare(ctx)
 		if endpoint == nil {
-			return l.giveUp(ctx, "no endpoint can take it")
+			return l.giveUp(ctx, l.whyUnsent())
 		}
 		a := l.send(ctx, call)
 		if a.outcome == dispatch.OutcomeServed {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -56,7 +56,7 @@
 	if l.source != nil {
 		call.Source = &Source{Address: l.source.endpoint.Address, Handle: l.source.handle}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !l.maySend() {
 		l.dropPlace(at)
 		return nil, nil
 	}
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -31,8 +31,8 @@
 		return nil
 	}
 	choice, where := l.readerFor()
-	leave := l.leaveToRead(where)
-	if leave == nil {
+	leave, may := l.leaveToRead(choice.Endpoint, where)
+	if !may {
 		where = dispatch.PlaceOwn
 	}
 	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
--- a/internal/retrybudget/account.go
+++ b/internal/retrybudget/account.go
@@ -44,7 +44,7 @@
 }
 
 // ArrivedBy is Arrived for a send with leave of its own. Where the send was the first, that
-// leave is for the next one.
+// leave is for the next one, and may be nil.
 func (a *Account) ArrivedBy(now time.Time, leave *Extra) bool {
 	a.seen++
 	if a.seen == 1 {
