route, daemon, config: the other life of a request keeps the fleet's budget

Now each request has an account of arrivals at the prefill engines, at the decode engines and at its service. Leave is taken before each prefill, import and call, and given back where no byte left. A line and a counter tell of each arrival beyond the first and of each refusal. The bound is retries in the daemon's file; entries are counted in the view as long as the daemon holds its lease.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -19,6 +19,10 @@
 	minIdle                          = time.Second
 	maxIdle                          = time.Hour
 	maxStream                        = 24 * time.Hour
+	maxRetryRatio                    = 10
+	maxRetrySlack                    = 1_000_000
+	minRetryWindow                   = time.Second
+	maxRetryWindow                   = 10 * time.Minute
 )
 
 type checker struct {
@@ -49,6 +53,7 @@
 	c.file("fleet_secret_file", d.FleetSecretFile)
 	c.logLevel()
 	c.bounds()
+	c.retries()
 }
 
 func (c checker) name(path, name string) {
@@ -205,6 +210,16 @@
 	c.within("bounds.stream_time", b.StreamTime >= minIdle && b.StreamTime <= maxStream, "from 1s to 24h")
 }
 
+func (c checker) retries() {
+	r := c.daemon.Retries
+	if r != DefaultDaemon().Retries && !c.daemon.Has(RoleEntry) {
+		c.document.Fault("retries", "take it out, or add the role entry", "would be ignored without the role entry")
+	}
+	c.within("retries.ratio", r.Ratio >= 0 && r.Ratio <= maxRetryRatio, "from 0 to 10")
+	c.within("retries.slack", r.Slack >= 0 && r.Slack <= maxRetrySlack, "from 0 to 1000000")
+	c.within("retries.window", r.Window >= minRetryWindow && r.Window <= maxRetryWindow, "from 1s to 10m")
+}
+
 func (c checker) within(path string, holds bool, want string) {
 	if !holds {
 		c.document.Fault(path, "choose "+want, "is out of range")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -59,6 +59,7 @@
 		{"data folder ignored", "[entry, control]", "[entry]", "daemon.yaml:4: data_folder: would be ignored without the role control"},
 		{"certificate without key", `{listen: "10.1.0.5:7401"}`, `{listen: "10.1.0.5:7401", certificate: c.pem}`, "daemon.yaml:8: listeners.callers: has one of certificate and key"},
 		{"certificate ignored", `{listen: "127.0.0.1:0"}`, `{listen: "127.0.0.1:0", certificate: c.pem, key: k.pem}`, "daemon.yaml:10: listeners.operators: would be ignored: this listener uses the files below tls"},
+		{"retries without a window", "bounds:", "retries: {window: 10ms}\nbounds:", "retries.window: is out of range; choose from 1s to 10m"},
 		{"callers ignored", "[entry, control]", "[control]", "daemon.yaml:8: listeners.callers: would be ignored without the role entry"},
 		{"endpoints ignored", "[entry, control]", "[control]", "daemon.yaml:9: listeners.endpoints: would be ignored without the role entry"},
 		{"callers missing", `  callers: {listen: "10.1.0.5:7401"}` + "\n", "", "listeners.callers.listen: is missing; write ip:port"},
--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -5,6 +5,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -25,6 +26,7 @@
 	EndpointAuthority string        `yaml:"endpoint_authority"`
 	LogLevel          logging.Level `yaml:"log_level"` // default info
 	Bounds            Bounds        `yaml:"bounds"`
+	Retries           Retries       `yaml:"retries"` // entry only
 }
 
 // Role is a job of the daemon.
@@ -75,6 +77,20 @@
 	StreamTime  time.Duration     `yaml:"stream_time"`  // longest answer, default 10m
 }
 
+// Retries bound how often the fleet's entries send requests again. They must be the same
+// for all of them: each entry keeps to its part. A daemon that has just started sends
+// requests again by the ratio alone until its first window is over.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio"`  // arrivals beyond the first for each request, default 0.2
+	Slack  float64       `yaml:"slack"`  // arrivals beyond the first that are allowed besides, default 100
+	Window time.Duration `yaml:"window"` // over which both are counted, default 10s
+}
+
+// Limits gives the bound as package retrybudget takes it.
+func (r Retries) Limits() retrybudget.Limits {
+	return retrybudget.Limits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
+}
+
 // DefaultDaemon is what a file starts from.
 func DefaultDaemon() Daemon {
 	return Daemon{
@@ -86,6 +102,7 @@
 			IdleTimeout: time.Minute,
 			StreamTime:  10 * time.Minute,
 		},
+		Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,7 +111,7 @@
 	}
 	group.Go(func() error { return d.base.agent.Run(work) })
 	if d.entry != nil {
-		d.entry.start(group, work)
+		d.entry.start(group, work, d.base.agent)
 	}
 }
 
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -11,13 +11,16 @@
 	"github.com/hyssopsail/hyssopsail/internal/admission"
 	"github.com/hyssopsail/hyssopsail/internal/endpoint"
 	"github.com/hyssopsail/hyssopsail/internal/engine"
+	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/provision"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
 
 // entryRole serves callers and endpoints and routes requests.
@@ -27,6 +30,7 @@
 	ledger    *outcome.Service
 	guard     *quarantine.Service
 	router    *route.Router
+	budget    *retrybudget.Budget
 	provision *provision.Service
 }
 
@@ -46,6 +50,7 @@
 	e.newProvision(b, client)
 	e.newOutcomes(b)
 	policies := newPolicies(b)
+	e.budget = retrybudget.New(time.Now(), b.file.Retries.Limits())
 	e.router = route.New(route.Options{
 		Source:     b.agent,
 		Follower:   e.provision.Follower(),
@@ -53,6 +58,7 @@
 		Ledger:     e.ledger,
 		Guard:      e.guard,
 		Admission:  admission.New(admission.Options{Random: newRandom(b)}),
+		Budget:     e.budget,
 		Policies:   policies.choose,
 		Prefill:    policies.prefill,
 		Links:      policies.links,
@@ -132,7 +138,23 @@
 	return trace.Wrap(pb.DRPCRegisterLedger(b.rpc.Mux, e.ledger.Server()))
 }
 
-func (e *entryRole) start(group *errgroup.Group, work context.Context) {
+// countInterval is the pause between two counts of the entries that share the budget for
+// retries: a tenth of the shortest window.
+const countInterval = 100 * time.Millisecond
+
+// countEntries tells the budget how many entries there are, as long as this daemon holds
+// its lease: without it, others may take it for gone.
+func (e *entryRole) countEntries(ctx context.Context, source membership.Source) error {
+	for sleep.For(ctx, countInterval) {
+		if now := time.Now(); source.Current(now) {
+			e.budget.Entries(now, max(1, source.State().View.CountEntries()))
+		}
+	}
+	return nil
+}
+
+func (e *entryRole) start(group *errgroup.Group, work context.Context, source membership.Source) {
+	group.Go(func() error { return e.countEntries(work, source) })
 	group.Go(func() error { return e.home.Run(work) })
 	group.Go(func() error { return e.follower.Run(work) })
 	group.Go(func() error { return e.provision.Run(work) })
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -146,6 +146,11 @@
 	if strings.Contains(i.roles, "control") {
 		data = "data_folder: " + filepath.Join(i.folder, "data")
 	}
+	// A test's fleet lives for seconds: daemons must not spend them in their first window.
+	retries := ""
+	if strings.Contains(i.roles, "entry") {
+		retries = "retries: {window: 1s}\n"
+	}
 	text := fmt.Sprintf(`instance_id: %s
 availability_zone: %s
 roles: [%s]
@@ -159,9 +164,9 @@
 tls: {authority: %s, certificate: %s, key: %s}
 fleet_secret_file: %s
 log_level: debug
-`, i.id, i.zone, i.roles, data, strings.Join(control, ", "),
+%s`, i.id, i.zone, i.roles, data, strings.Join(control, ", "),
 		i.at(rpcPort), f.advertised(i), i.at(callersPort), i.at(endpointsPort), i.at(operatorsPort),
-		f.key("authority.pem"), f.key(i.id+".pem"), f.key(i.id+"-key.pem"), f.key("fleet-secret.hex"))
+		f.key("authority.pem"), f.key(i.id+".pem"), f.key(i.id+"-key.pem"), f.key("fleet-secret.hex"), retries)
 	assert.NilError(t, os.WriteFile(filepath.Join(i.folder, "daemon.yaml"), []byte(text), 0o644))
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -24,3 +24,15 @@
 	}
 	return entries
 }
+
+// CountEntries counts the instances with the entry role, those among them that are
+// draining: they still finish requests.
+func (v View) CountEntries() int {
+	count := 0
+	for _, i := range v.Instances {
+		if i.Entry {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -39,6 +39,7 @@
 	m := r.newCallRun(req, c)
 	// Only after a panic is a hold still there.
 	defer func() { r.free(m.held, nil, 0) }()
+	defer m.arrivals.account.Close()
 	if c.idempotent {
 		return m.repeatable(ctx)
 	}
@@ -52,6 +53,7 @@
 	class       callClass
 	fingerprint fleet.Fingerprint
 	gate        engine.Gate
+	arrivals    *arrivals
 	avoid       endpointSet
 	deadline    time.Time // for the endpoint to be chosen and free
 	held        *hold     // the newest
@@ -64,6 +66,7 @@
 		class:       c,
 		fingerprint: r.hash.callFingerprint(req),
 		gate:        placement.Gate(r.opts.Source, req.Team, r.opts.Recorder),
+		arrivals:    r.openArrivals(req.ID, servicePool+req.Service),
 		avoid:       endpointSet{},
 		deadline:    req.Arrived.Add(c.patience),
 	}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -19,11 +19,15 @@
 // exchange sends the call under a hold and reads the whole answer. sent is
 // false only when the error proves that the call didn't run.
 func (m *callRun) exchange(ctx context.Context, h *hold, id fleet.AttemptID) (answer *CallAnswer, sent bool, s *setback) {
+	if !m.arrivals.maySend() {
+		return nil, false, overBudget()
+	}
 	local, cancel := context.WithTimeout(ctx, m.class.callTime)
 	defer cancel()
 	m.event(timeline.KindCallStart, id, h.target.ID)
 	h.touched = true
 	answer, err := m.roundTrip(local, h)
+	m.arrivals.sent(h.target.ID, err)
 	sent = !neverRan(err)
 	h.touched = sent
 	if err != nil {
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -13,11 +13,15 @@
 	requests   *prometheus.CounterVec
 	firstToken prometheus.Histogram
 	retries    prometheus.Counter
-	resumed    prometheus.Counter
-	wasted     prometheus.Counter
-	tokens     prometheus.Counter
-	grantsOver prometheus.Counter
-	targets    *prometheus.CounterVec
+	// extraArrivals counts arrivals at a pool beyond the first of a request, and
+	// extraRefused sends that were not made for want of budget.
+	extraArrivals prometheus.Counter
+	extraRefused  prometheus.Counter
+	resumed       prometheus.Counter
+	wasted        prometheus.Counter
+	tokens        prometheus.Counter
+	grantsOver    prometheus.Counter
+	targets       *prometheus.CounterVec
 }
 
 const (
@@ -40,6 +44,14 @@
 			Name: "hyssopsail_route_retries_total",
 			Help: "Attempts after the first.",
 		}),
+		extraArrivals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_extra_arrivals_total",
+			Help: "Arrivals at a pool of endpoints beyond the first of a request.",
+		}),
+		extraRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_route_extra_refused_total",
+			Help: "Sends that were not made since they would have been one arrival too many for the fleet.",
+		}),
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_route_resumed_total",
 			Help: "Streams that went on at another decode engine.",
@@ -68,7 +80,7 @@
 		Name: "hyssopsail_route_running_requests",
 		Help: "Requests in flight.",
 	}, func() float64 { return float64(f.running()) })
-	to.MustRegister(m.requests, m.firstToken, m.retries, m.resumed, m.wasted, m.tokens, m.grantsOver, m.targets, running)
+	to.MustRegister(m.requests, m.firstToken, m.retries, m.extraArrivals, m.extraRefused, m.resumed, m.wasted, m.tokens, m.grantsOver, m.targets, running)
 	return m
 }
 
--- a/internal/route/options.go
+++ b/internal/route/options.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 	"github.com/hyssopsail/hyssopsail/internal/timeline"
@@ -24,6 +25,8 @@
 	Ledger    outcome.Ledger
 	Guard     quarantine.Guard
 	Admission admission.Controller
+	// Budget bounds the fleet's arrivals beyond the first at each pool.
+	Budget *retrybudget.Budget
 	// Policies gives the choices that the settings name; an error leaves the
 	// last good ones in force.
 	Policies func(settings.Decisions) (Policies, error)
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -74,12 +74,16 @@
 	}
 	expected, _ := m.predictPrefill()
 	a.bookLink(time.Now().Add(a.prefill.grant.ReadyIn+expected), m.class.kvBytes())
+	if !m.reads.maySend() {
+		return overBudget()
+	}
 	m.event(timeline.KindPrefillStart, a.id, a.prefill.target.ID)
 	reply, err := m.router.opts.Engine.Prefill(local, a.prefill.target, m.router.gateUnder(a.prefill, m.gate), engineapi.PrefillRequest{
 		Work:      a.work(a.prefill.target, m.remaining()),
 		Prompt:    m.req.Prompt + m.text.String(),
 		MaxTokens: m.class.output - m.passed,
 	})
+	m.reads.sent(a.prefill.target.ID, err)
 	a.touch(a.prefill, err)
 	if err != nil {
 		return a.prefillFailed(ctx, local, err)
--- a/internal/route/relaycost_test.go
+++ b/internal/route/relaycost_test.go
@@ -133,7 +133,7 @@
 	f := &relayFleet{world: world{records: map[outcome.Key]*ledgerRecord{}}, engine: engineAddress}
 	f.state.Store(newWorld().state)
 	router := route.New(route.Options{
-		Source: f, Follower: f, Engine: engine.NewClient(engine.Options{MaxIdle: 1024}), Ledger: f, Guard: f, Admission: f, Recorder: f,
+		Source: f, Follower: f, Engine: engine.NewClient(engine.Options{MaxIdle: 1024}), Ledger: f, Guard: f, Admission: f, Recorder: f, Budget: testBudget(1000),
 		Policies: func(settings.Decisions) (route.Policies, error) {
 			return route.Policies{Prefill: first{}, Decode: first{}, Plain: first{}, Start: f}, nil
 		},
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -81,6 +81,8 @@
 		return notRun(callerapi.CodeOverloaded, "no slot comes free in time", after)
 	case causeAborted:
 		return aborted()
+	case causeOverBudget:
+		return notRun(callerapi.CodeOverloaded, "the fleet may not send it again now", after)
 	case causeGrantOver:
 		return notRun(callerapi.CodeOverloaded, "its slots ran out before they could be used", after)
 	case causeForbidden:
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -24,6 +24,8 @@
 
 	policies     Policies
 	admitted     admission.Request
+	reads        *arrivals // at prefill engines
+	decodes      *arrivals // at decode engines
 	avoid        endpointSet
 	stalled      stall
 	deadline     time.Time // for the next token
@@ -48,6 +50,8 @@
 		fingerprint: f,
 		gate:        placement.Gate(r.opts.Source, req.Team, r.opts.Recorder),
 		sink:        sink,
+		reads:       r.openArrivals(req.ID, prefillPool+c.model.Model),
+		decodes:     r.openArrivals(req.ID, decodePool+c.model.Model),
 		avoid:       endpointSet{},
 		deadline:    req.Arrived.Add(c.patience),
 	}
@@ -60,6 +64,8 @@
 		return noPolicy()
 	}
 	m.policies = policies
+	defer m.reads.account.Close()
+	defer m.decodes.account.Close()
 	for {
 		m.attempts++
 		s := m.try(ctx)
@@ -97,6 +103,10 @@
 	if !m.granted(s) {
 		return finalFailure(in)
 	}
+	if !m.reads.maySend() || !m.decodes.maySend() {
+		in.setback = overBudget()
+		return finalFailure(in)
+	}
 	m.router.metrics.retries.Inc()
 	m.event(timeline.KindRetry, "", s.endpoint)
 	return nil
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -27,6 +27,7 @@
 	causeStalled          // the transfer or the stream stood still
 	causeLost             // KV expired before it could be used
 	causeGrantOver        // the grant ran out before the send; no one is to blame
+	causeOverBudget       // one more arrival would be too many for the fleet
 	causeAborted          // this entry lost its place
 	causeFinal            // failure says all
 )
@@ -43,7 +44,7 @@
 
 // faultless tells whether the endpoint has nothing to do with it.
 func (c cause) faultless() bool {
-	return c == causeCallerGone || c == causeAborted || c == causeGrantOver
+	return c == causeCallerGone || c == causeAborted || c == causeGrantOver || c == causeOverBudget
 }
 
 // crashed tells whether the endpoint may have died under the request.
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -99,7 +99,11 @@
 	a.bookLink(time.Now(), a.kv.reply.KVBytes)
 	defer a.leaveLink(0)
 	for {
+		if !m.decodes.maySend() {
+			return overBudget()
+		}
 		reply, err := m.router.opts.Engine.Import(local, a.decode.target, gate, a.importRequest())
+		m.decodes.sent(a.decode.target.ID, err)
 		a.touch(a.decode, err)
 		if err == nil {
 			a.leaveLink(millis(reply.TransferMs))
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/membership"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
@@ -45,6 +46,7 @@
 	onClaim  func()
 	events   []timeline.Event
 	noBudget bool // no retry is left
+	budget   *retrybudget.Budget
 	// surveying: the follower has not asked all homes yet; surveyedAt is when it
 	// had, long ago when zero.
 	surveying  bool
@@ -111,6 +113,7 @@
 		records: map[outcome.Key]*ledgerRecord{},
 		verdict: pb.RunVerdict_RUN_VERDICT_GO,
 		plan:    schedule.StartPlan{ReserveFirst: true},
+		budget:  testBudget(1000),
 	}
 	w.add("p1", fleet.RolePrefill, "howrah")
 	w.add("p2", fleet.RolePrefill, "kolkata-north")
@@ -121,6 +124,13 @@
 	return w
 }
 
+// testBudget is that of the only entry, with so much slack and more that isn't used.
+func testBudget(slack float64) *retrybudget.Budget {
+	b := retrybudget.New(time.Now().Add(-time.Hour), retrybudget.Limits{Slack: slack, Window: time.Minute})
+	b.Entries(time.Now(), 1)
+	return b
+}
+
 func view() fleet.View {
 	v := fleet.View{Number: 1, Instances: map[fleet.InstanceID]fleet.Instance{}}
 	for _, i := range []fleet.Instance{
@@ -166,7 +176,7 @@
 
 func (w *world) routerWith(client engine.Client, bounds route.Bounds) *route.Router {
 	return route.New(route.Options{
-		Source: w, Follower: w, Engine: client, Ledger: w, Guard: w, Admission: w, Recorder: w,
+		Source: w, Follower: w, Engine: client, Ledger: w, Guard: w, Admission: w, Recorder: w, Budget: w.budget,
 		Policies: func(settings.Decisions) (route.Policies, error) {
 			return route.Policies{Prefill: first{}, Decode: first{}, Plain: first{}, Start: w}, nil
 		},
