entry: callers of a daemon that has just started wait for its settings

Cause: other entries name a daemon as soon as it has a lease; its own picture comes with the first pull, a moment later. The daemon's registration can't be put off, as its lease is what it pulls under.

Requests now wait for the first settings, 2 s at most, once in a process's life; a key that no team has is 401 only where the settings are known to be in force.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -4,20 +4,20 @@
 
 // state is what one entry knows of one endpoint.
 type state struct {
-	own     int // exchanges in flight from here
-	prompt  int // tokens of prompts being read there for this entry
-	memory  int // tokens held there for this entry
-	others  float64
-	toldAt  time.Time // when others was told
-	hard    int       // failures in a row that show the endpoint gone
-	until   time.Time // passed over until then
-	trial   bool      // one exchange tries it after a pass-over
-	fullAt  time.Time // when it was last without room
+	own    int // exchanges in flight from here
+	prompt int // tokens of prompts being read there for this entry
+	memory int // tokens held there for this entry
+	others float64
+	toldAt time.Time // when others was told
+	hard   int       // failures in a row that show the endpoint gone
+	until  time.Time // passed over until then
+	trial  bool      // one exchange tries it after a pass-over
+	fullAt time.Time // when it was last without room
 	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
-	misfits   int // answers in a row by another incarnation
-	faults  float64   // moving share of exchanges that failed, 0 to 1
-	usedAt  time.Time
+	misfits   int     // answers in a row by another incarnation
+	faults    float64 // moving share of exchanges that failed, 0 to 1
+	usedAt    time.Time
 
 	waited   float64   // newest wait of a prompt there, in times of its own reading
 	waitedAt time.Time // when that was seen
--- a/internal/entry/bounds.go
+++ b/internal/entry/bounds.go
@@ -9,6 +9,7 @@
 	KeyBytes  int           // longest Idempotency-Key
 	BodyTime  time.Duration // until the body is read
 	WriteTime time.Duration // one write to a caller that reads slowly
+	StartTime time.Duration // for which a daemon that has just started has requests wait for its settings
 	Addresses int           // in one address answer
 }
 
@@ -18,6 +19,7 @@
 	KeyBytes:  256,
 	BodyTime:  30 * time.Second,
 	WriteTime: 10 * time.Second,
+	StartTime: 2 * time.Second,
 	Addresses: 16,
 }
 
@@ -34,6 +36,7 @@
 	}
 	b.BodyTime = orTime(b.BodyTime, d.BodyTime)
 	b.WriteTime = orTime(b.WriteTime, d.WriteTime)
+	b.StartTime = orTime(b.StartTime, d.StartTime)
 	return b
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -31,11 +31,13 @@
 	opts    CallersOptions
 	bounds  Bounds
 	metrics *metrics
+	start   *start
 }
 
 // NewCallers makes the handler of the callers' interface.
 func NewCallers(o CallersOptions) http.Handler {
 	c := &callers{opts: o, bounds: o.Bounds.withDefaults(), metrics: newMetrics(o.Registerer)}
+	c.start = &start{source: o.Source, within: c.bounds.StartTime}
 	mux := chi.NewRouter()
 	mux.Use(c.recovered)
 	mux.Get("/healthz", c.health)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,6 +40,7 @@
 			control: http.NewResponseController(w),
 		}
 		w.Header().Set(callerapi.HeaderRequestID, string(x.id))
+		c.start.await(r.Context())
 		failure := c.identify(x)
 		if failure == nil {
 			failure = h(x)
@@ -56,18 +57,27 @@
 	if !ok {
 		return unauthorised()
 	}
-	team, ok := c.opts.TeamByKey(c.opts.Source.State().Tree, secret)
-	if !ok {
-		return unauthorised()
-	}
-	x.team = team
 	x.key = x.r.Header.Get(callerapi.HeaderKey)
 	if len(x.key) > c.bounds.KeyBytes {
 		return badRequest("the " + callerapi.HeaderKey + " header is too long")
 	}
+	team, ok := c.opts.TeamByKey(c.opts.Source.State().Tree, secret)
+	if !ok {
+		return c.unknownTeam(x)
+	}
+	x.team = team
 	return nil
 }
 
+// unknownTeam refuses a key that no team has. An entry that can't confirm its settings
+// doesn't know that.
+func (c *callers) unknownTeam(x *exchange) *route.Failure {
+	if !c.opts.Source.Current(time.Now()) {
+		return c.opts.Router.Refuses("", x.key)
+	}
+	return unauthorised()
+}
+
 func unauthorised() *route.Failure {
 	return &route.Failure{
 		Code:    callerapi.CodeUnauthorised,
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -239,6 +239,14 @@
 
 var allowGuardEnd = cmp.AllowUnexported(guardEnd{})
 
+// setState replaces the applied state, and gives the one before.
+func (w *world) setState(next *membership.State) (before *membership.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before, w.state = w.state, next
+	return before
+}
+
 func (w *world) freeze(stale bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
