--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -70,14 +70,11 @@
 	case OutcomeServed:
 		s.hard, s.misfits, s.trial, s.until = 0, 0, false, time.Time{}
 		s.faults -= s.faults * faultShare
-		s.refusals -= s.refusals * refusalShare
 	case OutcomeFailed:
 		s.hard, s.trial = 0, false
 		s.faults += (1 - s.faults) * faultShare
 	case OutcomeFull:
 		s.hard, s.trial = 0, false
-		s.refusals = s.refusalsNow(now)
-		s.refusals += (1 - s.refusals) * refusalShare
 		s.refusedAt = now
 	case OutcomeMisfit:
 		s.misfits++
@@ -125,12 +122,12 @@
 	b.state(e.Incarnation()).fullAt = now
 }
 
-// Refuses tells whether an endpoint is likely to turn an exchange away.
+// Refuses tells whether an endpoint has turned an exchange away lately.
 func (b *Book) Refuses(now time.Time, e *Endpoint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.states[e.Incarnation()]
-	return s != nil && s.refusalsNow(now) > likelyRefusal
+	return s != nil && !s.refusedAt.IsZero() && now.Sub(s.refusedAt) < refusalLife
 }
 
 // Zone is the entry's own.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -13,10 +13,6 @@
 	// fullCost puts an endpoint that had no room a moment ago behind all that
 	// may have some.
 	fullCost = 10.0
-	// refusalCost is the cost of an endpoint that turns all exchanges away. Each one that
-	// it gets is sent again, which the fleet's budget bounds: one that serves, though full
-	// of work, is better.
-	refusalCost = 3.0
 	// spread is the random part of a cost. Entries that hold the same picture
 	// would else all send to the same endpoint at once.
 	spread = 0.08
@@ -96,9 +92,6 @@
 	}
 	cost := before
 	cost += faultCost * (s.faults - base)
-	if b.policy.Has(AvoidRefusing) {
-		cost += refusalCost * s.refusalsNow(now)
-	}
 	if now.Sub(s.fullAt) < fullLife {
 		cost += fullCost
 	}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -32,9 +32,6 @@
 	// PassOver leaves endpoints alone for a while that can't be reached. Off:
 	// only the share of their failures counts against them.
 	PassOver Mechanism = "pass-over"
-	// AvoidRefusing has endpoints that turned work away lately come after the others.
-	// Off: only for a moment after they were full.
-	AvoidRefusing Mechanism = "avoid-refusing"
 	// Staging changes which endpoints read and which generate. Off: they stay as
 	// they registered.
 	Staging Mechanism = "staging"
@@ -53,7 +50,7 @@
 )
 
 var mechanisms = []Mechanism{
-	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, AvoidRefusing, Staging, Allotment,
+	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
 	AwaitWord, QuotaReturn, QuotaReserve,
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -13,9 +13,7 @@
 	until  time.Time // passed over until then
 	trial  bool      // one exchange tries it after a pass-over
 	fullAt time.Time // when it was last without room
-	// refusals is the moving share of exchanges that were turned away, 0 to 1, as of
-	// refusedAt, when the newest was.
-	refusals  float64
+	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
 	misfits   int     // answers in a row by another incarnation
 	faults    float64 // moving share of exchanges that failed, 0 to 1
@@ -45,14 +43,9 @@
 	// fullLife is how long an endpoint without room is asked after the others.
 	// Answers end every 30 to 50 ms at one that is full.
 	fullLife = 60 * time.Millisecond
-	// refusalShare is the weight of the newest exchange in the share of refusals, and
-	// refusalLife the time in which that share fades to a half: overload lasts some
-	// seconds, and its end must show soon.
-	refusalShare = 0.3
-	refusalLife  = 1500 * time.Millisecond
-	// likelyRefusal is the share from which on an endpoint is likely to refuse: one
-	// refusal of late, and few exchanges served since.
-	likelyRefusal = 0.1
+	// refusalLife is how long after its last refusal an endpoint is likely to refuse
+	// again: overload lasts some seconds.
+	refusalLife = 3 * time.Second
 	// waitedLife is the time in which a seen wait loses half of its weight: a
 	// burst lasts some seconds, and its end must show soon.
 	waitedLife = time.Second
@@ -81,12 +74,6 @@
 	return s.waited * float64(waitedLife) / float64(waitedLife+age)
 }
 
-// refusalsNow is the share of exchanges that it would likely turn away.
-func (s *state) refusalsNow(now time.Time) float64 {
-	age := max(0, now.Sub(s.refusedAt))
-	return s.refusals * float64(refusalLife) / float64(refusalLife+age)
-}
-
 // open tells whether the endpoint may get work now.
 func (s *state) open(now time.Time) bool {
 	if now.Before(s.until) {
