--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -20,7 +20,7 @@
 	assert.Assert(t, len(w.endpoints.calls) <= 1, "%d arrivals, and the budget allows none beyond the first", len(w.endpoints.calls))
 }
 
-// Guards against leave that is taken and never given back: the budget would shrink with
+// Guards against reservations that are never given back: the budget would shrink with
 // each prompt that is read elsewhere.
 func TestAcceptedReadingIsFree(t *testing.T) {
 	w := newWorld(routetable.KindStream, gives(func() *Reply { return ok("{}") }), gives(func() *Reply { return ok("data: 1\n\n") })).model()
@@ -33,10 +33,10 @@
 }
 
 // Guards against a request that is refused for want of budget after its reading was turned
-// away: leave for what follows is taken before.
+// away: what follows is reserved before, or after it.
 func TestTurnedAwayReadingLeavesOneSend(t *testing.T) {
 	w := newWorld(routetable.KindStream, gives(notRun), gives(func() *Reply { return ok("data: 1\n\n") })).model()
-	w.leaveOf(1)
+	w.budgetOf(1)
 	_, refusal := w.serve(t, modelExchange())
 	assert.Assert(t, refusal == nil)
 	assert.Equal(t, len(w.endpoints.calls), 2)
@@ -44,28 +44,28 @@
 }
 
 // Guards against sends that no endpoint has seen and that use up the budget.
-func TestUnreachedSendGivesItsLeaveBack(t *testing.T) {
+func TestUnreachedSendGivesItsReservationBack(t *testing.T) {
 	w := newWorld(idempotent, fails(true), fails(false), gives(func() *Reply { return ok("whole") }))
-	w.leaveOf(1)
+	w.budgetOf(1)
 	c, refusal := w.serve(t, exchange())
 	assert.Assert(t, refusal == nil)
 	assert.Equal(t, c.text.String(), "whole")
 	assert.Equal(t, len(w.endpoints.calls), 3)
 }
 
-// leaveOf has the budget give leave for so many arrivals beyond the first.
-func (w *world) leaveOf(n int) {
+// budgetOf leaves so many arrivals beyond the first in the budget.
+func (w *world) budgetOf(n int) {
 	for w.budget.Left(time.Now(), "s") >= float64(n+1) {
 		w.budget.Reserve(time.Now(), "s")
 	}
 }
 
 // Load pattern: readers turn prompts away while the budget is spent. A reader that did so
-// lately isn't asked without leave, and the endpoint that generates the answer reads the
+// lately isn't asked, and the endpoint that generates the answer reads the
 // prompt; nobody is refused for the reader's sake.
-func TestRefusingReaderIsNotAskedWithoutLeave(t *testing.T) {
+func TestRefusingReaderIsNotAskedWithoutBudget(t *testing.T) {
 	w := newWorld(routetable.KindStream, gives(func() *Reply { return ok("data: 1\n\n") })).model()
-	w.leaveOf(0)
+	w.budgetOf(0)
 	for _, e := range w.view.Endpoints["s"] {
 		if e.Stage == dispatch.StagePrefill {
 			w.router.options.Book.Note(time.Now(), e, dispatch.OutcomeFull)
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// standing sums up the exchange after a send. It takes leave from the budget when
-// another send would be one more arrival.
+// standing sums up the exchange after a send. It reserves another send that would be one
+// more arrival.
 func (l *life) standing(a attempt) Standing {
 	s := Standing{
 		Repeatable: l.route.Repeatable() && l.canGoOn(), Outcome: a.outcome,
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 )
 
 // The bounds of a prefill.
@@ -30,11 +31,7 @@
 	if l.readsOwn() {
 		return nil
 	}
-	choice, where := l.readerFor()
-	leave, may := l.leaveToRead(choice.Endpoint, where)
-	if !may {
-		where = dispatch.PlaceOwn
-	}
+	choice, where, reservation := l.reservedReader()
 	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
 	if where != dispatch.PlaceReader {
 		return nil
@@ -48,7 +45,7 @@
 	reading, cancel := context.WithTimeoutCause(ctx, max(leastPrefill, prefillFactor*whole), errSilent)
 	defer cancel()
 	result, outcome, arrived := l.readPrompt(reading, choice.Endpoint)
-	l.settleReading(leave, choice.Endpoint, outcome, arrived)
+	l.settlePrefill(reservation, choice.Endpoint, outcome, arrived)
 	l.prefillMs = time.Since(began).Milliseconds()
 	l.tellRead(outcome, book.ReadingTime(l.service, l.x.Prompt.Tokens, 0), time.Since(began))
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
@@ -73,6 +70,20 @@
 // returned tells whether the caller already holds a part of the answer.
 func (l *life) returned() bool { return l.x.After != "" }
 
+// reservedReader is readerFor within the budget for retries: without one for the reader,
+// the endpoint that generates the answer reads the prompt.
+func (l *life) reservedReader() (dispatch.Choice, dispatch.Place, *retrybudget.Reservation) {
+	choice, where := l.readerFor()
+	if where != dispatch.PlaceReader {
+		return choice, where, nil
+	}
+	reservation, may := l.reservePrefill(choice.Endpoint)
+	if !may {
+		where = dispatch.PlaceOwn
+	}
+	return choice, where, reservation
+}
+
 // readerFor gives the reader that the home named, or the one chosen here.
 func (l *life) readerFor() (dispatch.Choice, dispatch.Place) {
 	if l.allotted == nil {
--- a/internal/relay/extra.go
+++ b/internal/relay/repeats.go
@@ -7,7 +7,8 @@
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 )
 
-// maySend tells whether the budget allows the next send, and takes leave for it.
+// maySend tells whether the fleet's budget for retries allows the next send, and reserves
+// it.
 func (l *life) maySend() bool {
 	if l.account.MaySend(time.Now()) {
 		return true
@@ -17,46 +18,34 @@
 	return false
 }
 
-// leaveToRead tells whether a prefill may be sent. A prefill that is accepted is free; one
-// that is turned away makes the send that follows an arrival beyond the first. Leave for
-// that is taken before, where the reader has turned others away lately or the prefill
-// itself may be an arrival beyond the first. Without it, the endpoint that generates the
-// answer reads the prompt.
-func (l *life) leaveToRead(reader *dispatch.Endpoint, where dispatch.Place) (leave *retrybudget.Extra, may bool) {
+// reservePrefill tells whether a prefill may be sent. One that is accepted is free; one
+// that is turned away makes the send that follows an arrival beyond the first. That is
+// reserved before, where the reader has turned others away lately or the prefill itself
+// may be an arrival beyond the first.
+func (l *life) reservePrefill(reader *dispatch.Endpoint) (reservation *retrybudget.Reservation, may bool) {
 	now := time.Now()
-	if where != dispatch.PlaceReader {
-		return nil, false
-	}
 	if l.account.Seen() == 0 && !l.router.options.Book.Refuses(now, reader) {
 		return nil, true
 	}
-	leave = l.account.Reserve(now)
-	if leave == nil {
+	reservation = l.account.Reserve(now)
+	if reservation == nil {
 		l.router.metrics.extraRefused.Inc()
 		l.log("No budget for a prefill that may be turned away.", "reader", reader.ID, "budget_left", l.budgetLeft())
 	}
-	return leave, leave != nil
+	return reservation, reservation != nil
 }
 
-// settleReading settles the leave of a prefill.
-func (l *life) settleReading(leave *retrybudget.Extra, at *dispatch.Endpoint, outcome dispatch.Outcome, arrived bool) {
+// settlePrefill settles the reservation of a prefill, nil without one.
+func (l *life) settlePrefill(reservation *retrybudget.Reservation, at *dispatch.Endpoint, outcome dispatch.Outcome, arrived bool) {
 	switch {
-	case arrived && l.account.ArrivedBy(time.Now(), leave):
+	case arrived && l.account.ArrivedWith(time.Now(), reservation):
 		l.noteExtra(at)
-	case !arrived && leave != nil:
-		leave.Return()
+	case !arrived && reservation != nil:
+		reservation.Cancel()
 	}
 	l.lastSeen = outcome
 }
 
-// whyUnsent tells why there is no endpoint to send to.
-func (l *life) whyUnsent() string {
-	if !l.account.MaySend(time.Now()) {
-		return "the fleet may not send it again"
-	}
-	return "no endpoint can take it"
-}
-
 // hasArrived takes in that an endpoint has seen a send, or may have.
 func (l *life) hasArrived(at *dispatch.Endpoint) {
 	if l.account.Arrived(time.Now()) {
@@ -75,3 +64,11 @@
 }
 
 func (l *life) budgetLeft() float64 { return rounded(l.account.Left(time.Now())) }
+
+// whyUnsent tells why there is no endpoint to send to.
+func (l *life) whyUnsent() string {
+	if !l.account.MaySend(time.Now()) {
+		return "the fleet may not send it again"
+	}
+	return "no endpoint can take it"
+}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -32,6 +32,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.share.told(now, n)
+	b.forget(now)
+}
+
+// forget drops the counts of services that were not used for as long as they matter, since
+// services come and go with the configurations. It is called with b.mu held.
+func (b *Budget) forget(now time.Time) {
+	oldest := b.piece(now) - kept
+	for name, u := range b.services {
+		if u.newest < oldest && u.reserved == 0 {
+			delete(b.services, name)
+		}
+	}
+}
+
+// piece is the number of the piece of the window that holds now.
+func (b *Budget) piece(now time.Time) int64 {
+	return int64(now.Sub(b.share.began) / (b.limits.Window / pieces))
 }
 
 // Request counts a request for a service.
@@ -41,8 +58,8 @@
 	b.usage(now, service).requested()
 }
 
-// Reserve gives leave for one more arrival; nil when none is left.
-func (b *Budget) Reserve(now time.Time, service string) *Extra {
+// Reserve permits one more arrival; nil when none is left.
+func (b *Budget) Reserve(now time.Time, service string) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(now, service)
@@ -50,7 +67,7 @@
 		return nil
 	}
 	u.reserved++
-	return &Extra{budget: b, service: service}
+	return &Reservation{budget: b, service: service}
 }
 
 // Left is how many more arrivals fit now.
@@ -74,7 +91,7 @@
 
 // usage gives a service's counts as of now. It is called with b.mu held.
 func (b *Budget) usage(now time.Time, service string) *usage {
-	piece := int64(now.Sub(b.share.began) / (b.limits.Window / pieces))
+	piece := b.piece(now)
 	u := b.services[service]
 	if u == nil {
 		u = &usage{newest: piece}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -24,7 +24,7 @@
 	if extra == nil {
 		return false
 	}
-	extra.Arrived(now)
+	extra.Commit(now)
 	return true
 }
 
@@ -108,18 +108,30 @@
 // its endpoint at any time until its answer.
 func TestReservedCountsUntilItIsSettled(t *testing.T) {
 	b := older(Limits{Slack: 5, Window: 10 * time.Second}, 1)
-	var held []*Extra
+	var held []*Reservation
 	for extra := b.Reserve(at(0), "s"); extra != nil; extra = b.Reserve(at(0), "s") {
 		held = append(held, extra)
 	}
 	assert.Equal(t, len(held), 4)
 	b.Entries(at(11*time.Second), 1)
 	assert.Assert(t, b.Reserve(at(11*time.Second), "s") == nil)
-	held[0].Arrived(at(11 * time.Second))
-	held[0].Return()
+	held[0].Commit(at(11 * time.Second))
+	held[0].Cancel()
 	assert.Assert(t, b.Reserve(at(11*time.Second), "s") == nil, "it has arrived, and isn't given back")
-	held[1].Return()
-	held[1].Return()
+	held[1].Cancel()
+	held[1].Cancel()
 	assert.Assert(t, spend(b, at(11*time.Second), "s"))
 	assert.Assert(t, !spend(b, at(20*time.Second), "s"))
 }
+
+// Guards against memory that grows with each service that ever was.
+func TestUnusedServicesAreForgotten(t *testing.T) {
+	b := older(Limits{Slack: 5, Window: 10 * time.Second}, 1)
+	b.Request(at(0), "unused")
+	held := b.Reserve(at(0), "held")
+	b.Request(at(25*time.Second), "used")
+	b.Entries(at(25*time.Second), 1)
+	assert.Equal(t, len(b.services), 2)
+	held.Commit(at(25 * time.Second))
+	assert.Equal(t, b.Left(at(25*time.Second), "held"), 3.0)
+}
--- a/internal/retrybudget/doc.go
+++ b/internal/retrybudget/doc.go
@@ -9,14 +9,16 @@
 // The contract of who sends:
 //
 //   - Request tells of each request once.
-//   - Before each send that may be an arrival beyond the first, Reserve gives leave for
-//     it. Without it, the request isn't sent.
-//   - Extra.Arrived follows when an endpoint has seen the send or may have, Extra.Return
-//     when none has, or when the arrival turned out to be free.
-//
-// Entries decide alone, so their parts may not add up to more than the bound, whatever
-// each of them knows. Those of the ratio don't, as each is a sum over an entry's own requests
-// in the same spans. The slack is divided by the number of entries that may send:
+//   - Before each send that may be an arrival beyond the first, Reserve takes a
+//     reservation. Without it, the request isn't sent.
+//   - Reservation.Commit follows when an endpoint has seen the send or may have,
+//     Reservation.Cancel when none has, or when the arrival turned out to be free.
+//
+// An Account does this for one request.
+//
+// Entries decide alone, so their parts of the bound must add up to no more than the whole,
+// whatever each of them knows. The ratio's part does, as each entry takes it of its own
+// requests in the same spans. The slack is divided by the number of entries that may send:
 //
 //   - The largest number told within the last window counts, as arrivals of that time may
 //     have been sent by any of them.
--- a/internal/retrybudget/window_test.go
+++ b/internal/retrybudget/window_test.go
@@ -165,7 +165,7 @@
 
 // windowSend is a send that was decided on.
 type windowSend struct {
-	extra *Extra
+	extra *Reservation
 	at    time.Duration
 }
 
@@ -176,7 +176,7 @@
 			later = append(later, s)
 			continue
 		}
-		s.extra.Arrived(begin.Add(at))
+		s.extra.Commit(begin.Add(at))
 		sent = append(sent, s.at)
 	}
 	return later, sent
--- a/internal/route/arrival.go
+++ b/internal/route/arrival.go
@@ -26,7 +26,8 @@
 	return &arrivals{router: r, request: request, pool: pool, account: r.opts.Budget.Open(time.Now(), pool)}
 }
 
-// maySend tells whether the fleet's budget allows the next send, and takes leave for it.
+// maySend tells whether the fleet's budget for retries allows the next send, and reserves
+// it.
 func (a *arrivals) maySend() bool {
 	if a.account.MaySend(time.Now()) {
 		return true
