relay, route: a life in smaller types; a full decode engine is asked less often

relay.life had 27 fields: what was decided so far (trail) and when the answer's parts came (progress) are types with files of their own. No decision changes there.

route: a decode engine that is still full is asked after 15, 30, 60 ms and so on, where it was asked each 15 ms: each question is an arrival that draws on the fleet's budget. TestModelKeepsTheFleetsBudget/decode_engine_is_full and the rest of the package pass.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -39,26 +39,17 @@
 
 // begin passes the head of an answer on.
 func (l *life) begin(reply *Reply, length int64) {
-	l.begun, l.firstAt = true, time.Now()
+	l.begun, l.progress.firstAt = true, time.Now()
 	l.caller.Begin(reply.Status, reply.Header, length)
 }
 
 // write passes a part on. A caller that can't be written to has left, which
 // its context tells too.
 func (l *life) write(p []byte) bool {
-	l.writes++
-	l.notePause(time.Now())
+	l.progress.wrote(time.Now())
 	return l.caller.Write(p) == nil
 }
 
-// notePause keeps the longest pause between two parts.
-func (l *life) notePause(now time.Time) {
-	if !l.writtenAt.IsZero() && now.Sub(l.writtenAt) > l.pause {
-		l.pause, l.pauseAt = now.Sub(l.writtenAt), l.writtenAt
-	}
-	l.writtenAt = now
-}
-
 // long passes on an answer that is too long to be held.
 func (l *life) long(reply *Reply, first []byte) attempt {
 	l.begin(reply, reply.Length)
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -56,7 +56,7 @@
 	l.writeTrail()
 	l.router.options.Part.Info("Broken off.", "request", l.x.ID, "reason", reason, "after", l.lastID,
 		"route", l.route.Name, "version", l.version, "service", l.service, "endpoint", l.chosen,
-		"took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
+		"took_ms", l.since(time.Now()), "err", l.lastErr, "left_by", context.Cause(ctx))
 	l.aborted = true
 	l.caller.Abort()
 }
@@ -70,61 +70,12 @@
 	l.writeTrail()
 	l.router.options.Part.Info("Refused.", "request", l.x.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
 		"route", l.route.Name, "team", teamName(l.team), "version", l.version, "service", l.service, "endpoint", l.chosen, "sends", l.sends,
-		"runs", l.runs, "took_ms", time.Since(l.x.Received).Milliseconds(), "err", l.lastErr, "left_by", context.Cause(ctx))
+		"runs", l.runs, "took_ms", l.since(time.Now()), "err", l.lastErr, "left_by", context.Cause(ctx))
 }
 
 // rounded is a figure as precise as a reader needs it.
 func rounded(x float64) float64 { return math.Round(100*x) / 100 }
 
-// log notes a decision with what decided it. The lines of an exchange are
-// written when it ends badly, late, or after more than one send: one that went
-// well is told by its last line alone, so that the volume stays small.
-func (l *life) log(sentence string, keyvals ...any) {
-	if len(l.trail) < mostTrail {
-		l.trail = append(l.trail, step{at: time.Now(), sentence: sentence, keyvals: keyvals})
-	} else {
-		l.untold++
-	}
-}
-
-// mostTrail bounds the decisions that are kept of one exchange. The first ones
-// tell how it began; of a long wait the rest is alike.
-const mostTrail = 24
-
-// step is one decision.
-type step struct {
-	at       time.Time
-	sentence string
-	keyvals  []any
-}
-
-func (l *life) writeTrail() {
-	for _, s := range l.trail {
-		l.router.options.Part.Info(s.sentence, append([]any{
-			"request", l.x.ID, "route", l.route.Name, "version", l.version, "at_ms", s.at.Sub(l.x.Received).Milliseconds(),
-		}, s.keyvals...)...)
-	}
-	if l.untold > 0 {
-		l.router.options.Part.Info("More decisions like these.", "request", l.x.ID, "count", l.untold)
-	}
-	l.trail = nil
-}
-
-// lateAnswer tells whether the first part was passed on after the target, or
-// another one after a longer pause than the route's.
-func (l *life) lateAnswer() bool {
-	lateFirst := l.route.Target > 0 && l.firstAt.Sub(l.x.Received) > l.route.Target
-	return lateFirst || l.route.EventGap > 0 && l.pause > l.route.EventGap
-}
-
-// pauseStart is when the longest pause began, ms after the arrival; 0 without one.
-func (l *life) pauseStart() int64 {
-	if l.pauseAt.IsZero() {
-		return 0
-	}
-	return l.pauseAt.Sub(l.x.Received).Milliseconds()
-}
-
 func (l *life) reportServed() {
 	if l.lateAnswer() || l.last != dispatch.OutcomeServed || l.sends > 1 {
 		l.writeTrail()
@@ -135,7 +86,7 @@
 	}
 	l.router.options.Part.Info("Answered.", "request", l.x.ID, "route", l.route.Name, "team", teamName(l.team), "version", l.version,
 		"service", l.service, "endpoint", l.chosen, "outcome", l.last, "sends", l.sends, "runs", l.runs,
-		"prompt", tokens, "output", output, "prefill_ms", l.prefillMs,
-		"sent_ms", l.sentAt.Sub(l.x.Received).Milliseconds(), "first_ms", l.firstAt.Sub(l.x.Received).Milliseconds(),
-		"took_ms", time.Since(l.x.Received).Milliseconds(), "writes", l.writes, "pause_ms", l.pause.Milliseconds(), "pause_at_ms", l.pauseStart(), "last_event", l.lastID)
+		"prompt", tokens, "output", output, "prefill_ms", l.progress.prefillMs,
+		"sent_ms", l.since(l.progress.sentAt), "first_ms", l.since(l.progress.firstAt),
+		"took_ms", l.since(time.Now()), "writes", l.progress.writes, "pause_ms", l.progress.pause.Milliseconds(), "pause_at_ms", l.pauseStart(), "last_event", l.lastID)
 }
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -40,18 +40,11 @@
 	lastErr  error  // of the newest send
 	chosen   string // endpoint sent to last
 
-	trail  []step // decisions so far
-	untold int    // decisions beyond those kept
+	trail    trail
+	progress progress
 
-	sentAt    time.Time         // of the newest send
-	firstAt   time.Time         // when the first byte was passed on
-	allotted  *allocation.Place // in use; nil for none
-	unseen    []string          // endpoints that a home named and that are not known here
-	prefillMs int64             // that a prefill took; 0 without one
-	writes    int
-	writtenAt time.Time     // of the newest part passed on
-	pause     time.Duration // longest one between two parts
-	pauseAt   time.Time     // when it began
+	allotted *allocation.Place // in use; nil for none
+	unseen   []string          // endpoints that a home named and that are not known here
 }
 
 // attempt is what one send gave.
@@ -179,7 +172,7 @@
 	l.tried[c.Endpoint.Incarnation()] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
-	l.sentAt = time.Now()
+	l.progress.sentAt = time.Now()
 	a := l.exchange(ctx, c)
 	if ctx.Err() != nil && a.outcome != dispatch.OutcomeServed {
 		a.outcome = dispatch.OutcomeGivenUp
@@ -189,7 +182,7 @@
 	l.last, l.lastErr = a.outcome, a.err
 	l.lastSeen = a.outcome
 	if a.outcome == dispatch.OutcomeServed && c.After == "" {
-		book.HaveAnswered(l.service, l.estimate(), time.Since(l.firstAt))
+		book.HaveAnswered(l.service, l.estimate(), time.Since(l.progress.firstAt))
 	}
 	l.settleSource(a.outcome)
 	l.settleAllotted(a.outcome)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -88,8 +88,8 @@
 
 func (m *metrics) end(l *life, refusal *Refusal) {
 	kind := l.route.Kind.String()
-	if !l.firstAt.IsZero() {
-		m.firstPart.WithLabelValues(kind).Observe(l.firstAt.Sub(l.x.Received).Seconds())
+	if !l.progress.firstAt.IsZero() {
+		m.firstPart.WithLabelValues(kind).Observe(l.progress.firstAt.Sub(l.x.Received).Seconds())
 	}
 	m.ended.WithLabelValues(kind, l.endName(refusal)).Inc()
 }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -108,8 +108,8 @@
 		w.Target = 0
 	}
 	if l.begun {
-		since = l.writtenAt
-		w.Length = max(0, w.Length-since.Sub(l.firstAt))
+		since = l.progress.writtenAt
+		w.Length = max(0, w.Length-since.Sub(l.progress.firstAt))
 	}
 	w.Patience = l.deadline.Sub(since)
 	return since, w
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -46,7 +46,7 @@
 	defer cancel()
 	result, outcome, arrived := l.readPrompt(reading, choice.Endpoint)
 	l.settlePrefill(reservation, choice.Endpoint, outcome, arrived)
-	l.prefillMs = time.Since(began).Milliseconds()
+	l.progress.prefillMs = time.Since(began).Milliseconds()
 	l.tellRead(outcome, book.ReadingTime(l.service, l.x.Prompt.Tokens, 0), time.Since(began))
 	l.router.metrics.reading.Observe(time.Since(began).Seconds())
 	if outcome == dispatch.OutcomeServed {
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -10,7 +10,8 @@
 
 const (
 	// fullPause is the wait before a decode engine that was still full is
-	// asked again: grants may come a little before the slot is free.
+	// asked again: grants may come a little before the slot is free. It doubles
+	// each time, as each question draws on the fleet's budget for retries.
 	fullPause = 15 * time.Millisecond
 	// transferTries bounds the decode engines that one KV cache is sent to.
 	transferTries = 2
@@ -98,7 +99,7 @@
 	gate := m.router.gateUnder(a.decode, m.gate)
 	a.bookLink(time.Now(), a.kv.reply.KVBytes)
 	defer a.leaveLink(0)
-	for {
+	for wait := fullPause; ; wait *= 2 {
 		if !m.decodes.maySend() {
 			return overBudget()
 		}
@@ -112,10 +113,10 @@
 		}
 		s := fromError(ctx, local, err)
 		a.blame(s)
-		if s.cause != causeFull || time.Until(a.kv.expires) < fullPause {
+		if s.cause != causeFull || time.Until(a.kv.expires) < wait {
 			return s
 		}
-		if pause(local, fullPause) != nil {
+		if pause(local, wait) != nil {
 			return &setback{cause: causeFull, endpoint: a.decode.target.ID}
 		}
 	}
