--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -73,7 +73,10 @@
 // doesn't know that.
 func (c *callers) unknownTeam(x *exchange) *route.Failure {
 	if !c.opts.Source.Current(time.Now()) {
-		return c.opts.Router.Refuses("", x.key)
+		// It may be current by now, and refuses nothing.
+		if failure := c.opts.Router.Refuses("", x.key); failure != nil {
+			return failure
+		}
 	}
 	return unauthorised()
 }
