relay, endpointlimit: what endpoints say of their limit, in the log and the metrics

Server-Limit is read and kept, a line and a counter tell of each change and of each send to an endpoint that is known to name one, with what the send was for. No decision changes.

Only a request that was sent after a limit was heard can show that it has ended: answers overtake each other.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -169,6 +169,7 @@
 		work.Prompt = l.x.Prompt.Tokens
 	}
 	book.Begin(time.Now(), c.Endpoint, work)
+	l.noteLimited(c.Endpoint, l.kind())
 	l.tried[c.Endpoint.Incarnation()] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
@@ -214,6 +215,7 @@
 	}
 	defer reply.Body.Close()
 	l.hasArrived(c.Endpoint)
+	l.hearLimit(c.Endpoint, l.progress.sentAt, reply)
 	if reply.Load != nil {
 		l.router.options.Book.Told(time.Now(), c.Endpoint, *reply.Load)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,9 @@
 	extraRefused prometheus.Counter
 	// leftToLapse counts what was not freed for want of a place in giveBacks.
 	leftToLapse prometheus.Counter
+	// limitWords counts what answers said anew of their endpoints' limits.
+	limitWords   *prometheus.CounterVec
+	limitedSends *prometheus.CounterVec
 }
 
 // answerBuckets reach from a plain call's answer to the longest patience, s.
@@ -72,6 +75,14 @@
 			Name: "hyssopsail_relay_left_to_lapse_total",
 			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
 		}),
+		limitWords: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_limit_words_total",
+			Help: "Answers that changed what is known of their endpoint's limit, or named none that can be read, by what they said.",
+		}, []string{"said"}),
+		limitedSends: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_limited_sends_total",
+			Help: "Sends to endpoints that were known to name a limit, by what they were for.",
+		}, []string{"kind"}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -117,6 +117,8 @@
 	call := l.call(e)
 	call.Prefill = true
 	call.Priority = l.rank()
+	l.noteLimited(e, sendPrefill)
+	sent := time.Now()
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
 		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
@@ -130,6 +132,7 @@
 		return nil, outcomeOf(err), arrived
 	}
 	defer reply.Body.Close()
+	l.hearLimit(e, sent, reply)
 	if reply.Load != nil {
 		l.router.options.Book.Told(time.Now(), e, *reply.Load)
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
@@ -20,11 +21,12 @@
 	options   Options
 	metrics   *metrics
 	giveBacks giveBacks
+	limits    *endpointlimit.Known
 }
 
 // New makes a Router.
 func New(options Options) *Router {
-	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks()}
+	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks(), limits: endpointlimit.NewKnown()}
 }
 
 // Serve takes an exchange to its answer. It gives nil when the caller got one,
