relay: failing test of endpoints' limits, listed

Callers' requests reach an endpoint in need at several times the rate that it names. TestEndpointGetsNoMoreThanItsLimit plays entries before endpoints that name limits, for 20 s of virtual time, and judges by what reaches each endpoint: arrivals in any 4 s, 3 s after the limit was first named, from entries that were told half a second before.

--- /dev/null
+++ b/internal/relay/limit_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a limit that each entry keeps for itself, or that some path goes round:
+// all entries together send an endpoint in need several times what it takes.
+func TestEndpointGetsNoMoreThanItsLimit(t *testing.T) {
+	none := func(time.Duration) (float64, bool) { return 0, false }
+	falling := func(at time.Duration) (float64, bool) { return max(0.5, 8-at.Seconds()/2), at >= limitedBegin }
+	rising := func(at time.Duration) (float64, bool) { return at.Seconds() / 2, at >= limitedBegin }
+	paused := func(at time.Duration) (float64, bool) {
+		return 1.9, at >= limitedBegin && (at < 8*time.Second || at > 11*time.Second)
+	}
+	for _, test := range []struct {
+		name    string
+		entries int
+		load    float64 // requests a second
+		model   bool
+		refuses bool
+		limits  []func(time.Duration) (float64, bool)
+	}{
+		{"one of four", 7, 33, false, false, []func(time.Duration) (float64, bool){steady(1.9), nil, nil, nil}},
+		{"two of four", 7, 33, false, false, []func(time.Duration) (float64, bool){steady(4.1), steady(1.8), nil, nil}},
+		{"all", 7, 33, false, false, []func(time.Duration) (float64, bool){steady(4.1), steady(1.8), steady(3)}},
+		{"under one a second", 7, 33, false, false, []func(time.Duration) (float64, bool){steady(0.2), nil}},
+		{"nothing", 7, 33, false, false, []func(time.Duration) (float64, bool){steady(0), nil}},
+		{"many entries", 60, 150, false, false, []func(time.Duration) (float64, bool){steady(1.9), nil, nil, nil}},
+		{"falls", 7, 33, false, false, []func(time.Duration) (float64, bool){falling, nil, nil}},
+		{"rises", 7, 33, false, false, []func(time.Duration) (float64, bool){rising, nil, nil}},
+		{"ends and begins again", 7, 33, false, false, []func(time.Duration) (float64, bool){paused, nil, nil}},
+		{"turns requests away", 7, 33, false, true, []func(time.Duration) (float64, bool){steady(1.9), nil, nil, nil}},
+		{"reads prompts", 7, 20, true, false, []func(time.Duration) (float64, bool){steady(1.9), none, none, none}},
+		{"all that read prompts", 7, 20, true, false, []func(time.Duration) (float64, bool){steady(1.9), steady(1.1), none, none}},
+		{"generates", 7, 20, true, false, []func(time.Duration) (float64, bool){none, none, steady(1.9), none}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitedFleet(test.entries, test.model, test.limits...)
+				for _, e := range f.service.endpoints {
+					e.refuses = test.refuses
+				}
+				f.play(t, test.load)
+				for id, e := range f.service.endpoints {
+					share, got, allowed := e.fullest()
+					t.Logf("%s: %d arrivals, %.2f of the bound in the fullest window", id, len(e.arrivals), share)
+					assert.Check(t, share <= 1, "%s got %.0f requests in %s, %.1f are allowed", id, got, limitWindow, allowed)
+				}
+				t.Logf("%d asked, %d served, %d refused", f.asked, f.served, f.refused)
+			})
+		})
+	}
+}
