endpointlimit, relay: the limit that an endpoint names is the fleet's

What callers saw: nothing at first; an endpoint in need got 35 requests in 4 s where it had named 1.9 a second (16 allowed), until it would have failed them.

Cause: no part of an entry acted on Server-Limit.

Repair: up to three control instances keep the limit of an endpoint, each a part of it. Before each send to an endpoint that named a limit, whatever it is for (first, again, a prompt that is read elsewhere, one that goes on), an entry takes leave of one of them. A keeper saves up leave for little more than one request and begins with none, so that the parts add up to no more than the bound when keepers die, freeze, restart, are replaced or don't agree on who they are; an entry that reaches none sends nothing there. An endpoint without leave is blocked: others are chosen, and where there is none the caller waits for half of what is left of its target at most, else it is told at once when to come again. The end of a limit is told to the keepers by whoever hears it, and by them to the rest. Switch: keep-limits.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -74,10 +74,7 @@
 }
 
 func (c *Coordinator) knownAddresses() []string {
-	var list []string
-	for _, m := range c.options.Group.Status().Members {
-		list = append(list, m.Member.RpcAddress)
-	}
+	list := c.Members()
 	for _, seed := range c.options.Seeds {
 		if !slices.Contains(list, seed) {
 			list = append(list, seed)
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -96,9 +96,7 @@
 	if confirmedAt > 0 {
 		reply.AgeUs = uint64((c.options.Uptime() - confirmedAt).Microseconds()) + 1
 	}
-	for _, m := range c.options.Group.Status().Members {
-		reply.Members = append(reply.Members, m.Member.RpcAddress)
-	}
+	reply.Members = c.Members()
 	return reply
 }
 
@@ -114,6 +112,15 @@
 // known.
 func (c *Coordinator) Keepers() int { return len(c.options.Group.Status().Members) }
 
+// Members lists the addresses of the control instances, none while they aren't known.
+func (c *Coordinator) Members() []string {
+	var list []string
+	for _, m := range c.options.Group.Status().Members {
+		list = append(list, m.Member.RpcAddress)
+	}
+	return list
+}
+
 // Blocks implements pb.DRPCCoordinatorServer.
 func (c *Coordinator) Blocks(_ context.Context, request *pb.BlocksRequest) (*pb.BlocksReply, error) {
 	sums := make([]blocks.Sum, 0, len(request.Blocks))
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -16,6 +16,8 @@
 	states map[Incarnation]*state
 	speeds map[string]*speed  // of reading prompts, by service
 	paces  map[string]float64 // of answers, ns a token of their estimates, by service
+	// blockedUntil is when none of the endpoints is blocked any more.
+	blockedUntil time.Time
 }
 
 // NewBook makes an empty book for an entry in a zone.
@@ -133,13 +135,13 @@
 // Zone is the entry's own.
 func (b *Book) Zone() string { return b.zone }
 
-// PassedOver lists the IDs of the endpoints that are passed over now.
+// PassedOver lists the IDs of the endpoints that are passed over or blocked now.
 func (b *Book) PassedOver(now time.Time, endpoints []*Endpoint) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []string
 	for _, e := range endpoints {
-		if s := b.states[e.Incarnation()]; s != nil && !s.open(now) {
+		if s := b.states[e.Incarnation()]; s != nil && (!s.open(now) || s.blocked(now)) {
 			list = append(list, e.ID)
 		}
 	}
@@ -151,7 +153,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
-		if s.own == 0 && now.Sub(s.usedAt) > idleState {
+		if s.own == 0 && now.Sub(s.usedAt) > idleState && !s.blocked(now) {
 			delete(b.states, id)
 		}
 	}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -44,6 +44,9 @@
 	// QuotaReturn has callers whose team has spent its quota come back within their
 	// target. Off: like those for whom there was no room.
 	QuotaReturn Mechanism = "quota-return"
+	// KeepLimits keeps the limits that endpoints name, over all entries. Off: they are
+	// sent what comes.
+	KeepLimits Mechanism = "keep-limits"
 	// QuotaReserve takes small requests of a team that has spent its quota from a
 	// reserve. Off: they are turned away like large ones.
 	QuotaReserve Mechanism = "quota-reserve"
@@ -51,7 +54,7 @@
 
 var mechanisms = []Mechanism{
 	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
-	AwaitWord, QuotaReturn, QuotaReserve,
+	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits,
 }
 
 // Policy tells which mechanisms work. The zero Policy has all of them on. It is
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -13,6 +13,8 @@
 	until  time.Time // passed over until then
 	trial  bool      // one exchange tries it after a pass-over
 	fullAt time.Time // when it was last without room
+	// blockedUntil is when something may be sent to it again.
+	blockedUntil time.Time
 	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
 	misfits   int     // answers in a row by another incarnation
--- a/internal/relay/allot.go
+++ b/internal/relay/allot.go
@@ -66,7 +66,11 @@
 		l.settle(given, allotOutcome(ctx, err))
 		return nil
 	}
-	return &place{endpoint: e, hold: hold, allotted: &given}
+	at := l.permittedPlace(ctx, &place{endpoint: e, hold: hold, allotted: &given})
+	if at == nil {
+		l.settle(given, allocation.OutcomeDone)
+	}
+	return at
 }
 
 func (l *life) endpoint(stage dispatch.Stage, id string) *dispatch.Endpoint {
--- a/internal/relay/giveback.go
+++ b/internal/relay/giveback.go
@@ -49,6 +49,10 @@
 // dropPlace frees the room that was set aside for the exchange.
 func (l *life) dropPlace(at *place) {
 	l.settleAllotted(dispatch.OutcomeGivenUp)
+	l.dropHold(at)
+}
+
+func (l *life) dropHold(at *place) {
 	if at.hold == "" {
 		return
 	}
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -43,8 +43,9 @@
 	trail    trail
 	progress progress
 
-	allotted *allocation.Place // in use; nil for none
-	unseen   []string          // endpoints that a home named and that are not known here
+	allotted *allocation.Place                  // in use; nil for none
+	unseen   []string                           // endpoints that a home named and that are not known here
+	permits  map[dispatch.Incarnation]time.Time // when leave was asked for that was not used yet
 }
 
 // attempt is what one send gave.
@@ -57,6 +58,7 @@
 
 func (l *life) run(ctx context.Context) *Refusal {
 	l.tried = map[dispatch.Incarnation]bool{}
+	l.permits = map[dispatch.Incarnation]time.Time{}
 	defer l.releaseSource()
 	defer l.account.Close()
 	for {
@@ -136,11 +138,21 @@
 	if l.engine != nil {
 		return l.prepareModel(ctx)
 	}
-	choice, ok := l.choose(dispatch.StageNone, l.tried, dispatch.ByPlaces)
-	if !ok {
-		return nil, nil
+	return l.preparePlain(ctx)
+}
+
+// preparePlain chooses an endpoint that may be sent the exchange.
+func (l *life) preparePlain(ctx context.Context) (*dispatch.Endpoint, *Call) {
+	for ctx.Err() == nil {
+		choice, ok := l.choose(dispatch.StageNone, l.tried, dispatch.ByPlaces)
+		switch {
+		case ok && l.isPermitted(ctx, choice.Endpoint):
+			return choice.Endpoint, l.call(choice.Endpoint)
+		case !ok && !l.awaitUnblocked(ctx, dispatch.StageNone):
+			return nil, nil
+		}
 	}
-	return choice.Endpoint, l.call(choice.Endpoint)
+	return nil, nil
 }
 
 func (l *life) choose(stage dispatch.Stage, tried map[dispatch.Incarnation]bool, fill dispatch.Measure) (dispatch.Choice, bool) {
@@ -169,7 +181,7 @@
 		work.Prompt = l.x.Prompt.Tokens
 	}
 	book.Begin(time.Now(), c.Endpoint, work)
-	l.noteLimited(c.Endpoint, l.kind())
+	l.usePermit(c.Endpoint, l.kind())
 	l.tried[c.Endpoint.Incarnation()] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -56,3 +56,63 @@
 		})
 	}
 }
+
+// Load pattern: an endpoint takes half of its work, and the others have no room for the
+// rest. What it takes is used; an entry that reaches no keeper leaves it out wholly.
+func TestLimitedEndpointServesWhatItTakes(t *testing.T) {
+	const load, slots = 130, 2 // of 20 ms each: 100 a second
+	share := func(kept bool) (served float64) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newLimitedFleet(7, false, steady(50), nil)
+			for _, e := range f.service.endpoints {
+				e.slots = slots
+			}
+			if !kept {
+				f.removeMembers()
+			}
+			f.play(t, load)
+			served = float64(f.served) / float64(f.asked)
+		})
+		return served
+	}
+	kept, left := share(true), share(false)
+	t.Logf("served %.3f where the limit is kept, %.3f where the endpoint is left out", kept, left)
+	assert.Assert(t, kept > left+0.1)
+}
+
+// Guards against callers that are held where no endpoint takes any more: they are told at
+// once when to come again.
+func TestRefusedAtOnceWhenAllEndpointsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(1, false, steady(0), steady(0))
+		time.Sleep(limitedBegin)
+		var refusal *Refusal
+		for range 20 {
+			x := exchange()
+			if refusal = f.entries[0].Serve(t.Context(), x, &caller{}); refusal == nil {
+				continue
+			}
+			assert.Assert(t, time.Since(x.Received) < 150*time.Millisecond)
+			assert.Equal(t, refusal.Verdict, VerdictNotRun)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		}
+		assert.Assert(t, refusal != nil)
+	})
+}
+
+// Guards against capacity that is lost for good: the endpoint's need is over, and no entry
+// sends it anything by which it could hear so.
+func TestEndOfALimitIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ends := func(at time.Duration) (float64, bool) { return 0, at >= limitedBegin && at < 8*time.Second }
+		f := newLimitedFleet(7, false, ends, nil)
+		f.play(t, 33)
+		last := 0
+		for _, a := range f.service.endpoints["e0"].arrivals {
+			if a.at > limitedPlay-2*time.Second {
+				last++
+			}
+		}
+		assert.Assert(t, last >= 15, "%d requests in the last 2 s", last)
+	})
+}
--- a/internal/relay/limit_world_test.go
+++ b/internal/relay/limit_world_test.go
@@ -13,9 +13,11 @@
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // The bound on what an endpoint gets that names a limit.
@@ -28,6 +30,8 @@
 	limitedWork  = 20 * time.Millisecond
 	limitedPlay  = 20 * time.Second
 	limitedBegin = 2 * time.Second
+	// limitedMembers is more than the keepers of one endpoint.
+	limitedMembers = 5
 )
 
 // limitedService is endpoints in virtual time that name limits, and what reaches them.
@@ -43,6 +47,8 @@
 	// limit tells which limit it names at a time; named is false for none.
 	limit    func(at time.Duration) (perSecond float64, named bool)
 	refuses  bool // it turns away what comes while it names a limit
+	slots    int  // it turns away what comes while so much runs; 0 for no bound
+	running  int
 	first    time.Duration
 	told     map[int]time.Duration // when each entry was first told; empty while none is named
 	arrivals []limitedArrival
@@ -60,11 +66,13 @@
 	return func(at time.Duration) (float64, bool) { return perSecond, at >= limitedBegin }
 }
 
-// arrive notes a send, and gives what its answer says.
+// arrive notes a send, and gives what its answer says. leave must follow.
 func (s *limitedService) arrive(id string, entry int) (values []string, refuses bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, at := s.endpoints[id], time.Since(s.began)
+	e.running++
+	full := e.slots > 0 && e.running > e.slots
 	perSecond, named := e.limit(at)
 	a := limitedArrival{at: at, entry: entry}
 	if told, ok := e.told[entry]; ok {
@@ -73,7 +81,7 @@
 	e.arrivals = append(e.arrivals, a)
 	if !named {
 		e.told, e.first = nil, 0
-		return nil, false
+		return nil, full
 	}
 	if e.told == nil {
 		e.told, e.first = map[int]time.Duration{}, at
@@ -81,7 +89,13 @@
 	if _, ok := e.told[entry]; !ok {
 		e.told[entry] = at
 	}
-	return []string{strconv.FormatFloat(perSecond, 'f', -1, 64)}, e.refuses
+	return []string{strconv.FormatFloat(perSecond, 'f', -1, 64)}, e.refuses || full
+}
+
+func (s *limitedService) leave(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints[id].running--
 }
 
 // fullest gives the largest share of its bound that an endpoint got in any window, with
@@ -130,7 +144,8 @@
 
 func (s limitedSender) Send(ctx context.Context, c *Call) (*Reply, error) {
 	values, refuses := s.service.arrive(c.Endpoint.ID, s.entry)
-	if !sleep.For(ctx, limitedWork) {
+	defer s.service.leave(c.Endpoint.ID)
+	if !refuses && !sleep.For(ctx, limitedWork) {
 		return nil, &SendError{Sent: true, Cause: context.Cause(ctx)}
 	}
 	r := ok("{}")
@@ -160,6 +175,8 @@
 type limitedFleet struct {
 	service *limitedService
 	entries []*Router
+	net     *testkit.Network
+	members []string // of the control group
 	model   bool
 	served  int
 	refused int
@@ -169,7 +186,10 @@
 // newLimitedFleet makes entries before endpoints e0, e1, ..., which name the limits given,
 // nil for none. Of a model service the first half reads prompts for the others.
 func newLimitedFleet(entries int, model bool, limits ...func(time.Duration) (float64, bool)) *limitedFleet {
-	f := &limitedFleet{model: model, service: &limitedService{began: time.Now(), endpoints: map[string]*limitedEndpoint{}}}
+	f := &limitedFleet{net: &testkit.Network{}, model: model}
+	f.startMembers()
+	time.Sleep(time.Minute)
+	f.service = &limitedService{began: time.Now(), endpoints: map[string]*limitedEndpoint{}}
 	view := &View{Endpoints: map[string][]*dispatch.Endpoint{}}
 	d := &routetable.Document{
 		Version: 1, Services: []routetable.Service{{Name: "s"}},
@@ -203,14 +223,29 @@
 	return f
 }
 
+func (f *limitedFleet) startMembers() {
+	for n := range limitedMembers {
+		f.members = append(f.members, fmt.Sprint("member", n))
+		f.startMember(f.members[n])
+	}
+}
+
+// startMember starts a control instance that remembers nothing.
+func (f *limitedFleet) startMember(address string) {
+	keeper := endpointlimit.NewServer(address, func() []string { return f.members }, nil)
+	f.net.Serve(address, keeper, pb.DRPCLimitKeeperDescription{})
+}
+
 func (f *limitedFleet) newEntry(n int, view *View) *Router {
 	random := rand.New(rand.NewPCG(uint64(n), 7))
 	var mu sync.Mutex
 	budget := retrybudget.New(time.Now().Add(-time.Minute), retrybudget.Limits{Ratio: 0.2, Slack: 8, Window: 10 * time.Second})
 	budget.Entries(time.Now(), 1)
+	members := func() []string { return f.members }
 	return New(Options{
 		View: func() *View { return view }, Endpoints: limitedSender{service: f.service, entry: n},
-		Book: dispatch.NewBook("", uint64(n), dispatch.Policy{}), Budget: budget, Part: logging.Part{},
+		Limits: endpointlimit.NewClient(f.net.Dialer(fmt.Sprint("entry", n)), members, rand.Shuffle),
+		Book:   dispatch.NewBook("", uint64(n), dispatch.Policy{}), Budget: budget, Part: logging.Part{},
 		Random: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
 	})
 }
@@ -242,3 +277,10 @@
 	}
 	all.Wait()
 }
+
+// removeMembers makes the control group dead.
+func (f *limitedFleet) removeMembers() {
+	for _, m := range f.members {
+		f.net.Remove(m)
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,6 +27,8 @@
 	// limitWords counts what answers said anew of their endpoints' limits.
 	limitWords   *prometheus.CounterVec
 	limitedSends *prometheus.CounterVec
+	// limitDenied counts sends that were not made for an endpoint's limit.
+	limitDenied *prometheus.CounterVec
 }
 
 // answerBuckets reach from a plain call's answer to the longest patience, s.
@@ -83,6 +85,10 @@
 			Name: "hyssopsail_relay_limited_sends_total",
 			Help: "Sends to endpoints that were known to name a limit, by what they were for.",
 		}, []string{"kind"}),
+		limitDenied: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_limit_denied_total",
+			Help: "Sends that were not made to an endpoint since it names a limit, by why there was no leave.",
+		}, []string{"why"}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -60,6 +60,10 @@
 		l.dropPlace(at)
 		return nil, nil
 	}
+	if !l.isPermitted(ctx, at.endpoint) {
+		l.dropPlace(at)
+		return l.prepareModel(ctx)
+	}
 	call.TimeLeft = time.Until(l.deadline) - wayMargin
 	return at.endpoint, call
 }
@@ -83,7 +87,8 @@
 			pause = allotPause
 		} else if l.canBeRead() {
 			found := false
-			if at, found = l.findPlace(ctx); !found {
+			at, found = l.findPlace(ctx)
+			if !found && !l.awaitUnblocked(ctx, dispatch.StageDecode) {
 				return nil
 			}
 		}
@@ -155,11 +160,12 @@
 		}
 		found = true
 		if l.engine.HoldLife == 0 || l.x.Prompt == nil || !l.router.options.Policy.Has(dispatch.MemoryFirst) {
-			return &place{endpoint: choice.Endpoint}, true
+			at = &place{endpoint: choice.Endpoint}
+		} else if hold, err := l.reserve(ctx, choice.Endpoint); err == nil {
+			at = &place{endpoint: choice.Endpoint, hold: hold}
 		}
-		hold, err := l.reserve(ctx, choice.Endpoint)
-		if err == nil {
-			return &place{endpoint: choice.Endpoint, hold: hold}, true
+		if at = l.permittedPlace(ctx, at); at != nil {
+			return at, true
 		}
 		if ctx.Err() != nil {
 			return nil, found
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/quota"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
@@ -36,10 +37,12 @@
 	// QuotaTolerance is by how much teams may use more than their quotas.
 	QuotaTolerance quota.Tolerance
 	Budget         *retrybudget.Budget
-	Policy         dispatch.Policy
-	Part           logging.Part
-	Metrics        prometheus.Registerer // nil for none
-	Random         func() float64        // even in [0, 1), safe for concurrent use
+	// Limits are those that endpoints name; nil: an endpoint that names one gets nothing.
+	Limits  *endpointlimit.Client
+	Policy  dispatch.Policy
+	Part    logging.Part
+	Metrics prometheus.Registerer // nil for none
+	Random  func() float64        // even in [0, 1), safe for concurrent use
 	// Behind tells for how long a newer configuration than the one of View has been
 	// known, 0 while there is none; nil: nobody knows.
 	Behind func() time.Duration
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -31,7 +31,7 @@
 	if l.readsOwn() {
 		return nil
 	}
-	choice, where, reservation := l.reservedReader()
+	choice, where, reservation := l.reservedReader(ctx)
 	l.router.metrics.readWhere.WithLabelValues(where.String()).Inc()
 	if where != dispatch.PlaceReader {
 		return nil
@@ -70,18 +70,21 @@
 // returned tells whether the caller already holds a part of the answer.
 func (l *life) returned() bool { return l.x.After != "" }
 
-// reservedReader is readerFor within the budget for retries: without one for the reader,
-// the endpoint that generates the answer reads the prompt.
-func (l *life) reservedReader() (dispatch.Choice, dispatch.Place, *retrybudget.Reservation) {
+// reservedReader is readerFor within the budget for retries and the reader's limit.
+// Without one of these the endpoint that generates the answer reads the prompt.
+func (l *life) reservedReader(ctx context.Context) (dispatch.Choice, dispatch.Place, *retrybudget.Reservation) {
 	choice, where := l.readerFor()
 	if where != dispatch.PlaceReader {
 		return choice, where, nil
 	}
 	reservation, may := l.reservePrefill(choice.Endpoint)
-	if !may {
-		where = dispatch.PlaceOwn
+	if may && l.isPermitted(ctx, choice.Endpoint) {
+		return choice, dispatch.PlaceReader, reservation
 	}
-	return choice, where, reservation
+	if reservation != nil {
+		reservation.Cancel()
+	}
+	return choice, dispatch.PlaceOwn, nil
 }
 
 // readerFor gives the reader that the home named, or the one chosen here.
@@ -117,7 +120,7 @@
 	call := l.call(e)
 	call.Prefill = true
 	call.Priority = l.rank()
-	l.noteLimited(e, sendPrefill)
+	l.usePermit(e, sendPrefill)
 	sent := time.Now()
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
--- a/internal/relay/repeats.go
+++ b/internal/relay/repeats.go
@@ -70,5 +70,8 @@
 	if !l.account.MaySend(time.Now()) {
 		return "the fleet may not send it again"
 	}
+	if l.blockedFor() > 0 {
+		return "its endpoints take no more for now"
+	}
 	return "no endpoint can take it"
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -21,12 +21,14 @@
 	options   Options
 	metrics   *metrics
 	giveBacks giveBacks
-	limits    *endpointlimit.Known
 }
 
 // New makes a Router.
 func New(options Options) *Router {
-	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks(), limits: endpointlimit.NewKnown()}
+	if options.Limits == nil {
+		options.Limits = endpointlimit.Unkept()
+	}
+	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks()}
 }
 
 // Serve takes an exchange to its answer. It gives nil when the caller got one,
@@ -79,8 +81,14 @@
 	return nil
 }
 
-// candidates lists a service's endpoints of a stage that were not tried.
+// candidates lists a service's endpoints of a stage that were not tried and may get
+// something now.
 func (r *Router) candidates(service string, stage dispatch.Stage, model string, tried map[dispatch.Incarnation]bool) []*dispatch.Endpoint {
+	return r.options.Book.Unblocked(time.Now(), r.untried(service, stage, model, tried))
+}
+
+// untried lists a service's endpoints of a stage that were not tried.
+func (r *Router) untried(service string, stage dispatch.Stage, model string, tried map[dispatch.Incarnation]bool) []*dispatch.Endpoint {
 	view := r.options.View()
 	all := view.Endpoints[service]
 	list := make([]*dispatch.Endpoint, 0, len(all))
