relay, dispatch: words of endpoints that want nothing, in the log and the metrics

Entries wrote nothing of an answer that asks for rest, or says that its endpoint leaves, so that the hypotheses of the incident couldn't be told apart. Retry-After of a 503 and Server-Leaving are read and kept; a line and a counter tell of each word, and of each send to an endpoint that is known to want nothing, with what the send was for. No decision changes. A rest of more than five minutes counts as five; what is no number of seconds asks for none.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -153,7 +153,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
-		if s.own == 0 && now.Sub(s.usedAt) > idleState && !s.blocked(now) {
+		if s.own == 0 && now.Sub(s.usedAt) > idleState && !s.blocked(now) && !s.leaves(now) && !now.Before(s.restUntil) {
 			delete(b.states, id)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/rest.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// longestRest bounds the rest that one answer asks for, so that a faulty endpoint
+	// doesn't take itself out for good.
+	longestRest = 5 * time.Minute
+	// leavingKept is how long an endpoint is known to leave. It is gone by then.
+	leavingKept = time.Hour
+)
+
+// ParseRest reads the values of a header, each a number of seconds or several with commas.
+// What can't be read asks for no rest; of several the longest counts.
+func ParseRest(values []string) time.Duration {
+	longest := 0.0
+	for _, value := range values {
+		for _, number := range strings.Split(value, ",") {
+			seconds, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+			if err == nil && !math.IsNaN(seconds) && !math.IsInf(seconds, 0) {
+				longest = max(longest, seconds)
+			}
+		}
+	}
+	return time.Duration(min(longest, longestRest.Seconds()) * float64(time.Second))
+}
+
+// Rest takes in that an endpoint wants nothing from this entry for a while.
+func (b *Book) Rest(now time.Time, e *Endpoint, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e.Incarnation())
+	if until := now.Add(d); until.After(s.restUntil) {
+		s.restUntil = until
+	}
+}
+
+// Leave takes in that an endpoint leaves. It tells whether that is new.
+func (b *Book) Leave(now time.Time, e *Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(e.Incarnation())
+	isNew := !s.leaves(now)
+	s.leavesUntil = now.Add(leavingKept)
+	return isNew
+}
+
+// Unwanted is why an endpoint wants nothing from this entry.
+type Unwanted int
+
+// The reasons.
+const (
+	Wanted  Unwanted = iota // it takes requests
+	Resting                 // it asked for rest
+	Leaving                 // it leaves
+)
+
+// String gives the name used in logs and metrics.
+func (u Unwanted) String() string { return [...]string{"wanted", "resting", "leaving"}[u] }
+
+// Unwanted tells whether an endpoint wants nothing from this entry now.
+func (b *Book) Unwanted(now time.Time, e *Endpoint) Unwanted {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[e.Incarnation()]
+	switch {
+	case s == nil:
+		return Wanted
+	case s.leaves(now):
+		return Leaving
+	case now.Before(s.restUntil):
+		return Resting
+	}
+	return Wanted
+}
+
+func (s *state) leaves(now time.Time) bool { return now.Before(s.leavesUntil) }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -15,6 +15,9 @@
 	fullAt time.Time // when it was last without room
 	// blockedUntil is when something may be sent to it again.
 	blockedUntil time.Time
+	// restUntil is until when it wants nothing from this entry, and leavesUntil until when
+	// it is known to leave.
+	restUntil, leavesUntil time.Time
 	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
 	misfits   int     // answers in a row by another incarnation
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
-	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -86,9 +85,8 @@
 	// Misfit tells that another incarnation answered.
 	Misfit bool
 	Load   *dispatch.Load // nil when it told none
-	// Limit is what the answer says of how much its endpoint takes.
-	Limit endpointlimit.Word
-	Body  Body
+	Words
+	Body Body
 }
 
 // Body is the body of a Reply. Close before its end tells the endpoint to stop.
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -181,7 +181,7 @@
 		work.Prompt = l.x.Prompt.Tokens
 	}
 	book.Begin(time.Now(), c.Endpoint, work)
-	l.usePermit(c.Endpoint, l.kind())
+	l.noteSend(c.Endpoint, l.kind())
 	l.tried[c.Endpoint.Incarnation()] = true
 	l.sends++
 	l.chosen = c.Endpoint.ID
@@ -227,7 +227,7 @@
 	}
 	defer reply.Body.Close()
 	l.hasArrived(c.Endpoint)
-	l.hearLimit(c.Endpoint, l.progress.sentAt, reply)
+	l.hear(c.Endpoint, l.progress.sentAt, reply)
 	if reply.Load != nil {
 		l.router.options.Book.Told(time.Now(), c.Endpoint, *reply.Load)
 	}
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -41,15 +41,12 @@
 }
 
 // hearLimit takes in what an answer to a request sent at sent says of its endpoint's
-// limit. Where another incarnation answered, it says nothing of the one that was meant.
-func (l *life) hearLimit(e *dispatch.Endpoint, sent time.Time, reply *Reply) {
-	if reply.Misfit {
-		return
-	}
+// limit.
+func (l *life) hearLimit(e *dispatch.Endpoint, sent time.Time, w endpointlimit.Word) {
 	limits := l.router.options.Limits
-	known, changed := limits.Hear(time.Now(), sent, limitKey(e), reply.Limit)
-	if changed || reply.Limit.Kind == endpointlimit.KindUnreadable {
-		l.router.metrics.limitWords.WithLabelValues(reply.Limit.Kind.String()).Inc()
+	known, changed := limits.Hear(time.Now(), sent, limitKey(e), w)
+	if changed || w.Kind == endpointlimit.KindUnreadable {
+		l.router.metrics.limitWords.WithLabelValues(w.Kind.String()).Inc()
 	}
 	if !changed {
 		return
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -28,7 +28,10 @@
 	limitWords   *prometheus.CounterVec
 	limitedSends *prometheus.CounterVec
 	// limitDenied counts sends that were not made for an endpoint's limit.
-	limitDenied *prometheus.CounterVec
+	limitDenied   *prometheus.CounterVec
+	unwantedWords *prometheus.CounterVec
+	// unwantedSends counts sends to endpoints that were known to want nothing.
+	unwantedSends *prometheus.CounterVec
 }
 
 // answerBuckets reach from a plain call's answer to the longest patience, s.
@@ -89,6 +92,14 @@
 			Name: "hyssopsail_relay_limit_denied_total",
 			Help: "Sends that were not made to an endpoint since it names a limit, by why there was no leave.",
 		}, []string{"why"}),
+		unwantedWords: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_unwanted_words_total",
+			Help: "Answers by which an endpoint asked this entry for rest, or told it anew that it leaves.",
+		}, []string{"said"}),
+		unwantedSends: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_unwanted_sends_total",
+			Help: "Sends to endpoints that were known to rest or to leave, by why and by what they were for.",
+		}, []string{"why", "kind"}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -120,7 +120,7 @@
 	call := l.call(e)
 	call.Prefill = true
 	call.Priority = l.rank()
-	l.usePermit(e, sendPrefill)
+	l.noteSend(e, sendPrefill)
 	sent := time.Now()
 	reply, err := l.router.options.Endpoints.Send(ctx, call)
 	if err != nil {
@@ -135,7 +135,7 @@
 		return nil, outcomeOf(err), arrived
 	}
 	defer reply.Body.Close()
-	l.hearLimit(e, sent, reply)
+	l.hear(e, sent, reply)
 	if reply.Load != nil {
 		l.router.options.Book.Told(time.Now(), e, *reply.Load)
 	}
