relay: failing test of endpoints that ask for rest, listed

Requests reach an endpoint that turned its sender away and asked it for rest. TestRestingEndpointIsLeftAlone plays three entries before endpoints that answer 503 with 3 s of rest, for 20 s of virtual time, and counts at each endpoint what comes from one entry between half a second after the word and the end of the rest.

--- a/internal/relay/limit_world_test.go
+++ b/internal/relay/limit_world_test.go
@@ -40,17 +40,21 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*limitedEndpoint
+	reading   time.Duration // that a prompt takes which is read for others
 }
 
 // limitedEndpoint is one of them.
 type limitedEndpoint struct {
 	// limit tells which limit it names at a time; named is false for none.
-	limit    func(at time.Duration) (perSecond float64, named bool)
-	refuses  bool // it turns away what comes while it names a limit
-	slots    int  // it turns away what comes while so much runs; 0 for no bound
-	running  int
-	first    time.Duration
-	told     map[int]time.Duration // when each entry was first told; empty while none is named
+	limit   func(at time.Duration) (perSecond float64, named bool)
+	refuses bool // it turns away what comes while it names a limit
+	slots   int  // it turns away what comes while so much runs; 0 for no bound
+	running int
+	first   time.Duration
+	told    map[int]time.Duration // when each entry was first told; empty while none is named
+	// rests tells which rest it asks for at a time, turning the request away; nil for none.
+	rests    func(at time.Duration) time.Duration
+	resting  []restPeriod
 	arrivals []limitedArrival
 }
 
@@ -79,6 +83,7 @@
 		a.heardFor = at - told
 	}
 	e.arrivals = append(e.arrivals, a)
+	e.countResting(at, entry)
 	if !named {
 		e.told, e.first = nil, 0
 		return nil, full
@@ -145,7 +150,11 @@
 func (s limitedSender) Send(ctx context.Context, c *Call) (*Reply, error) {
 	values, refuses := s.service.arrive(c.Endpoint.ID, s.entry)
 	defer s.service.leave(c.Endpoint.ID)
-	if !refuses && !sleep.For(ctx, limitedWork) {
+	work := limitedWork
+	if c.Prefill && s.service.reading > 0 {
+		work = s.service.reading
+	}
+	if !refuses && !sleep.For(ctx, work) {
 		return nil, &SendError{Sent: true, Cause: context.Cause(ctx)}
 	}
 	r := ok("{}")
@@ -156,6 +165,10 @@
 		r = ok(event("1"))
 	}
 	r.Limit = endpointlimit.ParseWord(values)
+	if rest := s.service.askRest(c.Endpoint.ID, s.entry); rest > 0 {
+		r = notRun()
+		r.Rest = rest
+	}
 	return r, nil
 }
 
