relay, dispatch: an endpoint that asks an entry for rest gets nothing from it

What callers saw: nothing; their requests were turned away and sent on. The endpoint got 5 requests from an entry in 3 s of rest that it had asked for (two may come), and the fleet's budget for repeats paid for each.

Cause: Retry-After of an endpoint's 503 was dropped with the answer. Class: a word of an endpoint that ends with the answer that brought it; the limit was the other one.

Repair: the entry keeps the rest until its end, the longest of those asked for, for this run of the endpoint alone. An endpoint that rests is no candidate of any choice (first send, repeat, reading, memory, last resort), is named as excluded to the home, and is asked for once more right before each send, so that a request which waited for memory or for its prompt goes elsewhere. Where all rest the caller is told at once when the first one ends. Switch: keep-rest.

--- a/internal/dispatch/blocked.go
+++ b/internal/dispatch/blocked.go
@@ -7,7 +7,11 @@
 func (b *Book) Block(e *Endpoint, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(e.Incarnation())
+	b.block(b.state(e.Incarnation()), until)
+}
+
+// block is called with b.mu held.
+func (b *Book) block(s *state, until time.Time) {
 	if until.After(s.blockedUntil) {
 		s.blockedUntil = until
 	}
@@ -16,6 +20,14 @@
 	}
 }
 
+// IsBlocked tells whether nothing may be sent to an endpoint now.
+func (b *Book) IsBlocked(now time.Time, e *Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[e.Incarnation()]
+	return s != nil && s.blocked(now)
+}
+
 // Unblocked gives the endpoints that may get something now. It takes over the list.
 func (b *Book) Unblocked(now time.Time, list []*Endpoint) []*Endpoint {
 	b.mu.Lock()
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -47,6 +47,9 @@
 	// KeepLimits keeps the limits that endpoints name, over all entries. Off: they are
 	// sent what comes.
 	KeepLimits Mechanism = "keep-limits"
+	// KeepRest sends nothing to an endpoint that asked this entry for rest. Off: it is
+	// chosen like any other.
+	KeepRest Mechanism = "keep-rest"
 	// QuotaReserve takes small requests of a team that has spent its quota from a
 	// reserve. Off: they are turned away like large ones.
 	QuotaReserve Mechanism = "quota-reserve"
@@ -54,7 +57,7 @@
 
 var mechanisms = []Mechanism{
 	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
-	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits,
+	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits, KeepRest,
 }
 
 // Policy tells which mechanisms work. The zero Policy has all of them on. It is
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -38,6 +38,9 @@
 	if until := now.Add(d); until.After(s.restUntil) {
 		s.restUntil = until
 	}
+	if b.policy.Has(KeepRest) {
+		b.block(s, s.restUntil)
+	}
 }
 
 // Leave takes in that an endpoint leaves. It tells whether that is new.
@@ -79,4 +82,10 @@
 	return Wanted
 }
 
+// Takes tells whether an endpoint may get requests from this entry as far as its own words
+// go.
+func (b *Book) Takes(now time.Time, e *Endpoint) bool {
+	return b.Unwanted(now, e) != Resting || !b.policy.Has(KeepRest)
+}
+
 func (s *state) leaves(now time.Time) bool { return now.Before(s.leavesUntil) }
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -31,6 +31,9 @@
 	// elsewhere. Leave that is given in one span of time arrives in a shorter one: the
 	// endpoints' tolerance bounds it.
 	permitLife = 1500 * time.Millisecond
+	// longestBlocked bounds when a caller is told to come again whose endpoints are all
+	// blocked: others may come meanwhile.
+	longestBlocked = 10 * time.Second
 	// unblockShare is the part of what is left to its target that a request waits until an
 	// endpoint takes it; the rest is for its answer.
 	unblockShare = 0.5
@@ -69,21 +72,30 @@
 
 // isPermitted tells whether the endpoint may be sent something now, and takes leave for it
 // where the endpoint names a limit. Without leave it is blocked until there may be some.
+//
+// It is asked right before each send: an endpoint may have been blocked since it was
+// chosen, while the request waited for memory or had its prompt read.
 func (l *life) isPermitted(ctx context.Context, e *dispatch.Endpoint) bool {
-	limits := l.router.options.Limits
-	if !l.router.options.Policy.Has(dispatch.KeepLimits) || !limits.Limit(limitKey(e)).Limited {
-		return true
-	}
+	limits, book := l.router.options.Limits, l.router.options.Book
 	asked := time.Now()
+	if !book.Takes(asked, e) {
+		return false
+	}
 	if at, ok := l.permits[e.Incarnation()]; ok && asked.Sub(at) < permitLife {
 		return true
 	}
+	if book.IsBlocked(asked, e) {
+		return false
+	}
+	if !l.router.options.Policy.Has(dispatch.KeepLimits) || !limits.Limit(limitKey(e)).Limited {
+		return true
+	}
 	denied := limits.Take(ctx, limitKey(e))
 	if denied == nil {
 		l.permits[e.Incarnation()] = asked
 		return true
 	}
-	l.router.options.Book.Block(e, time.Now().Add(denied.Again))
+	book.Block(e, time.Now().Add(denied.Again))
 	why := deniedUsedUp
 	if denied.NoKeeper {
 		why = deniedNoKeeper
@@ -150,5 +162,5 @@
 	if opens.IsZero() {
 		return 0
 	}
-	return opens.Sub(now)
+	return min(opens.Sub(now), longestBlocked)
 }
