relay: failing test of endpoints that leave, listed

An endpoint that leaves says so with each answer, sooner than the lists of the control instances do, and alone while an entry is cut off from them. TestLeavingEndpointGetsNoMore plays three entries before endpoints that say so from 5 s on, for 20 s of virtual time, and counts what comes from entries that were told half a second before.

--- a/internal/relay/limit_world_test.go
+++ b/internal/relay/limit_world_test.go
@@ -55,6 +55,9 @@
 	// rests tells which rest it asks for at a time, turning the request away; nil for none.
 	rests    func(at time.Duration) time.Duration
 	resting  []restPeriod
+	leaves   time.Duration         // from when on it says that it leaves; 0 for never
+	toldOf   map[int]time.Duration // when each entry was told so
+	late     int                   // arrivals from entries that had been told
 	arrivals []limitedArrival
 }
 
@@ -84,6 +87,7 @@
 	}
 	e.arrivals = append(e.arrivals, a)
 	e.countResting(at, entry)
+	e.countLeaving(at, entry)
 	if !named {
 		e.told, e.first = nil, 0
 		return nil, full
@@ -169,6 +173,7 @@
 		r = notRun()
 		r.Rest = rest
 	}
+	r.Leaving = s.service.sayLeaving(c.Endpoint.ID, s.entry)
 	return r, nil
 }
 
