relay, dispatch: an endpoint that says with its answers that it leaves gets no more

What callers would see: requests that end with the endpoint's process, where its planned stop doesn't wait for them, or that reach nobody. Entries cut off from the control instances go on for as long as they are.

Cause: entries knew of a leaving endpoint from the lists alone; Server-Leaving was dropped with the answer. Class: a word of an endpoint that ends with the answer that brought it, as with its rest and its limit.

Repair: the word blocks this run of the endpoint at this entry, for every path that a rest does; it doesn't count when the caller is told to come again. Another run under the same ID isn't bound by it, nor is one by what another endpoint answered at its address. After ten minutes it is forgotten: who still reports itself ready by then has said so by mistake. Switch: avoid-leaving.

--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -50,6 +50,9 @@
 	// KeepRest sends nothing to an endpoint that asked this entry for rest. Off: it is
 	// chosen like any other.
 	KeepRest Mechanism = "keep-rest"
+	// AvoidLeaving sends nothing to an endpoint whose answers say that it leaves. Off: it
+	// is chosen until it is no longer listed.
+	AvoidLeaving Mechanism = "avoid-leaving"
 	// QuotaReserve takes small requests of a team that has spent its quota from a
 	// reserve. Off: they are turned away like large ones.
 	QuotaReserve Mechanism = "quota-reserve"
@@ -57,7 +60,7 @@
 
 var mechanisms = []Mechanism{
 	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
-	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits, KeepRest,
+	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits, KeepRest, AvoidLeaving,
 }
 
 // Policy tells which mechanisms work. The zero Policy has all of them on. It is
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -11,8 +11,9 @@
 	// longestRest bounds the rest that one answer asks for, so that a faulty endpoint
 	// doesn't take itself out for good.
 	longestRest = 5 * time.Minute
-	// leavingKept is how long an endpoint is known to leave. It is gone by then.
-	leavingKept = time.Hour
+	// leavingKept is how long an endpoint is known to leave. It is gone by then; one that
+	// still reports itself ready has said so by mistake.
+	leavingKept = 10 * time.Minute
 )
 
 // ParseRest reads the values of a header, each a number of seconds or several with commas.
@@ -50,6 +51,10 @@
 	s := b.state(e.Incarnation())
 	isNew := !s.leaves(now)
 	s.leavesUntil = now.Add(leavingKept)
+	if b.policy.Has(AvoidLeaving) {
+		s.gone = true
+		b.block(s, s.leavesUntil)
+	}
 	return isNew
 }
 
@@ -85,7 +90,14 @@
 // Takes tells whether an endpoint may get requests from this entry as far as its own words
 // go.
 func (b *Book) Takes(now time.Time, e *Endpoint) bool {
-	return b.Unwanted(now, e) != Resting || !b.policy.Has(KeepRest)
+	switch b.Unwanted(now, e) {
+	case Resting:
+		return !b.policy.Has(KeepRest)
+	case Leaving:
+		return !b.policy.Has(AvoidLeaving)
+	case Wanted:
+	}
+	return true
 }
 
 func (s *state) leaves(now time.Time) bool { return now.Before(s.leavesUntil) }
