relay, platform: an endpoint's answer to a question for memory has its words

No change of what is decided: the answers of the system's own calls come with their header, and Endpoints.Reserve gives what the endpoint said beside its answer.

--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -55,20 +55,20 @@
 	return &engines{memory: memory, used: map[string]int{}, holds: map[string]heldRoom{}, free: map[string]time.Time{}}
 }
 
-func (e *engines) Reserve(_ context.Context, at *dispatch.Endpoint, tokens int, life time.Duration) (string, error) {
+func (e *engines) Reserve(_ context.Context, at *dispatch.Endpoint, tokens int, life time.Duration) (Reserved, error) {
 	time.Sleep(time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lapse()
 	if e.used[at.ID]+tokens > e.memory {
 		e.noRoom++
-		return "", ErrNoRoom
+		return Reserved{}, ErrNoRoom
 	}
 	e.named++
 	name := fmt.Sprint("hold", e.named)
 	e.used[at.ID] += tokens
 	e.holds[name] = heldRoom{endpoint: at.ID, tokens: tokens, until: time.Now().Add(life)}
-	return name, nil
+	return Reserved{Hold: name}, nil
 }
 
 // lapse frees what was set aside too long; e.mu is held.
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -101,6 +101,12 @@
 	Tokens int
 }
 
+// Reserved is the answer of an endpoint that was asked for memory.
+type Reserved struct {
+	Hold string // names what was set aside; empty for nothing
+	Words
+}
+
 // ErrNoRoom: an endpoint has no memory to set aside.
 var ErrNoRoom = errors.New("the endpoint has no room")
 
@@ -110,8 +116,9 @@
 	// Prefilled reads the answer to a prefill.
 	Prefilled(r *Reply) (Prefilled, error)
 	// Reserve sets a place and memory aside at an endpoint for a while, and
-	// names it. ErrNoRoom is its answer when it is full.
-	Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (hold string, err error)
+	// names it. ErrNoRoom is its answer when it is full. The words of the answer are given
+	// beside an error too.
+	Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (Reserved, error)
 	// DropHold gives up what Reserve set aside.
 	DropHold(ctx context.Context, e *dispatch.Endpoint, hold string)
 	// Release frees the result of a prefill that nobody will take.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -71,6 +71,7 @@
 	answers  []answer
 	calls    []Call
 	rooms    []error // answers of Reserve; none left: room
+	words    Words   // of all answers of Reserve
 	reserved int
 	dropped  []string // endpoint and hold
 	released []string // endpoint and handle
@@ -94,18 +95,18 @@
 	return Prefilled{Handle: "handle"}, err
 }
 
-func (f *fakes) Reserve(context.Context, *dispatch.Endpoint, int, time.Duration) (string, error) {
+func (f *fakes) Reserve(context.Context, *dispatch.Endpoint, int, time.Duration) (Reserved, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.rooms) > 0 {
 		err := f.rooms[0]
 		f.rooms = f.rooms[1:]
 		if err != nil {
-			return "", err
+			return Reserved{Words: f.words}, err
 		}
 	}
 	f.reserved++
-	return fmt.Sprint("hold", f.reserved), nil
+	return Reserved{Hold: fmt.Sprint("hold", f.reserved), Words: f.words}, nil
 }
 
 func (f *fakes) DropHold(_ context.Context, e *dispatch.Endpoint, hold string) {
--- a/internal/relay/limit_world_test.go
+++ b/internal/relay/limit_world_test.go
@@ -182,8 +182,8 @@
 	return Prefilled{Handle: "h"}, err
 }
 
-func (limitedSender) Reserve(context.Context, *dispatch.Endpoint, int, time.Duration) (string, error) {
-	return "hold", nil
+func (limitedSender) Reserve(context.Context, *dispatch.Endpoint, int, time.Duration) (Reserved, error) {
+	return Reserved{Hold: "hold"}, nil
 }
 
 func (limitedSender) DropHold(context.Context, *dispatch.Endpoint, string) {}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -179,7 +179,7 @@
 func (l *life) reserve(ctx context.Context, e *dispatch.Endpoint) (string, error) {
 	asking, cancel := context.WithTimeoutCause(ctx, reserveTimeout, errSilent)
 	defer cancel()
-	hold, err := l.router.options.Endpoints.Reserve(asking, e, l.memory(), min(holdLife, l.engine.HoldLife))
+	reserved, err := l.router.options.Endpoints.Reserve(asking, e, l.memory(), min(holdLife, l.engine.HoldLife))
 	now := time.Now()
 	switch {
 	case err == nil:
@@ -194,7 +194,7 @@
 		l.router.options.Book.Note(now, e, outcomeOf(err))
 		l.log("No memory was set aside.", "endpoint", e.ID, "err", err)
 	}
-	return hold, err
+	return reserved.Hold, err
 }
 
 // fill measures a decode endpoint by its memory, which is what limits it: a
--- a/internal/relay/model_test.go
+++ b/internal/relay/model_test.go
@@ -75,11 +75,11 @@
 	reserve, prefill, run bool
 }
 
-func (s *silentFirst) Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (string, error) {
+func (s *silentFirst) Reserve(ctx context.Context, e *dispatch.Endpoint, tokens int, life time.Duration) (Reserved, error) {
 	if s.reserve {
 		s.reserve = false
 		<-ctx.Done()
-		return "", &SendError{Sent: true, Cause: context.Cause(ctx)}
+		return Reserved{}, &SendError{Sent: true, Cause: context.Cause(ctx)}
 	}
 	return s.fakes.Reserve(ctx, e, tokens, life)
 }
