relay: a limit is heard with an answer to a question for memory

Cause: an endpoint may first name its limit to an entry that asks it for memory; that answer was read for its status alone, and the request that followed went without leave. An answer to such a question that names none says nothing: it isn't known whether it would.

TestLimitIsHeardWhenMemoryIsAskedFor failed before: the request was sent.

--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 )
 
 // Guards against a limit that each entry keeps for itself, or that some path goes round:
@@ -116,3 +118,13 @@
 		assert.Assert(t, last >= 15, "%d requests in the last 2 s", last)
 	})
 }
+
+// Guards against a limit that is named to who asks for memory and not kept: the request
+// that follows needs leave.
+func TestLimitIsHeardWhenMemoryIsAskedFor(t *testing.T) {
+	w := newWorld(stream, gives(func() *Reply { return ok("{}") }), gives(func() *Reply { return ok(event("1")) })).model()
+	w.endpoints.words = Words{Limit: endpointlimit.Word{Kind: endpointlimit.KindNamed, PerSecond: 1}}
+	_, refusal := w.serve(t, modelExchange())
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, len(w.endpoints.calls), 0)
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
 )
@@ -181,6 +182,9 @@
 	defer cancel()
 	reserved, err := l.router.options.Endpoints.Reserve(asking, e, l.memory(), min(holdLife, l.engine.HoldLife))
 	now := time.Now()
+	if reserved.Limit.Kind == endpointlimit.KindNamed {
+		l.hearLimit(e, now, reserved.Limit)
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, errSilent):
