relay: rest and leaving are heard with an answer to a question for memory

Cause: an endpoint that has no memory to set aside may ask for rest with that answer; it was read for its status alone, and the endpoint was asked again after 60 ms.

TestRestIsHeardWhenMemoryIsAskedFor failed before: two sends, now none, and the caller is told to come again when the rest is over.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -185,6 +185,7 @@
 	if reserved.Limit.Kind == endpointlimit.KindNamed {
 		l.hearLimit(e, now, reserved.Limit)
 	}
+	l.hearUnwanted(e, reserved.Words)
 	switch {
 	case err == nil:
 	case errors.Is(err, errSilent):
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -114,3 +114,15 @@
 		})
 	}
 }
+
+// Guards against a word that is lost since it came with the answer to a question for
+// memory and not to a request.
+func TestRestIsHeardWhenMemoryIsAskedFor(t *testing.T) {
+	w := newWorld(stream, gives(func() *Reply { return ok(event("1")) })).model()
+	w.endpoints.words = Words{Rest: time.Minute}
+	w.endpoints.rooms = []error{ErrNoRoom, ErrNoRoom}
+	_, refusal := w.serve(t, modelExchange())
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, len(w.endpoints.calls), 0)
+	assert.Assert(t, refusal.RetryAfter >= longestBlocked, "%s", refusal.RetryAfter)
+}
