endpoint: the home of an endpoint keeps the limit that it names

The other life of a request: on the product's own interface nothing is sent without a slot that the endpoint's home gave, and the home went by slots alone. An endpoint names its limit with its heartbeats (limit_per_second); the home gives each grant out of a bucket that is earned at that rate, refuses at once who could not be served in time, and tells the others how long it takes. There is one home at a time, so the limit is the fleet's; a new one has saved up nothing. The bucket is the one of the keepers on the other life.

--- a/internal/endpoint/core_beat.go
+++ b/internal/endpoint/core_beat.go
@@ -83,6 +83,7 @@
 	r.beatAt = now
 	r.sequence = b.Sequence
 	r.load = b.Load
+	r.limited.said(now, b.LimitPerSecond)
 	r.loadAt = now.Add(-boundedMs(uint64(max(b.Load.AgeMs, 0)), maxWait))
 	c.clearFailed(now, r)
 	c.takeHeld(now, r, b.Held)
--- a/internal/endpoint/core_digest.go
+++ b/internal/endpoint/core_digest.go
@@ -68,7 +68,7 @@
 	return &pb.EndpointDigest{
 		Granted:      uint32(r.used() + len(r.promised())),
 		Queued:       uint32(r.queue.size),
-		NextFreeMs:   uint64(r.forecast(now, c.predictor).freeIn(r.queue.size).Milliseconds()),
+		NextFreeMs:   uint64(c.freeIn(now, r, r.queue.size).Milliseconds()),
 		QueuedWorkMs: uint64(c.queuedWork(now, r).Milliseconds()),
 		Leaving:      r.leaving,
 		TokenTimeUs:  uint32(c.tokenTime(r).Microseconds()),
--- a/internal/endpoint/core_grant.go
+++ b/internal/endpoint/core_grant.go
@@ -47,7 +47,7 @@
 // ahead predicts what a new request waits for at an endpoint: a slot, and for
 // a prefill the work before it.
 func (c *core) ahead(now time.Time, r *record) time.Duration {
-	return r.forecast(now, c.predictor).freeIn(r.queue.size) + c.queuedWork(now, r)
+	return c.freeIn(now, r, r.queue.size) + c.queuedWork(now, r)
 }
 
 // whileLeaving lets confirmed work be renewed and gives nothing new.
@@ -130,7 +130,7 @@
 		return c.granted(now, r, h), nil
 	}
 	ahead := r.queue.ahead(w)
-	if r.forecast(now, c.predictor).freeIn(ahead)-a.lead > a.wait {
+	if c.freeIn(now, r, ahead)-a.lead > a.wait {
 		r.queue.remove(w)
 		return c.full(now, r, ahead), nil
 	}
@@ -153,6 +153,7 @@
 	if after == 0 {
 		after = r.forecast(now, c.predictor).freeIn(ahead)
 	}
+	after = max(after, r.limited.freeIn(now, ahead))
 	return answer{status: statusFull, retryAfter: max(after, minRetryAfter)}
 }
 
@@ -186,11 +187,14 @@
 			return
 		}
 		if r.used()+len(r.promised()) < r.announced.Slots {
+			if !r.limited.take(now) {
+				return
+			}
 			c.dispatch(now, r, w, holdFirm, 0)
 			continue
 		}
 		ready := r.forecast(now, c.predictor).likelyFreeIn(0)
-		if len(r.promised()) >= maxPromised(r.announced.Slots) || ready > w.ask.lead {
+		if len(r.promised()) >= maxPromised(r.announced.Slots) || ready > w.ask.lead || !r.limited.take(now) {
 			return
 		}
 		c.dispatch(now, r, w, holdPromised, ready)
@@ -242,7 +246,7 @@
 	ahead := 0
 	for _, w := range r.queue.ordered() {
 		left := w.ask.wait - now.Sub(w.ask.arrived)
-		if left <= 0 || f.freeIn(ahead)-w.ask.lead > left {
+		if left <= 0 || max(f.freeIn(ahead), r.limited.freeIn(now, ahead))-w.ask.lead > left {
 			c.end(r, w, c.full(now, r, ahead))
 			continue
 		}
--- a/internal/endpoint/record.go
+++ b/internal/endpoint/record.go
@@ -27,6 +27,7 @@
 	released  map[holdKey]time.Time
 	failed    map[fleet.Fingerprint]time.Time // ended by ENDPOINT_FAILED since the last heartbeat
 	queue     *fairQueue
+	limited   limited
 	load      engineapi.Load
 	loadAt    time.Time // the moment that load speaks of
 	cache     cacheIndex
--- a/internal/endpointlimit/bound_test.go
+++ b/internal/endpointlimit/bound_test.go
@@ -161,6 +161,6 @@
 			}
 		}
 		want := 60 * perSecond
-		assert.Check(t, float64(granted) > 0.9*want && float64(granted) <= want+mostKeepers*saved(heard), "%d of %.0f", granted, want)
+		assert.Check(t, float64(granted) > 0.9*want && float64(granted) <= want+mostKeepers*saved(perSecond), "%d of %.0f", granted, want)
 	}
 }
--- a/internal/engineapi/announce.go
+++ b/internal/engineapi/announce.go
@@ -40,6 +40,9 @@
 	Held         []Held       `json:"held"`
 	Load         Load         `json:"load"`
 	Sequence     uint64       `json:"sequence"`
+	// LimitPerSecond is how many requests a second the endpoint takes from all entries
+	// together, until a heartbeat names none; nil: as many as come.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 // Held is one request that occupies engine memory.
