route, engine: an endpoint that asks an entry for rest gets nothing from it

The other life of a request: a refusal with Retry-After was read for its code alone, and the next request took a slot there from the endpoint's home, which goes on giving them to other entries. The client to endpoints gives the rest with its error, or with a plain service's 503; the entry leaves the endpoint out of its choices for that long, asks once more right before the first byte of a request leaves for it, and doesn't wait at a full engine that asked for rest. Where all rest the caller is told when the first one is over.

An endpoint that leaves needs no word in its answers on this interface: it tells its home, which alone gives slots, and goes on only when that has confirmed that no more are given.

--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,15 @@
 	return time.Duration(min(longest, longestRest.Seconds()) * float64(time.Second))
 }
 
+// RestOf is the rest that an answer asks its sender for: one by which a request was turned
+// away may.
+func RestOf(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return ParseRest(h.Values("Retry-After"))
+}
+
 // Rest takes in that an endpoint wants nothing from this entry for a while.
 func (b *Book) Rest(now time.Time, e *Endpoint, d time.Duration) {
 	b.mu.Lock()
--- a/internal/engine/contract.go
+++ b/internal/engine/contract.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
@@ -52,6 +53,7 @@
 	Op     string
 	Code   engineapi.Code // empty when the endpoint gave no answer
 	Sent   bool           // false: no byte of the request has left
+	Rest   time.Duration  // for which the endpoint wants nothing from this daemon; 0: it didn't ask
 	Err    error
 }
 
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"time"
 
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 )
 
@@ -178,7 +179,10 @@
 // empty.
 func refused(t Target, op string, response *http.Response) *Error {
 	defer response.Body.Close()
-	failure := &Error{Target: t, Op: op, Sent: true, Err: fmt.Errorf("status %d", response.StatusCode)}
+	failure := &Error{
+		Target: t, Op: op, Sent: true, Err: fmt.Errorf("status %d", response.StatusCode),
+		Rest: dispatch.RestOf(response.StatusCode, response.Header),
+	}
 	body, err := readBounded(response.Body, maxErrorBytes)
 	if err != nil {
 		return failure
--- a/internal/route/arrival.go
+++ b/internal/route/arrival.go
@@ -40,6 +40,7 @@
 // sent takes in that a send has ended with err, nil for an answer. Only one of which no
 // byte left is none.
 func (a *arrivals) sent(at fleet.EndpointID, err error) {
+	a.router.hearRefusal(err)
 	if neverSent(err) || !a.account.Arrived(time.Now()) {
 		return
 	}
--- a/internal/route/call.go
+++ b/internal/route/call.go
@@ -123,10 +123,10 @@
 	avoid := m.avoid.with()
 	var last *setback
 	for range grantTries {
-		candidates := m.router.candidates(ctx, m.query(), m.deadline)
+		candidates, rest := m.router.open(ctx, m.query(), m.deadline)
 		chosen, ok := m.router.choose(policies.Plain, m.scheduleRequest(avoid), allowed(candidates, avoid))
 		if !ok && last == nil {
-			return nil, noCandidate(candidates)
+			return nil, noCandidate(candidates, rest)
 		}
 		if !ok {
 			return nil, last
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -25,6 +25,7 @@
 	stream, err := m.router.opts.Engine.Decode(local, a.decode.target, m.router.gateUnder(a.decode, m.gate), a.decodeRequest())
 	a.touch(a.decode, err)
 	if err != nil {
+		m.router.hearRefusal(err)
 		return a.decodeFailed(ctx, local, err)
 	}
 	defer func() { _ = stream.Close() }()
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -145,7 +145,7 @@
 		if op == "call" {
 			w.hold(t.ID, a, "")
 		}
-		return f, &engine.Error{Target: t, Op: op, Sent: true, Code: f.code}
+		return f, &engine.Error{Target: t, Op: op, Sent: true, Code: f.code, Rest: f.rest}
 	}
 	return f, nil
 }
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -67,7 +67,9 @@
 	if err != nil {
 		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: err}
 	}
-	return &CallAnswer{StatusCode: response.StatusCode, Header: response.Header, Body: body}, nil
+	answer := &CallAnswer{StatusCode: response.StatusCode, Header: response.Header, Body: body}
+	m.router.hearRest(h.target, restOf(answer))
+	return answer, nil
 }
 
 // readWhole reads an answer to its end. A part of an answer is never passed
--- a/internal/route/grantgate.go
+++ b/internal/route/grantgate.go
@@ -23,6 +23,9 @@
 		if err := place(t); err != nil {
 			return err
 		}
+		if err := r.mayReach(t); err != nil && !h.touched {
+			return err
+		}
 		if !r.opts.Follower.Valid(time.Now(), h.grant) {
 			r.metrics.grantsOver.Inc()
 			return errGrantOver
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -75,16 +75,20 @@
 }
 
 func (a *attempt) pick(ctx context.Context, w want, avoid endpointSet) (endpoint.Candidate, *setback) {
-	candidates := a.run.router.candidates(ctx, a.query(w.kind), a.run.deadline)
+	candidates, rest := a.run.router.open(ctx, a.query(w.kind), a.run.deadline)
 	chosen, ok := a.run.router.choose(w.choice, a.scheduleRequest(avoid), allowed(candidates, avoid))
 	if !ok {
-		return endpoint.Candidate{}, noCandidate(candidates)
+		return endpoint.Candidate{}, noCandidate(candidates, rest)
 	}
 	return chosen, nil
 }
 
-// noCandidate tells an empty place from one whose endpoints are all avoided.
-func noCandidate(candidates []endpoint.Candidate) *setback {
+// noCandidate tells an empty place from one whose endpoints are all avoided, or rest for a
+// while yet.
+func noCandidate(candidates []endpoint.Candidate, rest time.Duration) *setback {
+	if len(candidates) == 0 && rest > 0 {
+		return &setback{cause: causeFull, retryAfter: rest}
+	}
 	if len(candidates) == 0 {
 		return &setback{cause: causeNoEndpoint}
 	}
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -21,6 +21,9 @@
 	wasted        prometheus.Counter
 	tokens        prometheus.Counter
 	grantsOver    prometheus.Counter
+	// rests counts words of endpoints that asked for rest, and restKept sends that were
+	// given up for them right before they left.
+	rests, restKept prometheus.Counter
 	targets       *prometheus.CounterVec
 }
 
@@ -73,6 +76,14 @@
 			Help: "Sends refused by the last check since their grant had run out.",
 		}),
 	}
+	m.rests = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopsail_route_rests_total",
+		Help: "Answers by which an endpoint asked this entry for rest.",
+	})
+	m.restKept = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopsail_route_rest_kept_total",
+		Help: "Sends refused by the last check since their endpoint had asked for rest.",
+	})
 	if to == nil {
 		return m
 	}
@@ -80,7 +91,7 @@
 		Name: "hyssopsail_route_running_requests",
 		Help: "Requests in flight.",
 	}, func() float64 { return float64(f.running()) })
-	to.MustRegister(m.requests, m.firstToken, m.retries, m.extraArrivals, m.extraRefused, m.resumed, m.wasted, m.tokens, m.grantsOver, m.targets, running)
+	to.MustRegister(m.requests, m.firstToken, m.retries, m.extraArrivals, m.extraRefused, m.resumed, m.wasted, m.tokens, m.grantsOver, m.rests, m.restKept, m.targets, running)
 	return m
 }
 
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -14,9 +14,9 @@
 // first when the plan says so.
 func (a *attempt) chooseAndPlan(ctx context.Context) *setback {
 	m := a.run
-	decode := m.router.candidates(ctx, a.query(fleet.RoleDecode), m.deadline)
+	decode, rest := m.router.open(ctx, a.query(fleet.RoleDecode), m.deadline)
 	if len(allowed(decode, m.avoid)) == 0 {
-		return noCandidate(decode)
+		return noCandidate(decode, rest)
 	}
 	soonest := predictWaits(nil, allowed(decode, m.avoid), m.class.output).decode
 	a.plan = m.policies.Start.Plan(a.startInput(soonest))
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -25,6 +25,7 @@
 	calls    *callTable
 	flight   *flight
 	seen     *seen
+	resting  *resting
 	metrics  *metrics
 	life     context.Context // ended by abort
 	abort    context.CancelCauseFunc
@@ -44,6 +45,7 @@
 		policies: newPolicyCache(o.Policies),
 		calls:    newCallTable(),
 		seen:     newSeen(),
+		resting:  newResting(),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 	}
 	r.life, r.abort = context.WithCancelCause(context.Background())
--- a/internal/route/setback.go
+++ b/internal/route/setback.go
@@ -39,6 +39,7 @@
 	code       engineapi.Code
 	retryAfter time.Duration
 	failure    *Failure // with causeFinal
+	rests      bool     // the endpoint asked for rest
 	moved      bool     // with causeFull: another home may give a slot in a moment
 }
 
@@ -63,13 +64,16 @@
 	if cause, ok := placement.IsRefusal(err); ok {
 		return forbidden(cause)
 	}
+	if errors.Is(err, errResting) && parent.Err() == nil {
+		return &setback{cause: causeRefused, endpoint: restingEndpoint(err), rests: true}
+	}
 	if errors.Is(err, errGrantOver) && parent.Err() == nil {
 		return &setback{cause: causeGrantOver}
 	}
 	s := &setback{cause: causeBroken}
 	var e *engine.Error
 	if errors.As(err, &e) {
-		s.endpoint, s.code = e.Target.ID, e.Code
+		s.endpoint, s.code, s.rests = e.Target.ID, e.Code, e.Rest > 0
 	}
 	switch {
 	case parent.Err() != nil:
--- a/internal/route/transfer.go
+++ b/internal/route/transfer.go
@@ -113,7 +113,7 @@
 		}
 		s := fromError(ctx, local, err)
 		a.blame(s)
-		if s.cause != causeFull || time.Until(a.kv.expires) < wait {
+		if s.cause != causeFull || s.rests || time.Until(a.kv.expires) < wait {
 			return s
 		}
 		if pause(local, wait) != nil {
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -79,6 +79,7 @@
 type fault struct {
 	broken bool           // the connection breaks after the bytes left
 	code   engineapi.Code // the endpoint's error answer
+	rest   time.Duration  // that its error answer asks for
 	stall  bool           // no answer until the context ends
 	unsent bool           // no connection: no byte left
 	after  int            // decode: tokens before the fault
