--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -24,7 +24,7 @@
 	// rests counts words of endpoints that asked for rest, and restKept sends that were
 	// given up for them right before they left.
 	rests, restKept prometheus.Counter
-	targets       *prometheus.CounterVec
+	targets         *prometheus.CounterVec
 }
 
 const (
