--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -37,6 +37,9 @@
 	// unblockShare is the part of what is left to its target that a request waits until an
 	// endpoint takes it; the rest is for its answer.
 	unblockShare = 0.5
+	// unblockSpread keeps requests that wait for the same endpoint from coming to it in the
+	// moment when it is free.
+	unblockSpread = 50 * time.Millisecond
 )
 
 func limitKey(e *dispatch.Endpoint) endpointlimit.Endpoint {
@@ -144,7 +147,7 @@
 		return false
 	}
 	left := l.route.Target - now.Sub(l.x.Received)
-	wait := opens.Sub(now)
+	wait := opens.Sub(now) + time.Duration(l.router.options.Random()*float64(unblockSpread))
 	if wait > time.Duration(unblockShare*float64(left)) {
 		return false
 	}
