--- a/internal/endpoint/limited.go
+++ b/internal/endpoint/limited.go
@@ -6,12 +6,8 @@
 	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 )
 
-const (
-	// mostPerSecond bounds a limit that is taken for one.
-	mostPerSecond = 1e6
-	// longestLimited bounds the predicted wait for a limit: the next heartbeat may end it.
-	longestLimited = time.Minute
-)
+// longestLimited bounds the predicted wait for a limit: the next heartbeat may end it.
+const longestLimited = time.Minute
 
 // limited keeps the limit that an endpoint names with its heartbeats. The home alone gives
 // grants and each is for one request, so that what it gives is what the endpoint gets from
@@ -28,7 +24,7 @@
 		l.named = false
 		return
 	}
-	if *perSecond < 0 || *perSecond > mostPerSecond {
+	if !endpointlimit.IsLimit(*perSecond) {
 		return
 	}
 	l.fill(now)
--- a/internal/endpointlimit/word.go
+++ b/internal/endpointlimit/word.go
@@ -49,9 +49,14 @@
 	return word
 }
 
+// IsLimit tells whether a number of requests a second can be a limit.
+func IsLimit(perSecond float64) bool {
+	return !math.IsNaN(perSecond) && perSecond >= 0 && perSecond <= mostPerSecond
+}
+
 func parseNumber(text string) Word {
 	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(perSecond) || perSecond < 0 || perSecond > mostPerSecond {
+	if err != nil || !IsLimit(perSecond) {
 		return Word{Kind: KindUnreadable}
 	}
 	return Word{Kind: KindNamed, PerSecond: perSecond}
--- a/internal/route/grantgate.go
+++ b/internal/route/grantgate.go
@@ -23,7 +23,7 @@
 		if err := place(t); err != nil {
 			return err
 		}
-		if err := r.mayReach(t); err != nil && !h.touched {
+		if err := r.mayReach(h, t); err != nil {
 			return err
 		}
 		if !r.opts.Follower.Valid(time.Now(), h.grant) {
--- a/internal/route/resting.go
+++ b/internal/route/resting.go
@@ -106,8 +106,8 @@
 
 // mayReach is the last check before a send to an endpoint that has nothing of the request
 // yet: it may have asked for rest since its slot was given.
-func (r *Router) mayReach(t engine.Target) error {
-	if r.resting.left(time.Now(), t.ID, t.Incarnation) == 0 {
+func (r *Router) mayReach(h *hold, t engine.Target) error {
+	if h.touched || r.resting.left(time.Now(), t.ID, t.Incarnation) == 0 {
 		return nil
 	}
 	r.metrics.restKept.Inc()
