--- a/internal/relay/leave_test.go
+++ b/internal/relay/leave_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -37,41 +36,10 @@
 // Guards against work for an endpoint that leaves: its answers say so before the lists of
 // the control instances do, and alone while the entry is cut off from them.
 func TestLeavingEndpointGetsNoMore(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		model   bool
-		leaving []string
-		reading time.Duration
-		home    Allotter
-	}{
-		{"one of four", false, []string{"e0"}, 0, nil},
-		{"all but one", false, []string{"e0", "e1", "e2"}, 0, nil},
-		{"all", false, []string{"e0", "e1", "e2", "e3"}, 0, nil},
-		{"reads prompts", true, []string{"e0"}, 0, nil},
-		{"all that read prompts", true, []string{"e0", "e1"}, 0, nil},
-		{"generates", true, []string{"e2"}, 0, nil},
-		{"generates, and prompts take long", true, []string{"e2"}, 800 * time.Millisecond, nil},
-		{"a home names it", true, []string{"e2"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
-		{"a home names it to read", true, []string{"e0"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newLimitedFleet(3, test.model, nil, nil, nil, nil)
-				f.service.reading = test.reading
-				for _, id := range test.leaving {
-					f.service.endpoints[id].leaves = 5 * time.Second
-				}
-				for _, entry := range f.entries {
-					entry.options.Allotter = test.home
-				}
-				f.play(t, 30)
-				for id, e := range f.service.endpoints {
-					assert.Check(t, e.late == 0, "%s got %d requests from entries that it had told", id, e.late)
-				}
-				t.Logf("%d asked, %d served, %d refused", f.asked, f.served, f.refused)
-			})
-		})
-	}
+	leave := func(e *limitedEndpoint) { e.leaves = 5 * time.Second }
+	playUnwanted(t, leave, func(t *testing.T, id string, e *limitedEndpoint) {
+		assert.Check(t, e.late == 0, "%s got %d requests from entries that it had told", id, e.late)
+	})
 }
 
 // Guards against a new run of an endpoint that gets no work for what the one before it
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -76,38 +76,45 @@
 	return nil
 }
 
-// Guards against an endpoint that can't recover: it asks an entry for rest, looks idle by
-// then, and is sent the next request, or one that was given a place there before.
-func TestRestingEndpointIsLeftAlone(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		model   bool
-		resting []string
-		reading time.Duration
-		home    Allotter
-	}{
-		{"one of four", false, []string{"e0"}, 0, nil},
-		{"all", false, []string{"e0", "e1", "e2", "e3"}, 0, nil},
-		{"reads prompts", true, []string{"e0"}, 0, nil},
-		{"all that read prompts", true, []string{"e0", "e1"}, 0, nil},
-		{"generates", true, []string{"e2"}, 0, nil},
-		{"generates, and prompts take long", true, []string{"e2", "e3"}, 800 * time.Millisecond, nil},
-		{"a home names it", true, []string{"e2"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
-		{"a home names it to read", true, []string{"e0"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
-	} {
+// unwantedCase is which endpoints of four want nothing, and the path that leads to them.
+type unwantedCase struct {
+	name      string
+	model     bool
+	endpoints []string
+	reading   time.Duration
+	home      Allotter
+}
+
+// unwantedCases are the paths on which a request may come to an endpoint.
+var unwantedCases = []unwantedCase{
+	{"one of four", false, []string{"e0"}, 0, nil},
+	{"all but one", false, []string{"e0", "e1", "e2"}, 0, nil},
+	{"all", false, []string{"e0", "e1", "e2", "e3"}, 0, nil},
+	{"reads prompts", true, []string{"e0"}, 0, nil},
+	{"all that read prompts", true, []string{"e0", "e1"}, 0, nil},
+	{"generates", true, []string{"e2"}, 0, nil},
+	{"all that generate, and prompts take long", true, []string{"e2", "e3"}, 800 * time.Millisecond, nil},
+	{"a home names it", true, []string{"e2"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
+	{"a home names it to read", true, []string{"e0"}, 0, oneHome{endpoint: "e2", reader: "e0"}},
+}
+
+// playUnwanted plays each case. make has an endpoint want nothing, and check holds what it
+// got.
+func playUnwanted(t *testing.T, make func(*limitedEndpoint), check func(t *testing.T, id string, e *limitedEndpoint)) {
+	for _, test := range unwantedCases {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newLimitedFleet(3, test.model, nil, nil, nil, nil)
 				f.service.reading = test.reading
-				for _, id := range test.resting {
-					f.service.endpoints[id].rests = shed
+				for _, id := range test.endpoints {
+					make(f.service.endpoints[id])
 				}
 				for _, entry := range f.entries {
 					entry.options.Allotter = test.home
 				}
 				f.play(t, 30)
 				for id, e := range f.service.endpoints {
-					assert.Check(t, e.mostResting() <= mostInRest, "%s got %d requests in a rest", id, e.mostResting())
+					check(t, id, e)
 				}
 				t.Logf("%d asked, %d served, %d refused", f.asked, f.served, f.refused)
 			})
@@ -115,6 +122,15 @@
 	}
 }
 
+// Guards against an endpoint that can't recover: it asks an entry for rest, looks idle by
+// then, and is sent the next request, or one that was given a place there before.
+func TestRestingEndpointIsLeftAlone(t *testing.T) {
+	rest := func(e *limitedEndpoint) { e.rests = shed }
+	playUnwanted(t, rest, func(t *testing.T, id string, e *limitedEndpoint) {
+		assert.Check(t, e.mostResting() <= mostInRest, "%s got %d requests in a rest", id, e.mostResting())
+	})
+}
+
 // Guards against a word that is lost since it came with the answer to a question for
 // memory and not to a request.
 func TestRestIsHeardWhenMemoryIsAskedFor(t *testing.T) {
