dispatch: a rest that a new run asked for before it was known is its own

On the users' platform each start has an ID of its own; the soak's servers start again under theirs, as a heartbeat's time of the start allows.

A run whose start lies before the word takes it over; one that starts after it doesn't, and neither does one that doesn't say when it started. A word that an endpoint leaves isn't taken over: a clock that is off would keep a new run from work for minutes.

TestRestOfARunThatWasNotKnownYet failed before (the state of a new run knows of no rest).

--- a/internal/dispatch/blocked.go
+++ b/internal/dispatch/blocked.go
@@ -24,7 +24,7 @@
 func (b *Book) IsBlocked(now time.Time, e *Endpoint) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.states[e.Incarnation()]
+	s := b.known(e.Incarnation())
 	return s != nil && s.blocked(now)
 }
 
@@ -37,7 +37,7 @@
 	}
 	open := list[:0]
 	for _, e := range list {
-		if s := b.states[e.Incarnation()]; s == nil || !s.blocked(now) {
+		if s := b.known(e.Incarnation()); s == nil || !s.blocked(now) {
 			open = append(open, e)
 		}
 	}
@@ -51,7 +51,7 @@
 	defer b.mu.Unlock()
 	var first time.Time
 	for _, e := range list {
-		s := b.states[e.Incarnation()]
+		s := b.known(e.Incarnation())
 		if s == nil || s.gone || !s.blocked(now) {
 			continue
 		}
--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -18,11 +18,12 @@
 	paces  map[string]float64 // of answers, ns a token of their estimates, by service
 	// blockedUntil is when none of the endpoints is blocked any more.
 	blockedUntil time.Time
+	rests        map[string]heardRest // the newest of each endpoint, by ID
 }
 
 // NewBook makes an empty book for an entry in a zone.
 func NewBook(zone string, seed uint64, policy Policy) *Book {
-	return &Book{zone: zone, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), states: map[Incarnation]*state{}, speeds: map[string]*speed{}, paces: map[string]float64{}}
+	return &Book{zone: zone, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), states: map[Incarnation]*state{}, speeds: map[string]*speed{}, paces: map[string]float64{}, rests: map[string]heardRest{}}
 }
 
 func (b *Book) state(id Incarnation) *state {
@@ -30,10 +31,19 @@
 	if s == nil {
 		s = &state{}
 		b.states[id] = s
+		b.inheritRest(id, s)
 	}
 	return s
 }
 
+// known gives what is known of an endpoint; nil for nothing.
+func (b *Book) known(id Incarnation) *state {
+	if b.states[id] == nil && b.rests[id.ID].isOf(id) {
+		return b.state(id)
+	}
+	return b.states[id]
+}
+
 // Begin counts an exchange in; End must follow.
 func (b *Book) Begin(now time.Time, e *Endpoint, w Work) {
 	b.mu.Lock()
@@ -141,7 +151,7 @@
 	defer b.mu.Unlock()
 	var list []string
 	for _, e := range endpoints {
-		if s := b.states[e.Incarnation()]; s != nil && (!s.open(now) || s.blocked(now)) {
+		if s := b.known(e.Incarnation()); s != nil && (!s.open(now) || s.blocked(now)) {
 			list = append(list, e.ID)
 		}
 	}
@@ -157,4 +167,9 @@
 			delete(b.states, id)
 		}
 	}
+	for id, r := range b.rests {
+		if !now.Before(r.until) {
+			delete(b.rests, id)
+		}
+	}
 }
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -31,3 +31,31 @@
 		t.Run(test.name, func(t *testing.T) { assert.Equal(t, ParseRest(test.values), test.want) })
 	}
 }
+
+// Guards against an endpoint that starts again, asks for rest before the entry hears of its
+// new run, and is sent the next request since the word was filed under the run before; and
+// against a new run that is bound by a word from before its start.
+func TestRestOfARunThatWasNotKnownYet(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	old := &Endpoint{ID: "e", Born: 900_000}
+	for _, test := range []struct {
+		name string
+		born uint64
+		want Unwanted
+	}{
+		{"it had started", 999_000, Resting},
+		{"it starts after the word", 1_000_500, Wanted},
+		{"it doesn't say", 0, Wanted},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBook("", 1, Policy{})
+			b.Rest(now, old, 10*time.Second)
+			run := &Endpoint{ID: "e", Born: test.born}
+			later := now.Add(time.Second)
+			assert.Equal(t, b.Unwanted(later, run), test.want)
+			assert.Equal(t, len(b.Unblocked(later, []*Endpoint{run})) == 0, test.want == Resting)
+			b.Sweep(now.Add(time.Minute))
+			assert.Equal(t, len(b.rests), 0)
+		})
+	}
+}
--- a/internal/endpointlimit/client_test.go
+++ b/internal/endpointlimit/client_test.go
@@ -140,6 +140,7 @@
 			})
 		}
 		all.Wait()
+		t.Logf("%d questions in 20 s", s.calls())
 		assert.Assert(t, s.calls() < 5000, "%d questions in 20 s", s.calls())
 	})
 }
