dispatch: a rest is its run's own, also where the request was for the run before

By the entry's log it hears of i-1's new run at 13.0758 s, and of its rest at 13.0806 s in answer to a request that it had sent to the run before; by then the new run had a state of its own, and the word was filed under the old one. A run takes over whatever was asked for under its ID after its start, whenever it is asked after.

TestRestOfARunThatWasNotKnownYet failed before in its new case.

--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -31,15 +31,14 @@
 	if s == nil {
 		s = &state{}
 		b.states[id] = s
-		b.inheritRest(id, s)
 	}
 	return s
 }
 
 // known gives what is known of an endpoint; nil for nothing.
 func (b *Book) known(id Incarnation) *state {
-	if b.states[id] == nil && b.rests[id.ID].isOf(id) {
-		return b.state(id)
+	if r := b.rests[id.ID]; r.isOf(id) {
+		b.keepRest(b.state(id), r.until)
 	}
 	return b.states[id]
 }
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -46,34 +46,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(e.Incarnation())
-	if until := now.Add(d); until.After(s.restUntil) {
-		s.restUntil = until
-	}
+	b.keepRest(s, now.Add(d))
 	b.rests[e.ID] = heardRest{heard: now, until: s.restUntil}
-	b.keepRest(s)
 }
 
 // heardRest is a rest that was asked for under an endpoint's ID.
 type heardRest struct{ heard, until time.Time }
 
-// isOf tells whether a run of the endpoint asked for it that was not known of yet: it had
-// started before the word came.
+// isOf tells whether a run of the endpoint may have asked for it: it had started before the
+// word came.
 //
-// Failure guarded: an endpoint starts again and asks for rest before the entry hears of its
-// new run. The word would end with the run before, and the next request goes there.
+// Failure guarded: an endpoint starts again and asks for rest in answer to a request that was
+// sent before the entry heard of its new run. The word would end with the run before, and the
+// next request goes there.
 func (r heardRest) isOf(id Incarnation) bool {
 	return id.Born > 0 && !r.heard.IsZero() && r.heard.UnixMilli() >= int64(id.Born)
 }
 
-// inheritRest takes over the rest that a new run has asked for already.
-func (b *Book) inheritRest(id Incarnation, s *state) {
-	if r := b.rests[id.ID]; r.isOf(id) {
-		s.restUntil = r.until
-		b.keepRest(s)
+// keepRest is called with b.mu held.
+func (b *Book) keepRest(s *state, until time.Time) {
+	if until.After(s.restUntil) {
+		s.restUntil = until
 	}
-}
-
-func (b *Book) keepRest(s *state) {
 	if b.policy.Has(KeepRest) {
 		b.block(s, s.restUntil)
 	}
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -39,18 +39,23 @@
 	now := time.UnixMilli(1_000_000)
 	old := &Endpoint{ID: "e", Born: 900_000}
 	for _, test := range []struct {
-		name string
-		born uint64
-		want Unwanted
+		name  string
+		born  uint64
+		known bool // before the word comes
+		want  Unwanted
 	}{
-		{"it had started", 999_000, Resting},
-		{"it starts after the word", 1_000_500, Wanted},
-		{"it doesn't say", 0, Wanted},
+		{"it had started", 999_000, false, Resting},
+		{"it had started and was known, the request was for the run before", 999_000, true, Resting},
+		{"it starts after the word", 1_000_500, false, Wanted},
+		{"it doesn't say", 0, false, Wanted},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := NewBook("", 1, Policy{})
-			b.Rest(now, old, 10*time.Second)
 			run := &Endpoint{ID: "e", Born: test.born}
+			if test.known {
+				b.Begin(now, run, Work{})
+			}
+			b.Rest(now, old, 10*time.Second)
 			later := now.Add(time.Second)
 			assert.Equal(t, b.Unwanted(later, run), test.want)
 			assert.Equal(t, len(b.Unblocked(later, []*Endpoint{run})) == 0, test.want == Resting)
