relay, suspect: a line and a counter for each send whose connection broke

Cause: nothing that an entry wrote told whether two attempts carried the same request, or for how long a request had been at an endpoint when its connection broke. So the hypotheses on the retry budget could not be told apart.

Added, without a change of any decision: 'Lost at an endpoint.' with the request's fingerprint (that of the product's own interface, moved from quarantine to suspect), the endpoint, how long ago it was sent and whether a part of the answer had come; hyssopsail_relay_lost_sends_total. relay and follower stand a layer higher for it.

--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -186,6 +186,7 @@
 	l.sends++
 	l.chosen = c.Endpoint.ID
 	l.progress.sentAt = time.Now()
+	written := l.progress.writes
 	a := l.exchange(ctx, c)
 	if ctx.Err() != nil && a.outcome != dispatch.OutcomeServed {
 		a.outcome = dispatch.OutcomeGivenUp
@@ -194,6 +195,9 @@
 	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
 	l.last, l.lastErr = a.outcome, a.err
 	l.lastSeen = a.outcome
+	if a.outcome == dispatch.OutcomeLost {
+		l.noteLost(c.Endpoint, l.progress.sentAt, l.progress.writes > written, a.err)
+	}
 	if a.outcome == dispatch.OutcomeServed && c.After == "" {
 		book.HaveAnswered(l.service, l.estimate(), time.Since(l.progress.firstAt))
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,8 @@
 	extraArrivals *prometheus.CounterVec
 	// extraRefused counts sends that were not made for want of budget.
 	extraRefused prometheus.Counter
+	// lost counts sends whose connection broke before the answer was whole.
+	lost *prometheus.CounterVec
 	// leftToLapse counts what was not freed for want of a place in giveBacks.
 	leftToLapse prometheus.Counter
 	// limitWords counts what answers said anew of their endpoints' limits.
@@ -76,6 +78,10 @@
 			Name: "hyssopsail_relay_extra_refused_total",
 			Help: "Sends that were not made since they would have been one arrival too many for the fleet.",
 		}),
+		lost: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_lost_sends_total",
+			Help: "Sends whose connection broke before the answer was whole, by whether a part of it had come.",
+		}, []string{"part"}),
 		leftToLapse: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_left_to_lapse_total",
 			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -126,6 +126,9 @@
 	if err != nil {
 		l.log("Prefill failed.", "endpoint", e.ID, "err", err)
 		arrived = outcomeOf(err) == dispatch.OutcomeLost
+		if arrived && ctx.Err() == nil {
+			l.noteLost(e, sent, false, err)
+		}
 		switch {
 		case errors.Is(err, errSilent):
 			return nil, dispatch.OutcomeUnreachable, arrived
--- a/internal/route/ids.go
+++ b/internal/route/ids.go
@@ -10,7 +10,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/outcome"
-	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
 const (
@@ -56,10 +56,10 @@
 
 func (h hasher) modelFingerprint(r ModelRequest, m engineapi.ModelRef, output int) fleet.Fingerprint {
 	what := fmt.Sprintf("model %q %d", m, output)
-	return quarantine.FingerprintOf(h.secret, r.Team, what, []byte(r.Prompt))
+	return suspect.FingerprintOf(h.secret, string(r.Team), what, []byte(r.Prompt))
 }
 
 func (h hasher) callFingerprint(r CallRequest) fleet.Fingerprint {
 	what := fmt.Sprintf("call %q %q %q %q", r.Service, r.Method, r.Path, r.Query)
-	return quarantine.FingerprintOf(h.secret, r.Team, what, r.Body)
+	return suspect.FingerprintOf(h.secret, string(r.Team), what, r.Body)
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -1,4 +1,4 @@
-package quarantine
+package suspect
 
 import (
 	"crypto/hmac"
@@ -12,12 +12,12 @@
 // secret.
 const fingerprintDomain = "hyssopsail/fingerprint/1"
 
-// FingerprintOf hashes a request's team, model (or plain service and route)
-// and body with the fleet's secret. The caller's key isn't part of it: the
-// same request sent again with a new key has the same fingerprint.
-func FingerprintOf(secret []byte, team fleet.Team, model string, body []byte) fleet.Fingerprint {
+// FingerprintOf hashes a request's caller, what it asks for (a model, or a plain service and
+// its route) and its body with the fleet's secret. The name that a caller gives to an
+// attempt isn't part of it: the same request sent again has the same fingerprint.
+func FingerprintOf(secret []byte, caller, what string, body []byte) fleet.Fingerprint {
 	mac := hmac.New(sha256.New, secret)
-	for _, field := range []string{fingerprintDomain, string(team), model} {
+	for _, field := range []string{fingerprintDomain, caller, what} {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = mac.Write(size[:])
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/suspect/fingerprint_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package suspect
 
 import (
 	"testing"
