crashboard, suspect, relay: a request that crashes endpoints is refused at all entries

What callers saw: one request took down each endpoint that began to run it, two for each attempt, as long as its caller sent it again, at whichever entry; all that ran there was lost with it.

Cause: on the way of opaque exchanges nothing told such a request from any other (the product's own interface has quarantine; it was never wired in here).

Why it works: a loss counts where a connection ended before a part of the answer and all others to the endpoint ended too; three in a row, by the product's own bound, and the request is refused, known by key, target and body; an answer anywhere clears it. Entries count what they see and tell all control instances, which tell all entries within a round trip.

Ruled out: asking a guard before each run (a call for each request); the replicated log (a death of many endpoints would fill it); a decision on the first or second loss (an endpoint takes up to its places of neighbours with it). A first draft sent to one member after the other: one that is frozen held up the rest (crashboard.TestFrozenMemberHoldsUpNobody). A count by the caller's attempt ID missed callers who give an ID again.

--- /dev/null
+++ b/internal/coordinator/crashes_test.go
@@ -0,0 +1,38 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Guards against an entry that hears seconds later of a request that crashes endpoints: its
+// question lies at the member until there is other news.
+func TestFollowTellsOfCrashesAtOnce(t *testing.T) {
+	runFleet(t, 1, func(t *testing.T, f *fleet) {
+		i := f.instances[0]
+		f.await(5*time.Second, "a leader", func() bool { return i.node.Status().IsLeader })
+		time.Sleep(time.Second)
+		revision, _ := i.machine.Revision()
+		question := &pb.FollowRequest{DocumentVersion: 1, Revision: revision, WaitMs: 1000}
+		began := time.Now()
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			fingerprint := make([]byte, 16)
+			_, err := i.board.ReportCrashes(t.Context(), &pb.ReportCrashesRequest{Known: []*pb.CrashFinding{{Fingerprint: fingerprint, Losses: 3}}})
+			assert.Check(t, err)
+		}()
+		reply, err := i.Follow(f.within(2*time.Second), question)
+		assert.NilError(t, err)
+		assert.Equal(t, len(reply.Crashes.Findings), 1)
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond, "%v", time.Since(began))
+		question.Crashes = reply.Crashes.Mark
+		reply, err = i.Follow(f.within(2*time.Second), question)
+		assert.NilError(t, err)
+		assert.Equal(t, len(reply.Crashes.Findings), 0, "it was read")
+		assert.Assert(t, time.Since(began) > time.Second, "what was read is no news")
+	})
+}
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/crashboard"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
@@ -34,6 +35,7 @@
 	seeds     []string
 	node      *replica.Node
 	machine   *catalog.Machine
+	board     *crashboard.Board
 	*Coordinator
 	stop func()
 }
@@ -86,9 +88,11 @@
 	})
 	assert.NilError(f.t, err)
 	i.node = node
+	i.board = crashboard.NewBoard(uint64(time.Now().UnixNano()), nil)
 	i.Coordinator = New(Options{
-		Uptime: uptime,
-		Group:  node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
+		Crashes: i.board,
+		Uptime:  uptime,
+		Group:   node, Machine: i.machine, Dialer: f.net.Dialer(i.address),
 		Self:  &pb.Member{InstanceId: i.address, DiskId: node.DiskID(), RpcAddress: i.address},
 		Seeds: i.seeds, Bootstrap: i.bootstrap, EndpointSilence: 4 * time.Second,
 		Orders: f.orders, OrderLease: 3 * time.Second, Tolerance: f.tolerance, SenderKept: senderKept,
--- a/internal/coordinator/options.go
+++ b/internal/coordinator/options.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/crashboard"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/replica"
@@ -89,6 +90,8 @@
 	// Uptime is the clock by which entries are told how old this member's knowledge
 	// is; it goes on while the machine is suspended.
 	Uptime func() time.Duration
+	// Crashes is what this member knows of requests that crash endpoints; nil: nothing.
+	Crashes *crashboard.Board
 	// Orders gives orders to model endpoints; nil: none are given.
 	Orders Orders
 	// OrderLease is for how long nobody else may give orders after one holder.
--- a/internal/coordinator/serve.go
+++ b/internal/coordinator/serve.go
@@ -53,11 +53,13 @@
 	touched := c.awaitTouch(time.Now())
 	for {
 		revision, changed := c.options.Machine.Revision()
-		if revision > request.Revision {
+		news, crashes := c.crashNews(request)
+		if revision > request.Revision || len(news.GetFindings()) > 0 {
 			return c.followReply(request), nil
 		}
 		select {
 		case <-changed:
+		case <-crashes:
 		case <-touched:
 			return c.followReply(request), nil
 		case <-timer.C:
@@ -97,9 +99,19 @@
 		reply.AgeUs = uint64((c.options.Uptime() - confirmedAt).Microseconds()) + 1
 	}
 	reply.Members = c.Members()
+	reply.Crashes, _ = c.crashNews(request)
 	return reply
 }
 
+// crashNews gives what the entry that asks has not read yet of requests that crash
+// endpoints, and a channel that is closed when there is more.
+func (c *Coordinator) crashNews(request *pb.FollowRequest) (*pb.CrashNews, <-chan struct{}) {
+	if c.options.Crashes == nil {
+		return nil, nil
+	}
+	return c.options.Crashes.News(request.Crashes)
+}
+
 // lastConfirmed is until when this member knows all documents that were confirmed, by
 // Options.Uptime; 0 before the leader's first word.
 func (c *Coordinator) lastConfirmed() time.Duration {
--- /dev/null
+++ b/internal/crashboard/board.go
@@ -0,0 +1,79 @@
+package crashboard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
+)
+
+// Board is what one control instance knows.
+type Board struct {
+	epoch   uint64
+	metrics *boardMetrics
+
+	mu      sync.Mutex // guards the fields below
+	losses  *suspect.Losses
+	changed chan struct{} // closed and replaced when there is news
+}
+
+var _ pb.DRPCCrashBoardServer = (*Board)(nil)
+
+// NewBoard makes an empty board. epoch is that of no other process; to may be nil.
+func NewBoard(epoch uint64, to prometheus.Registerer) *Board {
+	return &Board{
+		epoch: epoch, metrics: newBoardMetrics(to),
+		losses: suspect.NewLosses(suspect.DefaultLimits), changed: make(chan struct{}),
+	}
+}
+
+// ReportCrashes implements pb.DRPCCrashBoardServer.
+func (b *Board) ReportCrashes(_ context.Context, r *pb.ReportCrashesRequest) (*pb.ReportCrashesReply, error) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.losses.Revision()
+	for _, wire := range r.Losses {
+		if loss, ok := lossFromWire(now, wire); ok {
+			b.losses.Lost(now, loss)
+		}
+	}
+	for _, wire := range r.Answered {
+		if f, ok := fleet.FingerprintFromBytes(wire); ok {
+			b.losses.Answered(now, f)
+		}
+	}
+	for _, wire := range r.Known {
+		if f, ok := findingFromWire(now, wire); ok {
+			b.losses.Told(now, f)
+		}
+	}
+	b.metrics.reported(len(r.Losses), b.losses.Len())
+	if len(b.losses.Shared(before)) > 0 {
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+	return &pb.ReportCrashesReply{}, nil
+}
+
+// News gives what has changed after a mark, nil for none read yet, and a channel that is
+// closed when there is more.
+func (b *Board) News(mark *pb.CrashMark) (*pb.CrashNews, <-chan struct{}) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	after := uint64(0)
+	if mark.GetEpoch() == b.epoch {
+		after = mark.Revision
+	}
+	news := &pb.CrashNews{Mark: &pb.CrashMark{Epoch: b.epoch, Revision: b.losses.Revision()}}
+	if after < b.losses.Revision() {
+		news.Findings = findingsToWire(now, b.losses.Shared(after))
+	}
+	return news, b.changed
+}
--- /dev/null
+++ b/internal/crashboard/board_test.go
@@ -0,0 +1,224 @@
+package crashboard
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
+)
+
+// contact is how long after the third crash all entries in touch must know of it.
+const contact = 3 * time.Second
+
+// group is control instances with their boards, and entries that follow them.
+type group struct {
+	net     *testkit.Network
+	members []string
+	boards  map[string]*Board
+	epoch   uint64
+	entries []*Client
+	sent    int
+}
+
+func newGroup(members, entries int) *group {
+	g := &group{net: &testkit.Network{}, boards: map[string]*Board{}}
+	for n := range members {
+		g.members = append(g.members, fmt.Sprint("member", n))
+		g.restart(g.members[n])
+	}
+	for range entries {
+		g.join()
+	}
+	return g
+}
+
+// restart gives a member an empty board.
+func (g *group) restart(member string) {
+	g.epoch++
+	g.boards[member] = NewBoard(g.epoch, nil)
+	g.net.Serve(member, g.boards[member], pb.DRPCCrashBoardDescription{})
+}
+
+func (g *group) join() *Client {
+	name := fmt.Sprint("entry", len(g.entries))
+	c := NewClient(Options{Dialer: g.net.Dialer(name), Members: func() []string { return g.members }, Part: logging.Part{}})
+	g.entries = append(g.entries, c)
+	return c
+}
+
+// follow has all entries ask two members each, as they do all the time.
+func (g *group) follow() {
+	for n, c := range g.entries {
+		for way := range 2 {
+			member := g.members[(n+way)%len(g.members)]
+			news, _ := g.boards[member].News(c.Mark(member))
+			c.Take(member, news)
+		}
+	}
+}
+
+// run lets time pass, in which entries follow.
+func (g *group) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		g.follow()
+	}
+}
+
+// send sends a request that crashes endpoints by an entry, unless that refuses it, and tells
+// whether it was sent.
+func (g *group) send(c *Client, f fleet.Fingerprint) bool {
+	if _, refused := c.Refused(f); refused {
+		return false
+	}
+	g.sent++
+	sent := time.Now()
+	time.Sleep(time.Millisecond)
+	c.Lost(suspect.Loss{Fingerprint: f, Sent: sent, Exchange: fmt.Sprint(g.sent), Nth: 1})
+	return true
+}
+
+var crasher = fleet.Fingerprint{1}
+
+// Guards against a request that takes down one endpoint after another, since its caller
+// sends it to another entry each time.
+func TestRequestIsRefusedAtAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(5, 69)
+		for n := range 40 {
+			g.send(g.entries[7*n%len(g.entries)], crasher)
+			g.run(500 * time.Millisecond)
+		}
+		assert.Equal(t, g.sent, suspect.CompanyCrashes)
+	})
+}
+
+// The faults under which a crashing request must still be stopped: after the third crash
+// and the time for it to be known, entries in touch send it three times at most.
+func TestCrashingRequestIsStoppedWhateverFails(t *testing.T) {
+	cases := map[string]func(g *group, n int){
+		"members restart in turn":     func(g *group, n int) { g.restart(g.members[n%len(g.members)]) },
+		"all members are killed":      func(g *group, n int) { restartAll(g, n%6 == 5) },
+		"entries start":               func(g *group, _ int) { g.join() },
+		"a member is cut off":         func(g *group, n int) { g.cut(g.members[0], n < 10) },
+		"most members are cut off":    func(g *group, n int) { g.cut(g.members[n%3], n%2 == 0) },
+		"all requests come by one":    func(g *group, _ int) { g.entries[0], g.entries[1] = g.entries[1], g.entries[0] },
+		"the members that answer die": func(g *group, n int) { g.restart(g.members[0]); g.restart(g.members[1]) },
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(5, 7)
+				crashes, late := 0, 0
+				var third time.Time
+				for n := range 40 {
+					fault(g, n)
+					g.run(500 * time.Millisecond)
+					if !g.send(g.entries[n%len(g.entries)], crasher) {
+						continue
+					}
+					if crashes++; crashes == suspect.CompanyCrashes {
+						third = time.Now()
+					}
+					if !third.IsZero() && time.Since(third) > contact {
+						late++
+					}
+				}
+				assert.Assert(t, crashes >= suspect.CompanyCrashes)
+				assert.Assert(t, late <= 3, "%d of %d crashes came later than %s after the third", late, crashes, contact)
+			})
+		})
+	}
+}
+
+func restartAll(g *group, now bool) {
+	for _, m := range g.members {
+		if now {
+			g.restart(m)
+		}
+	}
+}
+
+// cut keeps a member from hearing any entry.
+func (g *group) cut(member string, cut bool) {
+	for n := range g.entries {
+		g.net.SetCut(cut, fmt.Sprint("entry", n), member)
+	}
+}
+
+// Guards against a member that is frozen and holds up the word to the others.
+func TestFrozenMemberHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(3, 4)
+		g.cut("member0", true)
+		for n := range 3 {
+			g.send(g.entries[n], crasher)
+			time.Sleep(20 * time.Millisecond)
+			g.follow()
+		}
+		_, refused := g.entries[3].Refused(crasher)
+		assert.Assert(t, refused)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		for _, c := range g.entries {
+			assert.Equal(t, len(c.boxes), 0, "nothing waits for ever")
+		}
+	})
+}
+
+// Guards against traffic and memory that grow where nothing crashes, and against telling
+// everybody of all that ran on an endpoint when it died.
+func TestOnlySuspectsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(3, 3)
+		for n := range 30 {
+			g.send(g.entries[0], fleet.Fingerprint{2, byte(n)})
+		}
+		time.Sleep(time.Second)
+		g.follow()
+		assert.Assert(t, g.entries[0].Watches())
+		assert.Assert(t, !g.entries[1].Watches())
+		calls := g.net.Calls("member0")
+		assert.Assert(t, calls <= 30)
+		g.run(time.Minute)
+		assert.Equal(t, g.net.Calls("member0"), calls)
+		g.entries[0].Sweep(time.Now().Add(2 * time.Hour))
+		assert.Assert(t, !g.entries[0].Watches())
+	})
+}
+
+// Guards against refusing for good what was found to be harmless at another entry.
+func TestAnswerClearsARequestEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(3, 4)
+		for n := range 2 {
+			g.send(g.entries[n], crasher)
+			g.run(200 * time.Millisecond)
+		}
+		g.entries[2].Answered(crasher)
+		g.run(200 * time.Millisecond)
+		for n := range 8 {
+			assert.Assert(t, g.send(g.entries[n%4], crasher))
+			g.run(200 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against words of another writer: what can't be read changes nothing.
+func TestWordsThatCantBeRead(t *testing.T) {
+	b := NewBoard(1, nil)
+	_, err := b.ReportCrashes(t.Context(), &pb.ReportCrashesRequest{
+		Losses: []*pb.RunLoss{{Fingerprint: []byte("short")}}, Answered: [][]byte{{1}},
+		Known: []*pb.CrashFinding{{Fingerprint: crasher[:], Losses: 3, AgeUs: 1 << 63}, {}},
+	})
+	assert.NilError(t, err)
+	news, _ := b.News(&pb.CrashMark{Epoch: 1, Revision: 1 << 40})
+	assert.Equal(t, len(news.Findings), 0)
+}
--- /dev/null
+++ b/internal/crashboard/metrics.go
@@ -0,0 +1,51 @@
+package crashboard
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// boardMetrics are those of a control instance.
+type boardMetrics struct {
+	losses prometheus.Counter
+	known  prometheus.Gauge
+}
+
+func newBoardMetrics(to prometheus.Registerer) *boardMetrics {
+	with := promauto.With(to)
+	return &boardMetrics{
+		losses: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_crash_board_losses_total",
+			Help: "Runs that ended with their endpoint's connections, as entries report them.",
+		}),
+		known: with.NewGauge(prometheus.GaugeOpts{
+			Name: "hyssopsail_crash_board_requests",
+			Help: "Requests of which this control instance knows such a run.",
+		}),
+	}
+}
+
+func (m *boardMetrics) reported(losses, known int) {
+	m.losses.Add(float64(losses))
+	m.known.Set(float64(known))
+}
+
+// clientMetrics are those of an entry.
+type clientMetrics struct {
+	unreported  prometheus.Counter
+	quarantined prometheus.Counter
+}
+
+func newClientMetrics(to prometheus.Registerer) *clientMetrics {
+	with := promauto.With(to)
+	return &clientMetrics{
+		unreported: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_crash_reports_failed_total",
+			Help: "Reports on requests that may crash endpoints which a control instance did not take.",
+		}),
+		quarantined: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_crash_quarantined_total",
+			Help: "Requests that this entry has begun to refuse since they crash endpoints.",
+		}),
+	}
+}
--- /dev/null
+++ b/internal/crashboard/wire.go
@@ -0,0 +1,40 @@
+package crashboard
+
+import (
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
+)
+
+func lossToWire(now time.Time, l suspect.Loss) *pb.RunLoss {
+	return &pb.RunLoss{Fingerprint: l.Fingerprint[:], SentUs: ageOf(now, l.Sent), Exchange: l.Exchange, Nth: uint32(l.Nth)}
+}
+
+func lossFromWire(now time.Time, l *pb.RunLoss) (loss suspect.Loss, ok bool) {
+	f, ok := fleet.FingerprintFromBytes(l.Fingerprint)
+	return suspect.Loss{Fingerprint: f, Sent: before(now, l.SentUs), Exchange: l.Exchange, Nth: int(l.Nth)}, ok
+}
+
+func findingsToWire(now time.Time, list []suspect.Finding) []*pb.CrashFinding {
+	wire := make([]*pb.CrashFinding, 0, len(list))
+	for _, f := range list {
+		wire = append(wire, &pb.CrashFinding{Fingerprint: f.Fingerprint[:], Losses: uint32(f.Losses), Proven: f.Proven, AgeUs: ageOf(now, f.At)})
+	}
+	return wire
+}
+
+func findingFromWire(now time.Time, f *pb.CrashFinding) (finding suspect.Finding, ok bool) {
+	fingerprint, ok := fleet.FingerprintFromBytes(f.Fingerprint)
+	return suspect.Finding{Fingerprint: fingerprint, Losses: int(f.Losses), Proven: f.Proven, At: before(now, f.AgeUs)}, ok
+}
+
+func ageOf(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at)).Microseconds()) }
+
+// longestAge bounds an age that is taken for one; nothing is known for longer.
+const longestAge = 24 * time.Hour
+
+func before(now time.Time, us uint64) time.Time {
+	return now.Add(-time.Duration(min(us, uint64(longestAge.Microseconds()))) * time.Microsecond)
+}
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -53,6 +53,9 @@
 	// AvoidLeaving sends nothing to an endpoint whose answers say that it leaves. Off: it
 	// is chosen until it is no longer listed.
 	AvoidLeaving Mechanism = "avoid-leaving"
+	// Quarantine refuses requests that crash the endpoints that run them, at all entries.
+	// Off: they are sent like any other.
+	Quarantine Mechanism = "quarantine"
 	// QuotaReserve takes small requests of a team that has spent its quota from a
 	// reserve. Off: they are turned away like large ones.
 	QuotaReserve Mechanism = "quota-reserve"
@@ -60,7 +63,7 @@
 
 var mechanisms = []Mechanism{
 	MemoryFirst, EndAtTarget, OwnReading, ReturnedReadOwn, SeenWaits, Ranks, PassOver, Staging, Allotment,
-	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits, KeepRest, AvoidLeaving,
+	AwaitWord, QuotaReturn, QuotaReserve, KeepLimits, KeepRest, AvoidLeaving, Quarantine,
 }
 
 // Policy tells which mechanisms work. The zero Policy has all of them on. It is
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -148,6 +148,9 @@
 // ask puts one question of a way to a member.
 func (f *Follower) ask(ctx context.Context, way int, member string) error {
 	request, nudged := f.request()
+	if f.options.Crashes != nil {
+		request.Crashes = f.options.Crashes.Mark(member)
+	}
 	asked := f.options.Uptime()
 	silence := followSilence
 	if request.Revision == 0 {
@@ -168,6 +171,9 @@
 		return err
 	}
 	f.confirm(asked, request, reply)
+	if f.options.Crashes != nil {
+		f.options.Crashes.Take(member, reply.Crashes)
+	}
 	if f.take(way, member, reply) && !reply.More {
 		sleep.For(ctx, min(time.Duration(reply.Entries)*newsPause, longestNewsPause))
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -49,7 +49,8 @@
 		}
 	}
 	delta := m.machine.Since(r.DocumentVersion, r.Revision)
-	return &pb.FollowReply{Current: !out, Outline: delta.Outline, Revision: delta.Revision, Endpoints: delta.Endpoints, More: delta.More, Entries: 3, Senders: 4}, nil
+	news := &pb.CrashNews{Mark: &pb.CrashMark{Epoch: r.Crashes.GetEpoch() + 1}}
+	return &pb.FollowReply{Crashes: news, Current: !out, Outline: delta.Outline, Revision: delta.Revision, Endpoints: delta.Endpoints, More: delta.More, Entries: 3, Senders: 4}, nil
 }
 
 // Blocks answers from the catalog as well.
@@ -86,12 +87,31 @@
 	index    uint64
 	follower *Follower
 	entries  atomic.Int64
+	crashes  *readCrashes
+}
+
+// readCrashes counts what a member was told to have been read.
+type readCrashes struct {
+	mu    sync.Mutex
+	marks map[string]*pb.CrashMark
+}
+
+func (r *readCrashes) Mark(member string) *pb.CrashMark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.marks[member]
+}
+
+func (r *readCrashes) Take(member string, news *pb.CrashNews) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.marks[member] = news.Mark
 }
 
 func run(t *testing.T, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: &testkit.Network{}}
+		f := &fleet{t: t, net: &testkit.Network{}, crashes: &readCrashes{marks: map[string]*pb.CrashMark{}}}
 		var seeds []string
 		for n := range 3 {
 			m := &member{machine: catalog.NewMachine()}
@@ -102,7 +122,7 @@
 		f.follower = New(Options{
 			Dialer: f.net.Dialer("entry"), Seeds: seeds, Decode: decode,
 			Self:    func() *pb.EntryRecord { return &pb.EntryRecord{Id: "me"} },
-			Senders: func(n int) { f.entries.Store(int64(n)) }, Uptime: uptime,
+			Senders: func(n int) { f.entries.Store(int64(n)) }, Uptime: uptime, Crashes: f.crashes,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
@@ -369,3 +389,17 @@
 	defer f.follower.mu.Unlock()
 	return f.follower.asked[f.follower.filling.way]
 }
+
+// Guards against findings on requests that crash endpoints which are read from one member and
+// counted as read at another: each is told its own mark.
+func TestCrashesAreReadFromEachMember(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		read := 0
+		for n := range f.members {
+			read += int(f.crashes.Mark(address(n)).GetEpoch())
+		}
+		assert.Assert(t, read > 2)
+		assert.Assert(t, read <= f.questions(), "%d marks of %d questions", read, f.questions())
+	})
+}
--- a/internal/follower/options.go
+++ b/internal/follower/options.go
@@ -64,4 +64,13 @@
 	// Senders, when set, is told by each member in touch how many entries may send to
 	// endpoints, or did so a moment ago.
 	Senders func(n int)
+	// Crashes, when set, is told what members know of requests that crash endpoints.
+	Crashes Crashes
+}
+
+// Crashes reads members' findings on requests that crash endpoints.
+type Crashes interface {
+	// Mark is how far those of a member were read.
+	Mark(member string) *pb.CrashMark
+	Take(member string, news *pb.CrashNews)
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -38,6 +38,8 @@
 	served    bool   // an earlier request was answered
 	idleUntil time.Time
 	broken    atomic.Bool
+	openedAt  time.Time
+	closed    func()     // called when it is closed, once; nil for nothing
 	written   chan error // of a body that is written beside the reading; nil if none
 }
 
@@ -46,8 +48,37 @@
 }
 
 func (c *conn) close() {
-	c.broken.Store(true)
+	if c.broken.Swap(true) {
+		return
+	}
 	_ = c.raw.Close() // nothing more is expected of it
+	if c.closed != nil {
+		c.closed()
+	}
+}
+
+// hasEnded tells whether the other end has closed or reset the connection. It may be asked
+// while the connection is in use: no byte is taken from it.
+func (c *conn) hasEnded() bool {
+	source, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var one [1]byte
+	var n int
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || n <= 0 && !isAgain(peekErr)
+}
+
+func isAgain(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
 }
 
 // quiet tells whether an idle connection is open and holds no bytes. Surplus
@@ -71,7 +102,7 @@
 		n, readErr = syscall.Read(int(fd), one[:])
 		return true
 	})
-	return err == nil && n <= 0 && (errors.Is(readErr, syscall.EAGAIN) || errors.Is(readErr, syscall.EWOULDBLOCK))
+	return err == nil && n <= 0 && isAgain(readErr)
 }
 
 // exchange sends a request and reads the head of its answer. When ctx ends the
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -35,13 +35,14 @@
 	// Opened, when set, is told of each connection that was opened.
 	Opened func()
 
-	mu   sync.Mutex // guards idle
+	mu   sync.Mutex // guards the fields below
 	idle map[string][]*conn
+	open map[string]map[*conn]bool // by address; in use or idle
 }
 
 // NewPool makes an empty pool.
 func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}}
+	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}, open: map[string]map[*conn]bool{}}
 }
 
 // Do sends a request to address and gives the head of its answer, which the
@@ -159,7 +160,9 @@
 	if p.Opened != nil {
 		p.Opened()
 	}
-	return newConn(raw, address), nil
+	c := newConn(raw, address)
+	p.opened(c)
+	return c, nil
 }
 
 func boundSilence(_, _ string, raw syscall.RawConn) error {
--- a/internal/relay/budget_test.go
+++ b/internal/relay/budget_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"testing"
 	"time"
 
@@ -77,18 +76,3 @@
 	assert.Equal(t, len(w.endpoints.calls), 1)
 	assert.Assert(t, !w.endpoints.calls[0].Prefill)
 }
-
-// Guards against a request that takes down one endpoint after another: each endpoint that
-// begins to run it ends, and its caller sends it again and again.
-func TestRequestThatCrashesEndpointsIsLeftAlone(t *testing.T) {
-	const borne = 3
-	var crashes []answer
-	for range 20 {
-		crashes = append(crashes, func(*Call) (*Reply, error) { return nil, &SendError{Sent: true, Cause: io.EOF} })
-	}
-	w := newWorld(idempotent, crashes...)
-	for range 10 {
-		_, _ = w.serve(t, exchange())
-	}
-	assert.Assert(t, len(w.endpoints.calls) <= borne, "%d endpoints were taken down", len(w.endpoints.calls))
-}
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -188,6 +188,8 @@
 
 func (e *engines) Release(context.Context, *dispatch.Endpoint, string) {}
 
+func (e *engines) HasOpen(*dispatch.Endpoint, time.Time) bool { return false }
+
 // timed notes when the first part came.
 type timed struct {
 	caller
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
 // Exchange is one attempt of a caller: a request that is passed on unchanged,
@@ -123,6 +125,22 @@
 	DropHold(ctx context.Context, e *dispatch.Endpoint, hold string)
 	// Release frees the result of a prefill that nobody will take.
 	Release(ctx context.Context, e *dispatch.Endpoint, handle string)
+	// HasOpen tells whether a connection to the endpoint that was opened before a time is
+	// still open: its process has not ended since.
+	HasOpen(e *dispatch.Endpoint, before time.Time) bool
+}
+
+// Crashes knows which requests crash endpoints, over all entries. It is safe for concurrent
+// use.
+type Crashes interface {
+	// Watches tells whether anything is known of any request.
+	Watches() bool
+	// Refused tells whether a request is refused, and for how long.
+	Refused(f fleet.Fingerprint) (wait time.Duration, refused bool)
+	// Lost takes in a run that ended with its endpoint.
+	Lost(l suspect.Loss)
+	// Answered takes in that an endpoint has run a request and answered it.
+	Answered(f fleet.Fingerprint)
 }
 
 // SendError is why a call got no answer.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
 // errCut is how a fake's connection breaks.
@@ -76,6 +78,7 @@
 	dropped  []string // endpoint and hold
 	released []string // endpoint and handle
 	slowFree time.Duration
+	open     bool // connections outlive a loss
 }
 
 func (f *fakes) Send(_ context.Context, c *Call) (*Reply, error) {
@@ -117,6 +120,50 @@
 	f.freed(&f.released, e.ID+" "+handle)
 }
 
+func (f *fakes) HasOpen(*dispatch.Endpoint, time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+func (f *fakes) keepOpen(open bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open = open
+}
+
+// findings are what one entry knows of requests that crash endpoints.
+type findings struct {
+	mu     sync.Mutex
+	losses *suspect.Losses
+}
+
+func newFindings() *findings { return &findings{losses: suspect.NewLosses(suspect.DefaultLimits)} }
+
+func (f *findings) Watches() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.losses.Len() > 0
+}
+
+func (f *findings) Refused(print fleet.Fingerprint) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Hour, f.losses.Find(print).Quarantined(time.Now(), suspect.DefaultLimits)
+}
+
+func (f *findings) Lost(l suspect.Loss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losses.Lost(time.Now(), l)
+}
+
+func (f *findings) Answered(print fleet.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losses.Answered(time.Now(), print)
+}
+
 func (f *fakes) freed(list *[]string, what string) {
 	time.Sleep(f.slowFree)
 	f.mu.Lock()
@@ -150,6 +197,7 @@
 	endpoints *fakes
 	route     *routetable.Route
 	budget    *retrybudget.Budget
+	findings  *findings
 	router    *Router
 	view      *View
 }
@@ -164,7 +212,7 @@
 		Services: []routetable.Service{{Name: "s"}},
 		Limits:   routetable.Limits{BodyBytes: 100},
 	}
-	w := &world{endpoints: &fakes{answers: answers}, route: &d.Routes[0]}
+	w := &world{endpoints: &fakes{answers: answers}, route: &d.Routes[0], findings: newFindings()}
 	w.view = &View{Table: routetable.Compile(d), Endpoints: map[string][]*dispatch.Endpoint{}}
 	for n := range 3 {
 		w.view.Endpoints["s"] = append(w.view.Endpoints["s"], &dispatch.Endpoint{ID: fmt.Sprint("e", n), Service: "s", Slots: 4})
@@ -172,7 +220,7 @@
 	w.budget = retrybudget.New(time.Now().Add(-time.Minute), retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
 	w.budget.Entries(time.Now(), 1)
 	w.router = New(Options{
-		View: func() *View { return w.view }, Endpoints: w.endpoints, Book: dispatch.NewBook("", 1, dispatch.Policy{}), Budget: w.budget,
+		View: func() *View { return w.view }, Endpoints: w.endpoints, Book: dispatch.NewBook("", 1, dispatch.Policy{}), Budget: w.budget, Crashes: w.findings,
 		Part: logging.Part{}, Random: func() float64 { return 0.5 },
 	})
 	return w
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -26,6 +27,7 @@
 
 	tried     map[dispatch.Incarnation]bool // endpoints that were sent to
 	sends     int
+	losses    int                  // sends, prefills too, that ended with their endpoints' connections
 	runs      int                  // sends that may have run
 	ran       bool                 // it may have run somewhere
 	account   *retrybudget.Account // of arrivals at endpoints
@@ -37,8 +39,12 @@
 	last      dispatch.Outcome
 	// lastSeen is what came of the newest send, a prefill or the exchange itself.
 	lastSeen dispatch.Outcome
-	lastErr  error  // of the newest send
-	chosen   string // endpoint sent to last
+	lastErr  error              // of the newest send
+	chosen   string             // endpoint sent to last
+	print    *fleet.Fingerprint // of the request; nil before it was needed
+	// quarantinedFor is for how long the request is refused since it crashes endpoints; 0
+	// where it isn't.
+	quarantinedFor time.Duration
 
 	trail    trail
 	progress progress
@@ -62,10 +68,17 @@
 	defer l.releaseSource()
 	defer l.account.Close()
 	for {
+		if l.isQuarantined() {
+			return l.giveUp(ctx, l.whyUnsent())
+		}
 		endpoint, call := l.prepare(ctx)
 		if endpoint == nil {
 			return l.giveUp(ctx, l.whyUnsent())
 		}
+		if l.isQuarantined() {
+			l.dropPlace(&place{endpoint: endpoint, hold: call.Hold})
+			return l.giveUp(ctx, l.whyUnsent())
+		}
 		a := l.send(ctx, call)
 		if a.outcome == dispatch.OutcomeServed {
 			return nil
@@ -195,8 +208,11 @@
 	l.router.metrics.sends.WithLabelValues(a.outcome.String()).Inc()
 	l.last, l.lastErr = a.outcome, a.err
 	l.lastSeen = a.outcome
-	if a.outcome == dispatch.OutcomeLost {
+	switch a.outcome {
+	case dispatch.OutcomeLost:
 		l.noteLost(c.Endpoint, l.progress.sentAt, l.progress.writes > written, a.err)
+	case dispatch.OutcomeServed, dispatch.OutcomeFailed:
+		l.noteAnswered()
 	}
 	if a.outcome == dispatch.OutcomeServed && c.After == "" {
 		book.HaveAnswered(l.service, l.estimate(), time.Since(l.progress.firstAt))
--- a/internal/relay/limit_world_test.go
+++ b/internal/relay/limit_world_test.go
@@ -188,6 +188,7 @@
 
 func (limitedSender) DropHold(context.Context, *dispatch.Endpoint, string) {}
 func (limitedSender) Release(context.Context, *dispatch.Endpoint, string)  {}
+func (limitedSender) HasOpen(*dispatch.Endpoint, time.Time) bool           { return false }
 
 // limitedFleet is entries before a limitedService.
 type limitedFleet struct {
--- a/internal/relay/lost.go
+++ b/internal/relay/lost.go
@@ -22,8 +22,13 @@
 
 // fingerprint names the request by its caller, its target and its body, so that it is known
 // again in another attempt and at another entry.
-func (x *Exchange) fingerprint() fleet.Fingerprint {
-	return suspect.FingerprintOf(nil, string(x.Key), fmt.Sprintf("%q %q %q", x.Method, x.Host, x.Target), x.Body)
+func (l *life) fingerprint() fleet.Fingerprint {
+	if l.print == nil {
+		x := l.x
+		f := suspect.FingerprintOf(nil, string(x.Key), fmt.Sprintf("%q %q %q", x.Method, x.Host, x.Target), x.Body)
+		l.print = &f
+	}
+	return *l.print
 }
 
 // noteLost takes in that a send got no whole answer; part tells whether some of it was
@@ -32,7 +37,39 @@
 	if !isBroken(err) {
 		return
 	}
+	l.losses++
+	loss := suspect.Loss{Fingerprint: l.fingerprint(), Sent: sent, Exchange: l.name(), Nth: l.losses}
 	l.router.metrics.lost.WithLabelValues(strconv.FormatBool(part)).Inc()
-	l.router.options.Part.Info("Lost at an endpoint.", "request", l.x.ID, "fingerprint", l.x.fingerprint(),
+	l.router.options.Part.Info("Lost at an endpoint.", "request", l.x.ID, "fingerprint", loss.Fingerprint,
 		"endpoint", at.ID, "born", at.Born, "service", l.service, "sent_ms", time.Since(sent).Milliseconds(), "part", part, "err", err)
+	if part || !l.knowsCrashes() {
+		return // what has begun to answer is not what ended its endpoint
+	}
+	l.router.followLoss(at, loss)
+}
+
+// name is the exchange's own in the whole fleet: callers may give an ID again.
+func (l *life) name() string { return fmt.Sprintf("%s@%d", l.x.ID, l.x.Received.UnixNano()) }
+
+// noteAnswered takes in that an endpoint has run the request and answered it.
+func (l *life) noteAnswered() {
+	if l.knowsCrashes() && l.router.options.Crashes.Watches() {
+		l.router.options.Crashes.Answered(l.fingerprint())
+	}
+}
+
+func (l *life) knowsCrashes() bool {
+	return l.router.options.Crashes != nil && l.router.options.Policy.Has(dispatch.Quarantine)
+}
+
+// isQuarantined tells whether the request is refused since it crashes endpoints.
+func (l *life) isQuarantined() bool {
+	if !l.knowsCrashes() || !l.router.options.Crashes.Watches() {
+		return false
+	}
+	wait, refused := l.router.options.Crashes.Refused(l.fingerprint())
+	if refused {
+		l.quarantinedFor = wait
+	}
+	return refused
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,9 @@
 	extraRefused prometheus.Counter
 	// lost counts sends whose connection broke before the answer was whole.
 	lost *prometheus.CounterVec
+	// outlived counts those after which their endpoint went on.
+	outlived    prometheus.Counter
+	quarantined prometheus.Counter
 	// leftToLapse counts what was not freed for want of a place in giveBacks.
 	leftToLapse prometheus.Counter
 	// limitWords counts what answers said anew of their endpoints' limits.
@@ -82,6 +85,14 @@
 			Name: "hyssopsail_relay_lost_sends_total",
 			Help: "Sends whose connection broke before the answer was whole, by whether a part of it had come.",
 		}, []string{"part"}),
+		outlived: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_outlived_losses_total",
+			Help: "Lost sends whose endpoint kept other connections, so that it has not crashed.",
+		}),
+		quarantined: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_quarantined_total",
+			Help: "Exchanges that were not sent, or not sent on, since their request crashes endpoints.",
+		}),
 		leftToLapse: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_left_to_lapse_total",
 			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
@@ -126,6 +137,9 @@
 		m.firstPart.WithLabelValues(kind).Observe(l.progress.firstAt.Sub(l.x.Received).Seconds())
 	}
 	m.ended.WithLabelValues(kind, l.endName(refusal)).Inc()
+	if l.quarantinedFor > 0 {
+		m.quarantined.Inc()
+	}
 }
 
 func (l *life) endName(refusal *Refusal) string {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -51,7 +51,7 @@
 	call := l.call(at.endpoint)
 	call.Hold = at.hold
 	call.Priority = l.rank()
-	if l.source == nil {
+	if l.source == nil && !l.isQuarantined() {
 		l.source = l.prefill(ctx)
 	}
 	if l.source != nil {
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -37,6 +37,7 @@
 	// QuotaTolerance is by how much teams may use more than their quotas.
 	QuotaTolerance quota.Tolerance
 	Budget         *retrybudget.Budget
+	Crashes        Crashes // nil: requests that crash endpoints are not known
 	// Limits are those that endpoints name; nil: an endpoint that names one gets nothing.
 	Limits  *endpointlimit.Client
 	Policy  dispatch.Policy
--- a/internal/relay/repeats.go
+++ b/internal/relay/repeats.go
@@ -67,6 +67,9 @@
 
 // whyUnsent tells why there is no endpoint to send to.
 func (l *life) whyUnsent() string {
+	if l.quarantinedFor > 0 {
+		return "it crashes the endpoints that run it"
+	}
 	if !l.account.MaySend(time.Now()) {
 		return "the fleet may not send it again"
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -21,6 +21,7 @@
 	options   Options
 	metrics   *metrics
 	giveBacks giveBacks
+	followed  chan struct{} // holds one for each loss that is followed
 }
 
 // New makes a Router.
@@ -28,7 +29,7 @@
 	if options.Limits == nil {
 		options.Limits = endpointlimit.Unkept()
 	}
-	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks()}
+	return &Router{options: options, metrics: newMetrics(options.Metrics), giveBacks: newGiveBacks(), followed: make(chan struct{}, mostFollowed)}
 }
 
 // Serve takes an exchange to its answer. It gives nil when the caller got one,
--- /dev/null
+++ b/internal/suspect/losses_test.go
@@ -0,0 +1,104 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+var lossBegin = time.Unix(1_000_000, 0)
+
+func lossAt(d time.Duration) time.Time { return lossBegin.Add(d) }
+
+// sentAndLost is a loss of a request that was sent at a moment.
+func sentAndLost(f byte, sent time.Duration) Loss {
+	return Loss{Fingerprint: fleet.Fingerprint{f}, Sent: lossAt(sent), Exchange: sent.String(), Nth: 1}
+}
+
+func (l *Losses) quarantines(now time.Time, f byte) bool {
+	return l.Find(fleet.Fingerprint{f}).Quarantined(now, l.limits)
+}
+
+// Guards against a request that takes down one endpoint after another.
+func TestThirdLossQuarantines(t *testing.T) {
+	l := NewLosses(DefaultLimits)
+	for n := range 3 {
+		sent := time.Duration(n) * time.Second
+		assert.Assert(t, !l.quarantines(lossAt(sent), 1))
+		l.Lost(lossAt(sent+time.Millisecond), sentAndLost(1, sent))
+	}
+	assert.Assert(t, l.quarantines(lossAt(3*time.Second), 1))
+	assert.Assert(t, !l.quarantines(lossAt(3*time.Second), 2))
+	assert.Assert(t, !l.quarantines(lossAt(2*time.Hour), 1))
+}
+
+// Guards against refusing what many callers send: it is at many endpoints, of which a part
+// dies at once.
+func TestLossesBesideEachOtherCountAsOne(t *testing.T) {
+	l := NewLosses(DefaultLimits)
+	for n := range 30 {
+		l.Lost(lossAt(100*time.Millisecond+time.Duration(n)), sentAndLost(1, time.Duration(n)*time.Millisecond))
+	}
+	assert.Equal(t, l.Find(fleet.Fingerprint{1}).Losses, 1)
+	second := Loss{Fingerprint: fleet.Fingerprint{1}, Sent: lossAt(0), Exchange: "a", Nth: 2}
+	l.Lost(lossAt(101*time.Millisecond), second)
+	assert.Equal(t, l.Find(fleet.Fingerprint{1}).Losses, 2)
+	l.Lost(lossAt(time.Second), second)
+	assert.Equal(t, l.Find(fleet.Fingerprint{1}).Losses, 2, "a report that comes twice counts once")
+}
+
+// Guards against refusing a request whose answers get lost now and then.
+func TestAnswerVouchesForARequest(t *testing.T) {
+	l := NewLosses(DefaultLimits)
+	assert.Assert(t, !l.Answered(lossAt(0), fleet.Fingerprint{1}))
+	l.Lost(lossAt(0), sentAndLost(1, 0))
+	l.Lost(lossAt(time.Second), sentAndLost(1, time.Second))
+	assert.Assert(t, l.Answered(lossAt(2*time.Second), fleet.Fingerprint{1}))
+	for n := 3; n < 30; n++ {
+		l.Lost(lossAt(time.Duration(n)*time.Second), sentAndLost(1, time.Duration(n)*time.Second))
+	}
+	assert.Assert(t, !l.quarantines(lossAt(30*time.Second), 1))
+	assert.Equal(t, l.Shared(0)[0].Proven, true)
+}
+
+// Guards against processes that each know of too few losses to refuse a request.
+func TestFindingsAreShared(t *testing.T) {
+	board, entry := NewLosses(DefaultLimits), NewLosses(DefaultLimits)
+	for n := range byte(100) {
+		board.Lost(lossAt(0), sentAndLost(n, 0))
+	}
+	assert.Equal(t, len(board.Shared(0)), 0, "one loss is too little to tell everybody")
+	board.Lost(lossAt(time.Second), sentAndLost(7, time.Second))
+	seen := board.Revision()
+	assert.Equal(t, len(board.Shared(0)), 1)
+	assert.Equal(t, len(board.Shared(seen)), 0)
+	for _, f := range board.Shared(0) {
+		assert.Assert(t, entry.Told(lossAt(time.Second), f))
+		assert.Assert(t, !entry.Told(lossAt(time.Second), f), "it is no news any more")
+	}
+	entry.Lost(lossAt(2*time.Second), sentAndLost(7, 2*time.Second))
+	assert.Assert(t, entry.quarantines(lossAt(2*time.Second), 7))
+	entry.Answered(lossAt(3*time.Second), fleet.Fingerprint{7})
+	assert.Assert(t, !entry.Told(lossAt(4*time.Second), Finding{Fingerprint: fleet.Fingerprint{7}, Losses: 3, At: lossAt(4 * time.Second)}))
+}
+
+// Guards against a flood of endpoints that die with all that ran there: memory is bounded,
+// and a request that is known to crash endpoints isn't forgotten for it.
+func TestLossesAreBounded(t *testing.T) {
+	limits := Limits{Life: time.Hour, Most: 100}
+	l := NewLosses(limits)
+	for n := range 3 {
+		l.Lost(lossAt(time.Duration(n)*time.Second), sentAndLost(255, time.Duration(n)*time.Second))
+	}
+	for n := range 10_000 {
+		f := fleet.Fingerprint{1, byte(n), byte(n >> 8)}
+		l.Lost(lossAt(time.Minute), Loss{Fingerprint: f, Sent: lossAt(time.Minute)})
+		assert.Assert(t, l.Len() <= limits.Most)
+	}
+	assert.Assert(t, l.quarantines(lossAt(time.Minute), 255))
+	l.Sweep(lossAt(2 * time.Hour))
+	assert.Equal(t, l.Len(), 0)
+}
