--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -80,10 +80,10 @@
 	switch o {
 	case OutcomeServed:
 		s.hard, s.misfits, s.trial, s.until = 0, 0, false, time.Time{}
-		s.faults -= s.faults * faultShare
+		s.failed(now, 0, faultShare)
 	case OutcomeFailed:
 		s.hard, s.trial = 0, false
-		s.faults += (1 - s.faults) * faultShare
+		s.failed(now, 1, faultShare)
 	case OutcomeFull:
 		s.hard, s.trial = 0, false
 		s.refusedAt = now
@@ -92,12 +92,12 @@
 		s.trial = false
 		s.passOver(now, misfitPass)
 	case OutcomeUnreachable:
-		s.faults += (1 - s.faults) * faultShare
+		s.failed(now, 1, faultShare)
 		if policy.Has(PassOver) {
 			s.failHard(now)
 		}
 	case OutcomeLost:
-		s.faults += (1 - s.faults) * 2 * faultShare
+		s.failed(now, 1, 2*faultShare)
 		s.trial = false
 	case OutcomeGivenUp:
 		s.trial = false
