--- a/internal/dispatch/book.go
+++ b/internal/dispatch/book.go
@@ -80,10 +80,10 @@
 	switch o {
 	case OutcomeServed:
 		s.hard, s.misfits, s.trial, s.until = 0, 0, false, time.Time{}
-		s.failed(now, 0, faultShare)
+		s.faults -= s.faults * faultShare
 	case OutcomeFailed:
 		s.hard, s.trial = 0, false
-		s.failed(now, 1, faultShare)
+		s.faults += (1 - s.faults) * faultShare
 	case OutcomeFull:
 		s.hard, s.trial = 0, false
 		s.refusedAt = now
@@ -92,12 +92,12 @@
 		s.trial = false
 		s.passOver(now, misfitPass)
 	case OutcomeUnreachable:
-		s.failed(now, 1, faultShare)
+		s.faults += (1 - s.faults) * faultShare
 		if policy.Has(PassOver) {
 			s.failHard(now)
 		}
 	case OutcomeLost:
-		s.failed(now, 1, 2*faultShare)
+		s.faults += (1 - s.faults) * 2 * faultShare
 		s.trial = false
 	case OutcomeGivenUp:
 		s.trial = false
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,7 +43,7 @@
 func (b *Book) Choose(now time.Time, candidates []*Endpoint, fill Measure) (choice Choice, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	base := b.leastFaults(now, candidates)
+	base := b.leastFaults(candidates)
 	among := 0
 	var best, last Choice
 	var lastOpens time.Time
@@ -76,10 +76,10 @@
 
 // leastFaults is the share of failures that a service's endpoints have in
 // common: their requests' own, which no choice avoids.
-func (b *Book) leastFaults(now time.Time, candidates []*Endpoint) float64 {
+func (b *Book) leastFaults(candidates []*Endpoint) float64 {
 	least := 1.0
 	for _, e := range candidates {
-		least = min(least, b.state(e.Incarnation()).faultsNow(now))
+		least = min(least, b.state(e.Incarnation()).faults)
 	}
 	return least
 }
@@ -91,7 +91,7 @@
 		before = max(before, s.waitNow(now))
 	}
 	cost := before
-	cost += faultCost * (s.faultsNow(now) - base)
+	cost += faultCost * (s.faults - base)
 	if now.Sub(s.fullAt) < fullLife {
 		cost += fullCost
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // state is what one entry knows of one endpoint.
 type state struct {
@@ -24,9 +21,8 @@
 	gone                   bool // it gets nothing any more, since it leaves
 	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
-	misfits   int       // answers in a row by another incarnation
-	faults    float64   // moving share of exchanges that failed, 0 to 1, at faultsAt
-	faultsAt  time.Time // of the newest outcome
+	misfits   int     // answers in a row by another incarnation
+	faults    float64 // moving share of exchanges that failed, 0 to 1
 	usedAt    time.Time
 
 	waited   float64   // newest wait of a prompt there, in times of its own reading
@@ -42,10 +38,6 @@
 	// faultShare is the weight of the newest outcome in the share of failures:
 	// about the last eight exchanges count.
 	faultShare = 0.12
-	// faultLife is the time in which the share of failures loses half of its weight while
-	// nothing is sent there: an endpoint that failed once is in use again, and one that
-	// goes on failing gets little.
-	faultLife = 4 * time.Second
 	// firstPass and longestPass bound how long an endpoint is passed over
 	// after it showed itself gone; the time doubles at each failed trial.
 	firstPass   = 300 * time.Millisecond
@@ -79,19 +71,6 @@
 	return s.others * float64(othersLife) / float64(othersLife+age)
 }
 
-// faultsNow is the share of failures by what was seen.
-func (s *state) faultsNow(now time.Time) float64 {
-	age := max(0, now.Sub(s.faultsAt))
-	return s.faults * math.Exp2(-float64(age)/float64(faultLife))
-}
-
-// failed takes an outcome into the share of failures.
-func (s *state) failed(now time.Time, part, weight float64) {
-	s.faults = s.faultsNow(now)
-	s.faults += (part - s.faults) * weight
-	s.faultsAt = now
-}
-
 // waitNow is the estimate of the wait of a prompt there by what was seen.
 func (s *state) waitNow(now time.Time) float64 {
 	age := max(0, now.Sub(s.waitedAt))
