relay, platform: attempts and the time handed on have tests that fail without them

Besides: dispatch.state.gone can be derived; CONTRIBUTING asks for one line at a test of a failure, and for the story in its commit.

--- a/internal/dispatch/blocked.go
+++ b/internal/dispatch/blocked.go
@@ -45,14 +45,14 @@
 }
 
 // Unblocks is when the first of the blocked endpoints may get something again; zero where
-// none of them will.
+// none of them will. One that leaves gets nothing any more.
 func (b *Book) Unblocks(now time.Time, list []*Endpoint) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var first time.Time
 	for _, e := range list {
 		s := b.known(e.Incarnation())
-		if s == nil || s.gone || !s.blocked(now) {
+		if s == nil || !s.blocked(now) || s.leaves(now) && b.policy.Has(AvoidLeaving) {
 			continue
 		}
 		if first.IsZero() || s.blockedUntil.Before(first) {
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -81,7 +81,6 @@
 	isNew := !s.leaves(now)
 	s.leavesUntil = now.Add(leavingKept)
 	if b.policy.Has(AvoidLeaving) {
-		s.gone = true
 		b.block(s, s.leavesUntil)
 	}
 	return isNew
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -18,7 +18,6 @@
 	// restUntil is until when it wants nothing from this entry, and leavesUntil until when
 	// it is known to leave.
 	restUntil, leavesUntil time.Time
-	gone                   bool // it gets nothing any more, since it leaves
 	// refusedAt is when it last turned an exchange away.
 	refusedAt time.Time
 	misfits   int     // answers in a row by another incarnation
--- /dev/null
+++ b/internal/relay/clauses_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+)
+
+// mishap draws what becomes of a send, after a while, and tells whether it may have run.
+func mishap(random *rand.Rand) (a answer, ran bool) {
+	wait := time.Duration(random.IntN(400)) * time.Millisecond
+	what := random.IntN(5)
+	return func(*Call) (*Reply, error) {
+		time.Sleep(wait)
+		switch what {
+		case 0:
+			return nil, &SendError{Cause: errCut}
+		case 1:
+			return notRun(), nil
+		case 2:
+			r := notRun()
+			r.Misfit = true
+			return r, nil
+		case 3:
+			return reply(http.StatusInternalServerError, io.EOF), nil
+		}
+		return nil, &SendError{Sent: true, Cause: syscall.ECONNRESET}
+	}, what > 2
+}
+
+// Guards against a request that runs on more endpoints than its route's attempts, and
+// against one that is handed on with time which its caller doesn't have, whatever comes of
+// each send.
+func TestAttemptsAndTimeAreKeptWhateverHappens(t *testing.T) {
+	const seeds, patience, slack = 300, 1500 * time.Millisecond, time.Millisecond
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			var answers []answer
+			var runs []bool
+			for range 12 {
+				a, ran := mishap(random)
+				answers, runs = append(answers, a), append(runs, ran)
+			}
+			kind := []routetable.Kind{routetable.KindIdempotent, routetable.KindStream, routetable.KindAtMostOnce}[random.IntN(3)]
+			w := newWorld(kind, answers...)
+			if kind == routetable.KindStream {
+				w.model()
+			}
+			w.route.MaxAttempts = 1 + random.IntN(3)
+			w.route.Resumable = random.IntN(2) == 0
+			x := exchange()
+			x.Patience = patience
+			if kind == routetable.KindStream {
+				x.Prompt = modelExchange().Prompt
+			}
+			ends := timedEndpoints{fakes: w.endpoints}
+			w.router.options.Endpoints = &ends
+			_, _ = w.serve(t, x)
+			synctest.Wait()
+			ran := 0
+			for n, c := range w.endpoints.calls {
+				if runs[n] && !c.Prefill {
+					ran++
+				}
+				assert.Assert(t, c.TimeLeft > 0 && !ends.ends[n].After(x.Received.Add(patience+slack)), "seed %d: send %d may go on for %s", seed, n, c.TimeLeft)
+			}
+			assert.Assert(t, ran <= w.route.MaxAttempts, "seed %d: %d runs, %d attempts", seed, ran, w.route.MaxAttempts)
+			assert.Assert(t, w.route.Repeatable() || ran <= 1, "seed %d: %d runs of what may run once", seed, ran)
+		})
+	}
+}
+
+// timedEndpoints notes by when each call has to end.
+type timedEndpoints struct {
+	*fakes
+	ends []time.Time
+}
+
+func (e *timedEndpoints) Send(ctx context.Context, c *Call) (*Reply, error) {
+	e.ends = append(e.ends, time.Now().Add(c.TimeLeft))
+	return e.fakes.Send(ctx, c)
+}
