--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	if !l.ran {
-		after := max(retryAfter(l.x.Patience, l.router.options.Random()), l.blockedFor(), l.quarantinedFor)
+		after := max(retryAfter(l.x.Patience, l.router.options.Random()), l.blockedFor(), l.suspicion.quarantinedFor)
 		return &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: after}
 	}
 	if errors.Is(context.Cause(ctx), errTimeUp) {
--- a/internal/relay/life.go
+++ b/internal/relay/life.go
@@ -8,7 +8,6 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
-	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -27,7 +26,6 @@
 
 	tried     map[dispatch.Incarnation]bool // endpoints that were sent to
 	sends     int
-	losses    int                  // sends, prefills too, that ended with their endpoints' connections
 	runs      int                  // sends that may have run
 	ran       bool                 // it may have run somewhere
 	account   *retrybudget.Account // of arrivals at endpoints
@@ -39,15 +37,12 @@
 	last      dispatch.Outcome
 	// lastSeen is what came of the newest send, a prefill or the exchange itself.
 	lastSeen dispatch.Outcome
-	lastErr  error              // of the newest send
-	chosen   string             // endpoint sent to last
-	print    *fleet.Fingerprint // of the request; nil before it was needed
-	// quarantinedFor is for how long the request is refused since it crashes endpoints; 0
-	// where it isn't.
-	quarantinedFor time.Duration
+	lastErr  error  // of the newest send
+	chosen   string // endpoint sent to last
 
-	trail    trail
-	progress progress
+	trail     trail
+	suspicion suspicion
+	progress  progress
 
 	allotted *allocation.Place                  // in use; nil for none
 	unseen   []string                           // endpoints that a home named and that are not known here
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -137,7 +137,7 @@
 		m.firstPart.WithLabelValues(kind).Observe(l.progress.firstAt.Sub(l.x.Received).Seconds())
 	}
 	m.ended.WithLabelValues(kind, l.endName(refusal)).Inc()
-	if l.quarantinedFor > 0 {
+	if l.suspicion.quarantinedFor > 0 {
 		m.quarantined.Inc()
 	}
 }
--- a/internal/relay/repeats.go
+++ b/internal/relay/repeats.go
@@ -67,7 +67,7 @@
 
 // whyUnsent tells why there is no endpoint to send to.
 func (l *life) whyUnsent() string {
-	if l.quarantinedFor > 0 {
+	if l.suspicion.quarantinedFor > 0 {
 		return "it crashes the endpoints that run it"
 	}
 	if !l.account.MaySend(time.Now()) {
--- a/internal/relay/lost.go
+++ b/internal/relay/suspicion.go
@@ -13,6 +13,14 @@
 	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
+// suspicion is what an exchange knows of whether its request crashes endpoints.
+type suspicion struct {
+	fingerprint *fleet.Fingerprint // nil before it was needed
+	losses      int                // sends, prefills too, that ended with their endpoints' connections
+	// quarantinedFor is for how long the request is refused; 0 where it isn't.
+	quarantinedFor time.Duration
+}
+
 // isBroken tells whether a connection ended before its answer, as all of an endpoint's do
 // when its process ends. What is cut off or frozen keeps its connections open.
 func isBroken(err error) bool {
@@ -23,12 +31,12 @@
 // fingerprint names the request by its caller, its target and its body, so that it is known
 // again in another attempt and at another entry.
 func (l *life) fingerprint() fleet.Fingerprint {
-	if l.print == nil {
+	if l.suspicion.fingerprint == nil {
 		x := l.x
 		f := suspect.FingerprintOf(nil, string(x.Key), fmt.Sprintf("%q %q %q", x.Method, x.Host, x.Target), x.Body)
-		l.print = &f
+		l.suspicion.fingerprint = &f
 	}
-	return *l.print
+	return *l.suspicion.fingerprint
 }
 
 // noteLost takes in that a send got no whole answer; part tells whether some of it was
@@ -37,8 +45,8 @@
 	if !isBroken(err) {
 		return
 	}
-	l.losses++
-	loss := suspect.Loss{Fingerprint: l.fingerprint(), Sent: sent, Exchange: l.name(), Nth: l.losses}
+	l.suspicion.losses++
+	loss := suspect.Loss{Fingerprint: l.fingerprint(), Sent: sent, Exchange: l.name(), Nth: l.suspicion.losses}
 	l.router.metrics.lost.WithLabelValues(strconv.FormatBool(part)).Inc()
 	l.router.options.Part.Info("Lost at an endpoint.", "request", l.x.ID, "fingerprint", loss.Fingerprint,
 		"endpoint", at.ID, "born", at.Born, "service", l.service, "sent_ms", time.Since(sent).Milliseconds(), "part", part, "err", err)
@@ -69,7 +77,7 @@
 	}
 	wait, refused := l.router.options.Crashes.Refused(l.fingerprint())
 	if refused {
-		l.quarantinedFor = wait
+		l.suspicion.quarantinedFor = wait
 	}
 	return refused
 }
