suspect, relay: a loss that its endpoint outlives counts half instead of nothing

Seen by reading, before it landed: a loss counted only where all connections to the endpoint had ended. An endpoint that ends in parts, refuses new connections and keeps idle ones open, or one behind something that does, would never be found out, and a request that crashes it would go on for ever. A wrong quarantine costs one request of one caller; a missed one takes endpoints down.

--- a/internal/crashboard/client.go
+++ b/internal/crashboard/client.go
@@ -140,7 +140,7 @@
 	}
 	c.metrics.quarantined.Inc()
 	c.options.Part.Warn("A request crashes endpoints and is refused from now on.", "fingerprint", after.Fingerprint,
-		"losses", after.Losses, "last_ms", now.Sub(after.At).Milliseconds())
+		"weight", after.Weight, "last_ms", now.Sub(after.At).Milliseconds())
 }
 
 // Sweep forgets what is over.
--- a/internal/crashboard/wire.go
+++ b/internal/crashboard/wire.go
@@ -9,25 +9,25 @@
 )
 
 func lossToWire(now time.Time, l suspect.Loss) *pb.RunLoss {
-	return &pb.RunLoss{Fingerprint: l.Fingerprint[:], SentUs: ageOf(now, l.Sent), Exchange: l.Exchange, Nth: uint32(l.Nth)}
+	return &pb.RunLoss{Fingerprint: l.Fingerprint[:], SentUs: ageOf(now, l.Sent), Exchange: l.Exchange, Nth: uint32(l.Nth), Outlived: l.Outlived}
 }
 
 func lossFromWire(now time.Time, l *pb.RunLoss) (loss suspect.Loss, ok bool) {
 	f, ok := fleet.FingerprintFromBytes(l.Fingerprint)
-	return suspect.Loss{Fingerprint: f, Sent: before(now, l.SentUs), Exchange: l.Exchange, Nth: int(l.Nth)}, ok
+	return suspect.Loss{Fingerprint: f, Sent: before(now, l.SentUs), Exchange: l.Exchange, Nth: int(l.Nth), Outlived: l.Outlived}, ok
 }
 
 func findingsToWire(now time.Time, list []suspect.Finding) []*pb.CrashFinding {
 	wire := make([]*pb.CrashFinding, 0, len(list))
 	for _, f := range list {
-		wire = append(wire, &pb.CrashFinding{Fingerprint: f.Fingerprint[:], Losses: uint32(f.Losses), Proven: f.Proven, AgeUs: ageOf(now, f.At)})
+		wire = append(wire, &pb.CrashFinding{Fingerprint: f.Fingerprint[:], Weight: uint32(f.Weight), Proven: f.Proven, AgeUs: ageOf(now, f.At)})
 	}
 	return wire
 }
 
 func findingFromWire(now time.Time, f *pb.CrashFinding) (finding suspect.Finding, ok bool) {
 	fingerprint, ok := fleet.FingerprintFromBytes(f.Fingerprint)
-	return suspect.Finding{Fingerprint: fingerprint, Losses: int(f.Losses), Proven: f.Proven, At: before(now, f.AgeUs)}, ok
+	return suspect.Finding{Fingerprint: fingerprint, Weight: int(f.Weight), Proven: f.Proven, At: before(now, f.AgeUs)}, ok
 }
 
 func ageOf(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at)).Microseconds()) }
--- a/internal/relay/lossfollow.go
+++ b/internal/relay/lossfollow.go
@@ -16,7 +16,7 @@
 var lossLooks = []time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 275 * time.Millisecond, 600 * time.Millisecond}
 
 // followLoss reports a loss once no connection to its endpoint from before is open any more.
-// Where one lives on, the endpoint does: it lost an answer, or closed a connection.
+// Where one lives on, the endpoint has outlived it.
 func (r *Router) followLoss(at *dispatch.Endpoint, loss suspect.Loss) {
 	lost := time.Now()
 	if !r.options.Endpoints.HasOpen(at, lost) {
@@ -44,4 +44,6 @@
 		}
 	}
 	r.metrics.outlived.Inc()
+	loss.Outlived = true
+	r.options.Crashes.Lost(loss)
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -87,7 +87,7 @@
 		}, []string{"part"}),
 		outlived: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_outlived_losses_total",
-			Help: "Lost sends whose endpoint kept other connections, so that it has not crashed.",
+			Help: "Lost sends whose endpoint kept other connections: it may have lost an answer only.",
 		}),
 		quarantined: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_quarantined_total",
--- /dev/null
+++ b/internal/suspect/bench_test.go
@@ -0,0 +1,31 @@
+package suspect
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
+
+// BenchmarkFingerprint is what a request of 4 KB costs while anything is known of any.
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 4<<10)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		FingerprintOf(nil, "caller", "POST host /path", body)
+	}
+}
+
+// BenchmarkLosses is a table that is full: each endpoint that dies adds what ran there.
+func BenchmarkLosses(b *testing.B) {
+	l := NewLosses(DefaultLimits)
+	now := time.Unix(1_000_000, 0)
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		var f fleet.Fingerprint
+		binary.BigEndian.PutUint64(f[:], n)
+		l.Lost(now, Loss{Fingerprint: f, Sent: now, Exchange: "x", Nth: 1})
+	}
+}
--- a/internal/suspect/loss.go
+++ b/internal/suspect/loss.go
@@ -13,12 +13,28 @@
 	Sent        time.Time // when the request was sent there
 	Exchange    string    // names the one that it was sent for, in the whole fleet
 	Nth         int       // of this exchange's losses, from 1
+	// Outlived tells that the endpoint kept other connections. It may have lost an answer
+	// only, and such a loss counts half.
+	Outlived bool
+}
+
+// The weights of losses.
+const (
+	crashWeight    = 2
+	outlivedWeight = 1
+)
+
+func (l Loss) weight() int {
+	if l.Outlived {
+		return outlivedWeight
+	}
+	return crashWeight
 }
 
 // Finding is what is known of a request.
 type Finding struct {
 	Fingerprint fleet.Fingerprint
-	Losses      int       // that came one after another
+	Weight      int       // of the losses that came one after another
 	Proven      bool      // an endpoint has answered it: it doesn't crash endpoints
 	At          time.Time // of the newest loss or answer
 }
@@ -26,5 +42,5 @@
 // Quarantined tells whether the request is refused at a moment, by the rule for a request
 // whose neighbours aren't known.
 func (f Finding) Quarantined(now time.Time, limits Limits) bool {
-	return !f.Proven && f.Losses >= CompanyCrashes && now.Sub(f.At) < limits.Life
+	return !f.Proven && f.Weight >= CompanyCrashes*crashWeight && now.Sub(f.At) < limits.Life
 }
--- a/internal/suspect/losses.go
+++ b/internal/suspect/losses.go
@@ -11,9 +11,9 @@
 const (
 	// ProvenLife is how long an answer vouches for a request.
 	ProvenLife = 10 * time.Minute
-	// sharedLosses is from how many losses on a finding is told to others. When an endpoint
-	// dies all that ran there has one, which is too much to tell everybody.
-	sharedLosses = CompanyCrashes - 1
+	// sharedWeight is from which weight on a finding is told to others: that of two crashes.
+	// When an endpoint dies all that ran there has one, which is too much to tell everybody.
+	sharedWeight = (CompanyCrashes - 1) * crashWeight
 	// keptShare is the part of Limits.Most that is left after an eviction.
 	keptShare = 0.75
 )
@@ -53,7 +53,7 @@
 func (l *Losses) Lost(now time.Time, loss Loss) Finding {
 	r := l.record(now, loss.Fingerprint)
 	if !r.Proven && r.follows(loss) {
-		r.Losses++
+		r.Weight += loss.weight()
 		r.At = now
 		r.count(loss)
 		l.changed(r)
@@ -68,7 +68,7 @@
 	if r.exchange == loss.Exchange {
 		return r.counted&lossBit(loss) == 0
 	}
-	return r.Losses == 0 || loss.Nth > 1 || !loss.Sent.Before(r.At)
+	return r.Weight == 0 || loss.Nth > 1 || !loss.Sent.Before(r.At)
 }
 
 func (r *lossRecord) count(loss Loss) {
@@ -96,14 +96,14 @@
 
 // Told takes in what another process knows, and tells whether that is news.
 func (l *Losses) Told(now time.Time, f Finding) bool {
-	if f.Losses < 1 || now.Sub(f.At) >= l.limits.Life {
+	if f.Weight < 1 || now.Sub(f.At) >= l.limits.Life {
 		return false
 	}
 	r := l.record(now, f.Fingerprint)
-	if r.Proven || !f.Proven && f.Losses <= r.Losses {
+	if r.Proven || !f.Proven && f.Weight <= r.Weight {
 		return false
 	}
-	r.Losses = max(r.Losses, f.Losses)
+	r.Weight = max(r.Weight, f.Weight)
 	r.Proven = f.Proven
 	r.At = f.At
 	l.changed(r)
@@ -123,7 +123,7 @@
 func (l *Losses) Shared(after uint64) []Finding {
 	var changed []*lossRecord
 	for _, r := range l.records {
-		if r.revision > after && r.Losses >= sharedLosses {
+		if r.revision > after && r.Weight >= sharedWeight {
 			changed = append(changed, r)
 		}
 	}
@@ -168,8 +168,8 @@
 	r.revision = l.revision
 }
 
-// makeRoom keeps the table within its bound: those with the fewest losses go first, the
-// oldest of them before others.
+// makeRoom keeps the table within its bound: those of the least weight go first, the oldest of
+// them before others.
 func (l *Losses) makeRoom() {
 	if len(l.records) < l.limits.Most {
 		return
@@ -179,17 +179,17 @@
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b *lossRecord) int {
-		return cmp.Or(cmp.Compare(a.weight(), b.weight()), a.At.Compare(b.At))
+		return cmp.Or(cmp.Compare(a.worth(), b.worth()), a.At.Compare(b.At))
 	})
 	for _, r := range all[:len(all)-int(keptShare*float64(l.limits.Most))] {
 		delete(l.records, r.Fingerprint)
 	}
 }
 
-// weight orders records by how much is lost with them.
-func (r *lossRecord) weight() int {
+// worth orders records by how much is lost with them.
+func (r *lossRecord) worth() int {
 	if r.Proven {
 		return 0
 	}
-	return r.Losses
+	return r.Weight
 }
