suspect: a loss is ordered by when its run ended, not by when it was reported

By reading: a loss that its endpoint outlives is reported up to a second late, and was dated by its report.

--- a/internal/crashboard/board_test.go
+++ b/internal/crashboard/board_test.go
@@ -81,7 +81,7 @@
 	g.sent++
 	sent := time.Now()
 	time.Sleep(time.Millisecond)
-	c.Lost(suspect.Loss{Fingerprint: f, Sent: sent, Exchange: fmt.Sprint(g.sent), Nth: 1})
+	c.Lost(suspect.Loss{Fingerprint: f, Sent: sent, Ended: time.Now(), Exchange: fmt.Sprint(g.sent), Nth: 1})
 	return true
 }
 
--- a/internal/relay/suspicion.go
+++ b/internal/relay/suspicion.go
@@ -46,7 +46,7 @@
 		return
 	}
 	l.suspicion.losses++
-	loss := suspect.Loss{Fingerprint: l.fingerprint(), Sent: sent, Exchange: l.name(), Nth: l.suspicion.losses}
+	loss := suspect.Loss{Fingerprint: l.fingerprint(), Sent: sent, Ended: time.Now(), Exchange: l.name(), Nth: l.suspicion.losses}
 	l.router.metrics.lost.WithLabelValues(strconv.FormatBool(part)).Inc()
 	l.router.options.Part.Info("Lost at an endpoint.", "request", l.x.ID, "fingerprint", loss.Fingerprint,
 		"endpoint", at.ID, "born", at.Born, "service", l.service, "sent_ms", time.Since(sent).Milliseconds(), "part", part, "err", err)
--- a/internal/suspect/bench_test.go
+++ b/internal/suspect/bench_test.go
@@ -26,6 +26,6 @@
 		n++
 		var f fleet.Fingerprint
 		binary.BigEndian.PutUint64(f[:], n)
-		l.Lost(now, Loss{Fingerprint: f, Sent: now, Exchange: "x", Nth: 1})
+		l.Lost(now, Loss{Fingerprint: f, Sent: now, Ended: now, Exchange: "x", Nth: 1})
 	}
 }
--- a/internal/suspect/loss.go
+++ b/internal/suspect/loss.go
@@ -11,6 +11,7 @@
 type Loss struct {
 	Fingerprint fleet.Fingerprint
 	Sent        time.Time // when the request was sent there
+	Ended       time.Time // when its connection ended
 	Exchange    string    // names the one that it was sent for, in the whole fleet
 	Nth         int       // of this exchange's losses, from 1
 	// Outlived tells that the endpoint kept other connections. It may have lost an answer
--- a/internal/suspect/losses.go
+++ b/internal/suspect/losses.go
@@ -49,12 +49,14 @@
 // Revision grows with each change.
 func (l *Losses) Revision() uint64 { return l.revision }
 
-// Lost takes in a loss and gives what is known then.
+// Lost takes in a loss, which may have been some time ago, and gives what is known then.
 func (l *Losses) Lost(now time.Time, loss Loss) Finding {
 	r := l.record(now, loss.Fingerprint)
 	if !r.Proven && r.follows(loss) {
 		r.Weight += loss.weight()
-		r.At = now
+		if loss.Ended.After(r.At) {
+			r.At = loss.Ended
+		}
 		r.count(loss)
 		l.changed(r)
 	}
--- a/internal/suspect/losses_test.go
+++ b/internal/suspect/losses_test.go
@@ -15,7 +15,7 @@
 
 // sentAndLost is a loss of a request that was sent at a moment.
 func sentAndLost(f byte, sent time.Duration) Loss {
-	return Loss{Fingerprint: fleet.Fingerprint{f}, Sent: lossAt(sent), Exchange: sent.String(), Nth: 1}
+	return Loss{Fingerprint: fleet.Fingerprint{f}, Sent: lossAt(sent), Ended: lossAt(sent + time.Millisecond), Exchange: sent.String(), Nth: 1}
 }
 
 func (l *Losses) quarantines(now time.Time, f byte) bool {
@@ -40,10 +40,12 @@
 func TestLossesBesideEachOtherCountAsOne(t *testing.T) {
 	l := NewLosses(DefaultLimits)
 	for n := range 30 {
-		l.Lost(lossAt(100*time.Millisecond+time.Duration(n)), sentAndLost(1, time.Duration(n)*time.Millisecond))
+		loss := sentAndLost(1, time.Duration(n)*time.Millisecond)
+		loss.Ended = lossAt(100 * time.Millisecond)
+		l.Lost(loss.Ended, loss)
 	}
 	assert.Equal(t, l.Find(fleet.Fingerprint{1}).Weight, crashWeight)
-	second := Loss{Fingerprint: fleet.Fingerprint{1}, Sent: lossAt(0), Exchange: "a", Nth: 2}
+	second := Loss{Fingerprint: fleet.Fingerprint{1}, Sent: lossAt(0), Ended: lossAt(time.Second / 10), Exchange: "a", Nth: 2}
 	l.Lost(lossAt(101*time.Millisecond), second)
 	assert.Equal(t, l.Find(fleet.Fingerprint{1}).Weight, 2*crashWeight)
 	l.Lost(lossAt(time.Second), second)
@@ -95,7 +97,7 @@
 	}
 	for n := range 10_000 {
 		f := fleet.Fingerprint{1, byte(n), byte(n >> 8)}
-		l.Lost(lossAt(time.Minute), Loss{Fingerprint: f, Sent: lossAt(time.Minute)})
+		l.Lost(lossAt(time.Minute), Loss{Fingerprint: f, Sent: lossAt(time.Minute), Ended: lossAt(time.Minute)})
 		assert.Assert(t, l.Len() <= limits.Most)
 	}
 	assert.Assert(t, l.quarantines(lossAt(time.Minute), 255))
@@ -115,3 +117,14 @@
 	}
 	assert.Assert(t, l.quarantines(lossAt(time.Minute), 1))
 }
+
+// Guards against missing runs that began after a loss and before it was reported, which may
+// be a second later.
+func TestLossesThatAreReportedLateCount(t *testing.T) {
+	l := NewLosses(DefaultLimits)
+	for n := range CompanyCrashes {
+		loss := sentAndLost(1, time.Duration(n)*100*time.Millisecond)
+		l.Lost(loss.Ended.Add(time.Second), loss)
+	}
+	assert.Assert(t, l.quarantines(lossAt(2*time.Second), 1))
+}
--- a/internal/suspect/neighbours_test.go
+++ b/internal/suspect/neighbours_test.go
@@ -94,7 +94,7 @@
 	c.running = going
 	for _, r := range lost {
 		r.metDeaths++
-		c.losses.Lost(c.at(), Loss{Fingerprint: r.fingerprint, Sent: lossAt(r.sent), Exchange: fmt.Sprint(r.fingerprint, r.exchange), Nth: r.sends})
+		c.losses.Lost(c.at(), Loss{Fingerprint: r.fingerprint, Sent: lossAt(r.sent), Ended: c.at(), Exchange: fmt.Sprint(r.fingerprint, r.exchange), Nth: r.sends})
 		if r.sends == crowdSends {
 			r.exchange, r.sends = r.exchange+1, 0
 		}
@@ -114,7 +114,7 @@
 			return
 		}
 		crashes++
-		c.losses.Lost(c.at(), Loss{Fingerprint: fleet.Fingerprint{1}, Sent: c.at(), Exchange: now.String(), Nth: 1})
+		c.losses.Lost(c.at(), Loss{Fingerprint: fleet.Fingerprint{1}, Sent: c.at(), Ended: c.at(), Exchange: now.String(), Nth: 1})
 		c.crash(c.random.IntN(crowdEndpoints))
 	})
 	assert.Equal(t, crashes, CompanyCrashes)
