relay: tell how an answer was framed and where a stream ended

Answered. and Broken off. have close_delimited and partial_event now, and answers that end with their connection are counted by outcome. No decision changes.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -127,7 +127,14 @@
 		return nil, &Failure{Sent: true, Reused: reused, Step: step, Cause: contextCauseOr(ctx, err)}
 	}
 	c.served = true
-	return &Response{Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, conn: c, body: head.Body, closeRequested: head.Close, stopCancel: stop}, nil
+	return &Response{
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, CloseDelimited: isCloseDelimited(head),
+		conn: c, body: head.Body, closeRequested: head.Close, stopCancel: stop,
+	}, nil
+}
+
+func isCloseDelimited(head *http.Response) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
 }
 
 // contextCauseOr returns the cause of ctx's end if it has ended, and err otherwise.
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -12,6 +12,9 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body, bytes; -1 if unknown
+	// CloseDelimited reports that the body has neither a length nor chunks and ends with
+	// the connection (RFC 9112, section 6.3).
+	CloseDelimited bool
 
 	conn           *conn
 	pool           *Pool
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -81,6 +81,8 @@
 	Status int
 	Header http.Header // as forwarded to the caller
 	Length int64       // -1 when not known
+	// CloseDelimited reports that the body ends with the connection.
+	CloseDelimited bool
 	// NotRun reports that the endpoint did not run the request and never will.
 	NotRun bool
 	// WrongIncarnation reports that another incarnation of the endpoint answered.
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -56,7 +56,8 @@
 	ex.writeDecisions()
 	ex.router.options.Part.Info("Broken off.", "request", ex.exchange.ID, "reason", reason, "after", ex.lastEventID,
 		"route", ex.route.Name, "version", ex.version, "service", ex.service, "endpoint", ex.lastEndpoint,
-		"took_ms", ex.msSinceArrival(time.Now()), "err", ex.lastErr, "left_by", context.Cause(ctx))
+		"took_ms", ex.msSinceArrival(time.Now()), "err", ex.lastErr, "left_by", context.Cause(ctx),
+		"close_delimited", ex.progress.closeDelimited, "partial_event", ex.progress.partialEventBytes)
 	ex.aborted = true
 	ex.caller.Abort()
 }
@@ -88,5 +89,6 @@
 		"service", ex.service, "endpoint", ex.lastEndpoint, "outcome", ex.lastOutcome, "sends", ex.attempts, "runs", ex.runs,
 		"prompt", tokens, "output", output, "prefill_ms", ex.progress.prefillMs,
 		"sent_ms", ex.msSinceArrival(ex.progress.sentAt), "first_ms", ex.msSinceArrival(ex.progress.firstAt),
-		"took_ms", ex.msSinceArrival(time.Now()), "writes", ex.progress.writes, "pause_ms", ex.progress.pause.Milliseconds(), "pause_at_ms", ex.pauseStartMs(), "last_event", ex.lastEventID)
+		"took_ms", ex.msSinceArrival(time.Now()), "writes", ex.progress.writes, "pause_ms", ex.progress.pause.Milliseconds(), "pause_at_ms", ex.pauseStartMs(), "last_event", ex.lastEventID,
+		"close_delimited", ex.progress.closeDelimited, "partial_event", ex.progress.partialEventBytes)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -206,6 +206,9 @@
 	ex.router.metrics.attempts.WithLabelValues(a.outcome.String()).Inc()
 	ex.lastOutcome, ex.lastErr = a.outcome, a.err
 	ex.lastAttemptOutcome = a.outcome
+	if a.reply != nil && a.reply.CloseDelimited {
+		ex.router.metrics.closeDelimited.WithLabelValues(a.outcome.String()).Inc()
+	}
 	switch a.outcome {
 	case dispatch.OutcomeLost:
 		ex.recordLoss(c.Endpoint, ex.progress.sentAt, ex.progress.writes > writesBefore, a.err)
@@ -245,6 +248,7 @@
 	}
 	defer reply.Body.Close()
 	ex.countArrival(c.Endpoint)
+	ex.progress.closeDelimited, ex.progress.partialEventBytes = reply.CloseDelimited, 0
 	ex.receiveSignals(c.Endpoint, ex.progress.sentAt, reply)
 	if reply.Load != nil {
 		ex.router.options.Stats.RecordLoad(time.Now(), c.Endpoint, *reply.Load)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,6 +27,8 @@
 	// outlivedLosses counts those whose endpoint kept running.
 	outlivedLosses prometheus.Counter
 	quarantined    prometheus.Counter
+	// closeDelimited counts answers whose body ends with the connection.
+	closeDelimited *prometheus.CounterVec
 	// leftToExpire counts releases that were skipped because the releaser had no free slot.
 	leftToExpire prometheus.Counter
 	// limitSignals counts answers that changed what is known of their endpoint's limit, or
@@ -94,6 +96,10 @@
 			Name: "hyssopsail_relay_quarantined_total",
 			Help: "Exchanges that were not sent, or not sent on, since their request crashes endpoints.",
 		}),
+		closeDelimited: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_close_delimited_answers_total",
+			Help: "Answers with neither a length nor chunks, which end with their connection, by what came of them.",
+		}, []string{"outcome"}),
 		leftToExpire: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_left_to_lapse_total",
 			Help: "Room and read prompts at endpoints that were left to lapse since too many were being freed.",
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -11,6 +11,9 @@
 	writtenAt time.Time     // of the latest part forwarded
 	pause     time.Duration // longest one between two parts
 	pauseAt   time.Time     // when it began
+
+	closeDelimited    bool // the latest answer ends with its connection
+	partialEventBytes int  // received of an event that was incomplete at the end of the latest answer
 }
 
 // recordWrite records that a part was forwarded.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,6 +27,7 @@
 				ex.lastEventID = lastID
 			}
 		}
+		ex.progress.partialEventBytes = len(events.buffered)
 		if errors.Is(err, io.EOF) {
 			return ex.finishEvents(reply, &events)
 		}
