relay: events whose lines end with CRLF are forwarded as they arrive

An event was taken to end with an empty line by LF alone. A stream with CRLF, which is as valid, was held back until it ended, and broken off beyond 256 KiB. Found by reading, while looking at how streams end; TestEventsWithCRLF failed before (no event in the first part).

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -19,14 +19,28 @@
 // that has one. The result is valid until the next call.
 func (s *eventSplitter) add(p []byte) (whole []byte, lastID string) {
 	s.buffered = append(s.buffered, p...)
-	end := bytes.LastIndex(s.buffered, []byte("\n\n"))
-	if end < 0 {
+	end := endOfEvents(s.buffered)
+	if end == 0 {
 		return nil, ""
 	}
-	whole = s.buffered[:end+2]
+	whole = s.buffered[:end]
 	return whole, lastEventID(whole)
 }
 
+// eventEnds are the empty lines that end an event, by how its lines end.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// endOfEvents returns the length of the complete events at the front of p.
+func endOfEvents(p []byte) int {
+	end := 0
+	for _, emptyLine := range eventEnds {
+		if at := bytes.LastIndex(p, emptyLine); at >= 0 {
+			end = max(end, at+len(emptyLine))
+		}
+	}
+	return end
+}
+
 // discard removes the n bytes of events that add returned.
 func (s *eventSplitter) discard(n int) {
 	s.buffered = append(s.buffered[:0], s.buffered[n:]...)
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// Guards against events that are held back until their stream ends, since their lines end
+// with CRLF.
+func TestEventsWithCRLF(t *testing.T) {
+	s := eventSplitter{}
+	whole, id := s.add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\r\n"))
+	assert.Equal(t, string(whole), "id: 1\r\ndata: a\r\n\r\n")
+	assert.Equal(t, id, "1")
+	s.discard(len(whole))
+	assert.Assert(t, s.hasPartial())
+	whole, id = s.add([]byte("data: b\r\n\r\n"))
+	assert.Equal(t, string(whole), "id: 2\r\ndata: b\r\n\r\n")
+	assert.Equal(t, id, "2")
+}
+
 // A model server fails two seconds into a stream that may be resumed, long after the target
 // for the first part. It continues at another server: whether the target was met at the
 // beginning says nothing about the rest.
