relay: a stream without length and chunks that ends inside an event is broken off

Cause: an answer with neither a length nor chunks is complete when its connection ends, and a process that crashes ends its connections in the same way. finishEvents took the end of the body for the end of the stream, forwarded the part of an event that was held back, and counted the exchange as served: so it was not continued where it may be, and its run counted as an answer for the tracking of requests that crash endpoints.

Why this works: events have an end of their own. A stream that ends with its connection must end after an event, and have one; else it counts as lost, like one that was reset: continued where it may be, broken off at the caller where it may not. Streams with a length or chunks are forwarded to their last byte as before (TestWholeStreamIsDelivered).

--- a/internal/relay/closedelimited_test.go
+++ b/internal/relay/closedelimited_test.go
@@ -45,6 +45,7 @@
 			assert.Equal(t, c.begun, 0)
 			assert.Assert(t, refusal != nil)
 			assert.Equal(t, refusal.Verdict, VerdictUnknown)
+			assert.Assert(t, fx.crashes.HasFindings(), "its endpoint may have crashed")
 		})
 	}
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -13,6 +13,7 @@
 // stream would send that event completely.
 type eventSplitter struct {
 	buffered []byte
+	hasEvent bool // add has returned a complete event
 }
 
 // add takes in bytes and returns those of complete events, and the ID of the last of them
@@ -23,6 +24,7 @@
 	if end == 0 {
 		return nil, ""
 	}
+	s.hasEvent = true
 	whole = s.buffered[:end]
 	return whole, lastEventID(whole)
 }
@@ -49,6 +51,12 @@
 // hasPartial reports whether part of an event is buffered.
 func (s *eventSplitter) hasPartial() bool { return len(s.buffered) > 0 }
 
+// endsInsideEvent reports whether the stream would be cut if it ended here: newlines after an
+// event belong to none.
+func (s *eventSplitter) endsInsideEvent() bool {
+	return len(bytes.Trim(s.buffered, "\r\n")) > 0
+}
+
 // lastEventID returns the ID of the last event that has one; empty for none.
 func lastEventID(events []byte) string {
 	at := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
@@ -45,6 +46,8 @@
 	errOutOfOrder   = errors.New("an event is repeated or out of order")
 	errEventTooLong = errors.New("an event is too long")
 	errNotResumed   = errors.New("the endpoint did not resume the stream")
+	errCutEvent     = fmt.Errorf("the connection ended inside an event: %w", io.ErrUnexpectedEOF)
+	errNoEvent      = fmt.Errorf("the connection ended before the first event: %w", io.ErrUnexpectedEOF)
 )
 
 func (ex *activeExchange) forwardChunk(reply *Reply, events []byte) bool {
@@ -54,9 +57,14 @@
 	return ex.forwardPart(events)
 }
 
-// finishEvents ends a stream that its endpoint ended properly. Bytes without the end of an
-// event are the endpoint's last ones and are forwarded.
+// finishEvents ends a stream whose body is complete. Bytes without the end of an event are
+// the endpoint's last ones and are forwarded, unless the stream was cut there.
 func (ex *activeExchange) finishEvents(reply *Reply, events *eventSplitter) attemptResult {
+	if reply.CloseDelimited {
+		if err := ex.checkEnd(events); err != nil {
+			return attemptResult{outcome: dispatch.OutcomeLost, reply: reply, err: err}
+		}
+	}
 	if !ex.headSent {
 		ex.forwardHead(reply, -1)
 	}
@@ -65,3 +73,16 @@
 	}
 	return attemptResult{outcome: dispatch.OutcomeServed, reply: reply}
 }
+
+// checkEnd returns why a stream that ended with its connection is incomplete; nil if it may
+// be complete. The end of a connection looks the same after the last event and when the
+// endpoint fails.
+func (ex *activeExchange) checkEnd(events *eventSplitter) error {
+	switch {
+	case events.endsInsideEvent():
+		return errCutEvent
+	case !events.hasEvent && ex.lastEventID == "":
+		return errNoEvent
+	}
+	return nil
+}
