relay: an answer that ends with its connection is whole only if its endpoint still runs

What callers could see: a truncated body, or a stream that ends between two events, as a success.

Where an answer has neither a length nor chunks, its end alone doesn't tell the last byte from a crash between two events, or inside a body.

Mend: at such an end the entry asks the endpoint's machine for a connection. If it is refused, no other connection to the endpoint stays open, and the endpoint has not announced that it leaves, the answer counts as cut. A connection that is opened is kept for the next request: it replaces the one that ended. An endpoint that closes between two events or inside a body, and runs on, can't be told from one that is done.

Weighed: waiting whether the endpoint's other connections close (25 ms for each such answer, and nothing to look at where there is none); taking each such end for a cut one (whole answers would be lost). Evidence: TestAnswerCutByACrash fails without the guard (3 of 3 cases), TestLastAnswerOfAnEndpointIsDelivered holds the other way.

--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -1,6 +1,11 @@
 package httpconn
 
-import "time"
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
 
 // register adds an open connection to the pool; closing the connection removes it.
 func (p *Pool) register(c *conn) {
@@ -37,6 +42,17 @@
 	return false
 }
 
+// IsRefused reports whether a new connection to address is refused. One that is opened is
+// kept for reuse.
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.putIdle(c, 0)
+	return false
+}
+
 func (p *Pool) openedBefore(address string, before time.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/httpconn/open_test.go
+++ b/internal/httpconn/open_test.go
@@ -62,3 +62,25 @@
 		assert.Assert(t, time.Since(began) < 10*time.Second)
 	}
 }
+
+// Guards against taking an endpoint that is slow or gone for one whose process has ended, and
+// against a connection opened for the question alone.
+func TestRefusedConnection(t *testing.T) {
+	s := serve(t, echo)
+	p := newTestPool(t)
+	opened := 0
+	p.OnDial = func() { opened++ }
+	assert.Assert(t, !p.IsRefused(t.Context(), s.address()))
+	_, err := sendAndRead(t, p, s, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, opened, 1)
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !p.IsRefused(ended, s.address()))
+
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, p.IsRefused(t.Context(), listener.Addr().String()))
+}
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -190,6 +190,8 @@
 
 func (e *engines) HasConnectionOpenedBefore(*dispatch.Endpoint, time.Time) bool { return false }
 
+func (e *engines) RefusesConnections(context.Context, *dispatch.Endpoint) bool { return false }
+
 // timedCaller records when the first part arrived.
 type timedCaller struct {
 	fakeCaller
--- a/internal/relay/closedelimited_test.go
+++ b/internal/relay/closedelimited_test.go
@@ -3,8 +3,12 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
 // closeDelimited returns a whole answer that ends with its connection.
@@ -81,3 +85,80 @@
 		})
 	}
 }
+
+// Guards against an answer that its endpoint's crash cut between two events, or inside a body,
+// and that reaches its caller as complete: the kernel closes the connection as for a whole one.
+func TestAnswerCutByACrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind    routetable.Kind
+		verdict Verdict // 0 for an answer that is broken off
+		sends   int
+	}{
+		"stream":           {stream, 0, 1},
+		"body, once":       {atMostOnce, VerdictUnknown, 1},
+		"body, idempotent": {idempotent, VerdictUnknown, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := returns(func() *Reply { return closeDelimited(event("1")) })
+			fx := newFixture(test.kind, cut, cut)
+			fx.endpoints.refuses = true
+			c, refusal := fx.serve(t, newExchange())
+			assert.Equal(t, len(fx.endpoints.calls), test.sends)
+			if test.verdict == 0 {
+				assert.Assert(t, c.aborted)
+				return
+			}
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Verdict, test.verdict)
+			assert.Equal(t, c.begun, 0)
+		})
+	}
+}
+
+// Guards against taking an endpoint for one that leaves, since its next incarnation is already
+// known: its earlier one was sent the request a moment before it crashed.
+func TestAnswerCutByACrashOfAnEarlierIncarnation(t *testing.T) {
+	fx := newFixture(atMostOnce)
+	fx.endpoints.refuses = true
+	fx.endpoints.answers = []answer{func(c *Call) (*Reply, error) {
+		next := *c.Endpoint
+		next.Born = c.Endpoint.Born + 1
+		fx.view.Endpoints["s"] = []*dispatch.Endpoint{&next}
+		return closeDelimited("ha"), nil
+	}}
+	_, refusal := fx.serve(t, newExchange())
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Verdict, VerdictUnknown)
+}
+
+// Guards against breaking off the last answer of an endpoint that ends as planned, or of one
+// that takes no new connections for a moment.
+func TestLastAnswerOfAnEndpointIsDelivered(t *testing.T) {
+	for name, happens := range map[string]func(fx *fixture, r *Reply){
+		"it announced that it leaves": func(fx *fixture, _ *Reply) {
+			for _, e := range fx.view.Endpoints["s"] {
+				fx.router.options.Stats.RecordLeaving(time.Now(), e)
+			}
+		},
+		"it is no longer listed":       func(fx *fixture, _ *Reply) { fx.view.Endpoints["s"] = nil },
+		"other connections to it stay": func(fx *fixture, _ *Reply) { fx.endpoints.connectionsOpen = true },
+		"it takes connections":         func(fx *fixture, _ *Reply) { fx.endpoints.refuses = false },
+		"its answer has a length":      func(_ *fixture, r *Reply) { r.CloseDelimited = false },
+	} {
+		for _, kind := range []routetable.Kind{stream, atMostOnce} {
+			t.Run(name+", "+kind.String(), func(t *testing.T) {
+				fx := newFixture(kind)
+				fx.endpoints.refuses = true
+				fx.endpoints.answers = []answer{func(*Call) (*Reply, error) {
+					r := closeDelimited(event("1"))
+					happens(fx, r)
+					return r, nil
+				}}
+				c, refusal := fx.serve(t, newExchange())
+				assert.Assert(t, refusal == nil)
+				assert.Assert(t, !c.aborted)
+				assert.Equal(t, c.text.String(), event("1"))
+			})
+		}
+	}
+}
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -81,7 +81,8 @@
 	Status int
 	Header http.Header // as forwarded to the caller
 	Length int64       // -1 when not known
-	// CloseDelimited reports that the body ends with the connection.
+	// CloseDelimited reports that the body ends with the connection: io.EOF then shows only
+	// that the connection was not reset.
 	CloseDelimited bool
 	// NotRun reports that the endpoint did not run the request and never will.
 	NotRun bool
@@ -129,6 +130,9 @@
 	// HasConnectionOpenedBefore reports whether a connection to the endpoint that was opened
 	// before the given time is still open, which shows that its process has not ended since.
 	HasConnectionOpenedBefore(e *dispatch.Endpoint, before time.Time) bool
+	// RefusesConnections reports whether the endpoint's machine refuses a new connection, as
+	// it does once the endpoint's process has ended. It is false if no answer comes.
+	RefusesConnections(ctx context.Context, e *dispatch.Endpoint) bool
 }
 
 // CrashTracker knows which requests crash endpoints, across all entries. It is safe for
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -265,6 +265,9 @@
 	}
 	ex.mayHaveRun = true
 	ex.runs++
+	if reply.CloseDelimited {
+		reply.Body = closeDelimitedBody{reply.Body, func() bool { return ex.router.hasEnded(ctx, ex.service, c.Endpoint) }}
+	}
 	if ex.route.Kind == routetable.KindStream && reply.Status < http.StatusMultipleChoices {
 		return ex.forwardEvents(reply)
 	}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -79,6 +79,7 @@
 	releasedPrefills     []string // endpoint and handle
 	releaseDelay         time.Duration
 	connectionsOpen      bool // connections outlive a loss
+	refuses              bool // new connections
 }
 
 func (f *fakeEndpoints) Send(_ context.Context, c *Call) (*Reply, error) {
@@ -126,6 +127,12 @@
 	return f.connectionsOpen
 }
 
+func (f *fakeEndpoints) RefusesConnections(context.Context, *dispatch.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refuses
+}
+
 func (f *fakeEndpoints) keepOpen(open bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/limit_fixture_test.go
+++ b/internal/relay/limit_fixture_test.go
@@ -191,6 +191,7 @@
 func (limitedSender) ReleaseReservation(context.Context, *dispatch.Endpoint, string) {}
 func (limitedSender) ReleasePrefill(context.Context, *dispatch.Endpoint, string)     {}
 func (limitedSender) HasConnectionOpenedBefore(*dispatch.Endpoint, time.Time) bool   { return false }
+func (limitedSender) RefusesConnections(context.Context, *dispatch.Endpoint) bool    { return false }
 
 // limitedFleet is entries in front of a limitedService.
 type limitedFleet struct {
