route, engine: a plain call whose endpoint ends with its answer isn't complete

The caller got a part as a whole answer, and the ledger recorded the call as completed.

As on the way of opaque exchanges, the entry asks the endpoint's machine for a connection at such an end; refused while the endpoint is still a candidate, the call counts as broken: outcome unknown, or repeated where it may be. An endpoint that leaves is no candidate any more.

TestOnceFailurePositions has the case; it fails without the guard ('endpoint ends with its answer'), and the two beside it hold the other way. Looked at and sound: decode streams end with a chunk that says so, other calls of endpoints are JSON values, which a cut makes invalid; KV caches between stand-ins go in chunks.

--- a/internal/engine/call_test.go
+++ b/internal/engine/call_test.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -135,3 +137,17 @@
 	assert.Assert(t, errors.As(err, &failure))
 	assert.Equal(t, failure.Code, engineapi.CodeFull)
 }
+
+// Guards against taking an endpoint that is slow to accept for one whose process has ended.
+func TestRefusedConnection(t *testing.T) {
+	client := NewClient(Options{})
+	target := serve(t, func(http.ResponseWriter, *http.Request) {})
+	assert.Assert(t, !client.RefusesConnections(t.Context(), target))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !client.RefusesConnections(ended, target))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, client.RefusesConnections(t.Context(), Target{Address: listener.Addr().String()}))
+}
--- a/internal/engine/contract.go
+++ b/internal/engine/contract.go
@@ -37,6 +37,9 @@
 	Order(ctx context.Context, t Target, o engineapi.Order) (engineapi.OrderReply, error)
 	// Call forwards a plain service call; the caller closes the body.
 	Call(ctx context.Context, t Target, gate Gate, attempt fleet.AttemptID, r *http.Request) (*http.Response, error)
+	// RefusesConnections reports whether the endpoint's machine refuses a new connection, as
+	// it does once the endpoint's process has ended. It is false if no answer comes.
+	RefusesConnections(ctx context.Context, t Target) bool
 }
 
 // Stream is a checked decode stream.
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -272,8 +272,15 @@
 	if ctx.Err() != nil {
 		return nil, &engine.Error{Target: t, Op: "call", Sent: true, Err: ctx.Err()}
 	}
+	if w.onAnswer != nil {
+		w.onAnswer()
+	}
 	return &http.Response{
-		StatusCode: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}},
+		StatusCode: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}}, ContentLength: w.answerLength,
 		Body: io.NopCloser(strings.NewReader("slip " + r.Method + " " + r.URL.Path)),
 	}, nil
 }
+
+func (w *fakeFleet) RefusesConnections(context.Context, engine.Target) bool {
+	return w.refusesConnections
+}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: err}
 	}
+	if isCloseDelimited(request, response) && c.hasEnded(ctx, h.target) {
+		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: engine.ErrTruncated}
+	}
 	answer := &CallResponse{StatusCode: response.StatusCode, Header: response.Header, Body: body}
 	c.router.recordCooldown(h.target, requestedCooldown(answer))
 	return answer, nil
--- a/internal/route/fakefleet_test.go
+++ b/internal/route/fakefleet_test.go
@@ -63,9 +63,12 @@
 	// freezeBefore is the op before whose next send the entry is frozen for longer than
 	// its grant lives. expiredGrants are the grants that expired so, by endpoint and
 	// attempt. lateSends counts the sends under such a grant.
-	freezeBefore  string
-	expiredGrants map[string]bool
-	lateSends     int
+	freezeBefore       string
+	expiredGrants      map[string]bool
+	lateSends          int
+	answerLength       int64  // of answers to calls; -1 if they end with their connection
+	onAnswer           func() // called before an answer to a call
+	refusesConnections bool
 }
 
 type guardEnd struct{ completed, crashed bool }
--- a/internal/route/once_test.go
+++ b/internal/route/once_test.go
@@ -58,6 +58,16 @@
 		"connection broke": {func(w *fakeFleet) {
 			w.setFault("call", "s1", 9, fault{broken: true})
 		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
+		"endpoint ends with its answer": {func(w *fakeFleet) {
+			w.answerLength, w.refusesConnections = -1, true
+		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
+		"endpoint closes after its answer": {func(w *fakeFleet) {
+			w.answerLength = -1
+		}, 1, "", pb.OutcomeKind_OUTCOME_KIND_COMPLETED},
+		"endpoint leaves after its answer": {func(w *fakeFleet) {
+			w.answerLength, w.refusesConnections = -1, true
+			w.onAnswer = func() { w.list = nil }
+		}, 1, "", pb.OutcomeKind_OUTCOME_KIND_COMPLETED},
 		"no answer in time": {func(w *fakeFleet) {
 			w.setFault("call", "s1", 9, fault{stall: true})
 		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
