entry: the whole answer of a plain call has its length

To a caller with HTTP/1.0 an answer of over 2 KB went with neither a length nor chunks, so one that a killed daemon cut off looked whole. Model answers end with [DONE] or an error event, or have a length.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"path"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,14 +37,23 @@
 	if failure != nil {
 		return failure
 	}
+	c.writeAnswer(x, answer)
+	return nil
+}
+
+// writeAnswer writes a whole answer. Its length lets any caller tell whether it arrived whole.
+func (c *callerHandler) writeAnswer(x *exchange, answer *route.CallResponse) {
 	x.headersSent = true
-	copyHeader(x.w.Header(), answer.Header)
-	x.w.Header().Set(callerapi.HeaderRequestID, string(x.id))
-	x.w.Header().Set(callerapi.HeaderOutcome, string(callerapi.OutcomeCompleted))
+	h := x.w.Header()
+	copyHeader(h, answer.Header)
+	if len(answer.Body) > 0 {
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	h.Set(callerapi.HeaderRequestID, string(x.id))
+	h.Set(callerapi.HeaderOutcome, string(callerapi.OutcomeCompleted))
 	_ = x.control.SetWriteDeadline(time.Now().Add(c.bounds.WriteTimeout))
 	x.w.WriteHeader(answer.StatusCode)
 	_, _ = x.w.Write(answer.Body) // the caller may have disconnected
-	return nil
 }
 
 func (c *callerHandler) readCall(x *exchange) (route.CallRequest, *route.Failure) {
