reachability: tell which links of an entry to endpoints are lost, and how

The tracker takes what the entry's own connections show: one that opens, bytes that arrive, a dial without an answer or refused, and, by the kernel's own account (TCP_INFO), sent segments that the endpoint's kernel doesn't acknowledge within 300 ms. An endpoint whose process is silent acknowledges what it is sent, so its link counts as working. Two lost links with nothing heard since the first of them are a cut from all endpoints. Metrics and a line for each change; no decision uses it yet. On both ways: httpconn and engine.

Connections to endpoints leave from the entry's own address, as those between daemons do already, so that packet filters see one address for an entry.

--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/provision"
 	"github.com/hyssopsail/hyssopsail/internal/quarantine"
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/route"
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
@@ -41,10 +42,11 @@
 		return nil, trace.Wrap(err)
 	}
 	client := engine.NewClient(engine.Options{
-		TLS:        tlsConfig,
-		Owner:      b.self.Owner(),
-		Part:       newPart(b.logger, "engine"),
-		Registerer: b.registry,
+		TLS:          tlsConfig,
+		Owner:        b.self.Owner(),
+		Part:         newPart(b.logger, "engine"),
+		Reachability: reachability.New(reachability.Options{Part: newPart(b.logger, "reachability"), Metrics: b.registry}),
+		Registerer:   b.registry,
 	})
 	e.initHome(b, client)
 	e.initProvision(b, client)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,9 +5,11 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // maxHeaderBytes bounds the header of an endpoint's answer.
@@ -61,11 +63,14 @@
 		dial = dialer.DialContext
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		to := o.Reachability.Link(address)
 		conn, err := dial(ctx, network, address)
 		if err != nil {
+			to.Failed(time.Now(), reachability.LossOfDial(err))
 			return nil, err
 		}
-		return &guardedConn{Conn: conn}, nil
+		to.Opened(time.Now())
+		return &guardedConn{Conn: conn, link: to}, nil
 	}
 }
 
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -4,6 +4,9 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // guardedConn counts the writes that have begun, so that a failed request counts
@@ -15,11 +18,21 @@
 // the same mutex: once seal has found no write, none can begin.
 type guardedConn struct {
 	net.Conn
+	link     *reachability.Link // to the endpoint
 	mu       sync.Mutex
 	writes   uint64
 	sealedBy error // returned by Write; nil: not sealed
 }
 
+// Read implements net.Conn.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.link.Heard(time.Now())
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	if err := c.beginWrite(); err != nil {
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/logging"
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -22,6 +23,8 @@
 	TLS   *tls.Config // nil: plain HTTP
 	// Dial opens connections to endpoints; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Reachability records what connections show of the links to endpoints; nil: a table of its own.
+	Reachability *reachability.Tracker
 
 	DialTimeout             time.Duration
 	IdleConnTimeout         time.Duration // an idle connection is closed after this time
@@ -99,6 +102,9 @@
 	orDefault(&o.MaxLineBytes, d.MaxLineBytes)
 	orDefault(&o.MaxCallRequestBytes, d.MaxCallRequestBytes)
 	orDefault(&o.MaxCallResponseBytes, d.MaxCallResponseBytes)
+	if o.Reachability == nil {
+		o.Reachability = reachability.New(reachability.Options{})
+	}
 	return o
 }
 
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // Buffer sizes of a connection. A body longer than maxInlineBodyBytes is written
@@ -34,8 +36,9 @@
 	raw         net.Conn
 	reader      *bufio.Reader
 	address     string
-	tag         string // of the latest request
-	served      bool   // an earlier request got a response
+	link        *reachability.Link // to the endpoint; nil for none
+	tag         string             // of the latest request
+	served      bool               // an earlier request got a response
 	idleUntil   time.Time
 	isClosed    atomic.Bool
 	openedAt    time.Time
@@ -43,8 +46,13 @@
 	bodyWritten chan error // result of writing a body in the background; nil if none
 }
 
-func newConn(raw net.Conn, address string) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}
+// newConn returns a connection over a link, which may be nil.
+func newConn(raw net.Conn, address string, over *reachability.Link) *conn {
+	var reader io.Reader = raw
+	if over != nil {
+		reader = heardReader{raw, over}
+	}
+	return &conn{raw: raw, reader: bufio.NewReaderSize(reader, readBufferBytes), address: address, link: over}
 }
 
 func (c *conn) close() {
@@ -116,7 +124,9 @@
 		c.close()
 		return nil, &Failure{Sent: true, Reused: reused, Step: "write", Cause: err}
 	}
+	stopWatch := c.watchAcks()
 	head, err := c.readHead(r)
+	stopWatch()
 	if err != nil {
 		stop()
 		c.close()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // Limits of a Pool.
@@ -35,6 +37,10 @@
 	DialTimeout time.Duration
 	// OnDial, if set, is called for each connection that was opened.
 	OnDial func()
+	// LocalIP is the source address of connections; nil: chosen by the kernel.
+	LocalIP net.IP
+	// Reachability records what the connections show of the links to endpoints.
+	Reachability *reachability.Tracker
 
 	mu   sync.Mutex // guards the fields below
 	idle map[string][]*conn
@@ -43,7 +49,10 @@
 
 // NewPool returns an empty pool.
 func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}, open: map[string]map[*conn]bool{}}
+	return &Pool{
+		DialTimeout: dialTimeout, Reachability: reachability.New(reachability.Options{}),
+		idle: map[string][]*conn{}, open: map[string]map[*conn]bool{},
+	}
 }
 
 // Do sends a request to address and returns the response, which the caller must
@@ -156,14 +165,20 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
 		Control:         setUserTimeout,
 	}
+	if p.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
+	}
+	to := p.Reachability.Link(address)
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		to.Failed(time.Now(), reachability.LossOfDial(err))
 		return nil, err
 	}
+	to.Opened(time.Now())
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c := newConn(raw, address)
+	c := newConn(raw, address, to)
 	p.register(c)
 	return c, nil
 }
--- /dev/null
+++ b/internal/reachability/metrics.go
@@ -0,0 +1,36 @@
+package reachability
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// metrics holds a tracker's metrics; label values come from fixed sets.
+type metrics struct {
+	lost    prometheus.Gauge
+	losses  *prometheus.CounterVec
+	cutOff  prometheus.Gauge
+	cutOffs prometheus.Counter
+}
+
+func newMetrics(to prometheus.Registerer) *metrics {
+	with := promauto.With(to)
+	return &metrics{
+		lost: with.NewGauge(prometheus.GaugeOpts{
+			Name: "hyssopsail_reachability_lost_count",
+			Help: "Endpoints to which no new connection could be opened, or whose machine acknowledges nothing.",
+		}),
+		losses: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_reachability_losses_total",
+			Help: "Links to endpoints that were lost, by how that showed.",
+		}, []string{"how"}),
+		cutOff: with.NewGauge(prometheus.GaugeOpts{
+			Name: "hyssopsail_reachability_cut_off",
+			Help: "1 while this entry reaches no endpoint over links of its own.",
+		}),
+		cutOffs: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_reachability_cut_offs_total",
+			Help: "How often this entry lost its links to all endpoints.",
+		}),
+	}
+}
