--- a/internal/reachability/link.go
+++ b/internal/reachability/link.go
@@ -64,7 +64,11 @@
 	return l.loss
 }
 
-// sinceHeard returns the time since bytes last arrived.
-func (l *Link) sinceHeard(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, l.heardNs.Load()))
+// msSinceHeard returns the milliseconds since bytes last arrived; -1 if none ever did.
+func (l *Link) msSinceHeard(now time.Time) int64 {
+	heard := l.heardNs.Load()
+	if heard == 0 {
+		return -1
+	}
+	return now.Sub(time.Unix(0, heard)).Milliseconds()
 }
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -100,7 +100,7 @@
 		l.lostAt = now
 		t.countLost(1)
 		t.metrics.losses.WithLabelValues(loss.String()).Inc()
-		t.part.Info("Link to an endpoint lost.", "address", l.address, "how", loss, "heard_ms", l.sinceHeard(now).Milliseconds())
+		t.part.Info("Link to an endpoint lost.", "address", l.address, "how", loss, "heard_ms", l.msSinceHeard(now))
 	}
 }
 
