httpconn: a look at a connection leaves its reset to the reader

What callers could see: an answer that was reset, as a whole one: '' or a part of a body, a stream that ends between two events.

Cause: to tell a lost answer from a crash, the entry looks whether other connections to the endpoint are open, with recv(MSG_PEEK). The kernel reports a reset once, to whoever asks first. If that is the look, the reader of an answer with neither a length nor chunks finds a regular end.

Mend: poll(2) for POLLRDHUP, which reports and keeps it.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
@@ -65,8 +67,9 @@
 	}
 }
 
-// peerClosed reports whether the peer has closed or reset the connection. It consumes no
-// bytes, so it may be called while the connection is in use.
+// peerClosed reports whether the peer has closed or reset the connection. It consumes neither
+// bytes nor an error that is meant for the reader, so it may be called while the connection is
+// in use.
 func (c *conn) peerClosed() bool {
 	source, ok := c.raw.(syscall.Conn)
 	if !ok {
@@ -76,13 +79,13 @@
 	if err != nil {
 		return true
 	}
-	var one [1]byte
-	var n int
-	var peekErr error
+	var pollErr error
+	var state [1]unix.PollFd
 	err = raw.Control(func(fd uintptr) {
-		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		state[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+		_, pollErr = unix.Poll(state[:], 0)
 	})
-	return err != nil || n <= 0 && !isAgain(peekErr)
+	return err != nil || pollErr == nil && state[0].Revents != 0
 }
 
 func isAgain(err error) bool {
--- a/internal/httpconn/open_test.go
+++ b/internal/httpconn/open_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // Guards against mistaking one closed connection for a crash of the endpoint's process,
@@ -84,3 +87,31 @@
 	assert.NilError(t, listener.Close())
 	assert.Assert(t, p.IsRefused(t.Context(), listener.Addr().String()))
 }
+
+// Guards against a body that was reset and looks complete: the look whether the connection is
+// open takes the kernel's report of the reset, and the reader finds a regular end.
+func TestLookAtAConnectionKeepsItsReset(t *testing.T) {
+	reset := make(chan struct{})
+	s := serve(t, func(s *scriptedEndpoint, _ int, c net.Conn) {
+		id, _ := s.read(bufio.NewReader(c))
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nha"))
+		<-reset
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	p := newTestPool(t)
+	response, err := p.Do(t.Context(), s.address(), request("a"), false)
+	assert.NilError(t, err)
+	defer response.Close()
+	part := make([]byte, 2)
+	_, err = io.ReadFull(response, part)
+	assert.NilError(t, err)
+	close(reset)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.HasOpen(s.address(), time.Now()) {
+			return poll.Continue("the reset has not arrived")
+		}
+		return poll.Success()
+	})
+	_, err = io.ReadAll(response)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
