--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -246,6 +246,8 @@
 // An endpoint responds before it has read a long body. The connection must not be
 // reused, since the rest of the body is still to be sent on it.
 func TestEarlyAnswer(t *testing.T) {
+	const bodyBytes = 64 << 20 // more than the buffers of both ends hold
+	read := make(chan struct{})
 	s := serve(t, func(s *scriptedEndpoint, n int, c net.Conn) {
 		if n > 0 {
 			echo(s, n, c)
@@ -257,18 +259,20 @@
 			return
 		}
 		_, _ = io.WriteString(c, responseText(request.Header.Get("Id"), "early"))
+		<-read
 		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = s.read(r)
 	})
 	p := newTestPool(t)
 	long := request("a")
-	long.Body = make([]byte, 8<<20)
+	long.Body = make([]byte, bodyBytes)
 	response, err := p.Do(t.Context(), s.address(), long, false)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(response)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "early")
 	response.Close()
+	close(read)
 	again, err := sendAndRead(t, p, s, "b")
 	assert.NilError(t, err)
 	assert.Equal(t, again, "for b")
--- a/internal/reachability/link.go
+++ b/internal/reachability/link.go
@@ -7,7 +7,7 @@
 
 // Link is the link to one address.
 type Link struct {
-	tracker   *Tracker
+	tracker *Tracker
 	address string
 	heardNs atomic.Int64 // when bytes last arrived, or a connection opened, Unix ns
 
