coordinator: entries can ask for siblings that reach endpoints

Entries report the address at which siblings reach them, and whether they are cut off from all endpoints; any control instance names up to eight siblings that aren't, half of them of the zone of the one that asks. It is asked only by an entry that has lost a link, so that a fleet in order pays nothing; entries that ask together are told of different ones.

No behaviour changes yet.

--- a/internal/catalog/entries.go
+++ b/internal/catalog/entries.go
@@ -65,5 +65,6 @@
 		return known != nil && !known.Gone
 	}
 	return known == nil || known.Gone || known.Ready != r.Ready || known.Address != r.Address ||
-		known.Zone != r.Zone || known.Region != r.Region || known.Name != r.Name
+		known.Zone != r.Zone || known.Region != r.Region || known.Name != r.Name ||
+		known.PeerAddress != r.PeerAddress || known.CutOff != r.CutOff
 }
--- a/internal/coordinator/address_book.go
+++ b/internal/coordinator/address_book.go
@@ -28,12 +28,11 @@
 // (consistent hashing): when an entry comes or goes, the lists of some callers change by
 // one address.
 func (b *addressBook) pick(machine *catalog.Machine, zone, caller string) []*pb.EntryRecord {
-	entries := b.entriesOf(machine, zone)
+	entries := b.zonesOf(machine)[zone]
 	if len(entries) <= maxAddresses {
 		return entries
 	}
-	position := fmt.Sprintf("%016x", xxhash.Sum64String(caller))
-	first, _ := slices.BinarySearchFunc(entries, position, func(e *pb.EntryRecord, position string) int { return strings.Compare(e.Id, position) })
+	first := ringPosition(entries, caller)
 	picked := make([]*pb.EntryRecord, 0, maxAddresses)
 	for n := range maxAddresses {
 		picked = append(picked, entries[(first+n)%len(entries)])
@@ -41,15 +40,23 @@
 	return picked
 }
 
-// entriesOf returns the ready entries of a zone, sorted by ID.
-func (b *addressBook) entriesOf(machine *catalog.Machine, zone string) []*pb.EntryRecord {
+// ringPosition returns the index of the first entry after the hash of a key.
+func ringPosition(entries []*pb.EntryRecord, key string) int {
+	position := fmt.Sprintf("%016x", xxhash.Sum64String(key))
+	first, _ := slices.BinarySearchFunc(entries, position, func(e *pb.EntryRecord, position string) int { return strings.Compare(e.Id, position) })
+	return first
+}
+
+// zonesOf returns the ready entries of each zone, sorted by ID. The result must not be
+// changed.
+func (b *addressBook) zonesOf(machine *catalog.Machine) map[string][]*pb.EntryRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	revision := machine.EntriesRevision()
 	if b.zones == nil || b.revision != revision {
 		b.revision, b.zones = revision, entriesByZone(machine.ReadyEntries())
 	}
-	return b.zones[zone]
+	return b.zones
 }
 
 func entriesByZone(entries []*pb.EntryRecord) map[string][]*pb.EntryRecord {
