tunnel: connections to endpoints through a sibling entry

A sibling opens the connection and passes bytes on; the entry that has the request keeps deciding everything about it. Nothing uses it yet.

--- a/internal/reachability/link.go
+++ b/internal/reachability/link.go
@@ -12,9 +12,13 @@
 	heardNs atomic.Int64 // when bytes last arrived, or a connection opened, Unix ns
 
 	// The fields below are guarded by tracker.mu.
-	loss   Loss
-	lostAt time.Time
-	usedAt time.Time
+	loss     Loss
+	lostAt   time.Time
+	usedAt   time.Time
+	probedAt time.Time // when a direct connection was last tried over the lost link
+	// relayErr is what the relay said of the endpoint at relayErrAt; nil for nothing.
+	relayErr   error
+	relayErrAt time.Time
 }
 
 // Opened records that a new connection was opened.
@@ -23,6 +27,7 @@
 	l.tracker.heardNs.Store(now.UnixNano())
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
+	l.relayErr = nil
 	l.tracker.setLoss(l, now, NotLost)
 	l.tracker.recordHeard(now)
 }
@@ -53,6 +58,20 @@
 	l.tracker.recordUnheard(l, now)
 }
 
+// minUnanswered is how long a dial must have waited for its end to show a lost link: its
+// caller's time may have been up sooner.
+const minUnanswered = 100 * time.Millisecond
+
+// recordDialFailure records a dial that began at a time and failed.
+func (l *Link) recordDialFailure(began time.Time, err error) {
+	now := time.Now()
+	loss := LossOfDial(err)
+	if loss == Unanswered && now.Sub(began) < minUnanswered && !isUnreachable(err) {
+		return
+	}
+	l.Failed(now, loss)
+}
+
 // Loss returns how the link is lost. If the process is cut off from all endpoints, a link over
 // which nothing was heard since counts as Unanswered.
 func (l *Link) Loss() Loss {
@@ -64,6 +83,35 @@
 	return l.loss
 }
 
+// beginProbe reports whether a direct connection is to be tried now to find out whether the
+// link works again.
+func (l *Link) beginProbe(now time.Time) bool {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	if now.Sub(l.probedAt) < probeInterval {
+		return false
+	}
+	l.probedAt = now
+	return true
+}
+
+// recordRelayFailure records that the relay could not connect to the endpoint either.
+func (l *Link) recordRelayFailure(now time.Time, err error) {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	l.relayErr, l.relayErrAt = err, now
+}
+
+// relayFailure returns what the relay said of the endpoint a moment ago; nil for nothing.
+func (l *Link) relayFailure(now time.Time) error {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	if now.Sub(l.relayErrAt) < probeInterval {
+		return l.relayErr
+	}
+	return nil
+}
+
 // msSinceHeard returns the milliseconds since bytes last arrived; -1 if none ever did.
 func (l *Link) msSinceHeard(now time.Time) int64 {
 	heard := l.heardNs.Load()
--- a/internal/reachability/loss.go
+++ b/internal/reachability/loss.go
@@ -34,6 +34,11 @@
 	return "none"
 }
 
+// isUnreachable reports whether the network said that it has no way to the endpoint.
+func isUnreachable(err error) bool {
+	return errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
+
 // LossOfDial returns what the error of a failed dial shows. A dial that was canceled before
 // its timeout shows nothing.
 func LossOfDial(err error) Loss {
@@ -43,7 +48,7 @@
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return Refused
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT),
-		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		isUnreachable(err):
 		return Unanswered
 	}
 	return NotLost
--- a/internal/reachability/metrics.go
+++ b/internal/reachability/metrics.go
@@ -11,6 +11,7 @@
 	losses  *prometheus.CounterVec
 	cutOff  prometheus.Gauge
 	cutOffs prometheus.Counter
+	relayed prometheus.Counter
 }
 
 func newMetrics(to prometheus.Registerer) *metrics {
@@ -32,5 +33,9 @@
 			Name: "hyssopsail_reachability_cut_offs_total",
 			Help: "How often this entry lost its links to all endpoints.",
 		}),
+		relayed: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_reachability_relayed_total",
+			Help: "Connections to endpoints that were opened through a sibling entry.",
+		}),
 	}
 }
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -67,6 +67,11 @@
 	return t.isCutOff()
 }
 
+// HeardSince reports whether bytes arrived over any link, or a connection opened, since a time.
+func (t *Tracker) HeardSince(since time.Time) bool {
+	return t.heardNs.Load() >= since.UnixNano()
+}
+
 // isCutOff is called with t.mu held.
 func (t *Tracker) isCutOff() bool {
 	return !t.cutOffSince.IsZero() && t.heardNs.Load() < t.cutOffSince.UnixNano()
