httpconn, platform: an entry that has lost its links reaches endpoints through a sibling

Cause: an entry reached endpoints by its own links alone. Those it had lost it found out one request at a time, and callers kept coming, since it was in touch with the control instances and with them. Class: a part that is in touch with the fleet and stands for work that it can't do.

Mend: connections over a link that is lost are opened through a sibling entry. Idle connections over a lost link are not used, and siblings are left as soon as the link works.

'sibling-relay' switches it off.

--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -62,6 +62,9 @@
 	// Quarantine refuses requests that crash the endpoints that run them, at all entries.
 	// Off: they are sent like all others.
 	Quarantine Mechanism = "quarantine"
+	// SiblingRelay connects an entry that has lost its links to endpoints to them through a
+	// sibling entry. Off: it uses its own links alone.
+	SiblingRelay Mechanism = "sibling-relay"
 	// QuotaReserve charges small requests of a team that has spent its quota to a
 	// reserve. Off: they are rejected like large ones.
 	QuotaReserve Mechanism = "quota-reserve"
@@ -70,6 +73,7 @@
 var mechanisms = []Mechanism{
 	ReserveMemoryFirst, EndWaitAtTarget, AllowLocalPrefill, LocalPrefillOnResume, ObservedWaits, EnginePriorities, Ejection, StageChanges, HomeReservation,
 	AwaitLatestConfig, QuotaRepeatInTarget, QuotaReserve, EnforceLimits, HonorCooldown, AvoidLeaving, Quarantine, PoolLoads, RefuseOverload,
+	SiblingRelay,
 }
 
 // Policy is the set of mechanisms that are switched off. The zero Policy has all
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -38,7 +38,7 @@
 	raw         net.Conn
 	reader      *bufio.Reader
 	address     string
-	link        *reachability.Link // to the endpoint; nil for none
+	link        *reachability.Link // of a direct connection; nil for a relayed one
 	tag         string             // of the latest request
 	served      bool               // an earlier request got a response
 	idleUntil   time.Time
@@ -57,6 +57,20 @@
 	return &conn{raw: raw, reader: bufio.NewReaderSize(reader, readBufferBytes), address: address, link: over}
 }
 
+// relayedConn is a connection through a relay, which has no socket of its own to look at.
+type relayedConn interface {
+	net.Conn
+	// Reusable reports whether another request may be sent over the connection.
+	Reusable() bool
+	// PeerClosed reports whether the connection has ended.
+	PeerClosed() bool
+}
+
+func (c *conn) isRelayed() bool {
+	_, ok := c.raw.(relayedConn)
+	return ok
+}
+
 func (c *conn) close() {
 	if c.isClosed.Swap(true) {
 		return
@@ -71,6 +85,9 @@
 // bytes nor an error that is meant for the reader, so it may be called while the connection is
 // in use.
 func (c *conn) peerClosed() bool {
+	if relayed, ok := c.raw.(relayedConn); ok {
+		return relayed.PeerClosed()
+	}
 	source, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return false
@@ -98,6 +115,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if relayed, ok := c.raw.(relayedConn); ok {
+		return relayed.Reusable()
+	}
 	source, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -45,7 +45,9 @@
 // IsRefused reports whether a new connection to address is refused. One that is opened is
 // kept for reuse.
 func (p *Pool) IsRefused(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
+	dialer := p.dialer()
+	dialer.AskAgain = true
+	c, err := p.dialWith(ctx, dialer, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -41,6 +41,8 @@
 	LocalIP net.IP
 	// Reachability records what the connections show of the links to endpoints.
 	Reachability *reachability.Tracker
+	// Relay opens connections over lost links; nil for none.
+	Relay reachability.Relay
 
 	mu   sync.Mutex // guards the fields below
 	idle map[string][]*conn
@@ -89,7 +91,7 @@
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.idleUntil) && (tag == "" || c.tag != tag) && c.reusable() {
+		if now.Before(c.idleUntil) && (tag == "" || c.tag != tag) && p.fitsLink(c) && c.reusable() {
 			return c
 		}
 		c.close()
@@ -132,15 +134,15 @@
 	}
 }
 
-// CloseExpired closes idle connections whose idle timeout has passed, and removes
-// addresses without idle connections.
+// CloseExpired closes idle connections whose idle timeout has passed and relayed ones that have
+// ended, and removes addresses without idle connections.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
 	p.mu.Lock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && (!c.isRelayed() || c.reusable()) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
@@ -159,7 +161,58 @@
 	}
 }
 
+// fitsLink reports whether an idle connection is one that would be opened now: direct while the
+// link works, relayed while it is lost. A link over which new connections are refused may still
+// carry open ones.
+func (p *Pool) fitsLink(c *conn) bool {
+	if p.Relay == nil {
+		return true
+	}
+	loss := p.Reachability.Link(c.address).Loss()
+	if c.isRelayed() {
+		return loss != reachability.NotLost
+	}
+	return loss == reachability.NotLost || loss == reachability.Refused
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	return p.dialWith(ctx, p.dialer(), address)
+}
+
+func (p *Pool) dialer() reachability.Dialer {
+	return reachability.Dialer{Tracker: p.Reachability, Direct: p.dialDirect, Relay: p.Relay, Keep: p.keepProbe}
+}
+
+func (p *Pool) dialWith(ctx context.Context, dialer reachability.Dialer, address string) (*conn, error) {
+	raw, over, err := dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if p.OnDial != nil {
+		p.OnDial()
+	}
+	return p.newConn(raw, address, over), nil
+}
+
+func (p *Pool) newConn(raw net.Conn, address string, over *reachability.Link) *conn {
+	c := newConn(raw, address, over)
+	p.register(c)
+	return c
+}
+
+// keepProbe keeps a connection that showed that a link works again.
+func (p *Pool) keepProbe(address string, raw net.Conn, over *reachability.Link) {
+	p.putIdle(p.newConn(raw, address, over), 0)
+}
+
+// DialDirect opens a direct connection to an endpoint that the pool doesn't keep.
+func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	dialer := reachability.Dialer{Tracker: p.Reachability, Direct: p.dialDirect}
+	conn, _, err := dialer.Dial(ctx, address)
+	return conn, err
+}
+
+func (p *Pool) dialDirect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         p.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
@@ -168,19 +221,7 @@
 	if p.LocalIP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
 	}
-	to := p.Reachability.Link(address)
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		to.Failed(time.Now(), reachability.LossOfDial(err))
-		return nil, err
-	}
-	to.Opened(time.Now())
-	if p.OnDial != nil {
-		p.OnDial()
-	}
-	c := newConn(raw, address, to)
-	p.register(c)
-	return c, nil
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/relay/closedelimited.go
+++ b/internal/relay/closedelimited.go
@@ -12,7 +12,7 @@
 
 const (
 	// refusalTimeout limits the check whether an endpoint refuses connections.
-	refusalTimeout = 100 * time.Millisecond
+	refusalTimeout = 300 * time.Millisecond
 	// connectionsCloseDelay is how long after the end of its process the connections of an
 	// endpoint have closed.
 	connectionsCloseDelay = 25 * time.Millisecond
--- a/internal/route/closedelimited.go
+++ b/internal/route/closedelimited.go
@@ -9,7 +9,7 @@
 )
 
 // refusalTimeout limits the check whether an endpoint refuses connections.
-const refusalTimeout = 100 * time.Millisecond
+const refusalTimeout = 300 * time.Millisecond
 
 // isCloseDelimited reports whether an answer has neither a length nor chunks and ends with
 // its connection.
