--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -4,12 +4,10 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/hyssopsail/hyssopsail/internal/reachability"
+	"github.com/hyssopsail/hyssopsail/internal/tcpdial"
 )
 
 // Limits of a Pool.
@@ -23,9 +21,6 @@
 	keepAliveMargin = 1200 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections to one address.
 	maxIdlePerAddress = 12
-	// unackedTimeout bounds how long sent bytes may stay unacknowledged: a machine
-	// that lost power sends nothing, not even a reset.
-	unackedTimeout = 3 * time.Second
 )
 
 // Pool opens connections to endpoints and keeps idle ones for reuse. It is safe for
@@ -213,24 +208,5 @@
 }
 
 func (p *Pool) dialDirect(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:         p.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
-		Control:         setUserTimeout,
-	}
-	if p.LocalIP != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
-	}
-	return dialer.DialContext(ctx, "tcp4", address)
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
+	return tcpdial.New(p.DialTimeout, p.LocalIP).DialContext(ctx, "tcp4", address)
 }
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/hyssopsail/hyssopsail/internal/tcpdial"
 )
 
 // Limits of the pool. A drpc connection carries one call at a time, so a peer
@@ -83,7 +85,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
-	raw, err := netDialer(p.localIP).DialContext(ctx, "tcp", address)
+	raw, err := tcpdial.New(0, p.localIP).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't reach process at %s", address)
 	}
