engine, daemon: the product's own entries reach endpoints through a sibling too

The client to endpoints dials as the platform's does: over a lost link through a sibling, with TLS to the endpoint inside the tunnel, TLS and the fleet's keys between the daemons. A connection through a sibling stays in the zones of the direct one, this daemon's and the endpoint's, both of which the placement of the request permits. Idle connections are dropped when a link is lost or works again. Connections to endpoints leave from the daemon's own address and notice a silent machine after 3 s, as those between daemons do. Homes ask their endpoints through the same client.

--- a/internal/daemon/base.go
+++ b/internal/daemon/base.go
@@ -29,6 +29,7 @@
 	self         fleet.Instance
 	secret       config.Secret
 	listeners    listeners
+	localIP      net.IP // of outgoing connections; nil: chosen by the kernel
 	registry     *prometheus.Registry
 	timelineRing *timeline.Ring
 	pool         *rpc.Pool
@@ -63,7 +64,8 @@
 	b.pool = rpc.NewPool(tlsConfig, clock)
 	metrics := rpc.NewMetrics(b.registry)
 	b.pool.SetMetrics(metrics)
-	if address, ok := opened.rpc.Addr().(*net.TCPAddr); ok {
+	if address, ok := opened.rpc.Addr().(*net.TCPAddr); ok && !address.IP.IsUnspecified() {
+		b.localIP = address.IP
 		b.pool.SetLocalIP(address.IP)
 	}
 	b.rpc = rpc.NewServer(tlsConfig, clock, newPart(logger, "rpc"))
--- a/internal/daemon/entryrole.go
+++ b/internal/daemon/entryrole.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/rpc"
 	"github.com/hyssopsail/hyssopsail/internal/schedule"
 	"github.com/hyssopsail/hyssopsail/internal/sleep"
+	"github.com/hyssopsail/hyssopsail/internal/tunnel"
 )
 
 // entryRole serves callers and endpoints and routes requests.
@@ -31,6 +32,7 @@
 	ledger     *outcome.Service
 	quarantine *quarantine.Service
 	router     *route.Router
+	tunnels    *tunnel.Server
 	budget     *retrybudget.Budget
 	provision  *provision.Service
 }
@@ -41,13 +43,17 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	links := reachability.New(reachability.Options{Part: newPart(b.logger, "reachability"), Metrics: b.registry})
 	client := engine.NewClient(engine.Options{
 		TLS:          tlsConfig,
 		Owner:        b.self.Owner(),
 		Part:         newPart(b.logger, "engine"),
-		Reachability: reachability.New(reachability.Options{Part: newPart(b.logger, "reachability"), Metrics: b.registry}),
+		LocalIP:      b.localIP,
+		Reachability: links,
+		Relay:        newTunnelClient(b),
 		Registerer:   b.registry,
 	})
+	e.tunnels = newTunnelServer(b, links)
 	e.initHome(b, client)
 	e.initProvision(b, client)
 	e.initOutcomes(b)
@@ -137,6 +143,9 @@
 	if err := pb.DRPCRegisterProvision(b.rpc.Mux, e.provision.Server()); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := pb.DRPCRegisterTunnel(b.rpc.Mux, e.tunnels); err != nil {
+		return trace.Wrap(err)
+	}
 	return trace.Wrap(pb.DRPCRegisterLedger(b.rpc.Mux, e.ledger.Server()))
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -44,6 +44,7 @@
 }
 
 func (d *Daemon) drain() {
+	d.entry.tunnels.Drain()
 	d.awaitDelisted()
 	d.base.part.Info("Serving until the address expires from callers' caches.")
 	drainCtx, cancel := context.WithTimeout(context.Background(), d.base.config.Bounds.StreamTime)
@@ -51,6 +52,7 @@
 	if err := d.entry.router.Drain(drainCtx); err != nil {
 		d.base.part.Warn("Stopped with requests in flight.", "running", d.entry.router.RunningRequests(), "err", err)
 	}
+	d.entry.tunnels.Wait(drainCtx)
 	if !d.hasSuccessor() {
 		return
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
-	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // maxHeaderBytes bounds the header of an endpoint's answer.
@@ -35,6 +32,9 @@
 		c.scheme = "https"
 	}
 	c.transport = newTransport(o)
+	// Idle connections over a lost link are dead, and those through a relay not wanted once it
+	// works again.
+	o.Reachability.OnChange(c.transport.CloseIdleConnections)
 	c.canceller = newCanceller(o, c.metrics, c.sendCancel)
 	return c
 }
@@ -56,24 +56,6 @@
 	}
 }
 
-func guardedDial(o Options) func(context.Context, string, string) (net.Conn, error) {
-	dial := o.Dial
-	if dial == nil {
-		dialer := &net.Dialer{Timeout: o.DialTimeout}
-		dial = dialer.DialContext
-	}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		to := o.Reachability.Link(address)
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			to.Failed(time.Now(), reachability.LossOfDial(err))
-			return nil, err
-		}
-		to.Opened(time.Now())
-		return &guardedConn{Conn: conn, link: to}, nil
-	}
-}
-
 // Prefill implements Client.
 func (c *HTTPClient) Prefill(ctx context.Context, t Target, gate Gate, r engineapi.PrefillRequest) (engineapi.PrefillReply, error) {
 	var reply engineapi.PrefillReply
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -18,7 +18,7 @@
 // the same mutex: once seal has found no write, none can begin.
 type guardedConn struct {
 	net.Conn
-	link     *reachability.Link // to the endpoint
+	link     *reachability.Link // of a direct connection; nil for a relayed one
 	mu       sync.Mutex
 	writes   uint64
 	sealedBy error // returned by Write; nil: not sealed
@@ -27,7 +27,7 @@
 // Read implements net.Conn.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
+	if n > 0 && c.link != nil {
 		c.link.Heard(time.Now())
 	}
 	return n, err
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -93,7 +93,7 @@
 		cancel(err)
 		return nil, s, &Error{Target: t, Op: op, Err: err}
 	}
-	response, err := c.transport.RoundTrip(request.WithContext(s.withTrace(ctx)))
+	response, err := c.transport.RoundTrip(request.WithContext(s.withTrace(withTarget(ctx, t))))
 	if err == nil {
 		response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
 		return response, s, nil
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -21,10 +21,14 @@
 	// regards a long call as abandoned and cancels it.
 	Owner fleet.Owner
 	TLS   *tls.Config // nil: plain HTTP
-	// Dial opens connections to endpoints; nil: TCP.
+	// LocalIP is the source address of connections; nil: chosen by the kernel.
+	LocalIP net.IP
+	// Dial opens direct connections to endpoints; nil: TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Reachability records what connections show of the links to endpoints; nil: a table of its own.
 	Reachability *reachability.Tracker
+	// Relay opens connections over lost links; nil: none.
+	Relay reachability.Relay
 
 	DialTimeout             time.Duration
 	IdleConnTimeout         time.Duration // an idle connection is closed after this time
--- a/internal/engine/refused.go
+++ b/internal/engine/refused.go
@@ -8,7 +8,7 @@
 
 // RefusesConnections implements Client.
 func (c *HTTPClient) RefusesConnections(ctx context.Context, t Target) bool {
-	conn, err := c.transport.DialContext(ctx, "tcp", t.Address)
+	conn, err := c.transport.DialContext(withTarget(ctx, t), "tcp", t.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -202,9 +202,8 @@
 
 // DialDirect opens a direct connection to an endpoint that the pool doesn't keep.
 func (p *Pool) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	dialer := reachability.Dialer{Tracker: p.Reachability, Direct: p.dialDirect}
-	conn, _, err := dialer.Dial(ctx, address)
-	return conn, err
+	dialer := p.dialer()
+	return dialer.DialDirect(ctx, address)
 }
 
 func (p *Pool) dialDirect(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/reachability/dialer.go
+++ b/internal/reachability/dialer.go
@@ -94,6 +94,12 @@
 	return conn, err
 }
 
+// DialDirect opens a direct connection, whatever is known of the link.
+func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	conn, _, err := d.dialDirect(ctx, d.Tracker.Link(address))
+	return conn, err
+}
+
 func (d *Dialer) dialDirect(ctx context.Context, l *Link) (net.Conn, *Link, error) {
 	began := time.Now()
 	conn, err := d.Direct(ctx, l.address)
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -35,6 +35,7 @@
 	troubled atomic.Bool
 
 	mu          sync.Mutex // guards the fields below and those of each Link
+	onChange    func()     // nil for none
 	links       map[string]*Link
 	lost        int            // number of lost links
 	unheard     map[*Link]bool // lost since heardNs
@@ -46,6 +47,15 @@
 	return &Tracker{part: o.Part, metrics: newMetrics(o.Metrics), links: map[string]*Link{}, unheard: map[*Link]bool{}}
 }
 
+// OnChange has a function called, in a goroutine of its own, after open connections may have
+// become useless or a better way has opened: when a link is lost, other than by a refusal, or
+// works again. It replaces the function of an earlier call.
+func (t *Tracker) OnChange(call func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onChange = call
+}
+
 // Link returns the link to an address (host:port).
 func (t *Tracker) Link(address string) *Link {
 	t.mu.Lock()
@@ -96,6 +106,9 @@
 		return
 	}
 	l.loss = loss
+	if loss != Refused && t.onChange != nil {
+		go t.onChange()
+	}
 	switch {
 	case loss == NotLost:
 		delete(t.unheard, l)
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -3,6 +3,7 @@
 package tcpdial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -39,3 +40,11 @@
 	}
 	return optionErr
 }
+
+// Direct returns a function that opens TCP connections from a source address, which may be nil.
+func Direct(from net.IP) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := New(0, from)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
