reachability: unacknowledged bytes have the link tried, open connections are judged apart

Sent bytes that stay unacknowledged for 150 ms now have a new connection tried beside the request; if it gets no answer, the link is lost. A single lost packet no longer makes a link lost, nor an open connection that went silent alone, while new ones work. Bytes over open connections no longer end the loss of new ones, which in a cut where open ones live on made each new one wait again; open ones are used as long as they bring bytes.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -18,7 +18,8 @@
 // the same mutex: once seal has found no write, none can begin.
 type guardedConn struct {
 	net.Conn
-	link     *reachability.Link // of a direct connection; nil for a relayed one
+	link     *reachability.Link     // of a direct connection; nil for a relayed one
+	acks     *reachability.AckWatch // nil for a relayed one
 	mu       sync.Mutex
 	writes   uint64
 	sealedBy error // returned by Write; nil: not sealed
@@ -29,6 +30,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.link != nil {
 		c.link.Heard(time.Now())
+		c.acks.Stop()
 	}
 	return n, err
 }
@@ -38,6 +40,9 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
+	if c.acks != nil {
+		defer c.acks.Sent()
+	}
 	return c.Conn.Write(b)
 }
 
--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -38,6 +38,10 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, link: over}, nil
+		guarded := &guardedConn{Conn: conn, link: over}
+		if over != nil {
+			guarded.acks = reachability.NewAckWatch(conn, func() { dialer.Suspect(over) })
+		}
+		return guarded, nil
 	}
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -38,9 +38,9 @@
 	raw         net.Conn
 	reader      *bufio.Reader
 	address     string
-	link        *reachability.Link // of a direct connection; nil for a relayed one
-	tag         string             // of the latest request
-	served      bool               // an earlier request got a response
+	acks        *reachability.AckWatch
+	tag         string // of the latest request
+	served      bool   // an earlier request got a response
 	idleUntil   time.Time
 	isClosed    atomic.Bool
 	openedAt    time.Time
@@ -48,13 +48,17 @@
 	bodyWritten chan error // result of writing a body in the background; nil if none
 }
 
-// newConn returns a connection over a link, which may be nil.
-func newConn(raw net.Conn, address string, over *reachability.Link) *conn {
+// newConn returns a connection over a link, nil for a relayed one. suspect is called if bytes
+// that are sent over it don't arrive.
+func newConn(raw net.Conn, address string, over *reachability.Link, suspect func()) *conn {
 	var reader io.Reader = raw
 	if over != nil {
 		reader = heardReader{raw, over}
 	}
-	return &conn{raw: raw, reader: bufio.NewReaderSize(reader, readBufferBytes), address: address, link: over}
+	return &conn{
+		raw: raw, reader: bufio.NewReaderSize(reader, readBufferBytes), address: address,
+		acks: reachability.NewAckWatch(raw, suspect),
+	}
 }
 
 // relayedConn is a connection through a relay, which has no socket of its own to look at.
@@ -147,9 +151,9 @@
 		c.close()
 		return nil, &Failure{Sent: true, Reused: reused, Step: "write", Cause: err}
 	}
-	stopWatch := c.watchAcks()
+	c.acks.Sent()
 	head, err := c.readHead(r)
-	stopWatch()
+	c.acks.Stop()
 	if err != nil {
 		stop()
 		c.close()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -156,18 +156,17 @@
 	}
 }
 
-// fitsLink reports whether an idle connection is one that would be opened now: direct while the
-// link works, relayed while it is lost. A link over which new connections are refused may still
-// carry open ones.
+// fitsLink reports whether an idle connection may be used: a direct one while its link carries
+// it, a relayed one while new direct ones can't be opened.
 func (p *Pool) fitsLink(c *conn) bool {
 	if p.Relay == nil {
 		return true
 	}
-	loss := p.Reachability.Link(c.address).Loss()
+	over := p.Reachability.Link(c.address)
 	if c.isRelayed() {
-		return loss != reachability.NotLost
+		return over.Loss() != reachability.NotLost
 	}
-	return loss == reachability.NotLost || loss == reachability.Refused
+	return over.CarriesOpen()
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
@@ -190,7 +189,8 @@
 }
 
 func (p *Pool) newConn(raw net.Conn, address string, over *reachability.Link) *conn {
-	c := newConn(raw, address, over)
+	dialer := p.dialer()
+	c := newConn(raw, address, over, func() { dialer.Suspect(over) })
 	p.register(c)
 	return c
 }
--- a/internal/reachability/dialer.go
+++ b/internal/reachability/dialer.go
@@ -10,10 +10,9 @@
 	// relayAfter is how long a direct connection may take before a relay is asked; an endpoint
 	// in reach answers within milliseconds.
 	relayAfter = 150 * time.Millisecond
-	// probeInterval is the time between two direct connections that are tried over a lost link.
+	// probeInterval is the time between two direct connections that are tried over a link to
+	// find out whether it works.
 	probeInterval = time.Second
-	// probeTimeout limits one of them.
-	probeTimeout = 500 * time.Millisecond
 )
 
 // Relay opens connections to endpoints through another process.
@@ -33,8 +32,8 @@
 	Direct func(ctx context.Context, address string) (net.Conn, error)
 	// Relay is used for lost links; nil for none.
 	Relay Relay
-	// Keep takes a direct connection that was opened to find out whether a link works again;
-	// nil closes it.
+	// Keep takes a direct connection that was opened to find out whether a link works; nil
+	// closes it.
 	Keep func(address string, conn net.Conn, over *Link)
 	// AskAgain asks the relay also if it has just told that it can't reach the endpoint.
 	AskAgain bool
@@ -66,9 +65,7 @@
 // dialLost opens a connection while the link is lost. A relay that can't be had leaves the
 // direct way.
 func (d *Dialer) dialLost(ctx context.Context, l *Link) (net.Conn, *Link, error) {
-	if l.beginProbe(time.Now()) {
-		go d.probe(l)
-	}
+	d.Suspect(l)
 	conn, err := d.dialRelayed(ctx, l)
 	if err == nil {
 		return conn, nil, nil
@@ -111,9 +108,16 @@
 	return conn, l, nil
 }
 
-// probe tries a direct connection over a lost link.
+// Suspect has a direct connection tried beside requests to find out whether a link works.
+func (d *Dialer) Suspect(l *Link) {
+	if l.beginProbe(time.Now()) {
+		go d.probe(l)
+	}
+}
+
+// probe tries a direct connection.
 func (d *Dialer) probe(l *Link) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), relayAfter)
 	defer cancel()
 	conn, _, err := d.dialDirect(ctx, l)
 	switch {
--- a/internal/reachability/link.go
+++ b/internal/reachability/link.go
@@ -32,7 +32,7 @@
 	l.tracker.recordHeard(now)
 }
 
-// Heard records that bytes arrived over an open connection.
+// Heard records that bytes arrived over an open connection. New ones may fail all the same.
 func (l *Link) Heard(now time.Time) {
 	l.heardNs.Store(now.UnixNano())
 	l.tracker.heardNs.Store(now.UnixNano())
@@ -41,9 +41,6 @@
 	}
 	l.tracker.mu.Lock()
 	defer l.tracker.mu.Unlock()
-	if l.loss != Refused {
-		l.tracker.setLoss(l, now, NotLost)
-	}
 	l.tracker.recordHeard(now)
 }
 
@@ -83,6 +80,21 @@
 	return l.loss
 }
 
+// CarriesOpen reports whether connections that are open may still be used: the link works,
+// refuses new ones only, or brought bytes since new ones got no answer.
+func (l *Link) CarriesOpen() bool {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	heard := l.heardNs.Load()
+	switch {
+	case l.loss == Unanswered:
+		return heard > l.lostAt.UnixNano()
+	case l.loss == NotLost && l.tracker.isCutOff():
+		return heard >= l.tracker.cutOffSince.UnixNano()
+	}
+	return true
+}
+
 // beginProbe reports whether a direct connection is to be tried now to find out whether the
 // link works again.
 func (l *Link) beginProbe(now time.Time) bool {
--- a/internal/reachability/loss.go
+++ b/internal/reachability/loss.go
@@ -15,10 +15,8 @@
 	NotLost Loss = iota
 	// Unanswered: a new connection got no answer in time.
 	Unanswered
-	// Refused: a new connection was refused. Open connections may still work.
+	// Refused: a new connection was refused.
 	Refused
-	// Unacknowledged: bytes sent over an open connection were not acknowledged in time.
-	Unacknowledged
 )
 
 // String implements fmt.Stringer.
@@ -28,8 +26,6 @@
 		return "unanswered"
 	case Refused:
 		return "refused"
-	case Unacknowledged:
-		return "unacknowledged"
 	}
 	return "none"
 }
--- a/internal/reachability/metrics.go
+++ b/internal/reachability/metrics.go
@@ -19,7 +19,7 @@
 	return &metrics{
 		lost: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_reachability_lost_count",
-			Help: "Endpoints to which no new connection could be opened, or whose machine acknowledges nothing.",
+			Help: "Endpoints to which no new connection could be opened.",
 		}),
 		losses: with.NewCounterVec(prometheus.CounterOpts{
 			Name: "hyssopsail_reachability_losses_total",
