tunnel: a sibling that has lost its own link to an endpoint says so at once

It tells that it has no link now; the next sibling is asked, and the first stays good for others. TestSiblingsThatDontConnect has the case.

--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -77,6 +77,9 @@
 	return t.isCutOff()
 }
 
+// Unanswered reports whether new connections to an address get no answer.
+func (t *Tracker) Unanswered(address string) bool { return t.Link(address).Loss() == Unanswered }
+
 // HeardSince reports whether bytes arrived over any link, or a connection opened, since a time.
 func (t *Tracker) HeardSince(since time.Time) bool {
 	return t.heardNs.Load() >= since.UnixNano()
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -93,6 +93,9 @@
 	case c.IsEndpointFailure(err):
 		c.metrics.opened.WithLabelValues("endpoint-failed").Inc()
 		c.failed.RecordSuccess(sibling)
+	case errors.Is(err, errNoLink):
+		c.metrics.opened.WithLabelValues("no-link").Inc()
+		c.failed.RecordSuccess(sibling)
 	case ctx.Err() != nil:
 		c.metrics.opened.WithLabelValues("canceled").Inc()
 	default:
--- a/internal/tunnel/contract.go
+++ b/internal/tunnel/contract.go
@@ -29,6 +29,8 @@
 	errBroken = fmt.Errorf("the tunnel broke: %w", io.ErrUnexpectedEOF)
 	// errUnavailable means that a sibling opens no connections now.
 	errUnavailable = errors.New("the sibling opens no connections now")
+	// errNoLink means that a sibling has lost its own link to the endpoint.
+	errNoLink = errors.New("the sibling has no link to the endpoint")
 )
 
 // EndpointError means that a sibling could not connect to the endpoint. Its cause is that of a
@@ -52,6 +54,8 @@
 		return &EndpointError{Cause: syscall.ECONNREFUSED}
 	case pb.TunnelStatus_TUNNEL_STATUS_UNANSWERED:
 		return &EndpointError{Cause: syscall.ETIMEDOUT}
+	case pb.TunnelStatus_TUNNEL_STATUS_NO_LINK:
+		return errNoLink
 	}
 	return errUnavailable
 }
--- a/internal/tunnel/metrics.go
+++ b/internal/tunnel/metrics.go
@@ -13,6 +13,7 @@
 	pb.TunnelStatus_TUNNEL_STATUS_REFUSED:     "refused",
 	pb.TunnelStatus_TUNNEL_STATUS_UNANSWERED:  "unanswered",
 	pb.TunnelStatus_TUNNEL_STATUS_UNAVAILABLE: "unavailable",
+	pb.TunnelStatus_TUNNEL_STATUS_NO_LINK:     "no-link",
 }
 
 // serverMetrics holds the metrics of a Server.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -39,6 +39,8 @@
 type Reachability interface {
 	// CutOff reports whether it reaches none.
 	CutOff() bool
+	// Unanswered reports whether new connections to an address get no answer.
+	Unanswered(address string) bool
 	// HeardSince reports whether any endpoint was heard since a time.
 	HeardSince(since time.Time) bool
 }
@@ -90,6 +92,9 @@
 		s.options.Part.Warn("A sibling asked for an endpoint that isn't known here.", "address", first.Address)
 		return s.refuse(t, pb.TunnelStatus_TUNNEL_STATUS_UNAVAILABLE)
 	}
+	if s.options.Reachability.Unanswered(first.Address) {
+		return s.refuse(t, pb.TunnelStatus_TUNNEL_STATUS_NO_LINK)
+	}
 	began := time.Now()
 	t.conn, err = s.dial(stream.Context(), first.Address)
 	if err != nil {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -77,10 +77,12 @@
 }
 
 // links are the links of a sibling to endpoints.
-type links struct{ cutOff, hears bool }
+type links struct{ cutOff, hears, lost bool }
 
 func (l links) CutOff() bool { return l.cutOff }
 
+func (l links) Unanswered(string) bool { return l.lost }
+
 func (l links) HeardSince(time.Time) bool { return l.hears }
 
 type siblings []*sibling
@@ -172,11 +174,12 @@
 	assert.NilError(t, ended.listener.Close())
 	cutOff := newSibling(t, func(o *ServerOptions) { o.Reachability = links{cutOff: true} })
 	unaware := newSibling(t, func(o *ServerOptions) { o.Knows = func(string) bool { return false } })
+	lost := newSibling(t, func(o *ServerOptions) { o.Reachability = links{hears: true, lost: true} })
 	good := newSibling(t, nil)
 	killed := newSibling(t, nil)
 	killed.kill()
 
-	for name, bad := range map[string]*sibling{"cut off": cutOff, "unaware": unaware, "killed": killed} {
+	for name, bad := range map[string]*sibling{"cut off": cutOff, "without a link": lost, "unaware": unaware, "killed": killed} {
 		t.Run(name, func(t *testing.T) { open(t, newClient(t, bad, good), e) })
 	}
 	_, err := newClient(t, cutOff, unaware).Dial(t.Context(), e.address())
