--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -35,19 +35,17 @@
 
 // conn is a connection that carries one request at a time.
 type conn struct {
-	raw          net.Conn
-	reader       *bufio.Reader
-	address      string
-	acks         *reachability.AckWatch
-	tag          string // of the latest request
-	served       bool   // an earlier request got a response
-	idleUntil    time.Time
-	isClosed     atomic.Bool
-	endsWithLink atomic.Bool // the current request ends once the link is lost
-	linkLost     atomic.Bool // closed since the link was lost
-	openedAt     time.Time
-	onClose      func()     // called once, when the connection is closed; may be nil
-	bodyWritten  chan error // result of writing a body in the background; nil if none
+	raw         net.Conn
+	reader      *bufio.Reader
+	address     string
+	acks        *reachability.AckWatch
+	tag         string // of the latest request
+	served      bool   // an earlier request got a response
+	idleUntil   time.Time
+	isClosed    atomic.Bool
+	openedAt    time.Time
+	onClose     func()     // called once, when the connection is closed; may be nil
+	bodyWritten chan error // result of writing a body in the background; nil if none
 }
 
 // newConn returns a connection over a link, nil for a relayed one. suspect is called if bytes
@@ -147,12 +145,11 @@
 func (c *conn) exchange(ctx context.Context, r *Request) (*Response, error) {
 	reused := c.served
 	c.tag = r.Tag
-	c.endsWithLink.Store(r.EndWithLink)
 	stop := context.AfterFunc(ctx, c.close)
 	if err := c.write(r); err != nil {
 		stop()
 		c.close()
-		return nil, &Failure{Sent: true, Reused: reused, Step: "write", Cause: c.causeOf(err)}
+		return nil, &Failure{Sent: true, Reused: reused, Step: "write", Cause: err}
 	}
 	c.acks.Sent()
 	head, err := c.readHead(r)
@@ -164,7 +161,7 @@
 		if errors.Is(err, errStrayResponse) {
 			step = "mismatch"
 		}
-		return nil, &Failure{Sent: true, Reused: reused, Step: step, Cause: contextCauseOr(ctx, c.causeOf(err))}
+		return nil, &Failure{Sent: true, Reused: reused, Step: step, Cause: contextCauseOr(ctx, err)}
 	}
 	c.served = true
 	return &Response{
@@ -177,17 +174,6 @@
 	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
 }
 
-// ErrLinkLost means that a request or response ended since the link to the endpoint was lost.
-var ErrLinkLost = errors.New("the link to the endpoint is lost")
-
-// causeOf returns ErrLinkLost if the connection was closed for that, and err otherwise.
-func (c *conn) causeOf(err error) error {
-	if c.linkLost.Load() {
-		return ErrLinkLost
-	}
-	return err
-}
-
 // contextCauseOr returns the cause of ctx's end if it has ended, and err otherwise.
 func contextCauseOr(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -55,31 +55,13 @@
 	return false
 }
 
-// EndWithLostLinks ends the requests that don't outlast their link, over links that are lost.
-func (p *Pool) EndWithLostLinks() {
-	for _, c := range p.openedBefore("", time.Now()) {
-		if c.endsWithLink.Load() && !c.isRelayed() && !p.Reachability.Link(c.address).CarriesOpen() {
-			c.linkLost.Store(true)
-			c.close()
-		}
-	}
-}
-
-// openedBefore returns the connections to an address, or to all if it is empty, that were
-// opened before a time.
 func (p *Pool) openedBefore(address string, before time.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lists := map[string]map[*conn]bool{address: p.open[address]}
-	if address == "" {
-		lists = p.open
-	}
 	var older []*conn
-	for _, list := range lists {
-		for c := range list {
-			if c.openedAt.Before(before) {
-				older = append(older, c)
-			}
+	for c := range p.open[address] {
+		if c.openedAt.Before(before) {
+			older = append(older, c)
 		}
 	}
 	return older
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -20,9 +20,6 @@
 	// Tag identifies the request's attempt. A connection whose previous request
 	// had the same tag is not reused: a second response to that request would match.
 	Tag string
-	// EndWithLink fails the request, or its response, once the link to the endpoint is lost,
-	// rather than wait for the link.
-	EndWithLink bool
 }
 
 // appendHead writes the request line and the header.
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -38,7 +38,6 @@
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
-		err = r.conn.causeOf(err)
 	}
 	return n, err
 }
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -156,9 +156,6 @@
 		}
 	}
 	t.updateTroubled()
-	if t.onChange != nil {
-		go t.onChange()
-	}
 	t.metrics.cutOff.Set(1)
 	t.metrics.cutOffs.Inc()
 	t.part.Warn("Cut off from all endpoints.", "lost", len(t.unheard))
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -67,7 +67,6 @@
 	LastEventID   string        // resume after this event; empty for that of the Exchange
 	Priority      int           // 0 to 9, 0 is the most urgent; -1 to omit it
 	NewConnection bool          // over a new connection
-	EndWithLink   bool          // fails once the link to the endpoint is lost: it may be sent elsewhere
 }
 
 // Source is where the KV cache of a request is.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -179,15 +179,10 @@
 func (ex *activeExchange) newCall(e *dispatch.Endpoint) *Call {
 	return &Call{
 		Exchange: ex.exchange, Team: teamName(ex.team), Endpoint: e, TimeLeft: time.Until(ex.deadline) - networkMargin, Priority: noPriority,
-		NewConnection: ex.attempts > 0, LastEventID: ex.lastEventID, EndWithLink: ex.mayRunElsewhere(),
+		NewConnection: ex.attempts > 0, LastEventID: ex.lastEventID,
 	}
 }
 
-// mayRunElsewhere reports whether the exchange may be sent on after its next attempt has run.
-func (ex *activeExchange) mayRunElsewhere() bool {
-	return ex.route.Repeatable() && ex.runs+1 < ex.route.MaxAttempts
-}
-
 // sendAttempt makes one attempt and records its result. A stream is forwarded as it
 // arrives.
 func (ex *activeExchange) sendAttempt(ctx context.Context, c *Call) attemptResult {
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -118,7 +118,7 @@
 // that was accepted doesn't; one without an answer may have arrived, and does.
 func (ex *activeExchange) sendPrefill(ctx context.Context, e *dispatch.Endpoint) (result *prefilledPrompt, outcome dispatch.Outcome, arrived bool) {
 	call := ex.newCall(e)
-	call.Prefill, call.EndWithLink = true, true
+	call.Prefill = true
 	call.Priority = ex.priority()
 	ex.recordAttempt(e, attemptPrefill)
 	sent := time.Now()
