--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -33,7 +33,7 @@
 	accepted chan net.Conn
 }
 
-func newEndpoint(t *testing.T) *endpoint {
+func newEndpoint(t testing.TB) *endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -57,7 +57,7 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 }
 
-func newSibling(t *testing.T, change func(*ServerOptions)) *sibling {
+func newSibling(t testing.TB, change func(*ServerOptions)) *sibling {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -95,7 +95,7 @@
 	return list
 }
 
-func newClient(t *testing.T, all ...*sibling) *Client {
+func newClient(t testing.TB, all ...*sibling) *Client {
 	t.Helper()
 	pool := rpc.NewPool(nil, nil)
 	t.Cleanup(func() { _ = pool.Close() })
