backoff: one way to call one of several peers

quota, endpointlimit and retrypool each had the same dial, timeout, shuffle and pause after a failure, and the directory of siblings was the fourth. Behaviour stays; the tests of all four pass unchanged.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -1,4 +1,5 @@
-// Package backoff tracks which peers have failed and for how long each is skipped.
+// Package backoff tracks which peers have failed and for how long each is skipped, and calls one
+// of several peers accordingly.
 package backoff
 
 import (
--- a/internal/endpointlimit/client.go
+++ b/internal/endpointlimit/client.go
@@ -41,27 +41,21 @@
 	reportTimeout = 400 * time.Millisecond
 )
 
-// Dialer connects to control instances.
-type Dialer interface {
-	Conn(ctx context.Context, address string) (drpc.Conn, error)
-}
-
 // Client requests permits from limit servers for one entry. Its LimitView is the entry's
 // view of endpoints' limits. It is safe for concurrent use.
 type Client struct {
 	*LimitView
-	dialer        Dialer
-	members       func() []string
-	shuffle       func(n int, swap func(i, j int))
-	serverBackoff *backoff.Peers
+	dialer  backoff.Dialer
+	members func() []string
+	servers *backoff.Caller
 }
 
 // NewClient returns a Client. members returns the addresses of the control instances. shuffle
 // must be safe for concurrent use.
-func NewClient(dialer Dialer, members func() []string, shuffle func(n int, swap func(i, j int))) *Client {
+func NewClient(dialer backoff.Dialer, members func() []string, shuffle func(n int, swap func(i, j int))) *Client {
 	return &Client{
-		LimitView: NewLimitView(), dialer: dialer, members: members, shuffle: shuffle,
-		serverBackoff: backoff.New(minBackoff, maxBackoff),
+		LimitView: NewLimitView(), dialer: dialer, members: members,
+		servers: backoff.NewCaller(backoff.CallerOptions{Dialer: dialer, Shuffle: shuffle, Timeout: permitTimeout, MinPause: minBackoff, MaxPause: maxBackoff}),
 	}
 }
 
@@ -93,40 +87,28 @@
 // limitServers returns an endpoint's limit servers in random order, so that their shares are
 // used evenly.
 func (c *Client) limitServers(e Endpoint) []string {
-	servers := LimitServers(c.members(), e)
-	c.shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	return servers
+	return c.servers.Shuffled(LimitServers(c.members(), e))
 }
 
 // requestPermit requests a permit from one limit server and merges the limit that it knows.
 // ok is false if there is no answer.
 func (c *Client) requestPermit(ctx context.Context, server string, e Endpoint) (reply *pb.TakePermitReply, ok bool) {
 	sentAt := time.Now()
-	if ctx.Err() != nil || !c.serverBackoff.Available(server, sentAt) {
+	if ctx.Err() != nil {
 		return nil, false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	reply, err := c.call(callCtx, server, &pb.TakePermitRequest{Endpoint: e.ID, Born: e.Born, Heard: toWire(sentAt, c.Limit(e))})
+	request := &pb.TakePermitRequest{Endpoint: e.ID, Born: e.Born, Heard: toWire(sentAt, c.Limit(e))}
+	err := c.servers.Call(ctx, server, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = pb.NewDRPCLimitKeeperClient(conn).TakePermit(ctx, request)
+		return err
+	})
 	if err != nil {
-		if ctx.Err() == nil {
-			c.serverBackoff.RecordFailure(server, time.Now())
-		}
 		return nil, false
 	}
-	c.serverBackoff.RecordSuccess(server)
 	c.merge(e, fromWire(sentAt, reply.Heard))
 	return reply, true
 }
 
-func (c *Client) call(ctx context.Context, server string, r *pb.TakePermitRequest) (*pb.TakePermitReply, error) {
-	conn, err := c.dialer.Conn(ctx, server)
-	if err != nil {
-		return nil, err
-	}
-	return pb.NewDRPCLimitKeeperClient(conn).TakePermit(ctx, r)
-}
-
 // ReportLimit reports the entry's view of an endpoint's limit to the endpoint's limit servers.
 func (c *Client) ReportLimit(ctx context.Context, e Endpoint) error {
 	var errs []error
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,18 +39,12 @@
 	returnTimeout = 400 * time.Millisecond
 )
 
-// Dialer connects to control instances.
-type Dialer interface {
-	Conn(ctx context.Context, address string) (drpc.Conn, error)
-}
-
 // Client takes quota from the quota servers on behalf of an entry. It is safe for concurrent
 // use if shuffle is.
 type Client struct {
-	dialer  Dialer
+	dialer  backoff.Dialer
 	members func() []string
-	shuffle func(n int, swap func(i, j int))
-	peers   *backoff.Peers
+	servers *backoff.Caller
 
 	mu        sync.Mutex
 	exhausted map[string]map[string]time.Time // by team and server: until when nothing is left there
@@ -59,9 +52,10 @@
 
 // NewClient returns a Client; members returns the addresses of the control instances. shuffle
 // must use a source of random numbers that is safe for concurrent use.
-func NewClient(dialer Dialer, members func() []string, shuffle func(n int, swap func(i, j int))) *Client {
+func NewClient(dialer backoff.Dialer, members func() []string, shuffle func(n int, swap func(i, j int))) *Client {
 	return &Client{
-		dialer: dialer, members: members, shuffle: shuffle, peers: backoff.New(minBackoff, maxBackoff),
+		dialer: dialer, members: members,
+		servers:   backoff.NewCaller(backoff.CallerOptions{Dialer: dialer, Shuffle: shuffle, Timeout: serverTimeout, MinPause: minBackoff, MaxPause: maxBackoff}),
 		exhausted: map[string]map[string]time.Time{},
 	}
 }
@@ -87,7 +81,7 @@
 // ErrNoQuotaServer.
 func (c *Client) Take(ctx context.Context, team string, limit Limit, cost float64) (Grant, error) {
 	exhausted, failed := 0, 0
-	for _, server := range c.shuffledServers() {
+	for _, server := range c.servers.Shuffled(c.members()) {
 		if failed == maxFailedServers || ctx.Err() != nil {
 			break
 		}
@@ -109,21 +103,16 @@
 }
 
 func (c *Client) takeFrom(ctx context.Context, server, team string, limit Limit, cost float64) (Grant, takeOutcome) {
-	now := time.Now()
 	switch {
-	case !c.peers.Available(server, now):
+	case !c.servers.Available(server):
 		return Grant{}, outcomeSkipped
-	case c.isExhausted(team, server, now):
+	case c.isExhausted(team, server, time.Now()):
 		return Grant{}, outcomeExhausted
 	}
 	reply, err := c.callTake(ctx, server, team, limit, cost)
 	if err != nil {
-		if ctx.Err() == nil {
-			c.peers.RecordFailure(server, time.Now())
-		}
 		return Grant{}, outcomeFailed
 	}
-	c.peers.RecordSuccess(server)
 	if reply.Grant == 0 {
 		c.markExhausted(team, server, time.Now(), time.Duration(reply.AgainMs)*time.Millisecond)
 		return Grant{}, outcomeExhausted
@@ -131,24 +120,15 @@
 	return Grant{Team: team, server: server, id: reply.Grant}, outcomeGranted
 }
 
-// shuffledServers returns the servers in random order, so that entries use all shares evenly.
-func (c *Client) shuffledServers() []string {
-	servers := slices.Clone(c.members())
-	c.shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	return servers
-}
-
-func (c *Client) callTake(ctx context.Context, server, team string, limit Limit, cost float64) (*pb.TakeQuotaReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, serverTimeout)
-	defer cancel()
-	conn, err := c.dialer.Conn(ctx, server)
-	if err != nil {
-		return nil, err
-	}
-	return pb.NewDRPCQuotaKeeperClient(conn).TakeQuota(ctx, &pb.TakeQuotaRequest{
-		Team: team, Version: limit.Version, PerSecond: limit.PerSecond, Burst: limit.Burst, Cost: cost,
-		ExtraPerSecond: limit.ExtraPerSecond, Debt: limit.Debt, Reserve: limit.Reserve,
+func (c *Client) callTake(ctx context.Context, server, team string, limit Limit, cost float64) (reply *pb.TakeQuotaReply, err error) {
+	err = c.servers.Call(ctx, server, func(ctx context.Context, conn drpc.Conn) (err error) {
+		reply, err = pb.NewDRPCQuotaKeeperClient(conn).TakeQuota(ctx, &pb.TakeQuotaRequest{
+			Team: team, Version: limit.Version, PerSecond: limit.PerSecond, Burst: limit.Burst, Cost: cost,
+			ExtraPerSecond: limit.ExtraPerSecond, Debt: limit.Debt, Reserve: limit.Reserve,
+		})
+		return err
 	})
+	return reply, err
 }
 
 // isExhausted reports whether a server is known to have nothing left. It is then not asked
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -28,7 +28,7 @@
 
 // ClientOptions configures a Client.
 type ClientOptions struct {
-	Dialer    Dialer
+	Dialer    backoff.Dialer
 	Directory Directory
 	Shuffle   func(n int, swap func(i, j int)) // safe for concurrent use
 	Part      logging.Part
--- a/internal/tunnel/contract.go
+++ b/internal/tunnel/contract.go
@@ -8,16 +8,9 @@
 	"net"
 	"syscall"
 
-	"storj.io/drpc"
-
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
-// Dialer connects to other processes of the fleet.
-type Dialer interface {
-	Conn(ctx context.Context, address string) (drpc.Conn, error)
-}
-
 // DialFunc opens a direct connection to an endpoint.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/tunnel/siblings.go
+++ b/internal/tunnel/siblings.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
-	"slices"
+	"errors"
 	"sync"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/hyssopsail/hyssopsail/internal/backoff"
+	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
@@ -29,74 +32,81 @@
 	Siblings(ctx context.Context) []string
 }
 
-// ControlDirectory asks control instances for siblings. It is safe for concurrent use if
-// Shuffle is.
+// ControlDirectory asks control instances for siblings. It is safe for concurrent use.
 type ControlDirectory struct {
-	Dialer  Dialer
+	options   ControlDirectoryOptions
+	instances *backoff.Caller
+
+	mu      sync.Mutex // guards the fields below
+	known   []string
+	askedAt time.Time
+}
+
+// ControlDirectoryOptions configures a ControlDirectory.
+type ControlDirectoryOptions struct {
+	Dialer  backoff.Dialer
 	Members func() []string // addresses of the control instances
 	Shuffle func(n int, swap func(i, j int))
 	Entry   string // ID of this entry
 	Zone    string // of this entry
+	Part    logging.Part
+}
 
-	once   sync.Once
-	failed *backoff.Peers // control instances
-
-	mu      sync.Mutex // guards the fields below
-	known   []string
-	askedAt time.Time
+// NewControlDirectory returns a ControlDirectory.
+func NewControlDirectory(o ControlDirectoryOptions) *ControlDirectory {
+	return &ControlDirectory{options: o, instances: backoff.NewCaller(backoff.CallerOptions{
+		Dialer: o.Dialer, Shuffle: o.Shuffle, Timeout: askTimeout, MinPause: minMemberPause, MaxPause: maxMemberPause,
+	})}
 }
 
 // Siblings implements Directory. Without an answer it returns those that were known before.
 func (d *ControlDirectory) Siblings(ctx context.Context) []string {
-	d.once.Do(func() { d.failed = backoff.New(minMemberPause, maxMemberPause) })
-	now := time.Now()
-	d.mu.Lock()
-	known, isFresh := d.known, now.Sub(d.askedAt) < siblingsTTL
-	d.mu.Unlock()
-	if isFresh && len(known) > 0 {
+	known, isFresh := d.latest(time.Now())
+	if isFresh {
 		return known
 	}
-	if list := d.askAll(ctx); len(list) > 0 {
-		d.mu.Lock()
-		d.known, d.askedAt = list, now
-		d.mu.Unlock()
-		return list
+	list := d.askAll(ctx)
+	if len(list) == 0 {
+		return known
 	}
-	return known
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known, d.askedAt = list, time.Now()
+	return list
+}
+
+func (d *ControlDirectory) latest(now time.Time) (known []string, isFresh bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known, len(d.known) > 0 && now.Sub(d.askedAt) < siblingsTTL
 }
 
 func (d *ControlDirectory) askAll(ctx context.Context) []string {
-	members := slices.Clone(d.Members())
-	d.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	asked := 0
-	for _, member := range members {
+	for _, instance := range d.instances.Shuffled(d.options.Members()) {
 		if asked == maxAsked || ctx.Err() != nil {
 			return nil
 		}
-		if !d.failed.Available(member, time.Now()) {
+		list, err := d.ask(ctx, instance)
+		if errors.Is(err, backoff.ErrSkipped) {
 			continue
 		}
-		asked++
-		list, err := d.ask(ctx, member)
-		if err != nil && ctx.Err() == nil {
-			d.failed.RecordFailure(member, time.Now())
-			continue
+		if err != nil {
+			d.options.Part.Info("A control instance named no siblings.", "instance", instance, "err", err)
 		}
-		d.failed.RecordSuccess(member)
 		if len(list) > 0 {
 			return list
 		}
+		asked++
 	}
 	return nil
 }
 
-func (d *ControlDirectory) ask(ctx context.Context, member string) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	conn, err := d.Dialer.Conn(ctx, member)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := pb.NewDRPCCoordinatorClient(conn).Siblings(ctx, &pb.SiblingsRequest{Entry: d.Entry, Zone: d.Zone})
-	return reply.GetAddresses(), err
+func (d *ControlDirectory) ask(ctx context.Context, instance string) (list []string, err error) {
+	err = d.instances.Call(ctx, instance, func(ctx context.Context, conn drpc.Conn) error {
+		reply, err := pb.NewDRPCCoordinatorClient(conn).Siblings(ctx, &pb.SiblingsRequest{Entry: d.options.Entry, Zone: d.options.Zone})
+		list = reply.GetAddresses()
+		return err
+	})
+	return list, err
 }
