relay: an entry that hears no endpoint tells homes of none

Entries that are cut off say so of one endpoint after another, and what one entry can't reach stays open to the others. An entry that has heard no endpoint since it tried now only gives the place back. TestEntryThatIsCutOffTellsNothingOfEndpoints failed before ('unreachable' instead of 'done').

--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -64,9 +64,10 @@
 		ex.settleAllocation(assigned, allocation.OutcomeDone)
 		return nil
 	}
+	asked := time.Now()
 	reservationID, err := ex.reserveMemory(ctx, e)
 	if err != nil {
-		ex.settleAllocation(assigned, reserveOutcome(ctx, err))
+		ex.settleAllocation(assigned, ex.witnessed(reserveOutcome(ctx, err), asked))
 		return nil
 	}
 	at := ex.keepIfPermitted(ctx, &placement{endpoint: e, reservationID: reservationID, allocated: &assigned})
@@ -121,7 +122,7 @@
 	}
 	assigned := *ex.allocated
 	ex.allocated = nil
-	ex.settleAllocation(assigned, allocationOutcome(o))
+	ex.settleAllocation(assigned, ex.witnessed(allocationOutcome(o), ex.progress.sentAt))
 }
 
 // prefillDelayTolerance is how much later than promised a prefill may end without a report
@@ -133,14 +134,24 @@
 	if ex.allocated == nil || allocationOutcome(o) == allocation.OutcomeDone && took < ex.allocated.PrefillBacklog+prefillTime+prefillDelayTolerance {
 		return
 	}
-	assigned := *ex.allocated
+	assigned, reported := *ex.allocated, ex.witnessed(allocationOutcome(o), time.Now().Add(-took))
 	ex.releaseAsync(func(ctx context.Context) {
-		if err := ex.router.options.Allocator.Read(ctx, assigned, allocationOutcome(o), prefillTime, took); err != nil {
+		if err := ex.router.options.Allocator.Read(ctx, assigned, reported, prefillTime, took); err != nil {
 			ex.router.options.Part.Debug("Could not report a prefill delay.", "request", assigned.Exchange, "home", assigned.Home, "err", err)
 		}
 	})
 }
 
+// witnessed returns what this entry tells others of an endpoint that it used since a time. An
+// entry that has heard no endpoint since may be cut off itself, and tells nothing of one that it
+// did not reach.
+func (ex *activeExchange) witnessed(o allocation.Outcome, since time.Time) allocation.Outcome {
+	if o == allocation.OutcomeUnreachable && !ex.router.options.Endpoints.HeardSince(since) {
+		return allocation.OutcomeDone
+	}
+	return o
+}
+
 // allocationOutcome maps the outcome of a call to what other entries need to know about
 // its endpoint. A lost answer says nothing about it: healthy endpoints lose some, and a
 // small fleet can't do without them.
--- a/internal/relay/allocate_test.go
+++ b/internal/relay/allocate_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -141,7 +142,7 @@
 func TestEndpointThatIsNotKnownHereYet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(stream).withModel()
-		h := &homeWithUnknownEndpoint{}
+		h := &homeOfOneEndpoint{}
 		fx.router.options.Allocator = h
 		fx.serve(t, newModelExchange())
 		synctest.Wait()
@@ -151,30 +152,57 @@
 	})
 }
 
-// homeWithUnknownEndpoint is a home that names an endpoint that is unknown elsewhere.
-type homeWithUnknownEndpoint struct {
+// Guards against endpoints that no entry is given any more, since entries that are cut off from
+// them say that they can't be reached: they hear no endpoint at all.
+func TestEntryThatIsCutOffTellsNothingOfEndpoints(t *testing.T) {
+	for name, test := range map[string]struct {
+		hearsNone bool
+		want      allocation.Outcome
+	}{
+		"it hears others": {false, allocation.OutcomeUnreachable},
+		"it hears none":   {true, allocation.OutcomeDone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(stream, fails(false)).withModel()
+				fx.endpoints.hearsNone = test.hearsNone
+				fx.endpoints.reserveErrors = []error{&SendError{Cause: errCut}}
+				h := &homeOfOneEndpoint{endpoint: "e1"}
+				fx.router.options.Allocator = h
+				fx.serve(t, newModelExchange())
+				synctest.Wait()
+				assert.DeepEqual(t, h.settled, []allocation.Outcome{test.want})
+			})
+		})
+	}
+}
+
+// homeOfOneEndpoint is a home that names one endpoint, once; by default one that is unknown
+// elsewhere.
+type homeOfOneEndpoint struct {
+	endpoint string // ID; empty: "new"
 	mu       sync.Mutex
 	requests []allocation.ReservationRequest
 	settled  []allocation.Outcome
 }
 
-func (h *homeWithUnknownEndpoint) Allot(_ context.Context, _ string, request allocation.ReservationRequest, _ time.Duration) (allocation.Reservation, error) {
+func (h *homeOfOneEndpoint) Allot(_ context.Context, _ string, request allocation.ReservationRequest, _ time.Duration) (allocation.Reservation, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.requests = append(h.requests, request)
 	if len(h.requests) > 1 {
 		return allocation.Reservation{}, allocation.ErrNoHome
 	}
-	return allocation.Reservation{Placement: allocation.Placement{Endpoint: "new"}}, nil
+	return allocation.Reservation{Placement: allocation.Placement{Endpoint: cmp.Or(h.endpoint, "new")}}, nil
 }
 
-func (h *homeWithUnknownEndpoint) Settle(_ context.Context, _ allocation.Reservation, o allocation.Outcome) error {
+func (h *homeOfOneEndpoint) Settle(_ context.Context, _ allocation.Reservation, o allocation.Outcome) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.settled = append(h.settled, o)
 	return nil
 }
 
-func (h *homeWithUnknownEndpoint) Read(context.Context, allocation.Reservation, allocation.Outcome, time.Duration, time.Duration) error {
+func (h *homeOfOneEndpoint) Read(context.Context, allocation.Reservation, allocation.Outcome, time.Duration, time.Duration) error {
 	return nil
 }
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -133,6 +133,9 @@
 	// RefusesConnections reports whether the endpoint's machine refuses a new connection, as
 	// it does once the endpoint's process has ended. It is false if no answer comes.
 	RefusesConnections(ctx context.Context, e *dispatch.Endpoint) bool
+	// HeardSince reports whether any endpoint was heard since a time, over links of this
+	// process.
+	HeardSince(since time.Time) bool
 }
 
 // CrashTracker knows which requests crash endpoints, across all entries. It is safe for
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -80,6 +80,7 @@
 	releaseDelay         time.Duration
 	connectionsOpen      bool // connections outlive a loss
 	refuses              bool // new connections
+	hearsNone            bool // the entry hears no endpoint
 }
 
 func (f *fakeEndpoints) Send(_ context.Context, c *Call) (*Reply, error) {
@@ -133,6 +134,8 @@
 	return f.refuses
 }
 
+func (f *fakeEndpoints) HeardSince(time.Time) bool { return !f.hearsNone }
+
 func (f *fakeEndpoints) keepOpen(open bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
