relay: a lost link is no crash of the endpoint

After a loss without open connections the entry now tries a direct connection, as a crashed process refuses it and a lost link doesn't answer; the connection that opens is kept. TestLossOfTheLinkIsNoCrash fails without it: a caller is refused, as the request counts as one that crashes endpoints.

--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -5,6 +5,8 @@
 	"errors"
 	"syscall"
 	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/reachability"
 )
 
 // register adds an open connection to the pool; closing the connection removes it.
@@ -55,6 +57,19 @@
 	return false
 }
 
+// IsUnanswered reports whether a new direct connection to address gets no answer. One that is
+// opened is kept for reuse.
+func (p *Pool) IsUnanswered(ctx context.Context, address string) bool {
+	dialer := p.dialer()
+	dialer.Relay = nil
+	c, err := p.dialWith(ctx, dialer, address)
+	if err != nil {
+		return reachability.LossOfDial(err) == reachability.Unanswered
+	}
+	p.putIdle(c, 0)
+	return false
+}
+
 func (p *Pool) openedBefore(address string, before time.Time) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -133,6 +133,9 @@
 	// RefusesConnections reports whether the endpoint's machine refuses a new connection, as
 	// it does once the endpoint's process has ended. It is false if no answer comes.
 	RefusesConnections(ctx context.Context, e *dispatch.Endpoint) bool
+	// IsLinkLost reports whether a new direct connection to the endpoint gets no answer. It is
+	// false if the connection is refused.
+	IsLinkLost(ctx context.Context, e *dispatch.Endpoint) bool
 	// HeardSince reports whether any endpoint was heard since a time, over links of this
 	// process.
 	HeardSince(since time.Time) bool
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -31,6 +31,19 @@
 	assert.Assert(t, len(fx.endpoints.calls) <= maxCrashes, "%d endpoints were crashed", len(fx.endpoints.calls))
 }
 
+// Guards against refusing a request whose connections were reset since its entry was cut off
+// from the endpoints.
+func TestLossOfTheLinkIsNoCrash(t *testing.T) {
+	fx := newFixture(idempotent, slices.Repeat([]answer{crash}, 20)...)
+	fx.endpoints.linkLost = true
+	for range 5 {
+		_, refusal := fx.serve(t, newExchange())
+		assert.Equal(t, refusal.Verdict, VerdictUnknown)
+	}
+	assert.Equal(t, len(fx.endpoints.calls), 10, "two attempts each")
+	assert.Assert(t, !fx.crashes.HasFindings())
+}
+
 // crash is how the connection breaks when a request crashes its endpoint.
 func crash(*Call) (*Reply, error) { return nil, &SendError{Sent: true, Cause: syscall.ECONNRESET} }
 
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -81,6 +81,7 @@
 	connectionsOpen      bool // connections outlive a loss
 	refuses              bool // new connections
 	hearsNone            bool // the entry hears no endpoint
+	linkLost             bool // new connections get no answer
 }
 
 func (f *fakeEndpoints) Send(_ context.Context, c *Call) (*Reply, error) {
@@ -134,6 +135,8 @@
 	return f.refuses
 }
 
+func (f *fakeEndpoints) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return f.linkLost }
+
 func (f *fakeEndpoints) HeardSince(time.Time) bool { return !f.hearsNone }
 
 func (f *fakeEndpoints) keepOpen(open bool) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,7 +26,9 @@
 	lostAttempts *prometheus.CounterVec
 	// outlivedLosses counts those whose endpoint kept running.
 	outlivedLosses prometheus.Counter
-	quarantined    prometheus.Counter
+	// linkLosses counts those whose link to the endpoint was lost.
+	linkLosses  prometheus.Counter
+	quarantined prometheus.Counter
 	// closeDelimited counts answers whose body ends with the connection.
 	closeDelimited *prometheus.CounterVec
 	// leftToExpire counts releases that were skipped because the releaser had no free slot.
@@ -92,6 +94,10 @@
 			Name: "hyssopsail_relay_outlived_losses_total",
 			Help: "Lost sends whose endpoint kept other connections: it may have lost an answer only.",
 		}),
+		linkLosses: with.NewCounter(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_link_losses_total",
+			Help: "Lost sends after which the endpoint's machine did not answer a new connection: the link was lost.",
+		}),
 		quarantined: with.NewCounter(prometheus.CounterOpts{
 			Name: "hyssopsail_relay_quarantined_total",
 			Help: "Exchanges that were not sent, or not sent on, since their request crashes endpoints.",
