--- a/internal/relay/losswatch.go
+++ b/internal/relay/losswatch.go
@@ -11,8 +11,9 @@
 // maxWatchedLosses limits the losses that are watched at a time; more are reported at once.
 const maxWatchedLosses = 256
 
-// linkCheckTimeout limits the check whether the link to an endpoint is lost.
-const linkCheckTimeout = 300 * time.Millisecond
+// linkCheckTimeout limits the check whether the link to an endpoint is lost. The request waits
+// for it before it is sent again, so that a crash counts by then.
+const linkCheckTimeout = 150 * time.Millisecond
 
 // lossCheckIntervals are the pauses between checks for other open connections to an
 // endpoint after a loss. If it crashed, they close within milliseconds, or within a second
