--- a/internal/provision/executor.go
+++ b/internal/provision/executor.go
@@ -90,13 +90,16 @@
 // the given time.
 func (e *executor) drain(ctx context.Context, id string, change Change, within time.Duration) bool {
 	deadline := e.options.Now().Add(within)
+	var latest *pb.QuiesceReply
+	var err error
 	for ctx.Err() == nil && e.options.Now().Before(deadline) {
-		reply, err := e.quiesce(ctx, id, change, stopDuration)
-		if err == nil && reply.GetIdle() {
+		latest, err = e.quiesce(ctx, id, change, stopDuration)
+		if err == nil && latest.GetIdle() {
 			return true
 		}
 		sleep.For(ctx, idlePollInterval)
 	}
+	e.options.Part.Warn("The endpoint didn't become idle in time.", "endpoint", change.Engine.Target.ID, "order", id, "reason", latest.GetReason(), "err", err)
 	return false
 }
 
--- a/internal/provision/server.go
+++ b/internal/provision/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,16 +34,20 @@
 	life := time.Duration(min(in.GetLifeMs(), uint64(maxStopDuration.Milliseconds()))) * time.Millisecond
 	id := fleet.EndpointID(in.GetEndpointId())
 	if _, home := s.home.find(ctx, in.GetEndpointId()); !home && life > 0 {
-		return &pb.QuiesceReply{}, nil
+		return &pb.QuiesceReply{Reason: "the endpoint is unknown at its home"}, nil
 	}
 	stopped, noneInFlight := s.home.gate.stop(time.Now(), id, in.GetOrderId(), life)
 	if !stopped {
-		return &pb.QuiesceReply{}, nil
+		return &pb.QuiesceReply{Reason: "stopped by another order, or too many stops"}, nil
 	}
 	// Read after the stop: a grant that this doesn't show can't be given any more.
 	d, home := s.home.find(ctx, in.GetEndpointId())
 	idle := noneInFlight && home && d.GetGranted() == 0 && d.GetQueued() == 0
-	return &pb.QuiesceReply{Stopped: home, Idle: idle}, nil
+	reply := &pb.QuiesceReply{Stopped: home, Idle: idle}
+	if !idle {
+		reply.Reason = fmt.Sprintf("known %t, granted %d, queued %d, none in flight %t", home, d.GetGranted(), d.GetQueued(), noneInFlight)
+	}
+	return reply, nil
 }
 
 func validID(s string) bool { return s != "" && len(s) <= maxIDBytes }
