--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
@@ -192,3 +193,19 @@
 	Confirmed *Confirmation     // of Table; nil before the first document
 	Endpoints map[string][]*dispatch.Endpoint
 }
+
+// Lists reports whether the view has the incarnation of an endpoint. An entry without a view
+// (nil) lists none.
+func (v *View) Lists(incarnation endpointlimit.Endpoint) bool {
+	if v == nil {
+		return false
+	}
+	for _, list := range v.Endpoints {
+		for _, known := range list {
+			if endpointlimit.Endpoint(known.Incarnation()) == incarnation {
+				return true
+			}
+		}
+	}
+	return false
+}
