relay, route: an answer whose end is read late is whole only if its endpoint is the same process

A connection that opens proves that somebody listens now, not that the process is the one that answered.

Ruled out: a broken reset (the stream was closed by the crash), the framing (neither length nor chunks, as drawn), the follower (it knew the next incarnation 20 ms before the end was read; nobody asked it).

Class: an end that doesn't tell its reason is taken for the good one. Looked for elsewhere: an endpoint that missed its heartbeats is not listed, and counted as one that left; the product's plain calls took an opened connection for the process, too.

Change: after a pause of 100 ms or more between two reads, an answer that ends with its connection is cut if another incarnation is listed at the endpoint's address, or the endpoint's report is of a later process or another one; silent endpoints are told apart from those that left. Plain calls compare the candidate's incarnation and ask the endpoint for its state. Endpoints of a plain service of the platform answer 400 to a report; 421 if they are another one.

Unit tests: the four new cases fail without the mend.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/catalog"
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/testkit"
@@ -93,6 +94,18 @@
 	}
 }
 
+// expire commits that endpoints have missed their heartbeats.
+func (f *fleet) expire(ids ...string) {
+	expire := &pb.Expire{}
+	records, _ := f.members[0].machine.Records()
+	for _, r := range records {
+		if slices.Contains(ids, r.Id) {
+			expire.Endpoints = append(expire.Endpoints, &pb.Expected{Id: r.Id, Revision: r.Revision})
+		}
+	}
+	f.commit(&pb.CatalogCommand{Kind: &pb.CatalogCommand_Expire{Expire: expire}})
+}
+
 func document(version int64, name string) *pb.CatalogCommand {
 	return &pb.CatalogCommand{Kind: &pb.CatalogCommand_PutDocument{PutDocument: &pb.ConfigDocument{Version: version, Source: []byte(name)}}}
 }
@@ -132,6 +145,23 @@
 	})
 }
 
+// Guards against taking an endpoint that crashed for one that left: neither is listed.
+func TestSilentEndpoints(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.commit(endpoint("crashed", 1, pb.EndpointState_ENDPOINT_STATE_READY))
+		f.commit(endpoint("left", 1, pb.EndpointState_ENDPOINT_STATE_READY))
+		f.commit(endpoint("left", 2, pb.EndpointState_ENDPOINT_STATE_DRAINING))
+		time.Sleep(time.Second)
+		f.expire("crashed", "left")
+		time.Sleep(time.Second)
+		assert.Equal(t, f.endpoints(), 0)
+		assert.DeepEqual(t, f.follower.View().Silent, map[dispatch.Incarnation]bool{{ID: "crashed"}: true})
+		f.commit(endpoint("crashed", 2, pb.EndpointState_ENDPOINT_STATE_READY))
+		time.Sleep(time.Second)
+		assert.Equal(t, len(f.follower.View().Silent), 0)
+	})
+}
+
 // An endpoint whose stage is being changed must not be used.
 func TestAssignedEndpointIsNotUsed(t *testing.T) {
 	run(t, func(t *testing.T, f *fleet) {
--- a/internal/follower/view.go
+++ b/internal/follower/view.go
@@ -36,6 +36,7 @@
 		if known := f.endpoints[e.Id]; known != nil && known.Revision >= e.Revision {
 			continue
 		}
+		f.updateSilent(f.endpoints[e.Id], e)
 		f.endpoints[e.Id] = e
 		f.updateUsable(e)
 		changed = true
@@ -60,6 +61,16 @@
 	delete(f.usable, e.Id)
 }
 
+// updateSilent keeps the endpoint of a record if it missed its heartbeats before it announced
+// that it leaves; known is the record before, nil if there is none.
+func (f *Follower) updateSilent(known, e *pb.EndpointRecord) {
+	if e.State == pb.EndpointState_ENDPOINT_STATE_SILENT && known.GetState() != pb.EndpointState_ENDPOINT_STATE_DRAINING {
+		f.silent[e.Id] = true
+		return
+	}
+	delete(f.silent, e.Id)
+}
+
 // applyOutline starts fetching a newer document and reports whether there is one.
 func (f *Follower) applyOutline(member string, outline *pb.Outline) bool {
 	newer, err := f.download.setTarget(outline, time.Now())
@@ -111,10 +122,13 @@
 }
 
 func (f *Follower) buildView() *relay.View {
-	view := &relay.View{Table: f.table, Confirmed: f.confirmations.current, Endpoints: map[string][]*dispatch.Endpoint{}}
+	view := &relay.View{Table: f.table, Confirmed: f.confirmations.current, Endpoints: map[string][]*dispatch.Endpoint{}, Silent: map[dispatch.Incarnation]bool{}}
 	for _, e := range f.usable {
 		view.Endpoints[e.Service] = append(view.Endpoints[e.Service], e)
 	}
+	for id := range f.silent {
+		view.Silent[dispatch.Incarnation{ID: id, Born: f.endpoints[id].Born}] = true
+	}
 	return view
 }
 
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -192,6 +192,8 @@
 
 func (e *engines) RefusesConnections(context.Context, *dispatch.Endpoint) bool { return false }
 
+func (e *engines) IsRestarted(context.Context, *dispatch.Endpoint) bool { return false }
+
 func (e *engines) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return false }
 
 func (e *engines) HeardSince(time.Time) bool { return true }
--- a/internal/relay/closedelimited.go
+++ b/internal/relay/closedelimited.go
@@ -13,6 +13,11 @@
 const (
 	// refusalTimeout limits the check whether an endpoint refuses connections.
 	refusalTimeout = 300 * time.Millisecond
+	// restartCheckTimeout limits the check whether an endpoint has restarted.
+	restartCheckTimeout = 300 * time.Millisecond
+	// minRestartTime is the least time from the end of an endpoint's process until its next
+	// one takes connections.
+	minRestartTime = 100 * time.Millisecond
 	// connectionsCloseDelay is how long after the end of its process the connections of an
 	// endpoint have closed.
 	connectionsCloseDelay = 25 * time.Millisecond
@@ -26,43 +31,77 @@
 // doesn't show that the body is complete if the endpoint has ended as well.
 type closeDelimitedBody struct {
 	Body
-	endpointEnded func() bool
+	lastReadAt time.Time // at first when the request was sent
+	// pause is the longest time between two reads. If this process was suspended or its caller
+	// was slow, the connection may have ended that long before its end is read.
+	pause         time.Duration
+	endpointEnded func(pause time.Duration) bool
 }
 
 // Read implements Body.
-func (b closeDelimitedBody) Read(p []byte) (int, error) {
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	n, err := b.Body.Read(p)
-	if errors.Is(err, io.EOF) && b.endpointEnded() {
+	now := time.Now()
+	b.pause = max(b.pause, now.Sub(b.lastReadAt))
+	b.lastReadAt = now
+	if errors.Is(err, io.EOF) && b.endpointEnded(b.pause) {
 		return n, errEndpointEnded
 	}
 	return n, err
 }
 
-// hasEnded reports whether an endpoint's process has ended unexpectedly: it refuses
-// connections, and none is open any more. One that leaves ends once its last answer is
-// complete.
-func (r *Router) hasEnded(ctx context.Context, service string, e *dispatch.Endpoint) bool {
-	now := time.Now()
+// hasEnded reports whether the process of an endpoint, whose connection may have ended pause
+// ago, has ended unexpectedly: it refuses connections, and none is open any more, or its next
+// process takes them. One that leaves ends once its last answer is complete.
+func (r *Router) hasEnded(ctx context.Context, service string, e *dispatch.Endpoint, pause time.Duration) bool {
+	began := time.Now()
+	if r.isLeaving(service, e) {
+		return false
+	}
+	if r.refusesConnections(ctx, e) {
+		time.Sleep(connectionsCloseDelay)
+		return !r.options.Endpoints.HasConnectionOpenedBefore(e, began)
+	}
+	if pause+time.Since(began) < minRestartTime {
+		return false
+	}
+	return r.isReplaced(service, e) || r.isRestarted(ctx, e)
+}
+
+func (r *Router) refusesConnections(ctx context.Context, e *dispatch.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
-	if r.isLeaving(service, e) || !r.options.Endpoints.RefusesConnections(ctx, e) {
-		return false
+	return r.options.Endpoints.RefusesConnections(ctx, e)
+}
+
+func (r *Router) isRestarted(ctx context.Context, e *dispatch.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, restartCheckTimeout)
+	defer cancel()
+	return r.options.Endpoints.IsRestarted(ctx, e)
+}
+
+// isReplaced reports whether another incarnation is listed at the endpoint's address.
+func (r *Router) isReplaced(service string, e *dispatch.Endpoint) bool {
+	for _, listed := range r.options.View().Endpoints[service] {
+		if listed.Address == e.Address && listed.Incarnation() != e.Incarnation() {
+			return true
+		}
 	}
-	time.Sleep(connectionsCloseDelay)
-	return !r.options.Endpoints.HasConnectionOpenedBefore(e, now)
+	return false
 }
 
 // isLeaving reports whether an endpoint has announced that it leaves, to this entry or to the
 // control instances, which then no longer list it. One that crashed stays listed for a while,
-// perhaps as its next incarnation.
+// perhaps as its next incarnation, and then counts as silent.
 func (r *Router) isLeaving(service string, e *dispatch.Endpoint) bool {
 	if r.options.Stats.Availability(time.Now(), e) == dispatch.Leaving {
 		return true
 	}
-	for _, listed := range r.options.View().Endpoints[service] {
+	view := r.options.View()
+	for _, listed := range view.Endpoints[service] {
 		if listed.ID == e.ID || listed.Address == e.Address {
 			return false
 		}
 	}
-	return true
+	return !view.Silent[e.Incarnation()]
 }
--- a/internal/relay/closedelimited_test.go
+++ b/internal/relay/closedelimited_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -131,6 +132,57 @@
 	assert.Equal(t, refusal.Verdict, VerdictUnknown)
 }
 
+// Guards against an answer that a crash cut and that reaches its caller as complete, since the
+// next process of its endpoint takes connections by the time the end is read: this process was
+// suspended, or its caller was slow.
+func TestAnswerCutByACrashBeforeARestart(t *testing.T) {
+	for name, restarts := range map[string]func(fx *fixture, e dispatch.Endpoint){
+		"the endpoint tells": func(fx *fixture, _ dispatch.Endpoint) { fx.endpoints.restarted = true },
+		"its next incarnation is listed": func(fx *fixture, e dispatch.Endpoint) {
+			e.Born++
+			fx.view.Endpoints["s"] = []*dispatch.Endpoint{&e}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(atMostOnce)
+			fx.endpoints.answers = []answer{func(c *Call) (*Reply, error) {
+				restarts(fx, *c.Endpoint)
+				time.Sleep(minRestartTime)
+				return closeDelimited("ha"), nil
+			}}
+			_, refusal := fx.serve(t, newExchange())
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Verdict, VerdictUnknown)
+		})
+	}
+}
+
+// Guards against taking an endpoint that crashed for one that left, since it is no longer listed
+// by the time the end of its answer is read.
+func TestAnswerCutByACrashOfAnEndpointThatIsSilent(t *testing.T) {
+	fx := newFixture(atMostOnce)
+	fx.endpoints.refuses = true
+	fx.endpoints.answers = []answer{func(c *Call) (*Reply, error) {
+		fx.view.Endpoints["s"] = nil
+		fx.view.Silent = map[dispatch.Incarnation]bool{c.Endpoint.Incarnation(): true}
+		return closeDelimited("ha"), nil
+	}}
+	_, refusal := fx.serve(t, newExchange())
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Verdict, VerdictUnknown)
+}
+
+// An answer that came without a pause costs no question to its endpoint.
+func TestPromptAnswerCostsNoQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(atMostOnce, returns(func() *Reply { return closeDelimited("whole") }))
+		fx.endpoints.restarted = true
+		c, refusal := fx.serve(t, newExchange())
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, c.text.String(), "whole")
+	})
+}
+
 // Guards against breaking off the last answer of an endpoint that ends as planned, or of one
 // that takes no new connections for a moment.
 func TestLastAnswerOfAnEndpointIsDelivered(t *testing.T) {
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -134,6 +134,9 @@
 	// RefusesConnections reports whether the endpoint's machine refuses a new connection, as
 	// it does once the endpoint's process has ended. It is false if no answer comes.
 	RefusesConnections(ctx context.Context, e *dispatch.Endpoint) bool
+	// IsRestarted asks the endpoint whether its process is a later one than that of the
+	// incarnation. It is false if no answer comes.
+	IsRestarted(ctx context.Context, e *dispatch.Endpoint) bool
 	// IsLinkLost reports whether a new direct connection to the endpoint gets no answer. It is
 	// false if the connection is refused.
 	IsLinkLost(ctx context.Context, e *dispatch.Endpoint) bool
@@ -192,6 +195,8 @@
 	Table     *routetable.Table // nil before the first document
 	Confirmed *Confirmation     // of Table; nil before the first document
 	Endpoints map[string][]*dispatch.Endpoint
+	// Silent are the endpoints that are not in Endpoints since they missed their heartbeats.
+	Silent map[dispatch.Incarnation]bool
 }
 
 // Lists reports whether the view has the incarnation of an endpoint. An entry without a view
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -266,7 +266,9 @@
 	ex.mayHaveRun = true
 	ex.runs++
 	if reply.CloseDelimited {
-		reply.Body = closeDelimitedBody{reply.Body, func() bool { return ex.router.hasEnded(ctx, ex.service, c.Endpoint) }}
+		reply.Body = &closeDelimitedBody{Body: reply.Body, lastReadAt: ex.progress.sentAt, endpointEnded: func(pause time.Duration) bool {
+			return ex.router.hasEnded(ctx, ex.service, c.Endpoint, pause)
+		}}
 	}
 	if ex.route.Kind == routetable.KindStream && reply.Status < http.StatusMultipleChoices {
 		return ex.forwardEvents(reply)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -80,6 +80,7 @@
 	releaseDelay         time.Duration
 	connectionsOpen      bool // connections outlive a loss
 	refuses              bool // new connections
+	restarted            bool // another process answers
 	hearsNone            bool // the entry hears no endpoint
 	linkLost             bool // new connections get no answer
 }
@@ -135,6 +136,12 @@
 	return f.refuses
 }
 
+func (f *fakeEndpoints) IsRestarted(context.Context, *dispatch.Endpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restarted
+}
+
 func (f *fakeEndpoints) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return f.linkLost }
 
 func (f *fakeEndpoints) HeardSince(time.Time) bool { return !f.hearsNone }
--- a/internal/relay/limit_fixture_test.go
+++ b/internal/relay/limit_fixture_test.go
@@ -192,6 +192,7 @@
 func (limitedSender) ReleasePrefill(context.Context, *dispatch.Endpoint, string)     {}
 func (limitedSender) HasConnectionOpenedBefore(*dispatch.Endpoint, time.Time) bool   { return false }
 func (limitedSender) RefusesConnections(context.Context, *dispatch.Endpoint) bool    { return false }
+func (limitedSender) IsRestarted(context.Context, *dispatch.Endpoint) bool           { return false }
 func (limitedSender) IsLinkLost(context.Context, *dispatch.Endpoint) bool            { return false }
 func (limitedSender) HeardSince(time.Time) bool                                      { return true }
 
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -256,7 +256,10 @@
 // membership.Source.
 type engines struct{ *fakeFleet }
 
-func (engines) State(context.Context, engine.Target) (engineapi.Announcement, error) {
+func (e engines) State(_ context.Context, t engine.Target) (engineapi.Announcement, error) {
+	if e.restarted {
+		return engineapi.Announcement{}, &engine.Error{Target: t, Op: "state", Sent: true, Err: engine.ErrWrongIncarnation}
+	}
 	return engineapi.Announcement{}, nil
 }
 
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -58,6 +58,7 @@
 		return nil, &engine.Error{Target: h.target, Op: "call", Err: err}
 	}
 	gate := c.router.grantGate(h, c.gate)
+	sentAt := time.Now()
 	response, err := c.router.opts.Engine.Call(ctx, h.target, gate, h.grant.Attempt, request)
 	if err != nil {
 		return nil, err
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: err}
 	}
-	if isCloseDelimited(request, response) && c.hasEnded(ctx, h.target) {
+	if isCloseDelimited(request, response) && c.hasEnded(ctx, h.target, sentAt) {
 		return nil, &engine.Error{Target: h.target, Op: "call", Sent: true, Err: engine.ErrTruncated}
 	}
 	answer := &CallResponse{StatusCode: response.StatusCode, Header: response.Header, Body: body}
--- a/internal/route/fakefleet_test.go
+++ b/internal/route/fakefleet_test.go
@@ -69,6 +69,7 @@
 	answerLength       int64  // of answers to calls; -1 if they end with their connection
 	onAnswer           func() // called before an answer to a call
 	refusesConnections bool
+	restarted          bool // another incarnation answers
 }
 
 type guardEnd struct{ completed, crashed bool }
--- a/internal/route/once_test.go
+++ b/internal/route/once_test.go
@@ -68,6 +68,18 @@
 			w.answerLength, w.refusesConnections = -1, true
 			w.onAnswer = func() { w.list = nil }
 		}, 1, "", pb.OutcomeKind_OUTCOME_KIND_COMPLETED},
+		"endpoint has restarted before the end is read": {func(w *fakeFleet) {
+			w.answerLength, w.restarted = -1, true
+			w.onAnswer = func() { time.Sleep(time.Second) }
+		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
+		"next incarnation is known before the end is read": {func(w *fakeFleet) {
+			w.answerLength = -1
+			w.onAnswer = func() {
+				for i := range w.list {
+					w.list[i].Incarnation++
+				}
+			}
+		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
 		"no answer in time": {func(w *fakeFleet) {
 			w.setFault("call", "s1", 9, fault{stall: true})
 		}, 1, callerapi.OutcomeUnknown, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN},
