httpconn, reachability: open connections over a lost link don't show that an endpoint runs

Whether the endpoint has ended is then decided by other connections to it that are still open: direct ones from before the cut, over which no end can arrive, counted as open.

Class: an end that doesn't tell its reason. Also used by the watch of lost connections that counts crashes of requests: an open connection over a lost link told that the endpoint had survived; now the link is asked.

Change: connections count as open only if their ends would show (Link.ShowsEnds): new connections are answered or refused, or bytes came since they weren't, and the process isn't cut off. A link that was refused and now gets no answer counts from then.

--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -34,10 +34,11 @@
 
 // HasOpen reports whether a connection to address that was opened before the given time is
 // still open at both ends, as far as the local kernel knows. When an endpoint's process ends,
-// all its connections close.
+// all its connections close, which doesn't show over a lost link.
 func (p *Pool) HasOpen(address string, before time.Time) bool {
+	showsEnds := p.Reachability.Link(address).ShowsEnds()
 	for _, c := range p.openedBefore(address, before) {
-		if !c.isClosed.Load() && !c.peerClosed() {
+		if (showsEnds || c.isRelayed()) && !c.isClosed.Load() && !c.peerClosed() {
 			return true
 		}
 	}
--- a/internal/httpconn/relayed_test.go
+++ b/internal/httpconn/relayed_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// Guards against taking an endpoint that has ended for one that runs on: over a lost link its
+// connections stay open here.
+func TestOpenConnectionsOfALostLinkProveNothing(t *testing.T) {
+	s := serve(t, echo)
+	p, _ := newRelayedPool(t)
+	_, err := sendAndRead(t, p, s, "a")
+	assert.NilError(t, err)
+	link := p.Reachability.Link(s.address())
+	assert.Assert(t, p.HasOpen(s.address(), time.Now()))
+	link.Failed(time.Now(), reachability.Unanswered)
+	assert.Assert(t, !p.HasOpen(s.address(), time.Now()))
+	_, err = sendAndRead(t, p, s, "b")
+	assert.NilError(t, err)
+	assert.Assert(t, p.HasOpen(s.address(), time.Now()), "the connection of the sibling shows its end")
+}
+
 // Guards against a new connection for each request while a link is lost, against requests that
 // go on over a sibling once it works, and against those on a tunnel that has ended.
 func TestRelayedConnectionsAreReused(t *testing.T) {
--- a/internal/reachability/link.go
+++ b/internal/reachability/link.go
@@ -13,7 +13,7 @@
 
 	// The fields below are guarded by tracker.mu.
 	loss     Loss
-	lostAt   time.Time
+	lostAt   time.Time // when it was lost in this way
 	usedAt   time.Time
 	probedAt time.Time // when a direct connection was last tried over the lost link
 	// relayErr is what the relay said of the endpoint at relayErrAt; nil for nothing.
@@ -95,6 +95,19 @@
 	return true
 }
 
+// ShowsEnds reports whether the end of an open connection would show here. It is false if the
+// link may be lost both ways: new connections get no answer, or the process is cut off, and no
+// bytes came since.
+func (l *Link) ShowsEnds() bool {
+	l.tracker.mu.Lock()
+	defer l.tracker.mu.Unlock()
+	heard := l.heardNs.Load()
+	if l.loss == Unanswered && heard <= l.lostAt.UnixNano() {
+		return false
+	}
+	return !l.tracker.isCutOff() || heard >= l.tracker.cutOffSince.UnixNano()
+}
+
 // beginProbe reports whether a direct connection is to be tried now to find out whether the
 // link works again.
 func (l *Link) beginProbe(now time.Time) bool {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -112,13 +112,14 @@
 	if loss != Refused && t.onChange != nil {
 		go t.onChange()
 	}
-	switch {
-	case loss == NotLost:
+	if loss == NotLost {
 		delete(t.unheard, l)
 		t.countLost(-1)
 		t.part.Info("Link to an endpoint works again.", "address", l.address, "lost_ms", now.Sub(l.lostAt).Milliseconds(), "was", before)
-	case before == NotLost:
-		l.lostAt = now
+		return
+	}
+	l.lostAt = now
+	if before == NotLost {
 		t.countLost(1)
 		t.metrics.losses.WithLabelValues(loss.String()).Inc()
 		t.part.Info("Link to an endpoint lost.", "address", l.address, "how", loss, "heard_ms", l.msSinceHeard(now))
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -112,6 +112,33 @@
 	assert.Assert(t, c.CarriesOpen())
 }
 
+// Guards against taking an endpoint that has ended for one that runs on: its connections stay
+// open here if the link is lost both ways.
+func TestEndsOverALostLink(t *testing.T) {
+	tracker := New(Options{})
+	a, b, c := tracker.Link("a:1"), tracker.Link("b:1"), tracker.Link("c:1")
+	for _, l := range []*Link{a, b, c} {
+		l.Opened(at(0))
+		assert.Assert(t, l.ShowsEnds())
+	}
+	a.Failed(at(100), Unanswered)
+	assert.Assert(t, !a.ShowsEnds())
+	a.Heard(at(200))
+	assert.Assert(t, a.ShowsEnds(), "open connections live on")
+	b.Failed(at(300), Refused)
+	assert.Assert(t, b.ShowsEnds())
+	c.Failed(at(400), Refused)
+	assert.Assert(t, tracker.CutOff())
+	for _, l := range []*Link{a, b, c} {
+		assert.Assert(t, !l.ShowsEnds())
+	}
+	b.Heard(at(500))
+	assert.Assert(t, b.ShowsEnds())
+	b.Failed(at(600), Unanswered)
+	assert.Assert(t, !b.ShowsEnds(), "nothing was heard since new connections got no answer")
+	assert.Assert(t, !b.CarriesOpen())
+}
+
 func TestUnusedLinksAreForgotten(t *testing.T) {
 	tracker := New(Options{})
 	tracker.Link("a:1").Failed(time.Now(), Unanswered)
