Shorter pieces of the links to endpoints, found by reading the change again

- httpconn: IsUnanswered opens its connection by tryConnection, as TakesConnections does.
- coordinator: the look for siblings in a zone ends once there are enough.

Behaviour is the same but for one thing: on the product's own interface a client whose siblings have failed lately may turn to any other, not only to seven more.

--- a/internal/coordinator/siblings.go
+++ b/internal/coordinator/siblings.go
@@ -46,9 +46,9 @@
 func usableSiblings(entries []*pb.EntryRecord, entry string, limit int) []string {
 	var list []string
 	first := ringPosition(entries, entry)
-	for n := range min(len(entries), maxSiblingsScanned) {
+	for n := 0; n < min(len(entries), maxSiblingsScanned) && len(list) < limit; n++ {
 		sibling := entries[(first+n)%len(entries)]
-		if isUsableSibling(sibling, entry) && len(list) < limit {
+		if isUsableSibling(sibling, entry) {
 			list = append(list, sibling.PeerAddress)
 		}
 	}
--- a/internal/daemon/tunnels.go
+++ b/internal/daemon/tunnels.go
@@ -13,9 +13,6 @@
 	"github.com/hyssopsail/hyssopsail/internal/tunnel"
 )
 
-// maxSiblings bounds the siblings that a connection is asked of.
-const maxSiblings = 8
-
 // siblingDirectory names the entries through which this daemon may reach an endpoint.
 type siblingDirectory struct {
 	source membership.Source
@@ -36,8 +33,7 @@
 			list = append(list, i.RPCAddress)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), maxSiblings)]
+	return list
 }
 
 func newTunnelClient(b *base) *tunnel.Client {
--- a/internal/engine/call_test.go
+++ b/internal/engine/call_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/reachability"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 	"gotest.tools/v3/assert"
 )
 
@@ -154,16 +155,6 @@
 	assert.Assert(t, client.RefusesConnections(t.Context(), Target{Address: listener.Addr().String()}))
 }
 
-// stuckRelay gives no answer.
-type stuckRelay struct{}
-
-func (stuckRelay) Dial(ctx context.Context, _ string) (net.Conn, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
-func (stuckRelay) IsEndpointFailure(error) bool { return false }
-
 // Guards against taking an endpoint that has ended for one that runs, since no sibling answers in
 // time.
 func TestRefusedConnectionOverALostLink(t *testing.T) {
@@ -171,7 +162,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
 	links := reachability.New(reachability.Options{})
-	client := NewClient(Options{Relay: stuckRelay{}, Reachability: links})
+	client := NewClient(Options{Relay: testkit.StuckRelay{}, Reachability: links})
 	links.Link(listener.Addr().String()).Failed(time.Now(), reachability.Refused)
 	assert.Assert(t, client.RefusesConnections(t.Context(), Target{Address: listener.Addr().String()}))
 }
--- a/internal/httpconn/open.go
+++ b/internal/httpconn/open.go
@@ -58,6 +58,7 @@
 	return err == nil
 }
 
+// tryConnection opens a connection and keeps it for reuse.
 func (p *Pool) tryConnection(ctx context.Context, dialer reachability.Dialer, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
 	defer cancel()
@@ -74,12 +75,7 @@
 func (p *Pool) IsUnanswered(ctx context.Context, address string) bool {
 	dialer := p.dialer()
 	dialer.Relay = nil
-	c, err := p.dialWith(ctx, dialer, address)
-	if err != nil {
-		return reachability.LossOfDial(err) == reachability.Unanswered
-	}
-	p.putIdle(c, 0)
-	return false
+	return reachability.LossOfDial(p.tryConnection(ctx, dialer, address)) == reachability.Unanswered
 }
 
 func (p *Pool) openedBefore(address string, before time.Time) []*conn {
--- a/internal/httpconn/relayed_test.go
+++ b/internal/httpconn/relayed_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hyssopsail/hyssopsail/internal/reachability"
+	"github.com/hyssopsail/hyssopsail/internal/testkit"
 )
 
 // relay opens connections to endpoints as a sibling would.
@@ -92,16 +93,6 @@
 	assert.Assert(t, p.HasOpen(s.address(), time.Now()), "the connection of the sibling shows its end")
 }
 
-// stuckRelay gives no answer.
-type stuckRelay struct{}
-
-func (stuckRelay) Dial(ctx context.Context, _ string) (net.Conn, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
-func (stuckRelay) IsEndpointFailure(error) bool { return false }
-
 // Guards against an endpoint that counts as running, or as ended, since no sibling answers in time.
 func TestDirectConnectionIsTriedIfNoSiblingAnswers(t *testing.T) {
 	s := serve(t, echo)
@@ -109,7 +100,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
 	p := newTestPool(t)
-	p.Relay, p.DialTimeout = stuckRelay{}, 50*time.Millisecond
+	p.Relay, p.DialTimeout = testkit.StuckRelay{}, 50*time.Millisecond
 	for address, takes := range map[string]bool{s.address(): true, listener.Addr().String(): false} {
 		p.Reachability.Link(address).Failed(time.Now(), reachability.Refused)
 		assert.Equal(t, p.TakesConnections(t.Context(), address), takes)
