relay, follower: logs and metrics name the software version of endpoints, and streams that go on

The incident's hypotheses can't be told apart by the logs: no line has the version of an endpoint's software, and none says that a request is a caller's return. Logs and a counter only; what is chosen is unchanged.

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -29,6 +29,8 @@
 	Stage   Stage
 	Slots   int
 	Models  []string
+	// Software is the version of the software that the process runs.
+	Software string
 }
 
 // Incarnation returns the identity of the run of the process that e stands for.
--- a/internal/follower/view.go
+++ b/internal/follower/view.go
@@ -42,7 +42,7 @@
 		changed = true
 		if len(records) <= maxLoggedRecords {
 			f.options.Part.Info("Endpoint changed.", "endpoint", e.Id, "service", e.Service, "address", e.Address,
-				"state", e.State, "stage", e.Stage, "born", e.Born, "revision", e.Revision)
+				"state", e.State, "stage", e.Stage, "software", e.Software, "born", e.Born, "revision", e.Revision)
 		}
 	}
 	if len(records) > maxLoggedRecords {
@@ -134,7 +134,7 @@
 
 func endpointOf(e *pb.EndpointRecord) *dispatch.Endpoint {
 	endpoint := &dispatch.Endpoint{
-		ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots),
+		ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone, Slots: int(e.Slots), Software: e.Software,
 	}
 	switch e.Stage {
 	case pb.Stage_STAGE_PREFILL:
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -30,8 +30,12 @@
 	CallerTimeout time.Duration
 	// Prompt describes a model request; nil for any other.
 	Prompt *Prompt
-	// LastEventID is the ID of the last event that the caller already has.
+	// LastEventID is the ID of the last event that the caller already has; empty where it has
+	// none.
 	LastEventID string
+	// Resumes is the ID of the caller's exchange that brought the first event of a stream that
+	// the caller resumes; empty where it names none.
+	Resumes string
 }
 
 // Prompt is the size of a model request.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,7 @@
 	aborted          bool                          // the answer was broken off
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
+	software         string                        // version of the endpoint whose events were forwarded last
 	lastOutcome      dispatch.Outcome              // of the latest attempt, without prefills
 	// lastAttemptOutcome is the outcome of the latest attempt or prefill.
 	lastAttemptOutcome dispatch.Outcome
@@ -170,7 +171,7 @@
 	candidates := ex.router.candidates(ex.service, stage, ex.model(), tried)
 	choice, ok := ex.router.options.Stats.Choose(time.Now(), candidates, load)
 	if ok {
-		ex.logDecision("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "among", choice.Candidates,
+		ex.logDecision("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "software", choice.Endpoint.Software, "among", choice.Candidates,
 			"cost", rounded(choice.Cost), "own", choice.OwnInFlight, "others", rounded(choice.OthersInFlight), "age_ms", choice.ReportAgeMs)
 	}
 	return choice, ok
@@ -271,7 +272,7 @@
 		}}
 	}
 	if ex.route.Kind == routetable.KindStream && reply.Status < http.StatusMultipleChoices {
-		return ex.forwardEvents(reply)
+		return ex.forwardEvents(c.Endpoint, reply)
 	}
 	if ex.headSent {
 		return attemptResult{outcome: dispatch.OutcomeLost, reply: reply, err: errNotResumed}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -19,7 +19,9 @@
 	prefillTime   prometheus.Histogram
 	prefillModes  *prometheus.CounterVec
 	running       prometheus.Gauge
-	extraArrivals *prometheus.CounterVec
+	// resumedStreams counts endpoints that continued a stream which another one began.
+	resumedStreams *prometheus.CounterVec
+	extraArrivals  *prometheus.CounterVec
 	// retriesDenied counts attempts that were not made because the retry budget was spent.
 	retriesDenied prometheus.Counter
 	// lostAttempts counts attempts whose connection broke before the answer was complete.
@@ -130,6 +132,10 @@
 			Name: "hyssopsail_relay_unwanted_sends_total",
 			Help: "Sends to endpoints that were known to rest or to leave, by why and by what they were for.",
 		}, []string{"why", "kind"}),
+		resumedStreams: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_resumed_streams_total",
+			Help: "Streams that an endpoint continued after another one, by who resumed them (entry, caller) and by the software version (same, other, unknown).",
+		}, []string{"by", "software"}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,10 +8,11 @@
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 )
 
-// forwardEvents forwards the events of an answer as they arrive, complete events only,
-// until the stream ends.
-func (ex *activeExchange) forwardEvents(reply *Reply) attemptResult {
+// forwardEvents forwards the events of an endpoint's answer as they arrive, complete events
+// only, until the stream ends.
+func (ex *activeExchange) forwardEvents(from *dispatch.Endpoint, reply *Reply) attemptResult {
 	events := eventSplitter{}
+	forwarded := false // an event of this answer
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buffer)
@@ -20,6 +21,10 @@
 			if !mayFollow(ex.lastEventID, firstEventID(whole)) {
 				return attemptResult{outcome: dispatch.OutcomeLost, reply: reply, err: errOutOfOrder}
 			}
+			if !forwarded {
+				ex.recordEventSource(from)
+				forwarded = true
+			}
 			if !ex.forwardChunk(reply, whole) {
 				return attemptResult{outcome: dispatch.OutcomeCanceled, reply: reply}
 			}
