relay, allocation: a stream goes on within its answer at the software version that began it

Cause: an entry's picture of an endpoint had no version, so no choice could look at it. The filter of endpoints now has the version, required from the first event on; a home gets it with the request for a place.

--- a/internal/allocation/client.go
+++ b/internal/allocation/client.go
@@ -85,7 +85,7 @@
 		Exchange: request.Exchange, Entry: c.entry, Service: service, Model: request.Model, Zone: request.Zone,
 		Prompt: uint32(request.PromptTokens), Output: uint32(request.OutputTokens), Capacity: uint32(request.CapacityTokens),
 		LengthMs: wireMillis(request.AnswerDuration), ReadingMs: wireMillis(request.PrefillDuration), LongestBacklogMs: wireMillis(request.MaxBacklog),
-		ReadsOwn: request.AllowLocalPrefill, Excluded: request.Excluded, WaitMs: wireMillis(wait),
+		ReadsOwn: request.AllowLocalPrefill, Excluded: request.Excluded, Software: request.Software, WaitMs: wireMillis(wait),
 	}
 }
 
--- a/internal/allocation/request.go
+++ b/internal/allocation/request.go
@@ -12,16 +12,18 @@
 	Slots     int
 	IsPrefill bool // prefill endpoint; otherwise a decode endpoint
 	Models    []string
+	Software  string // version
 }
 
 // ReservationRequest is what a request needs.
 type ReservationRequest struct {
 	Exchange                   string
-	Entry                      string // ID of the requesting entry
-	Model                      string // empty for any
-	Zone                       string // of the entry
-	PromptTokens, OutputTokens int    // tokens
-	CapacityTokens             int    // tokens that an endpoint can hold
+	Entry                      string  // ID of the requesting entry
+	Model                      string  // empty for any
+	Software                   *string // version that the endpoint must run; nil for any
+	Zone                       string  // of the entry
+	PromptTokens, OutputTokens int     // tokens
+	CapacityTokens             int     // tokens that an endpoint can hold
 	AnswerDuration             time.Duration
 	PrefillDuration            time.Duration // of the prompt's prefill alone; 0 for no prefill
 	MaxBacklog                 time.Duration // maximum wait at a prefill endpoint
@@ -48,5 +50,8 @@
 	if request.Model != "" && len(e.Models) > 0 && !slices.Contains(e.Models, request.Model) {
 		return false
 	}
+	if request.Software != nil && *request.Software != e.Software {
+		return false
+	}
 	return !slices.Contains(request.Excluded, e.ID)
 }
--- a/internal/allocation/server.go
+++ b/internal/allocation/server.go
@@ -64,7 +64,7 @@
 	return ReservationRequest{
 		Exchange: r.Exchange, Entry: r.Entry, Model: r.Model, Zone: r.Zone, PromptTokens: int(r.Prompt), OutputTokens: int(r.Output),
 		CapacityTokens: int(r.Capacity), AnswerDuration: durationOfMillis(r.LengthMs), PrefillDuration: durationOfMillis(r.ReadingMs),
-		MaxBacklog: durationOfMillis(r.LongestBacklogMs), AllowLocalPrefill: r.ReadsOwn, Excluded: r.Excluded,
+		MaxBacklog: durationOfMillis(r.LongestBacklogMs), AllowLocalPrefill: r.ReadsOwn, Excluded: r.Excluded, Software: r.Software,
 	}
 }
 
--- a/internal/allocation/usage_tracker_test.go
+++ b/internal/allocation/usage_tracker_test.go
@@ -22,6 +22,13 @@
 	return list
 }
 
+var secondVersion = "v2"
+
+// mixedFleet returns decode endpoints of two software versions, the older one first.
+func mixedFleet() []Endpoint {
+	return []Endpoint{{ID: "old", Slots: 1, Software: "v1"}, {ID: "new", Slots: 1, Software: secondVersion}}
+}
+
 func requestOf(exchange string, prompt, output int) ReservationRequest {
 	return ReservationRequest{
 		Exchange: exchange, Entry: "entry", PromptTokens: prompt, OutputTokens: output, CapacityTokens: 10_000,
@@ -45,6 +52,8 @@
 		"prefill too busy":  {fleet: fleetOf(1, 9), before: []ReservationRequest{requestOf("a", 900, 0), requestOf("b", 900, 0), requestOf("c", 900, 0), requestOf("d", 900, 0)}, request: requestOf("x", 900, 0)},
 		"excluded endpoint": {fleet: fleetOf(0, 2), request: ReservationRequest{CapacityTokens: 10, PromptTokens: 1, Excluded: []string{"e0"}}, want: Placement{Endpoint: "e1"}},
 		"another model":     {fleet: []Endpoint{{ID: "e", Slots: 1, Models: []string{"other"}}}, request: ReservationRequest{CapacityTokens: 10, Model: "m"}},
+		"required software": {fleet: mixedFleet(), request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}, want: Placement{Endpoint: "new"}},
+		"software is gone":  {fleet: mixedFleet()[:1], request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}},
 		"the entry's zone":  {fleet: []Endpoint{{ID: "far", Zone: "b", Slots: 1}, {ID: "near", Zone: "a", Slots: 1}}, request: ReservationRequest{CapacityTokens: 10, Zone: "a"}, want: Placement{Endpoint: "near"}},
 		"no free slot":      {fleet: []Endpoint{{ID: "e", Slots: 1}}, before: []ReservationRequest{{Exchange: "a", CapacityTokens: 10}}, request: ReservationRequest{Exchange: "x", CapacityTokens: 10}},
 	} {
--- a/internal/coordinator/models.go
+++ b/internal/coordinator/models.go
@@ -118,5 +118,5 @@
 	for _, m := range e.Models {
 		models = append(models, m.Name)
 	}
-	return allocation.Endpoint{ID: e.Id, Zone: e.Zone, Slots: int(e.Slots), IsPrefill: e.Stage == pb.Stage_STAGE_PREFILL, Models: models}
+	return allocation.Endpoint{ID: e.Id, Zone: e.Zone, Slots: int(e.Slots), IsPrefill: e.Stage == pb.Stage_STAGE_PREFILL, Models: models, Software: e.Software}
 }
--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -38,7 +38,7 @@
 // endpoints by themselves pick full ones, since they know nothing about their load.
 func (ex *activeExchange) allocate(ctx context.Context, left time.Duration) (at *placement, asked bool) {
 	options := ex.router.options
-	candidates := ex.router.candidates(ex.service, dispatch.StageDecode, ex.model(), ex.tried)
+	candidates := ex.router.candidates(ex.filter(dispatch.StageDecode))
 	if options.Allocator == nil || !options.Policy.Has(dispatch.HomeReservation) || ex.exchange.Prompt == nil || ex.engine.MaxReservationDuration == 0 || len(candidates) == 0 {
 		return nil, false
 	}
@@ -78,7 +78,9 @@
 }
 
 func (ex *activeExchange) findEndpoint(stage dispatch.Stage, id string) *dispatch.Endpoint {
-	for _, e := range ex.router.candidates(ex.service, stage, ex.model(), nil) {
+	f := ex.filter(stage)
+	f.tried = nil
+	for _, e := range ex.router.candidates(f) {
 		if e.ID == id {
 			return e
 		}
@@ -93,6 +95,9 @@
 		Exchange: ex.exchange.ID, Model: ex.model(), Zone: stats.Zone(), PromptTokens: tokens, OutputTokens: ex.exchange.Prompt.ReservedOutput(),
 		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedAnswerTime(),
 	}
+	if ex.software.set {
+		request.Software = &ex.software.version
+	}
 	if !ex.skipsPrefill() {
 		request.PrefillDuration = stats.EstimatePrefillDuration(ex.service, tokens, 0)
 		prefillPlacement := dispatch.PrefillPlacement{MaxEventGap: ex.route.MaxEventGap, Policy: ex.router.options.Policy}
--- a/internal/relay/eventsource.go
+++ b/internal/relay/eventsource.go
@@ -16,15 +16,28 @@
 	softwareUnknown = "unknown"
 )
 
-// recordEventSource records that events of an endpoint are about to be forwarded.
+// recordEventSource records that events of an endpoint are about to be forwarded. A stream that
+// it begins may go on only at endpoints of its software version: what two versions write does not
+// fit together, and endpoints don't check it.
 func (ex *activeExchange) recordEventSource(from *dispatch.Endpoint) {
 	switch {
-	case ex.headSent && ex.software == from.Software:
-		ex.router.metrics.resumedStreams.WithLabelValues(resumedByEntry, softwareSame).Inc()
 	case ex.headSent:
-		ex.router.metrics.resumedStreams.WithLabelValues(resumedByEntry, softwareOther).Inc()
+		ex.countResumed(resumedByEntry, from)
 	case ex.isResumption():
-		ex.router.metrics.resumedStreams.WithLabelValues(resumedByCaller, softwareUnknown).Inc()
+		ex.countResumed(resumedByCaller, from)
 	}
-	ex.software = from.Software
+	if !ex.software.set {
+		ex.software = requireSoftware(from.Software)
+	}
+}
+
+func (ex *activeExchange) countResumed(by string, from *dispatch.Endpoint) {
+	software := softwareSame
+	switch {
+	case !ex.software.set:
+		software = softwareUnknown
+	case !ex.software.allows(from):
+		software = softwareOther
+	}
+	ex.router.metrics.resumedStreams.WithLabelValues(by, software).Inc()
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,7 +35,7 @@
 	aborted          bool                          // the answer was broken off
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
-	software         string                        // version of the endpoint whose events were forwarded last
+	software         requiredSoftware              // of the endpoint that began the stream
 	lastOutcome      dispatch.Outcome              // of the latest attempt, without prefills
 	// lastAttemptOutcome is the outcome of the latest attempt or prefill.
 	lastAttemptOutcome dispatch.Outcome
@@ -126,7 +126,7 @@
 }
 
 func (ex *activeExchange) hasUntriedEndpoint() bool {
-	return len(ex.router.candidates(ex.service, ex.stage(), ex.model(), ex.tried)) > 0
+	return len(ex.router.candidates(ex.filter(ex.stage()))) > 0
 }
 
 func (ex *activeExchange) stage() dispatch.Stage {
@@ -168,8 +168,9 @@
 }
 
 func (ex *activeExchange) chooseEndpoint(stage dispatch.Stage, tried map[dispatch.Incarnation]bool, load dispatch.LoadFunc) (dispatch.Choice, bool) {
-	candidates := ex.router.candidates(ex.service, stage, ex.model(), tried)
-	choice, ok := ex.router.options.Stats.Choose(time.Now(), candidates, load)
+	f := ex.filter(stage)
+	f.tried = tried
+	choice, ok := ex.router.options.Stats.Choose(time.Now(), ex.router.candidates(f), load)
 	if ok {
 		ex.logDecision("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "software", choice.Endpoint.Software, "among", choice.Candidates,
 			"cost", rounded(choice.Cost), "own", choice.OwnInFlight, "others", rounded(choice.OthersInFlight), "age_ms", choice.ReportAgeMs)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -143,7 +143,7 @@
 // exchange was not sent yet and has the time. It returns false without one.
 func (ex *activeExchange) awaitUnblocked(ctx context.Context, stage dispatch.Stage) bool {
 	now := time.Now()
-	unblocksAt := ex.router.options.Stats.NextUnblockTime(now, ex.router.untried(ex.service, stage, ex.model(), ex.tried))
+	unblocksAt := ex.router.options.Stats.NextUnblockTime(now, ex.router.selected(ex.filter(stage)))
 	if ex.attempts > 0 || unblocksAt.IsZero() {
 		return false
 	}
@@ -162,7 +162,7 @@
 	if ex.hasUntriedEndpoint() {
 		return 0
 	}
-	unblocksAt := ex.router.options.Stats.NextUnblockTime(now, ex.router.untried(ex.service, ex.stage(), ex.model(), ex.tried))
+	unblocksAt := ex.router.options.Stats.NextUnblockTime(now, ex.router.selected(ex.filter(ex.stage())))
 	if unblocksAt.IsZero() {
 		return 0
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/endpointlimit"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -80,22 +79,3 @@
 	}
 	return nil
 }
-
-// candidates returns a service's endpoints of a stage that were not tried and are not
-// blocked.
-func (r *Router) candidates(service string, stage dispatch.Stage, model string, tried map[dispatch.Incarnation]bool) []*dispatch.Endpoint {
-	return r.options.Stats.Unblocked(time.Now(), r.untried(service, stage, model, tried))
-}
-
-// untried returns a service's endpoints of a stage that were not tried.
-func (r *Router) untried(service string, stage dispatch.Stage, model string, tried map[dispatch.Incarnation]bool) []*dispatch.Endpoint {
-	view := r.options.View()
-	all := view.Endpoints[service]
-	list := make([]*dispatch.Endpoint, 0, len(all))
-	for _, e := range all {
-		if e.Stage == stage && !tried[e.Incarnation()] && e.HasModel(model) {
-			list = append(list, e)
-		}
-	}
-	return list
-}
