streamorigin, relay: a caller that returns gets its stream from the software version that began it

Cause: which version began a stream was known to no one, Resumes was read nowhere. Now an entry records each resumable stream with its first event, at itself and at three control instances, in memory and for two timeouts of its route; the entry to which the caller returns asks them. A stream without a record goes on only if a quorum confirms that all endpoints of its service have had one version for that long. Otherwise it is refused at once as not run. A stream goes on at the service that began it, too, or not at all.

The version of the process that ran counts: an endpoint that started again under its ID with other software makes the streams recorded around that time doubtful, and they are refused; the catalog keeps the version before. Chains of returns keep the first version.

Evidence, by trials on a copy with one guard off each: without the look for where a stream began, 9 of 11 cases of relay.TestReturningCallerGetsItsSoftwareVersion and relay.TestChainOfReturnsKeepsTheFirstVersion fail; without the doubt about an endpoint that started again, its test; without the version from the first event on, relay.TestStreamKeepsItsSoftwareVersion.

--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -28,10 +28,20 @@
 			r.Assigned = known.Assigned
 		}
 	}
+	r.PreviousSoftware = previousSoftware(known, r)
 	m.put(index, r)
 	return true
 }
 
+// previousSoftware returns the software version that the endpoint of a heartbeat ran before the
+// present one, under the same ID; empty for none. known is its record, or nil.
+func previousSoftware(known, r *pb.EndpointRecord) string {
+	if known == nil || known.Software == r.Software {
+		return known.GetPreviousSoftware()
+	}
+	return known.Software
+}
+
 // silenceOthersAt sets the other endpoints at the address of a registering endpoint to
 // SILENT.
 //
@@ -66,7 +76,7 @@
 func tombstone(r *pb.EndpointRecord, born, registered uint64) *pb.EndpointRecord {
 	return &pb.EndpointRecord{
 		Id: r.Id, Service: r.Service, Address: r.Address, Born: born, Registered: registered,
-		State: pb.EndpointState_ENDPOINT_STATE_GONE,
+		State: pb.EndpointState_ENDPOINT_STATE_GONE, Software: r.Software, PreviousSoftware: r.PreviousSoftware,
 	}
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	stages    *stageManager // used only by the goroutine that runs runLeaderTasks
 	versions  *entryVersions
 	models    modelEndpoints
+	software  softwareHistory
 	addresses addressBook
 	parts     packedParts
 	// refusalLog limits the log lines about refused heartbeats.
@@ -88,6 +89,9 @@
 	group.Go(func() error { return c.runSeenReports(ctx) })
 	group.Go(func() error { return runEvery(ctx, leaderRunInterval, c.runLeaderTasks) })
 	group.Go(func() error { return c.reports.run(ctx) })
+	group.Go(func() error {
+		return runEvery(ctx, softwareReadInterval, func(context.Context) { c.updateSoftware() })
+	})
 	return group.Wait()
 }
 
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -84,6 +84,9 @@
 	if ex.overloaded {
 		return "its endpoints are too loaded to answer in time"
 	}
+	if ex.lacksSoftware() {
+		return "no endpoint runs the software version that began its stream"
+	}
 	if ex.blockedFor() > 0 {
 		return "its endpoints take no more for now"
 	}
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -295,7 +295,8 @@
 		budget := retrybudget.New(time.Now().Add(-time.Minute), retrybudget.Limits{Ratio: 0.2, Slack: 8, Window: 10 * time.Second})
 		budget.SetEntries(time.Now(), 1)
 		options := Options{
-			View: func() *View { return view }, Endpoints: e, Stats: dispatch.NewEndpointStats("", uint64(n), policy), Policy: policy,
+			Origins: &fakeOrigins{sole: new(string)},
+			View:    func() *View { return view }, Endpoints: e, Stats: dispatch.NewEndpointStats("", uint64(n), policy), Policy: policy,
 			Budget: budget, Part: logging.Part{},
 			Random: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
 		}
--- a/internal/relay/eventsource.go
+++ b/internal/relay/eventsource.go
@@ -23,12 +23,16 @@
 	switch {
 	case ex.headSent:
 		ex.countResumed(resumedByEntry, from)
-	case ex.isResumption():
+	case isResumption(ex.exchange, ex.route):
 		ex.countResumed(resumedByCaller, from)
 	}
 	if !ex.software.set {
 		ex.software = requireSoftware(from.Software)
 	}
+	if ex.beganAt == nil {
+		ex.beganAt = from
+		ex.recordOrigin(from)
+	}
 }
 
 func (ex *activeExchange) countResumed(by string, from *dispatch.Endpoint) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -36,6 +36,7 @@
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
 	software         requiredSoftware              // of the endpoint that began the stream
+	beganAt          *dispatch.Endpoint            // whose event was forwarded first; nil for none
 	lastOutcome      dispatch.Outcome              // of the latest attempt, without prefills
 	// lastAttemptOutcome is the outcome of the latest attempt or prefill.
 	lastAttemptOutcome dispatch.Outcome
@@ -115,7 +116,9 @@
 
 // canResume reports whether another endpoint could continue the answer: from its
 // beginning, or after an event that has an ID.
-func (ex *activeExchange) canResume() bool { return !ex.headSent || ex.lastEventID != "" }
+func (ex *activeExchange) canResume() bool {
+	return !ex.headSent || ex.lastEventID != "" && !ex.isSoftwareInDoubt()
+}
 
 // memoryTokens returns how many tokens the exchange will likely hold at its end.
 func (ex *activeExchange) memoryTokens() int {
@@ -145,6 +148,9 @@
 
 // prepareAttempt chooses the endpoint of the next attempt; nil if there is none.
 func (ex *activeExchange) prepareAttempt(ctx context.Context) (*dispatch.Endpoint, *Call) {
+	if ex.lacksSoftware() {
+		return nil, nil
+	}
 	if ex.engine != nil {
 		return ex.prepareModel(ctx)
 	}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/logging"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
 	"github.com/hyssopsail/hyssopsail/internal/suspect"
 )
 
@@ -195,6 +196,36 @@
 	*list = append(*list, what)
 }
 
+// fakeOrigins know where streams began.
+type fakeOrigins struct {
+	mu      sync.Mutex
+	streams map[streamorigin.Key]streamorigin.Origin
+	sole    *string // version of all endpoints; nil if there are several
+}
+
+func (f *fakeOrigins) Record(key streamorigin.Key, origin streamorigin.Origin, _ string, _ time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.streams == nil {
+		f.streams = map[streamorigin.Key]streamorigin.Origin{}
+	}
+	f.streams[key] = origin
+}
+
+func (f *fakeOrigins) Find(_ context.Context, key streamorigin.Key) (streamorigin.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	origin, found := f.streams[key]
+	return origin, found
+}
+
+func (f *fakeOrigins) SoleSoftware(context.Context, string, time.Duration) (string, bool) {
+	if f.sole == nil {
+		return "", false
+	}
+	return *f.sole, true
+}
+
 // fakeCaller receives an answer.
 type fakeCaller struct {
 	status  int
@@ -222,6 +253,7 @@
 	route     *routetable.Route
 	budget    *retrybudget.Budget
 	crashes   *crashFindings
+	origins   *fakeOrigins
 	router    *Router
 	view      *View
 }
@@ -236,7 +268,7 @@
 		Services: []routetable.Service{{Name: "s"}},
 		Limits:   routetable.Limits{BodyBytes: 100},
 	}
-	fx := &fixture{endpoints: &fakeEndpoints{answers: answers}, route: &d.Routes[0], crashes: newCrashFindings()}
+	fx := &fixture{endpoints: &fakeEndpoints{answers: answers}, route: &d.Routes[0], crashes: newCrashFindings(), origins: &fakeOrigins{}}
 	fx.view = &View{Table: routetable.Compile(d), Endpoints: map[string][]*dispatch.Endpoint{}}
 	for n := range 3 {
 		fx.view.Endpoints["s"] = append(fx.view.Endpoints["s"], &dispatch.Endpoint{ID: fmt.Sprint("e", n), Service: "s", Slots: 4})
@@ -244,7 +276,7 @@
 	fx.budget = retrybudget.New(time.Now().Add(-time.Minute), retrybudget.Limits{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
 	fx.budget.SetEntries(time.Now(), 1)
 	fx.router = New(Options{
-		View: func() *View { return fx.view }, Endpoints: fx.endpoints, Stats: dispatch.NewEndpointStats("", 1, dispatch.Policy{}), Budget: fx.budget, Crashes: fx.crashes,
+		View: func() *View { return fx.view }, Endpoints: fx.endpoints, Stats: dispatch.NewEndpointStats("", 1, dispatch.Policy{}), Budget: fx.budget, Crashes: fx.crashes, Origins: fx.origins,
 		Part: logging.Part{}, Random: func() float64 { return 0.5 },
 	})
 	return fx
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -37,8 +37,9 @@
 	// QuotaTolerance is by how much teams may exceed their quotas.
 	QuotaTolerance quota.Tolerance
 	Budget         *retrybudget.Budget
-	RetryPool      RetryPool    // nil: entries have their own parts of the budget alone
-	Crashes        CrashTracker // nil: requests that crash endpoints are not tracked
+	RetryPool      RetryPool     // nil: entries have their own parts of the budget alone
+	Crashes        CrashTracker  // nil: requests that crash endpoints are not tracked
+	Origins        StreamOrigins // nil: streams can't be resumed by their callers
 	// Limits are those that endpoints name; nil: an endpoint that names one gets no requests.
 	Limits  *endpointlimit.Client
 	Policy  dispatch.Policy
--- /dev/null
+++ b/internal/relay/origin.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
+)
+
+// StreamOrigins knows where streams began, at any entry. It is safe for concurrent use.
+type StreamOrigins interface {
+	// Record records where a stream began, or that it was resumed there, for the time ttl.
+	Record(key streamorigin.Key, origin streamorigin.Origin, endpoint string, ttl time.Duration)
+	// Find returns where a stream began; ok is false if that is unknown or in doubt.
+	Find(ctx context.Context, key streamorigin.Key) (origin streamorigin.Origin, ok bool)
+	// SoleSoftware returns the version that all endpoints of a service have run for some time up
+	// to now; ok is false if there were several or if that isn't known.
+	SoleSoftware(ctx context.Context, service string, within time.Duration) (software string, ok bool)
+}
+
+// resumeWindowFactor limits, in multiples of the route's timeout, how long after its last first
+// event a stream may be resumed: an answer lasts for one timeout at most, and its caller returns
+// within what is left of its own.
+const resumeWindowFactor = 2
+
+func resumeWindow(route *routetable.Route) time.Duration { return resumeWindowFactor * route.Timeout }
+
+// isResumption reports whether the caller of an exchange already has a part of a stream.
+func isResumption(x *Exchange, route *routetable.Route) bool {
+	return x.LastEventID != "" && route.Kind == routetable.KindStream
+}
+
+// target is the service and the software version that an exchange goes to.
+type target struct {
+	service  string
+	software requiredSoftware
+}
+
+// chooseTarget returns where an exchange goes. A stream goes on at the service and the software
+// version that began it; if these are not known for certain, it is refused.
+func (r *Router) chooseTarget(ctx context.Context, x *Exchange, a admitted) (target, *Refusal) {
+	if !isResumption(x, a.route) {
+		return target{service: a.route.ChooseService(r.options.Random())}, nil
+	}
+	origin, ok := r.findOrigin(ctx, x, a)
+	switch {
+	case !ok:
+		return target{}, r.refuseResumption(x, a, "it is not known which software version began the stream")
+	case !a.route.HasBackend(origin.Service):
+		return target{}, r.refuseResumption(x, a, "the route no longer leads to the service that began the stream")
+	}
+	return target{service: origin.Service, software: requireSoftware(origin.Software)}, nil
+}
+
+// findOrigin returns where the stream began that an exchange resumes: by its record, or since
+// nothing else can have begun it.
+func (r *Router) findOrigin(ctx context.Context, x *Exchange, a admitted) (origin streamorigin.Origin, ok bool) {
+	origins := r.options.Origins
+	if origins == nil {
+		return streamorigin.Origin{}, false
+	}
+	if x.Resumes != "" {
+		if origin, ok = origins.Find(ctx, streamKey(a.team, x.Host, x.Resumes)); ok {
+			return origin, true
+		}
+	}
+	service, ok := a.route.SoleBackend()
+	if !ok {
+		return streamorigin.Origin{}, false
+	}
+	software, ok := origins.SoleSoftware(ctx, service, resumeWindow(a.route))
+	return streamorigin.Origin{Service: service, Software: software}, ok
+}
+
+func (r *Router) refuseResumption(x *Exchange, a admitted, reason string) *Refusal {
+	refusal := &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: retryAfter(x.CallerTimeout, r.options.Random())}
+	r.options.Part.Info("Refused.", "request", x.ID, "verdict", refusal.Verdict, "reason", reason, "route", a.route.Name,
+		"team", teamName(a.team), "version", a.view.Table.Version, "resumes", x.Resumes, "resumed_after", x.LastEventID)
+	r.metrics.ended.WithLabelValues(a.route.Kind.String(), refusal.Verdict.String()).Inc()
+	return refusal
+}
+
+func streamKey(team *routetable.Team, host, exchange string) streamorigin.Key {
+	return streamorigin.KeyOf(teamName(team), host, exchange)
+}
+
+// recordOrigin records that an endpoint began or continues the stream of this exchange. The
+// record of the exchange that the caller resumes is kept on.
+func (ex *activeExchange) recordOrigin(from *dispatch.Endpoint) {
+	origins := ex.router.options.Origins
+	if origins == nil || !ex.route.Resumable {
+		return
+	}
+	origin := streamorigin.Origin{Service: ex.service, Software: from.Software}
+	origins.Record(streamKey(ex.team, ex.exchange.Host, ex.exchange.ID), origin, from.ID, resumeWindow(ex.route))
+	if isResumption(ex.exchange, ex.route) && ex.exchange.Resumes != "" {
+		origins.Record(streamKey(ex.team, ex.exchange.Host, ex.exchange.Resumes), origin, from.ID, resumeWindow(ex.route))
+	}
+}
+
+// isSoftwareInDoubt reports whether the endpoint that began the stream has another software
+// version by now: it may have started again under its ID before it sent the first event.
+func (ex *activeExchange) isSoftwareInDoubt() bool {
+	if ex.beganAt == nil {
+		return false
+	}
+	for _, e := range ex.router.options.View().Endpoints[ex.service] {
+		if e.ID == ex.beganAt.ID && e.Software != ex.beganAt.Software {
+			return true
+		}
+	}
+	return false
+}
+
+// lacksSoftware reports whether no endpoint has the software version that began the stream.
+func (ex *activeExchange) lacksSoftware() bool {
+	if !ex.software.set {
+		return false
+	}
+	f := ex.filter(ex.stage())
+	f.tried = nil
+	return len(ex.router.selected(f)) == 0
+}
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -64,12 +64,9 @@
 // case, while new requests that queue behind them at the prefill endpoints miss their
 // targets.
 func (ex *activeExchange) skipsPrefill() bool {
-	return ex.exchange.Prompt == nil || ex.prefillAttempted || ex.isResumption() && ex.router.options.Policy.Has(dispatch.LocalPrefillOnResume)
+	return ex.exchange.Prompt == nil || ex.prefillAttempted || isResumption(ex.exchange, ex.route) && ex.router.options.Policy.Has(dispatch.LocalPrefillOnResume)
 }
 
-// isResumption reports whether the caller already has a part of the answer.
-func (ex *activeExchange) isResumption() bool { return ex.exchange.LastEventID != "" }
-
 // permittedPrefillEndpoint returns prefillEndpoint's choice, within the retry budget and
 // the endpoint's limit. Without one of these the decode endpoint prefills the prompt.
 func (ex *activeExchange) permittedPrefillEndpoint(ctx context.Context) (dispatch.Choice, dispatch.PrefillMode, *retrybudget.Reservation) {
--- a/internal/relay/priority.go
+++ b/internal/relay/priority.go
@@ -26,7 +26,7 @@
 		return noPriority
 	}
 	waited := time.Since(ex.exchange.Received)
-	if ex.attempts > 0 || ex.isResumption() {
+	if ex.attempts > 0 || isResumption(ex.exchange, ex.route) {
 		waited += ex.route.Target
 	}
 	return enginePriority(ex.route, ex.team, waited)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -59,11 +59,14 @@
 	deadline = deadline.Add(-timeoutMargin)
 	ctx, cancel := context.WithDeadlineCause(ctx, deadline, errDeadline)
 	defer cancel()
-	service := route.ChooseService(r.options.Random())
+	to, refusal := r.chooseTarget(ctx, x, a)
+	if refusal != nil {
+		return refusal, false
+	}
 	active := &activeExchange{
 		router: r, exchange: x, caller: caller, route: route, team: a.team, version: a.view.Table.Version,
-		service: service, engine: engineOf(a.view.Table, service), deadline: deadline,
-		budgetAccount: r.options.Budget.OpenAccount(time.Now(), service),
+		service: to.service, software: to.software, engine: engineOf(a.view.Table, to.service), deadline: deadline,
+		budgetAccount: r.options.Budget.OpenAccount(time.Now(), to.service),
 	}
 	r.metrics.running.Inc()
 	defer r.metrics.running.Dec()
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -9,6 +10,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
 )
 
 // withSoftware makes the service one of endpoints of the given software versions.
@@ -30,8 +32,8 @@
 	return versions
 }
 
-// Guards against a stream that continues at an endpoint of another software version, within one
-// answer or when its caller returns.
+// Guards against a stream that continues at an endpoint of another software version within one
+// answer.
 func TestStreamKeepsItsSoftwareVersion(t *testing.T) {
 	breaksAfterTwo := returns(func() *Reply { return reply(200, errCut, event("1"), event("2")) })
 	endsWithThree := returns(func() *Reply { return ok(event("3")) })
@@ -62,17 +64,104 @@
 			}
 		})
 	})
-	t.Run("the caller returns, and its stream is not known here", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			fx := newFixture(routetable.KindStream, endsWithThree).withSoftware("v1", "v1.1")
-			fx.route.Resumable = true
-			x := newExchange()
-			x.LastEventID, x.Resumes = "2", "x0"
-			caller, refusal := fx.serve(t, x)
-			assert.Equal(t, len(fx.endpoints.calls), 0, "sent to %v", fx.softwareOfCalls())
-			assert.Equal(t, caller.begun, 0)
-			assert.Equal(t, refusal.Verdict, VerdictNotRun)
-			assert.Assert(t, refusal.RetryAfter > 0)
+}
+
+// returning returns an exchange of a caller that has events up to 2 of a stream.
+func returning(resumes string) *Exchange {
+	x := newExchange()
+	x.LastEventID, x.Resumes = "2", resumes
+	return x
+}
+
+func (fx *fixture) began(exchange string, o streamorigin.Origin) {
+	fx.origins.Record(streamorigin.KeyOf("", "h", exchange), o, "", 0)
+}
+
+// Guards against a stream that continues at another software version when its caller returns, and
+// against one that is refused although its version serves.
+func TestReturningCallerGetsItsSoftwareVersion(t *testing.T) {
+	sole := "v1"
+	for name, row := range map[string]struct {
+		versions []string
+		sole     *string
+		began    map[string]streamorigin.Origin
+		resumes  string
+		at       string // software version of the endpoint that is sent to; empty if refused
+	}{
+		"not known":                 {versions: []string{"v1", "v1.1"}, resumes: "x0"},
+		"none named":                {versions: []string{"v1", "v1.1"}},
+		"known":                     {versions: []string{"v1", "v1.1", "v1"}, began: map[string]streamorigin.Origin{"x0": {Service: "s", Software: "v1.1"}}, resumes: "x0", at: "v1.1"},
+		"another exchange is known": {versions: []string{"v1", "v1.1"}, began: map[string]streamorigin.Origin{"x9": {Service: "s", Software: "v1.1"}}, resumes: "x0"},
+		"version gone":              {versions: []string{"v1.1", "v1.2"}, began: map[string]streamorigin.Origin{"x0": {Service: "s", Software: "v1"}}, resumes: "x0"},
+		"began at another service":  {versions: []string{"v1", "v1"}, sole: &sole, began: map[string]streamorigin.Origin{"x0": {Service: "s2", Software: "v1"}}, resumes: "x0"},
+		"not known, sole version":   {versions: []string{"v1", "v1"}, sole: &sole, resumes: "x0", at: "v1"},
+		"none named, sole version":  {versions: []string{"v1"}, sole: &sole, at: "v1"},
+		"newer than sole version":   {versions: []string{"v1.1"}, sole: &sole},
+		"no ID but a page of text":  {versions: []string{"v1", "v1.1"}, resumes: strings.Repeat("x\x00 ", 4000)},
+		"known beats sole version":  {versions: []string{"v1", "v1.1"}, sole: &sole, began: map[string]streamorigin.Origin{"x0": {Service: "s", Software: "v1.1"}}, resumes: "x0", at: "v1.1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(routetable.KindStream, returns(func() *Reply { return ok(event("3")) })).withSoftware(row.versions...)
+				fx.route.Resumable = true
+				fx.origins.sole = row.sole
+				for exchange, origin := range row.began {
+					fx.began(exchange, origin)
+				}
+				caller, refusal := fx.serve(t, returning(row.resumes))
+				if row.at != "" {
+					assert.Assert(t, refusal == nil)
+					assert.DeepEqual(t, fx.softwareOfCalls(), []string{row.at})
+					assert.Equal(t, caller.text.String(), event("3"))
+					return
+				}
+				assert.Equal(t, len(fx.endpoints.calls), 0, "sent to %v", fx.softwareOfCalls())
+				assert.Equal(t, caller.begun, 0)
+				assert.Equal(t, refusal.Verdict, VerdictNotRun)
+				assert.Assert(t, refusal.RetryAfter > 0)
+			})
 		})
+	}
+}
+
+// Guards against a chain of returns that ends at another version than it began: each attempt is
+// known by the version of the first one, under its own ID too.
+func TestChainOfReturnsKeepsTheFirstVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := func(id string) answer {
+			return returns(func() *Reply { return reply(200, errCut, event(id)) })
+		}
+		fx := newFixture(routetable.KindStream, broken("1"), broken("2"), broken("3"), broken("4")).withSoftware("v1")
+		fx.route.Resumable = true
+		first := newExchange()
+		fx.serve(t, first)
+		fx.withSoftware("v1.1", "v1.1", "v1")
+		for n, resumes := range []string{"x1", "x1", "x3"} {
+			x := newExchange()
+			x.ID, x.LastEventID, x.Resumes = fmt.Sprint("x", n+2), fmt.Sprint(n+1), resumes
+			fx.serve(t, x)
+		}
+		assert.DeepEqual(t, fx.softwareOfCalls(), []string{"v1", "v1", "v1", "v1"})
+	})
+}
+
+// Guards against a stream that goes on at the version of an endpoint's process before: the
+// endpoint started again under its ID, with other software, maybe before the first event.
+func TestStreamOfAnEndpointThatStartedAgainWithOtherSoftware(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(routetable.KindStream, returns(func() *Reply { return reply(200, errCut, event("1")) }), returns(func() *Reply { return ok(event("2")) })).withSoftware("v1", "v1")
+		fx.route.Resumable = true
+		x, caller := newExchange(), &fakeCaller{}
+		caller.leave = func() {
+			list := fx.view.Endpoints["s"]
+			for n, e := range list {
+				if e.ID == fx.endpoints.calls[0].Endpoint.ID {
+					list[n] = &dispatch.Endpoint{ID: e.ID, Service: "s", Slots: 4, Software: "v1.1"}
+				}
+			}
+		}
+		assert.Assert(t, fx.router.Serve(t.Context(), x, caller) == nil)
+		assert.Equal(t, len(fx.endpoints.calls), 1)
+		assert.Assert(t, caller.aborted)
 	})
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -97,6 +97,26 @@
 // Service returns a service by name, or nil if it is unknown.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// SoleBackend returns the service to which all requests of the route go; ok is false if there are
+// several.
+func (r *Route) SoleBackend() (service string, ok bool) {
+	for _, b := range r.Backends {
+		switch {
+		case b.Weight <= 0 || b.Service == service:
+		case service != "":
+			return "", false
+		default:
+			service = b.Service
+		}
+	}
+	return service, service != ""
+}
+
+// HasBackend reports whether requests of the route may go to a service.
+func (r *Route) HasBackend(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
+}
+
 // ChooseService picks a service of the route by weight; point is uniformly distributed in [0, 1).
 func (r *Route) ChooseService(point float64) string {
 	total := 0.0
--- /dev/null
+++ b/internal/streamorigin/key.go
@@ -0,0 +1,31 @@
+package streamorigin
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies a stream.
+type Key [12]byte
+
+// KeyOf returns the key of the stream that a request began. team is empty where callers need no
+// key. exchange is the ID of the request.
+func KeyOf(team, host, exchange string) Key {
+	h := sha256.New()
+	for _, part := range []string{team, host, exchange} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	return Key(h.Sum(nil)[:len(Key{})])
+}
+
+// EndpointSum is a checksum of an endpoint's ID. Two endpoints with the same one are taken for
+// each other, which makes more streams doubtful, and none less.
+type EndpointSum uint32
+
+// SumOf returns the checksum of an endpoint's ID.
+func SumOf(endpoint string) EndpointSum { return EndpointSum(xxhash.Sum64String(endpoint)) }
--- /dev/null
+++ b/internal/streamorigin/server.go
@@ -0,0 +1,81 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// Server holds records at one control instance. It is safe for concurrent use.
+type Server struct {
+	epoch   uint64
+	history SoftwareHistory
+	metrics *serverMetrics
+
+	mu    sync.Mutex // guards table
+	table *table
+}
+
+var _ pb.DRPCStreamOriginsServer = (*Server)(nil)
+
+// NewServer returns a Server without records. epoch must differ from that of any other process,
+// also of an earlier one of this instance; registerer may be nil.
+func NewServer(epoch uint64, history SoftwareHistory, registerer prometheus.Registerer) *Server {
+	return &Server{epoch: epoch, history: history, metrics: newServerMetrics(registerer), table: newTable()}
+}
+
+// RecordStreams implements pb.DRPCStreamOriginsServer.
+func (s *Server) RecordStreams(_ context.Context, r *pb.RecordStreamsRequest) (*pb.RecordStreamsReply, error) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, batch := range r.Batches {
+		for _, added := range streamsFromWire(batch) {
+			if !s.table.put(now, added.key, added.origin.Value(), added.endpoint, added.ttl) {
+				s.metrics.dropped.Inc()
+			}
+		}
+	}
+	s.metrics.records.Set(float64(len(s.table.records)))
+	return &pb.RecordStreamsReply{Epoch: s.epoch}, nil
+}
+
+// FindStream implements pb.DRPCStreamOriginsServer.
+func (s *Server) FindStream(_ context.Context, r *pb.FindStreamRequest) (*pb.FindStreamReply, error) {
+	if len(r.Key) != len(Key{}) {
+		return nil, trace.BadParameter("a stream's key has %d bytes", len(r.Key))
+	}
+	known, found := s.get(Key(r.Key))
+	reply := &pb.FindStreamReply{Current: s.history.InContact()}
+	if !found {
+		return reply, nil
+	}
+	origin := known.origin.Value()
+	if known.ambiguous || s.history.MayHaveRunOther(known.endpoint, origin.Software, known.recorded) {
+		reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_DOUBTFUL
+		return reply, nil
+	}
+	reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_FOUND
+	reply.Service, reply.Software = origin.Service, origin.Software
+	return reply, nil
+}
+
+func (s *Server) get(key Key) (record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.get(time.Now(), key)
+}
+
+// SoleSoftware implements pb.DRPCStreamOriginsServer.
+func (s *Server) SoleSoftware(ctx context.Context, r *pb.SoleSoftwareRequest) (*pb.SoleSoftwareReply, error) {
+	software, sole, err := s.history.SoleSoftware(ctx, r.Service, time.Duration(r.WithinMs)*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.SoleSoftwareReply{Sole: sole, Software: software}, nil
+}
