relay, allocation: a KV cache goes from prefill to decode within one software version

The prefill endpoint, chosen by the entry or the home, is now of the decode endpoint's version; without one the decode endpoint prefills the prompt itself. A result that is left over when the next decode endpoint has another version is freed. A trial with these guards off: relay.TestPrefillIsOfTheSameSoftwareVersion fails in three of three cases, allocation.TestReserve in its new one.

--- a/internal/allocation/usage_tracker.go
+++ b/internal/allocation/usage_tracker.go
@@ -84,7 +84,7 @@
 	}
 	placement := Placement{Endpoint: decode.ID}
 	if request.PrefillDuration > 0 {
-		prefill, backlog := t.prefillEndpoint(now, endpoints, request, decode.Zone)
+		prefill, backlog := t.prefillEndpoint(now, endpoints, request, decode)
 		switch {
 		case prefill != nil && backlog <= request.MaxBacklog:
 			placement.PrefillEndpoint, placement.PrefillBacklog = prefill.ID, backlog
@@ -171,18 +171,21 @@
 	return free
 }
 
-// prefillEndpoint returns the prefill endpoint that is free first, and the prompt's wait
-// there; nil if there is none.
-func (t *UsageTracker) prefillEndpoint(now time.Time, endpoints []Endpoint, request ReservationRequest, zone string) (best *Endpoint, backlog time.Duration) {
+// prefillEndpoint returns the prefill endpoint of a decode endpoint's software version that is
+// free first, and the prompt's wait there; nil if there is none.
+func (t *UsageTracker) prefillEndpoint(now time.Time, endpoints []Endpoint, request ReservationRequest, decode *Endpoint) (best *Endpoint, backlog time.Duration) {
 	var least time.Duration
-	for e := range t.search(endpoints, func(e *Endpoint) bool { return e.IsPrefill && e.canServe(request) }, &best) {
+	matches := func(e *Endpoint) bool {
+		return e.IsPrefill && e.Software == decode.Software && e.canServe(request)
+	}
+	for e := range t.search(endpoints, matches, &best) {
 		u := t.lookup(e.ID)
 		if !u.isEligible(now) {
 			continue
 		}
 		wait := max(0, u.prefillBusyUntil.Sub(now)) + u.prefillDuration(now, request) - request.PrefillDuration
 		cost := wait
-		if e.Zone != zone {
+		if e.Zone != decode.Zone {
 			cost += crossZoneTransferCost
 		}
 		if best == nil || cost < least {
--- a/internal/allocation/usage_tracker_test.go
+++ b/internal/allocation/usage_tracker_test.go
@@ -43,19 +43,20 @@
 		request ReservationRequest
 		want    Placement
 	}{
-		"idle endpoints":    {fleet: fleetOf(1, 1), request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e1", PrefillEndpoint: "e0"}},
-		"emptier endpoint":  {fleet: fleetOf(1, 2), before: []ReservationRequest{requestOf("a", 3000, 500)}, request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e2", PrefillEndpoint: "e0", PrefillBacklog: 100 * time.Millisecond}},
-		"idle prefill":      {fleet: fleetOf(2, 1), before: []ReservationRequest{requestOf("a", 3000, 500)}, request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e2", PrefillEndpoint: "e1"}},
-		"larger than any":   {fleet: fleetOf(1, 1), request: requestOf("x", 10_000, 500)},
-		"all full":          {fleet: fleetOf(1, 1), before: []ReservationRequest{requestOf("a", 8000, 500)}, request: requestOf("x", 3000, 500)},
-		"no endpoints":      {request: requestOf("x", 3000, 500)},
-		"prefill too busy":  {fleet: fleetOf(1, 9), before: []ReservationRequest{requestOf("a", 900, 0), requestOf("b", 900, 0), requestOf("c", 900, 0), requestOf("d", 900, 0)}, request: requestOf("x", 900, 0)},
-		"excluded endpoint": {fleet: fleetOf(0, 2), request: ReservationRequest{CapacityTokens: 10, PromptTokens: 1, Excluded: []string{"e0"}}, want: Placement{Endpoint: "e1"}},
-		"another model":     {fleet: []Endpoint{{ID: "e", Slots: 1, Models: []string{"other"}}}, request: ReservationRequest{CapacityTokens: 10, Model: "m"}},
-		"required software": {fleet: mixedFleet(), request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}, want: Placement{Endpoint: "new"}},
-		"software is gone":  {fleet: mixedFleet()[:1], request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}},
-		"the entry's zone":  {fleet: []Endpoint{{ID: "far", Zone: "b", Slots: 1}, {ID: "near", Zone: "a", Slots: 1}}, request: ReservationRequest{CapacityTokens: 10, Zone: "a"}, want: Placement{Endpoint: "near"}},
-		"no free slot":      {fleet: []Endpoint{{ID: "e", Slots: 1}}, before: []ReservationRequest{{Exchange: "a", CapacityTokens: 10}}, request: ReservationRequest{Exchange: "x", CapacityTokens: 10}},
+		"idle endpoints":     {fleet: fleetOf(1, 1), request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e1", PrefillEndpoint: "e0"}},
+		"emptier endpoint":   {fleet: fleetOf(1, 2), before: []ReservationRequest{requestOf("a", 3000, 500)}, request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e2", PrefillEndpoint: "e0", PrefillBacklog: 100 * time.Millisecond}},
+		"idle prefill":       {fleet: fleetOf(2, 1), before: []ReservationRequest{requestOf("a", 3000, 500)}, request: requestOf("x", 3000, 500), want: Placement{Endpoint: "e2", PrefillEndpoint: "e1"}},
+		"larger than any":    {fleet: fleetOf(1, 1), request: requestOf("x", 10_000, 500)},
+		"all full":           {fleet: fleetOf(1, 1), before: []ReservationRequest{requestOf("a", 8000, 500)}, request: requestOf("x", 3000, 500)},
+		"no endpoints":       {request: requestOf("x", 3000, 500)},
+		"prefill too busy":   {fleet: fleetOf(1, 9), before: []ReservationRequest{requestOf("a", 900, 0), requestOf("b", 900, 0), requestOf("c", 900, 0), requestOf("d", 900, 0)}, request: requestOf("x", 900, 0)},
+		"excluded endpoint":  {fleet: fleetOf(0, 2), request: ReservationRequest{CapacityTokens: 10, PromptTokens: 1, Excluded: []string{"e0"}}, want: Placement{Endpoint: "e1"}},
+		"another model":      {fleet: []Endpoint{{ID: "e", Slots: 1, Models: []string{"other"}}}, request: ReservationRequest{CapacityTokens: 10, Model: "m"}},
+		"required software":  {fleet: mixedFleet(), request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}, want: Placement{Endpoint: "new"}},
+		"prefill's software": {fleet: []Endpoint{{ID: "p", IsPrefill: true, Software: "v1"}, {ID: "d", Slots: 1, Software: "v2"}}, request: requestOf("x", 3000, 500), want: Placement{Endpoint: "d"}},
+		"software is gone":   {fleet: mixedFleet()[:1], request: ReservationRequest{CapacityTokens: 10, Software: &secondVersion}},
+		"the entry's zone":   {fleet: []Endpoint{{ID: "far", Zone: "b", Slots: 1}, {ID: "near", Zone: "a", Slots: 1}}, request: ReservationRequest{CapacityTokens: 10, Zone: "a"}, want: Placement{Endpoint: "near"}},
+		"no free slot":       {fleet: []Endpoint{{ID: "e", Slots: 1}}, before: []ReservationRequest{{Exchange: "a", CapacityTokens: 10}}, request: ReservationRequest{Exchange: "x", CapacityTokens: 10}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := NewUsageTracker()
--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -57,7 +57,9 @@
 
 // reserveAllocated reserves memory at the endpoint that the home has named.
 func (ex *activeExchange) reserveAllocated(ctx context.Context, assigned allocation.Reservation) *placement {
-	e := ex.findEndpoint(dispatch.StageDecode, assigned.Endpoint)
+	f := ex.filter(dispatch.StageDecode)
+	f.tried = nil
+	e := ex.findEndpoint(f, assigned.Endpoint)
 	if e == nil {
 		// It has just registered, and this entry doesn't know it yet. It is not faulty.
 		ex.unknownEndpoints = append(ex.unknownEndpoints, assigned.Endpoint)
@@ -77,9 +79,7 @@
 	return at
 }
 
-func (ex *activeExchange) findEndpoint(stage dispatch.Stage, id string) *dispatch.Endpoint {
-	f := ex.filter(stage)
-	f.tried = nil
+func (ex *activeExchange) findEndpoint(f endpointFilter, id string) *dispatch.Endpoint {
 	for _, e := range ex.router.candidates(f) {
 		if e.ID == id {
 			return e
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -160,7 +160,7 @@
 // preparePlain chooses an endpoint that may be sent the exchange.
 func (ex *activeExchange) preparePlain(ctx context.Context) (*dispatch.Endpoint, *Call) {
 	for ctx.Err() == nil {
-		choice, ok := ex.chooseEndpoint(dispatch.StageNone, ex.tried, dispatch.SlotLoad)
+		choice, ok := ex.chooseEndpoint(ex.filter(dispatch.StageNone), dispatch.SlotLoad)
 		switch {
 		case ok && ex.isRefusedForOverload(choice):
 			return nil, nil
@@ -173,12 +173,10 @@
 	return nil, nil
 }
 
-func (ex *activeExchange) chooseEndpoint(stage dispatch.Stage, tried map[dispatch.Incarnation]bool, load dispatch.LoadFunc) (dispatch.Choice, bool) {
-	f := ex.filter(stage)
-	f.tried = tried
+func (ex *activeExchange) chooseEndpoint(f endpointFilter, load dispatch.LoadFunc) (dispatch.Choice, bool) {
 	choice, ok := ex.router.options.Stats.Choose(time.Now(), ex.router.candidates(f), load)
 	if ok {
-		ex.logDecision("Chosen.", "endpoint", choice.Endpoint.ID, "stage", stage, "software", choice.Endpoint.Software, "among", choice.Candidates,
+		ex.logDecision("Chosen.", "endpoint", choice.Endpoint.ID, "stage", f.stage, "software", choice.Endpoint.Software, "among", choice.Candidates,
 			"cost", rounded(choice.Cost), "own", choice.OwnInFlight, "others", rounded(choice.OthersInFlight), "age_ms", choice.ReportAgeMs)
 	}
 	return choice, ok
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/allocation"
@@ -49,8 +50,11 @@
 	call := ex.newCall(at.endpoint)
 	call.ReservationID = at.reservationID
 	call.Priority = ex.priority()
+	if ex.unusedPrefill != nil && !requireSoftware(at.endpoint.Software).allows(ex.unusedPrefill.endpoint) {
+		ex.releaseUnusedPrefill()
+	}
 	if ex.unusedPrefill == nil && !ex.isQuarantined() {
-		ex.unusedPrefill = ex.runPrefill(ctx)
+		ex.unusedPrefill = ex.runPrefill(ctx, at.endpoint)
 	}
 	if ex.unusedPrefill != nil {
 		call.Source = &Source{Address: ex.unusedPrefill.endpoint.Address, Handle: ex.unusedPrefill.handle}
@@ -147,12 +151,10 @@
 // findPlacement asks the endpoints with the most free memory in the local view. found is false
 // when there are no endpoints to ask.
 func (ex *activeExchange) findPlacement(ctx context.Context) (at *placement, found bool) {
-	excluded := map[dispatch.Incarnation]bool{}
-	for id := range ex.tried {
-		excluded[id] = true
-	}
+	f := ex.filter(dispatch.StageDecode)
+	f.tried = maps.Clone(ex.tried)
 	for range maxReserveAttempts {
-		choice, ok := ex.chooseEndpoint(dispatch.StageDecode, excluded, ex.memoryMeasure())
+		choice, ok := ex.chooseEndpoint(f, ex.memoryMeasure())
 		if !ok {
 			return nil, found
 		}
@@ -168,7 +170,7 @@
 		if ctx.Err() != nil {
 			return nil, found
 		}
-		excluded[choice.Endpoint.Incarnation()] = true
+		f.tried[choice.Endpoint.Incarnation()] = true
 	}
 	return nil, found
 }
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -25,13 +25,14 @@
 	handle   string
 }
 
-// runPrefill has a prefill endpoint prefill the prompt. It returns nil if none did; the
+// runPrefill has a prefill endpoint prefill the prompt for a decode endpoint of the same software
+// version, which need not understand the KV cache of another one. It returns nil if none did; the
 // decode endpoint then prefills the prompt itself.
-func (ex *activeExchange) runPrefill(ctx context.Context) *prefilledPrompt {
+func (ex *activeExchange) runPrefill(ctx context.Context, decode *dispatch.Endpoint) *prefilledPrompt {
 	if ex.skipsPrefill() {
 		return nil
 	}
-	choice, mode, reservation := ex.permittedPrefillEndpoint(ctx)
+	choice, mode, reservation := ex.permittedPrefillEndpoint(ctx, decode)
 	ex.router.metrics.prefillModes.WithLabelValues(mode.String()).Inc()
 	if mode != dispatch.PrefillRemote {
 		return nil
@@ -69,8 +70,8 @@
 
 // permittedPrefillEndpoint returns prefillEndpoint's choice, within the retry budget and
 // the endpoint's limit. Without one of these the decode endpoint prefills the prompt.
-func (ex *activeExchange) permittedPrefillEndpoint(ctx context.Context) (dispatch.Choice, dispatch.PrefillMode, *retrybudget.Reservation) {
-	choice, mode := ex.prefillEndpoint()
+func (ex *activeExchange) permittedPrefillEndpoint(ctx context.Context, decode *dispatch.Endpoint) (dispatch.Choice, dispatch.PrefillMode, *retrybudget.Reservation) {
+	choice, mode := ex.prefillEndpoint(decode)
 	if mode != dispatch.PrefillRemote {
 		return choice, mode, nil
 	}
@@ -85,11 +86,13 @@
 }
 
 // prefillEndpoint returns the prefill endpoint that the home named, or one chosen here.
-func (ex *activeExchange) prefillEndpoint() (dispatch.Choice, dispatch.PrefillMode) {
+func (ex *activeExchange) prefillEndpoint(decode *dispatch.Endpoint) (dispatch.Choice, dispatch.PrefillMode) {
+	f := ex.filter(dispatch.StagePrefill)
+	f.tried, f.software = nil, requireSoftware(decode.Software)
 	if ex.allocated == nil {
-		return ex.choosePrefillEndpoint()
+		return ex.choosePrefillEndpoint(f)
 	}
-	e := ex.findEndpoint(dispatch.StagePrefill, ex.allocated.PrefillEndpoint)
+	e := ex.findEndpoint(f, ex.allocated.PrefillEndpoint)
 	if e == nil {
 		return dispatch.Choice{}, dispatch.PrefillLocal
 	}
@@ -100,9 +103,9 @@
 
 // choosePrefillEndpoint chooses the prefill endpoint with the least work queued, and
 // returns where the prompt of this exchange is prefilled.
-func (ex *activeExchange) choosePrefillEndpoint() (dispatch.Choice, dispatch.PrefillMode) {
+func (ex *activeExchange) choosePrefillEndpoint(f endpointFilter) (dispatch.Choice, dispatch.PrefillMode) {
 	stats, tokens := ex.router.options.Stats, ex.exchange.Prompt.Tokens
-	choice, ok := ex.chooseEndpoint(dispatch.StagePrefill, nil, byPromptTokens(tokens))
+	choice, ok := ex.chooseEndpoint(f, byPromptTokens(tokens))
 	if !ok {
 		return choice, dispatch.PrefillLocal
 	}
@@ -169,7 +172,9 @@
 	if ex.skipsPrefill() {
 		return true
 	}
-	_, mode := ex.choosePrefillEndpoint()
+	f := ex.filter(dispatch.StagePrefill)
+	f.tried = nil
+	_, mode := ex.choosePrefillEndpoint(f)
 	return mode != dispatch.PrefillDeferred
 }
 
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -165,3 +165,40 @@
 		assert.Assert(t, caller.aborted)
 	})
 }
+
+// Guards against a KV cache that one software version wrote and another one reads.
+func TestPrefillIsOfTheSameSoftwareVersion(t *testing.T) {
+	prefilled := returns(func() *Reply { return ok("{}") })
+	answered := returns(func() *Reply { return ok(event("1")) })
+	for name, row := range map[string]struct {
+		prefill, decode []string // software versions of endpoints
+		answers         []answer
+		calls           []string // software versions of endpoints called
+		handle          bool     // the last call has the result of the prefill
+	}{
+		"one of several": {prefill: []string{"v1", "v2", "v3"}, decode: []string{"v2"}, answers: []answer{prefilled, answered}, calls: []string{"v2", "v2"}, handle: true},
+		"none":           {prefill: []string{"v1", "v3"}, decode: []string{"v2"}, answers: []answer{answered}, calls: []string{"v2"}},
+		"the next decode endpoint has another version": {
+			prefill: []string{"v1", "v2"}, decode: []string{"v1", "v2"}, answers: []answer{prefilled, fails(false), answered},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(stream, row.answers...).withSoftware(append(row.prefill, row.decode...)...).withModel()
+				for n, e := range fx.view.Endpoints["s"] {
+					e.Stage = dispatch.StageDecode
+					if n < len(row.prefill) {
+						e.Stage = dispatch.StagePrefill
+					}
+				}
+				_, refusal := fx.serve(t, newModelExchange())
+				assert.Assert(t, refusal == nil)
+				if row.calls != nil {
+					assert.DeepEqual(t, fx.softwareOfCalls(), row.calls)
+				}
+				last := fx.endpoints.calls[len(fx.endpoints.calls)-1]
+				assert.Equal(t, last.Source != nil, row.handle)
+			})
+		})
+	}
+}
