--- a/cmd/hyssopsail-standin/config.go
+++ b/cmd/hyssopsail-standin/config.go
@@ -90,6 +90,7 @@
 func behaviourFlags(app *kingpin.Application, c *config, r *rawFlags) {
 	app.Flag("checks-tokens", "Refuse orders with an old fencing token.").BoolVar(&c.options.ChecksFencingTokens)
 	app.Flag("free-on-disconnect", "Free a request when its connection ends.").BoolVar(&c.options.FreeOnDisconnect)
+	app.Flag("software", "Version of its software that it announces.").StringVar(&c.options.Software)
 	app.Flag("refuse-leaving", "Take no new work from the leave on.").BoolVar(&c.options.RefuseLeaving)
 	app.Flag("crash-marker", "Text in a prompt or body that ends the process.").StringVar(&c.options.CrashMarker)
 	app.Flag("crash-at", "prefill, decode or call.").Default(string(engineapi.StagePrefill)).EnumVar(&r.crashAt,
--- a/internal/endpoint/contract.go
+++ b/internal/endpoint/contract.go
@@ -19,6 +19,7 @@
 	Role           fleet.EndpointRole
 	Models         []engineapi.ModelRef
 	Service        string
+	Software       string // version; empty: it names none
 	Slots          int
 	Granted        int
 	Queued         int
--- a/internal/endpoint/core_digest.go
+++ b/internal/endpoint/core_digest.go
@@ -88,6 +88,7 @@
 	d.Service = a.Service
 	d.Slots = uint32(a.Slots)
 	d.ChecksTokens = a.ChecksFencingTokens
+	d.Software = a.Software
 	for _, m := range a.Models {
 		d.Models = append(d.Models, m.String())
 	}
--- a/internal/endpoint/followedendpoint.go
+++ b/internal/endpoint/followedendpoint.go
@@ -48,6 +48,7 @@
 		Role:        fleet.EndpointRole(d.GetRole()),
 		Service:     d.GetService(),
 		Slots:       int(d.GetSlots()),
+		Software:    d.GetSoftware(),
 	}}
 	for _, m := range d.GetModels() {
 		r.static.Models = append(r.static.Models, parseModel(m))
--- a/internal/engineapi/announce.go
+++ b/internal/engineapi/announce.go
@@ -15,6 +15,9 @@
 	KVBytes             int64                  `json:"kv_bytes"`          // memory for KV caches, bytes; 0: bounded by slots alone
 	ChecksFencingTokens bool                   `json:"checks_tokens"`     // refuses orders with an old fencing token
 	LastFencingToken    uint64                 `json:"last_token"`        // highest fencing token accepted
+	// Software is the version of the engine's software. KV caches and streams stay within one
+	// version; engines that name none count as one version.
+	Software string `json:"software,omitempty"`
 }
 
 // ModelRef identifies a model version, with an adapter if any, that an engine has loaded.
--- a/internal/engineapi/check.go
+++ b/internal/engineapi/check.go
@@ -33,6 +33,9 @@
 	if a.Slots < 1 || a.Slots > maxSlots || a.KVBytes < 0 {
 		return trace.BadParameter("endpoint %q has %d slots and %d bytes", a.ID, a.Slots, a.KVBytes)
 	}
+	if len(a.Software) > maxNameBytes {
+		return trace.BadParameter("endpoint %q has a software version of %d bytes", a.ID, len(a.Software))
+	}
 	return a.checkRole()
 }
 
--- a/internal/engineapi/check_test.go
+++ b/internal/engineapi/check_test.go
@@ -38,6 +38,7 @@
 		"unknown role":      func(a *Announcement) { a.Role = "cook" },
 		"nameless model":    func(a *Announcement) { a.Models[0].Model = "" },
 		"many models":       func(a *Announcement) { a.Models = make([]ModelRef, 300) },
+		"long software":     func(a *Announcement) { a.Software = strings.Repeat("1", 300) },
 		"no service":        func(a *Announcement) { a.Role = fleet.RolePlain },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -26,6 +26,7 @@
 	plan         schedule.StartPlan
 	linkBooking  *linkBooking      // booking for the KV transfer; nil: none
 	tokens       int               // output tokens of this attempt
+	software     requiredSoftware  // of its engines
 	checkedState *membership.State // settings for which the decode engine's zone was last checked
 }
 
@@ -38,7 +39,7 @@
 
 // runAttempt makes one attempt and releases everything that it held.
 func (m *activeModelRequest) runAttempt(ctx context.Context) (failed *attemptFailure) {
-	a := &attempt{request: m, id: newAttemptID()}
+	a := &attempt{request: m, id: newAttemptID(), software: m.software}
 	if failed = a.awaitTurn(ctx); failed != nil {
 		return failed
 	}
--- a/internal/route/decode.go
+++ b/internal/route/decode.go
@@ -105,6 +105,7 @@
 		return false, &attemptFailure{cause: causeCallerDisconnected}
 	}
 	m.passedTokens += c.Tokens
+	m.software = a.software
 	m.text.WriteString(c.Text)
 	a.tokens += c.Tokens
 	m.router.metrics.outputTokens.Add(float64(c.Tokens))
--- a/internal/route/earlygrant.go
+++ b/internal/route/earlygrant.go
@@ -39,7 +39,7 @@
 		deadline:     m.deadline,
 		policies:     m.policies,
 	}
-	return &attempt{request: request, id: a.id, alone: a.alone, prefill: a.prefill}
+	return &attempt{request: request, id: a.id, alone: a.alone, prefill: a.prefill, software: a.software}
 }
 
 // wait returns the grant, or a failure if ctx ends first.
--- a/internal/route/engines_test.go
+++ b/internal/route/engines_test.go
@@ -24,6 +24,9 @@
 	var out []endpoint.Candidate
 	for _, c := range w.list {
 		if c.Role.Takes(q.Kind) && q.Permitted.Permits(c.Zone) {
+			if w.staleIncarnations[c.ID] {
+				c.Incarnation--
+			}
 			out = append(out, c)
 		}
 	}
--- a/internal/route/fakefleet_test.go
+++ b/internal/route/fakefleet_test.go
@@ -69,7 +69,8 @@
 	answerLength       int64  // of answers to calls; -1 if they end with their connection
 	onAnswer           func() // called before an answer to a call
 	refusesConnections bool
-	restarted          bool // another incarnation answers
+	restarted          bool                      // another incarnation answers
+	staleIncarnations  map[fleet.EndpointID]bool // engines that have restarted since their digest
 }
 
 type guardEnd struct{ completed, crashed bool }
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -51,6 +51,7 @@
 		remaining := max(w.maxWait-time.Since(began), 0)
 		h, failed := a.requestGrant(ctx, w, chosen, remaining)
 		if failed == nil {
+			a.requireSoftware(chosen)
 			return h, nil
 		}
 		if failed.cause != causeNoSlot {
@@ -77,6 +78,7 @@
 
 func (a *attempt) chooseEndpoint(ctx context.Context, w slotRequest, avoid endpointSet) (endpoint.Candidate, *attemptFailure) {
 	candidates, cooldown := a.request.router.availableCandidates(ctx, a.query(w.kind), a.request.deadline)
+	candidates = a.fitting(w.kind, candidates)
 	chosen, ok := a.request.router.choose(w.choice, a.scheduleRequest(avoid), withoutAvoided(candidates, avoid))
 	if !ok {
 		return endpoint.Candidate{}, noCandidateFailure(candidates, cooldown)
@@ -159,6 +161,11 @@
 		m.recordEvent(timeline.KindGrantRefused, a.id, c.ID)
 		return nil, &attemptFailure{cause: causeNoSlot, retryAfter: refusal.RetryAfter, homeMoving: isHomeMoving(refusal.Status)}
 	}
+	if grant.Incarnation != c.Incarnation {
+		// It has restarted, and its software version is not known here yet.
+		m.router.releaseUnused(grant)
+		return nil, &attemptFailure{cause: causeNoSlot, homeMoving: true}
+	}
 	m.recordEvent(timeline.KindGranted, a.id, c.ID)
 	return newHeldGrant(*grant, time.Now()), nil
 }
--- a/internal/route/prefill.go
+++ b/internal/route/prefill.go
@@ -15,6 +15,7 @@
 func (a *attempt) planStart(ctx context.Context) *attemptFailure {
 	m := a.request
 	decode, cooldown := m.router.availableCandidates(ctx, a.query(fleet.RoleDecode), m.deadline)
+	decode = a.fitting(fleet.RoleDecode, decode)
 	if len(withoutAvoided(decode, m.avoid)) == 0 {
 		return noCandidateFailure(decode, cooldown)
 	}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -57,6 +57,7 @@
 		KVBytes:             s.options.KVBytes,
 		ChecksFencingTokens: s.options.ChecksFencingTokens,
 		LastFencingToken:    s.lastToken,
+		Software:            s.options.Software,
 	}
 }
 
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -21,6 +21,7 @@
 	Role        fleet.EndpointRole
 	Models      []engineapi.ModelRef
 	Service     string // plain only
+	Software    string // version that it announces; empty: none
 	Slots       int    // 0: 20
 	KVBytes     int64  // 0: bounded by slots alone
 	Timing      Timing
