streamorigin: returns after all processes were killed wait for a quorum for up to a second

A question that finds no quorum is asked again for up to a second; while there has been none for longer, nobody waits.

--- a/internal/streamorigin/group_test.go
+++ b/internal/streamorigin/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -20,6 +21,7 @@
 	restarted map[EndpointSum]bool
 	sole      string // empty for several
 	cut       bool   // not in contact with the leader
+	noQuorum  bool
 }
 
 func (f *fakeHistory) MayHaveRunOther(endpoint EndpointSum, _ string, _ time.Time) bool {
@@ -29,6 +31,11 @@
 }
 
 func (f *fakeHistory) SoleSoftware(context.Context, string, time.Duration) (string, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.noQuorum {
+		return "", false, errors.New("no quorum")
+	}
 	return f.sole, f.sole != "", nil
 }
 
@@ -81,6 +88,15 @@
 	return c
 }
 
+// setQuorum sets whether a quorum can be asked for a service's only version, v1.
+func (g *group) setQuorum(reached bool) {
+	for _, h := range g.histories {
+		h.mu.Lock()
+		h.sole, h.noQuorum = "v1", !reached
+		h.mu.Unlock()
+	}
+}
+
 // run lets time pass, with a sweep of each living entry each second.
 func (g *group) run(d time.Duration, living ...*Client) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
--- a/internal/streamorigin/origin_test.go
+++ b/internal/streamorigin/origin_test.go
@@ -127,7 +127,7 @@
 		began := time.Now()
 		_, ok := g.entries[0].Find(t.Context(), key)
 		assert.Assert(t, ok)
-		assert.Assert(t, time.Since(began) <= findTimeout)
+		assert.Assert(t, time.Since(began) <= askTimeout)
 	})
 }
 
@@ -188,3 +188,26 @@
 		assert.Equal(t, received.records[key], r)
 	}
 }
+
+// Load pattern: all processes are killed and all callers return at once, before the control
+// instances have a leader. They wait for it; while there is none for longer, nobody waits.
+func TestOnlyVersionIsAwaitedOverAnElection(t *testing.T) {
+	runGroup(t, 3, 1, func(t *testing.T, g *group) {
+		c := g.entries[0]
+		g.setQuorum(false)
+		go func() {
+			time.Sleep(700 * time.Millisecond)
+			g.setQuorum(true)
+		}()
+		software, ok := c.SoleSoftware(t.Context(), "s", ttl)
+		assert.Assert(t, ok)
+		assert.Equal(t, software, "v1")
+		g.setQuorum(false)
+		for _, limit := range []time.Duration{maxQuorumWait, askTimeout, askTimeout} {
+			began := time.Now()
+			_, ok = c.SoleSoftware(t.Context(), "s", ttl)
+			assert.Assert(t, !ok)
+			assert.Assert(t, time.Since(began) <= limit)
+		}
+	})
+}
