relay, streamorigin, coordinator: the version that counts is that of the process that ran

Now: a listing is looked at again right before the send; an endpoint that continues a stream must say which process it is, where IDs are used again; a stream that broke within half a second of its first event waits until a restart of its endpoint would be listed; control instances remember the versions of an ID with their times, tell of a young stream of such an endpoint only once a restart would show, and decide only while in contact with the leader.

Tests seen to fail before: see relay/software_test.go and coordinator/software_test.go ("it has the version again").

--- a/internal/coordinator/software.go
+++ b/internal/coordinator/software.go
@@ -39,13 +39,53 @@
 	forgotAt  time.Time                             // last removal of what is old
 }
 
-// endpointSoftware is the version that an endpoint runs.
+// endpointSoftware is the versions that an endpoint has run, the latest one last.
 type endpointSoftware struct {
-	service   string
-	version   string
-	previous  string    // version before under the same ID; empty for none
-	changedAt time.Time // since when it is another version than before; zero if it never changed
-	goneAt    time.Time // when the endpoint left; zero while it may be running
+	service  string
+	versions []versionSince
+	previous string    // version before the latest, as recorded; empty for none
+	reusesID bool      // the endpoint may start again under its ID
+	goneAt   time.Time // when the endpoint left; zero while it may be running
+}
+
+// versionSince is a version that an endpoint was listed with from a time on; zero if it was so when
+// the catalog was first read.
+type versionSince struct {
+	version string
+	since   time.Time
+}
+
+// maxEndpointVersions is how many versions of one endpoint are remembered: one that starts again
+// more often within softwareRetention forgets the oldest.
+const maxEndpointVersions = 16
+
+// latest returns the version that the endpoint is listed with; empty for the zero value.
+func (e endpointSoftware) latest() string {
+	if len(e.versions) == 0 {
+		return ""
+	}
+	return e.versions[len(e.versions)-1].version
+}
+
+// list returns the versions with one that the endpoint is listed with from now on.
+func (e endpointSoftware) list(version string, now time.Time) []versionSince {
+	if len(e.versions) > 0 && e.latest() == version {
+		return e.versions
+	}
+	kept := e.versions[max(0, len(e.versions)+1-maxEndpointVersions):]
+	return append(slices.Clone(kept), versionSince{version: version, since: now})
+}
+
+// ranOther reports whether the endpoint was listed with another version than the given one at a
+// time, or within registrationDelay of it.
+func (e endpointSoftware) ranOther(version string, at time.Time) bool {
+	for n, v := range e.versions {
+		ended := n+1 < len(e.versions) && !e.versions[n+1].since.After(at)
+		if v.version != version && !ended && v.since.Before(at.Add(registrationDelay)) {
+			return true
+		}
+	}
+	return false
 }
 
 // versionUse is the use of one version by a service's endpoints.
@@ -94,10 +134,11 @@
 	if changed {
 		h.use(r.Service, r.PreviousSoftware).retiredAt = now
 	}
-	latest := endpointSoftware{service: r.Service, version: r.Software, previous: r.PreviousSoftware, changedAt: known.changedAt}
-	if changed || found && known.version != r.Software {
-		latest.changedAt = now
+	latest := endpointSoftware{service: r.Service, previous: r.PreviousSoftware, reusesID: r.Born != 0, versions: known.versions}
+	if changed && known.latest() != r.PreviousSoftware {
+		latest.versions = latest.list(r.PreviousSoftware, since(found, now))
 	}
+	latest.versions = latest.list(r.Software, since(found || changed, now))
 	if use := h.use(r.Service, r.Software); r.State == pb.EndpointState_ENDPOINT_STATE_GONE {
 		use.retiredAt, latest.goneAt = now, now
 	} else {
@@ -106,6 +147,14 @@
 	h.add(r.Id, latest)
 }
 
+// since returns when a version was first listed: now, unless it is the first known one.
+func since(known bool, now time.Time) time.Time {
+	if known {
+		return now
+	}
+	return time.Time{}
+}
+
 // add stores the version of an endpoint. The caller holds h.mu.
 func (h *softwareHistory) add(id string, e endpointSoftware) {
 	h.endpoints[id] = e
@@ -131,7 +180,7 @@
 	if e.service == "" || !e.goneAt.IsZero() {
 		return
 	}
-	use := h.use(e.service, e.version)
+	use := h.use(e.service, e.latest())
 	use.running--
 	use.retiredAt = now
 }
@@ -190,13 +239,13 @@
 func (h *softwareHistory) mayHaveRunOther(sum streamorigin.EndpointSum, version string, at time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, id := range h.sums[sum] {
-		e := h.endpoints[id]
-		if e.version != version && at.After(e.changedAt.Add(-registrationDelay)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.sums[sum], func(id string) bool { return h.endpoints[id].ranOther(version, at) })
+}
+
+func (h *softwareHistory) reusesID(sum streamorigin.EndpointSum) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.sums[sum], func(id string) bool { return h.endpoints[id].reusesID })
 }
 
 // MayHaveRunOther implements streamorigin.SoftwareHistory. An endpoint that is in the catalog with
@@ -206,6 +255,12 @@
 	return c.software.mayHaveRunOther(endpoint, software, at)
 }
 
+// ReusesID implements streamorigin.SoftwareHistory. Endpoints that may start again under their ID
+// tell when their process started.
+func (c *Coordinator) ReusesID(endpoint streamorigin.EndpointSum) bool {
+	return c.software.reusesID(endpoint)
+}
+
 // SoleSoftware implements streamorigin.SoftwareHistory.
 func (c *Coordinator) SoleSoftware(ctx context.Context, service string, within time.Duration) (software string, sole bool, err error) {
 	index, err := c.readIndex(ctx)
--- a/internal/coordinator/software_test.go
+++ b/internal/coordinator/software_test.go
@@ -124,6 +124,13 @@
 	assert.Assert(t, !ran("1", "v2", fx.now))
 	assert.Assert(t, !ran("2", "v1", fx.now))
 	assert.Assert(t, ran("2", "v2", fx.now), "an entry has recorded what this instance never saw")
+	between := fx.now
+	fx.pass(time.Minute)
+	fx.report("1", "v1", 30)
+	fx.pass(time.Minute)
+	assert.Assert(t, ran("1", "v1", between), "it has the version again")
+	assert.Assert(t, !ran("1", "v1", fx.now))
+	fx.report("1", "v2", 40)
 	fx.restart()
 	assert.Assert(t, ran("1", "v1", fx.now), "it isn't known when the version changed")
 	fx.retire("1")
--- a/internal/relay/burst_test.go
+++ b/internal/relay/burst_test.go
@@ -192,7 +192,9 @@
 
 func (e *engines) TakesConnections(context.Context, *dispatch.Endpoint) bool { return true }
 
-func (e *engines) IsRestarted(context.Context, *dispatch.Endpoint) bool { return false }
+func (e *engines) CheckIncarnation(context.Context, *dispatch.Endpoint) (answered, isOther bool) {
+	return true, false
+}
 
 func (e *engines) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return false }
 
--- a/internal/relay/closedelimited.go
+++ b/internal/relay/closedelimited.go
@@ -91,7 +91,8 @@
 func (r *Router) isRestarted(ctx context.Context, e *dispatch.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, restartCheckTimeout)
 	defer cancel()
-	return r.options.Endpoints.IsRestarted(ctx, e)
+	_, isOther := r.options.Endpoints.CheckIncarnation(ctx, e)
+	return isOther
 }
 
 // isReplaced reports whether another incarnation is listed at the endpoint's address.
--- a/internal/relay/contract.go
+++ b/internal/relay/contract.go
@@ -138,9 +138,9 @@
 	// TakesConnections reports whether a new connection to the endpoint opens, as it does while
 	// the endpoint's process runs.
 	TakesConnections(ctx context.Context, e *dispatch.Endpoint) bool
-	// IsRestarted asks the endpoint whether its process is a later one than that of the
-	// incarnation. It is false if no answer comes.
-	IsRestarted(ctx context.Context, e *dispatch.Endpoint) bool
+	// CheckIncarnation asks the endpoint whether its process is another one than that of the
+	// incarnation; isOther is false if no answer comes, or if the endpoint can't tell.
+	CheckIncarnation(ctx context.Context, e *dispatch.Endpoint) (answered, isOther bool)
 	// IsLinkLost reports whether a new direct connection to the endpoint gets no answer. It is
 	// false if the connection is refused.
 	IsLinkLost(ctx context.Context, e *dispatch.Endpoint) bool
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -23,6 +23,9 @@
 	service  string
 	engine   *routetable.Engine
 	deadline time.Time
+	// readyAt is when its service and software version were known. A caller that returns may have
+	// to wait for that, which is not held against what it waits for next.
+	readyAt time.Time
 
 	tried            map[dispatch.Incarnation]bool // endpoints that an attempt was sent to
 	attempts         int                           // without prefills
@@ -104,7 +107,7 @@
 // arrival, it reserves that in the retry budget.
 func (ex *activeExchange) retryState(ctx context.Context, a attemptResult) RetryState {
 	s := RetryState{
-		Repeatable: ex.route.Repeatable() && ex.canResume(), Outcome: a.outcome,
+		Repeatable: ex.route.Repeatable() && ex.canResume() && ex.isOriginCertain(ctx), Outcome: a.outcome,
 		Runs: ex.runs, MaxRuns: max(1, ex.route.MaxAttempts), Attempts: ex.attempts,
 		TimeLeft: time.Until(ex.deadline), HasUntriedEndpoint: ex.hasUntriedEndpoint(), BudgetLeft: true,
 	}
@@ -117,7 +120,7 @@
 // canResume reports whether another endpoint could continue the answer: from its
 // beginning, or after an event that has an ID.
 func (ex *activeExchange) canResume() bool {
-	return !ex.headSent || ex.lastEventID != "" && !ex.isSoftwareInDoubt()
+	return !ex.headSent || ex.lastEventID != ""
 }
 
 // memoryTokens returns how many tokens the exchange will likely hold at its end.
@@ -164,6 +167,8 @@
 		switch {
 		case ok && ex.isRefusedForOverload(choice):
 			return nil, nil
+		case ok && !ex.isRightProcess(ctx, choice.Endpoint):
+			ex.skip(choice.Endpoint)
 		case ok && ex.acquirePermit(ctx, choice.Endpoint):
 			return choice.Endpoint, ex.newCall(choice.Endpoint)
 		case !ok && !ex.awaitUnblocked(ctx, dispatch.StageNone):
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -83,6 +83,7 @@
 	openChecks           int  // number of checks that find connections open before they close
 	refuses              bool // new connections
 	restarted            bool // another process answers
+	silentReports        bool // endpoints don't tell which process they are
 	hearsNone            bool // the entry hears no endpoint
 	linkLost             bool // new connections get no answer
 }
@@ -139,10 +140,10 @@
 	return !f.refuses
 }
 
-func (f *fakeEndpoints) IsRestarted(context.Context, *dispatch.Endpoint) bool {
+func (f *fakeEndpoints) CheckIncarnation(context.Context, *dispatch.Endpoint) (answered, isOther bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.restarted
+	return !f.silentReports, f.restarted
 }
 
 func (f *fakeEndpoints) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return f.linkLost }
--- /dev/null
+++ b/internal/relay/incarnationcheck.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/sleep"
+)
+
+const (
+	// registrationTime is how long an endpoint that starts again under its ID usually takes to be
+	// listed as another incarnation: it reports at its start.
+	registrationTime = 500 * time.Millisecond
+	// maxRegistrationWait limits the wait for the listing: the view is confirmed twice a second,
+	// and callers leave when no event comes for two seconds.
+	maxRegistrationWait = 1200 * time.Millisecond
+	// registrationPollInterval is the pause between two looks.
+	registrationPollInterval = 20 * time.Millisecond
+)
+
+// hasRestarted reports whether an endpoint is listed as another incarnation, or with another
+// software version, than when it was chosen.
+func (ex *activeExchange) hasRestarted(e *dispatch.Endpoint) bool {
+	for _, listed := range ex.router.options.View().Endpoints[ex.service] {
+		if listed.ID == e.ID {
+			return listed.Incarnation() != e.Incarnation() || listed.Software != e.Software
+		}
+	}
+	return false
+}
+
+// isOriginCertain reports whether the endpoint that began the stream ran the software that it was
+// listed with.
+//
+// Guards against this failure: an endpoint starts again under its ID with other software, and
+// serves a stream before it is listed anew. Where IDs are used again, an entry that continues the
+// stream first waits until the view would show that.
+func (ex *activeExchange) isOriginCertain(ctx context.Context) bool {
+	if ex.beganAt == nil {
+		return true
+	}
+	for ex.beganAt.Born != 0 && !ex.isViewConfirmed(ex.progress.firstAt.Add(registrationTime)) {
+		if time.Since(ex.progress.writtenAt) > maxRegistrationWait || !sleep.For(ctx, registrationPollInterval) {
+			return false
+		}
+	}
+	return !ex.hasRestarted(ex.beganAt)
+}
+
+// isViewConfirmed reports whether the view was surely the latest at a time or later.
+func (ex *activeExchange) isViewConfirmed(at time.Time) bool {
+	uptime, confirmed := ex.router.options.Uptime, ex.router.options.View().Confirmed
+	if uptime == nil || confirmed == nil {
+		return true
+	}
+	return uptime()-confirmed.At() <= time.Since(at)
+}
+
+// isRightProcess reports whether an endpoint may continue the stream of this exchange: where IDs
+// are used again, it must say that it still is the incarnation that was chosen.
+func (ex *activeExchange) isRightProcess(ctx context.Context, e *dispatch.Endpoint) bool {
+	switch {
+	case ex.hasRestarted(e):
+		return false
+	case !ex.software.set || e.Born == 0:
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, restartCheckTimeout)
+	defer cancel()
+	answered, isOther := ex.router.options.Endpoints.CheckIncarnation(ctx, e)
+	return answered && !isOther
+}
+
+// skip leaves out an endpoint whose process is not the one that was chosen.
+func (ex *activeExchange) skip(e *dispatch.Endpoint) {
+	ex.tried[e.Incarnation()] = true
+	ex.logDecision("Endpoint may have restarted.", "endpoint", e.ID, "born", e.Born, "software", e.Software)
+}
--- a/internal/relay/limit_fixture_test.go
+++ b/internal/relay/limit_fixture_test.go
@@ -192,9 +192,11 @@
 func (limitedSender) ReleasePrefill(context.Context, *dispatch.Endpoint, string)     {}
 func (limitedSender) HasConnectionOpenedBefore(*dispatch.Endpoint, time.Time) bool   { return false }
 func (limitedSender) TakesConnections(context.Context, *dispatch.Endpoint) bool      { return true }
-func (limitedSender) IsRestarted(context.Context, *dispatch.Endpoint) bool           { return false }
-func (limitedSender) IsLinkLost(context.Context, *dispatch.Endpoint) bool            { return false }
-func (limitedSender) HeardSince(time.Time) bool                                      { return true }
+func (limitedSender) CheckIncarnation(context.Context, *dispatch.Endpoint) (answered, isOther bool) {
+	return true, false
+}
+func (limitedSender) IsLinkLost(context.Context, *dispatch.Endpoint) bool { return false }
+func (limitedSender) HeardSince(time.Time) bool                           { return true }
 
 // limitedFleet is entries in front of a limitedService.
 type limitedFleet struct {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -56,6 +56,14 @@
 	if ex.unusedPrefill == nil && !ex.isQuarantined() {
 		ex.unusedPrefill = ex.runPrefill(ctx, at.endpoint)
 	}
+	if !ex.isRightProcess(ctx, at.endpoint) {
+		ex.releasePlacement(at)
+		ex.skip(at.endpoint)
+		return ex.prepareModel(ctx)
+	}
+	if ex.unusedPrefill != nil && ex.hasRestarted(ex.unusedPrefill.endpoint) {
+		ex.releaseUnusedPrefill()
+	}
 	if ex.unusedPrefill != nil {
 		call.Source = &Source{Address: ex.unusedPrefill.endpoint.Address, Handle: ex.unusedPrefill.handle}
 	}
@@ -109,7 +117,7 @@
 // the first part. An exchange that could resume elsewhere must not be given up because of
 // that target; its caller now waits for the next part.
 func (ex *activeExchange) waitState() (since time.Time, w dispatch.MemoryWait) {
-	since = ex.exchange.Received
+	since = ex.readyAt
 	w = dispatch.MemoryWait{TargetLatency: ex.route.Target, IdleTimeout: maxEventWait(ex.route), StartLatency: typicalStartTime, AnswerDuration: ex.expectedAnswerTime()}
 	if ex.attempts > 0 || !ex.router.options.Policy.Has(dispatch.EndWaitAtTarget) {
 		w.TargetLatency = 0
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -90,7 +90,7 @@
 // record of the exchange that the caller resumes is kept on.
 func (ex *activeExchange) recordOrigin(from *dispatch.Endpoint) {
 	origins := ex.router.options.Origins
-	if origins == nil || !ex.route.Resumable {
+	if origins == nil || !ex.route.Resumable || ex.hasRestarted(from) {
 		return
 	}
 	origin := streamorigin.Origin{Service: ex.service, Software: from.Software}
@@ -100,20 +100,6 @@
 	}
 }
 
-// isSoftwareInDoubt reports whether the endpoint that began the stream has another software
-// version by now: it may have started again under its ID before it sent the first event.
-func (ex *activeExchange) isSoftwareInDoubt() bool {
-	if ex.beganAt == nil {
-		return false
-	}
-	for _, e := range ex.router.options.View().Endpoints[ex.service] {
-		if e.ID == ex.beganAt.ID && e.Software != ex.beganAt.Software {
-			return true
-		}
-	}
-	return false
-}
-
 // lacksSoftware reports whether no endpoint has the software version that began the stream.
 func (ex *activeExchange) lacksSoftware() bool {
 	if !ex.software.set {
--- a/internal/relay/overload.go
+++ b/internal/relay/overload.go
@@ -15,7 +15,7 @@
 	}
 	o := dispatch.Overload{
 		Expected:  options.Stats.ExpectedAnswer(best),
-		Remaining: ex.route.Target - time.Since(ex.exchange.Received),
+		Remaining: ex.route.Target - time.Since(ex.readyAt),
 	}
 	ex.overloaded = options.Random() < o.RefusalShare()
 	if ex.overloaded {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -65,7 +65,7 @@
 	}
 	active := &activeExchange{
 		router: r, exchange: x, caller: caller, route: route, team: a.team, version: a.view.Table.Version,
-		service: to.service, software: to.software, engine: engineOf(a.view.Table, to.service), deadline: deadline,
+		service: to.service, software: to.software, engine: engineOf(a.view.Table, to.service), deadline: deadline, readyAt: time.Now(),
 		budgetAccount: r.options.Budget.OpenAccount(time.Now(), to.service),
 	}
 	r.metrics.running.Inc()
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -202,3 +204,95 @@
 		})
 	}
 }
+
+// relist replaces an endpoint in the view by its next incarnation.
+func (fx *fixture) relist(id, software string) {
+	list := slices.Clone(fx.view.Endpoints["s"])
+	for n, e := range list {
+		if e.ID == id {
+			next := *e
+			next.Born, next.Software = e.Born+1, software
+			list[n] = &next
+		}
+	}
+	fx.view.Endpoints["s"] = list
+}
+
+// Guards against a request that is sent by an old listing: while its prompt is prefilled, the
+// endpoint that is to continue the stream starts again with other software.
+func TestEndpointThatStartsAgainBeforeTheSendIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(stream).withSoftware("v1", "v1", "v1").withModel()
+		fx.route.Resumable = true
+		restarted := ""
+		fx.endpoints.answers = []answer{
+			returns(func() *Reply { return ok("{}") }),
+			func(c *Call) (*Reply, error) {
+				restarted = map[string]string{"e1": "e2", "e2": "e1"}[c.Endpoint.ID]
+				fx.relist(restarted, "v2")
+				return reply(200, errCut, event("1")), nil
+			},
+		}
+		caller, refusal := fx.serve(t, newModelExchange())
+		assert.Assert(t, refusal == nil)
+		assert.Assert(t, caller.aborted)
+		for _, c := range fx.endpoints.calls {
+			assert.Assert(t, c.Endpoint.ID != restarted)
+		}
+	})
+}
+
+// Guards against a stream that continues at a process that isn't listed yet: where IDs are used
+// again, the endpoint must say which process it is.
+func TestStreamContinuesAtAnEndpointThatSaysWhichProcessItIs(t *testing.T) {
+	for name, row := range map[string]struct{ restarted, silent, continued bool }{
+		"the listed one": {continued: true},
+		"another one":    {restarted: true},
+		"no answer":      {silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(routetable.KindStream, returns(func() *Reply { return reply(200, errCut, event("1")) }), returns(func() *Reply { return ok(event("2")) })).withSoftware("v1", "v1")
+				fx.route.Resumable = true
+				for n := range fx.view.Endpoints["s"] {
+					fx.relist(fmt.Sprint("e", n), "v1")
+				}
+				fx.endpoints.restarted, fx.endpoints.silentReports = row.restarted, row.silent
+				caller, refusal := fx.serve(t, newExchange())
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, len(fx.endpoints.calls), map[bool]int{true: 2, false: 1}[row.continued])
+				assert.Equal(t, caller.aborted, !row.continued)
+			})
+		})
+	}
+}
+
+// Guards against a stream that continues at the version of the process before: the endpoint that
+// began it had started again under its ID, and is listed so a moment after the stream broke.
+func TestStreamWaitsUntilARestartOfItsEndpointWouldShow(t *testing.T) {
+	for name, software := range map[string]string{"same process": "", "other software": "v2"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(routetable.KindStream, returns(func() *Reply { return reply(200, errCut, event("1")) }), returns(func() *Reply { return ok(event("2")) })).withSoftware("v1", "v1")
+				fx.route.Resumable = true
+				for n := range fx.view.Endpoints["s"] {
+					fx.relist(fmt.Sprint("e", n), "v1")
+				}
+				fx.view.Confirmed = &Confirmation{}
+				began := time.Now()
+				fx.router.options.Uptime = func() time.Duration { return time.Since(began) }
+				go func() {
+					time.Sleep(registrationTime)
+					if software != "" {
+						fx.relist(fx.endpoints.calls[0].Endpoint.ID, software)
+					}
+					fx.view.Confirmed.Advance(registrationTime)
+				}()
+				caller, refusal := fx.serve(t, newExchange())
+				assert.Assert(t, refusal == nil)
+				assert.Assert(t, time.Since(began) >= registrationTime)
+				assert.Equal(t, caller.aborted, software != "")
+			})
+		})
+	}
+}
--- a/internal/streamorigin/client.go
+++ b/internal/streamorigin/client.go
@@ -35,13 +35,13 @@
 
 // How a stream's software version was found, used as label values.
 const (
-	foundByRecord = "record"    // of a control instance
-	foundHere     = "own"       // by a record of this entry alone
-	foundSole     = "sole"      // the service has one version
-	foundDoubtful = "doubtful"  // the endpoint may have run another version
-	foundNone     = "unknown"   // there is no record, or no instance answers
-	foundSeveral  = "ambiguous" // the service has or had several versions
-	foundNoQuorum = "no-quorum" // nobody can tell which versions the service has
+	foundByRecord  = "record"    // of a control instance
+	foundSole      = "sole"      // the service has one version
+	foundDoubtful  = "doubtful"  // the endpoint may have run another version
+	foundUncertain = "uncertain" // instances that know the stream have no contact with a leader
+	foundNone      = "unknown"   // there is no record, or no instance answers
+	foundSeveral   = "ambiguous" // the service has or had several versions
+	foundNoQuorum  = "no-quorum" // nobody can tell which versions the service has
 )
 
 // Options configure a Client.
@@ -78,23 +78,30 @@
 	}
 }
 
-// Find returns where a stream began; ok is false if that is unknown or in doubt.
+// Find returns where a stream began; ok is false if that is unknown or in doubt. It waits for a
+// moment where control instances know the stream and can't be certain yet.
 func (c *Client) Find(ctx context.Context, key Key) (origin Origin, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, c.quorumWait(time.Now()))
+	defer cancel()
 	found := c.ask(ctx, key)
-	if origin, ok = found.result(); ok {
-		c.metrics.found.WithLabelValues(foundByRecord).Inc()
-		return origin, true
-	}
-	if found.doubtful {
-		c.metrics.found.WithLabelValues(foundDoubtful).Inc()
-		return Origin{}, false
+	for found.mayBecomeCertain() && sleep.For(ctx, quorumPollInterval) {
+		found = c.ask(ctx, key)
 	}
-	if origin, ok = c.findHere(key); ok {
-		c.metrics.found.WithLabelValues(foundHere).Inc()
-		return origin, true
+	origin, ok = found.result()
+	c.metrics.found.WithLabelValues(howFound(found)).Inc()
+	return origin, ok
+}
+
+func howFound(a answers) string {
+	switch {
+	case a.doubtful:
+		return foundDoubtful
+	case a.mayBecomeCertain():
+		return foundUncertain
+	case a.certain:
+		return foundByRecord
 	}
-	c.metrics.found.WithLabelValues(foundNone).Inc()
-	return Origin{}, false
+	return foundNone
 }
 
 // ask asks all control instances for a stream, which began at an unknown entry.
@@ -134,17 +141,6 @@
 	return reply
 }
 
-// findHere returns where a stream of this entry began.
-func (c *Client) findHere(key Key) (origin Origin, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known, found := c.own.get(time.Now(), key)
-	if !found || known.ambiguous {
-		return Origin{}, false
-	}
-	return known.origin.Value(), true
-}
-
 // SoleSoftware returns the version that all endpoints of a service have run for some time up to
 // now. ok is false if there were several, or none, or if no quorum confirms it.
 //
--- a/internal/streamorigin/doc.go
+++ b/internal/streamorigin/doc.go
@@ -2,9 +2,8 @@
 // caller whose answer broke can resume its stream at any entry, and gets the rest from an
 // endpoint of the same version.
 //
-// An entry records a stream with its first event, in its own Table and at holdersPerEntry control
-// instances. Whichever entry the caller returns to looks in its own Table, and asks the control
-// instances.
+// An entry records a stream with its first event at holdersPerEntry control instances. Whichever
+// entry the caller returns to asks all of them.
 //
 //   - A record is made only once the first event is there, so it never names an endpoint that
 //     began no event. A record that is lost, or not there yet, makes a stream unknown, never one
@@ -13,7 +12,8 @@
 //     the records of all living entries again. While one holder of an entry lives, the entry's
 //     streams are known after its death.
 //   - An endpoint that starts again under its ID, with other software, is known by that ID as
-//     the old process until it has registered. Streams recorded around that time are in doubt.
+//     the old process until it has registered. Streams recorded around that time are in doubt, and
+//     only an instance in contact with the leader tells where a stream began.
 //   - For a stream without a record, a quorum of the control instances is asked whether all
 //     endpoints of the service have run one version for as long as streams live. If not, the
 //     version is unknown.
--- a/internal/streamorigin/group_test.go
+++ b/internal/streamorigin/group_test.go
@@ -22,6 +22,7 @@
 	sole      string // empty for several
 	cut       bool   // not in contact with the leader
 	noQuorum  bool
+	reusesIDs bool
 }
 
 func (f *fakeHistory) MayHaveRunOther(endpoint EndpointSum, _ string, _ time.Time) bool {
@@ -39,6 +40,8 @@
 	return f.sole, f.sole != "", nil
 }
 
+func (f *fakeHistory) ReusesID(EndpointSum) bool { return f.reusesIDs }
+
 func (f *fakeHistory) InContact() bool { return !f.cut }
 
 // group is a set of control instances and of entries.
--- a/internal/streamorigin/origin_test.go
+++ b/internal/streamorigin/origin_test.go
@@ -100,15 +100,20 @@
 	})
 }
 
-// Guards against a holder that has lost contact with the leader, and doesn't know that the
-// endpoint started again.
-func TestHolderOutOfContactDoesNotDecideAlone(t *testing.T) {
+// Guards against holders that have lost contact with the leader, and don't know that the endpoint
+// started again: none of them decides, and a stream waits for one that has contact.
+func TestHoldersOutOfContactDoNotDecide(t *testing.T) {
 	runGroup(t, 3, 1, func(t *testing.T, g *group) {
 		key := KeyOf("", "host", "x1")
 		g.entries[0].Record(key, v1, "e0", ttl)
 		time.Sleep(settle)
-		g.histories["member0"].cut, g.histories["member1"].cut = true, true
+		for _, history := range g.histories {
+			history.cut = true
+		}
 		_, ok := g.entries[0].Find(t.Context(), key)
+		assert.Assert(t, !ok)
+		g.histories["member2"].cut = false
+		_, ok = g.entries[0].Find(t.Context(), key)
 		assert.Assert(t, ok)
 		g.histories["member2"].restarted[SumOf("e0")] = true
 		_, ok = g.entries[0].Find(t.Context(), key)
@@ -116,18 +121,20 @@
 	})
 }
 
-// A stream is found at its own entry while no control instance answers.
-func TestOwnRecordServesWithoutControlInstances(t *testing.T) {
+// Guards against a stream that is taken for one of the process before: the endpoint has just
+// started again under its ID, and isn't listed anew yet.
+func TestStreamOfAReusedIDIsKnownOnceARestartWouldShow(t *testing.T) {
 	runGroup(t, 3, 1, func(t *testing.T, g *group) {
-		for _, member := range g.members {
-			g.net.SetCut(true, "entry0", member)
-		}
 		key := KeyOf("", "host", "x1")
-		g.entries[0].Record(key, v1, "e0", ttl)
+		for _, history := range g.histories {
+			history.reusesIDs = true
+		}
 		began := time.Now()
+		g.entries[0].Record(key, v1, "e0", ttl)
+		time.Sleep(settle)
 		_, ok := g.entries[0].Find(t.Context(), key)
 		assert.Assert(t, ok)
-		assert.Assert(t, time.Since(began) <= askTimeout)
+		assert.Assert(t, time.Since(began) >= registrationTime)
 	})
 }
 
--- a/internal/streamorigin/server.go
+++ b/internal/streamorigin/server.go
@@ -11,6 +11,10 @@
 	"github.com/hyssopsail/hyssopsail/internal/pb"
 )
 
+// registrationTime is how long an endpoint that has started again under its ID usually takes to be
+// listed as another process.
+const registrationTime = 500 * time.Millisecond
+
 // Server holds records at one control instance. It is safe for concurrent use.
 type Server struct {
 	epoch   uint64
@@ -60,6 +64,10 @@
 		reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_DOUBTFUL
 		return reply, nil
 	}
+	if time.Since(known.recorded) < registrationTime && s.history.ReusesID(known.endpoint) {
+		reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_EARLY
+		return reply, nil
+	}
 	reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_FOUND
 	reply.Service, reply.Software = origin.Service, origin.Software
 	return reply, nil
