--- a/internal/streamorigin/holder.go
+++ b/internal/streamorigin/holder.go
@@ -19,7 +19,7 @@
 	checkInterval = 2 * time.Second
 	// recordTimeout limits one call.
 	recordTimeout = 400 * time.Millisecond
-	// maxStreamsPerCall limits the size of a call to 64 KB.
+	// maxStreamsPerCall limits the size of a call to 48 KB.
 	maxStreamsPerCall = 4096
 )
 
--- a/internal/streamorigin/key.go
+++ b/internal/streamorigin/key.go
@@ -8,7 +8,7 @@
 )
 
 // Key identifies a stream.
-type Key [12]byte
+type Key [8]byte
 
 // KeyOf returns the key of the stream that a request began. team is empty where callers need no
 // key. exchange is the ID of the request.
--- a/internal/streamorigin/origin_test.go
+++ b/internal/streamorigin/origin_test.go
@@ -171,6 +171,25 @@
 	})
 }
 
+// Guards against traffic that grows by a call for each stream: an entry of a large fleet, with 45
+// streams a second, calls each holder at most four times a second.
+func TestTrafficOfAnEntry(t *testing.T) {
+	const perSecond, seconds = 45, 60
+	runGroup(t, 15, 1, func(t *testing.T, g *group) {
+		for n := range perSecond * seconds {
+			endpoint, origin := fmt.Sprint("i-", n%400), Origin{Service: fmt.Sprint("service-", n%5), Software: "v1.2"}
+			g.entries[0].Record(KeyOf("team", "host", fmt.Sprint(n)), origin, endpoint, ttl)
+			time.Sleep(time.Second / perSecond)
+		}
+		calls := 0
+		for _, member := range g.members {
+			calls += g.net.CallCount(member)
+		}
+		t.Logf("%d streams: %.0f calls and %.0f bytes of messages a second", perSecond*seconds, float64(calls)/seconds, float64(g.net.BytesCarried())/seconds)
+		assert.Assert(t, calls <= holdersPerEntry*(seconds+1)*int(time.Second/flushInterval))
+	})
+}
+
 func TestBatchesKeepStreams(t *testing.T) {
 	a, b := KeyOf("", "", "a"), KeyOf("", "", "b")
 	table := newTable()
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -5,7 +5,7 @@
 	"unique"
 )
 
-// maxRecords limits the records of one Table, some 30 MB. Beyond it no stream is added.
+// maxRecords limits the records of one Table, some 25 MB. Beyond it no stream is added.
 const maxRecords = 1 << 18
 
 // sweepInterval is the minimum time between two removals of expired records.
