--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -5,8 +5,8 @@
 	"unique"
 )
 
-// maxRecords limits the records of one Table, some 25 MB. Beyond it no stream is added.
-const maxRecords = 1 << 18
+// maxRecords limits the records of one table, some 55 MB. Beyond it no stream is added.
+const maxRecords = 1 << 19
 
 // sweepInterval is the minimum time between two removals of expired records.
 const sweepInterval = 2 * time.Second
