endpoint: the test of a home change settles which digest its follower has

Cause: the test's own. The change of the view wakes the follower's poll; if it ends before the request, the endpoint is no longer in its index, and the follower itself says so. Ruled out: a fault of the home: route takes the answer for a home that moves, and asks again.

--- a/internal/endpoint/leaving_test.go
+++ b/internal/endpoint/leaving_test.go
@@ -163,8 +163,10 @@
 		next.heartbeat(announcement("e1", 4), 2)
 		synctest.Wait()
 		next.home.step(func(c *core, now time.Time) { c.endpoints["e1"].noGrantsBefore = now })
-		// old's follower still has the digest of its own home.
+		digests := old.client.index.Load()
 		old.setView(after)
+		synctest.Wait()
+		old.client.index.Store(digests) // of its own home, before its poll after the change
 		grant := old.mustAcquire(t, "x")
 		old.client.Release(Release{Grant: *grant, Reason: pb.ReleaseReason_RELEASE_REASON_UNUSED})
 		synctest.Wait()
