--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -50,23 +50,13 @@
 	call := ex.newCall(at.endpoint)
 	call.ReservationID = at.reservationID
 	call.Priority = ex.priority()
-	if ex.unusedPrefill != nil && !requireSoftware(at.endpoint.Software).allows(ex.unusedPrefill.endpoint) {
-		ex.releaseUnusedPrefill()
-	}
-	if ex.unusedPrefill == nil && !ex.isQuarantined() {
-		ex.unusedPrefill = ex.runPrefill(ctx, at.endpoint)
-	}
+	ex.preparePrefill(ctx, at.endpoint)
 	if !ex.isRightProcess(ctx, at.endpoint) {
 		ex.releasePlacement(at)
 		ex.skip(at.endpoint)
 		return ex.prepareModel(ctx)
 	}
-	if ex.unusedPrefill != nil && ex.hasRestarted(ex.unusedPrefill.endpoint) {
-		ex.releaseUnusedPrefill()
-	}
-	if ex.unusedPrefill != nil {
-		call.Source = &Source{Address: ex.unusedPrefill.endpoint.Address, Handle: ex.unusedPrefill.handle}
-	}
+	call.Source = ex.prefillSource()
 	if ctx.Err() != nil || !ex.reserveRetry(ctx) {
 		ex.releasePlacement(at)
 		return nil, nil
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -25,6 +25,29 @@
 	handle   string
 }
 
+// preparePrefill has the prompt prefilled for a decode endpoint, unless a result is left over that
+// it can use.
+func (ex *activeExchange) preparePrefill(ctx context.Context, decode *dispatch.Endpoint) {
+	if ex.unusedPrefill != nil && !requireSoftware(decode.Software).allows(ex.unusedPrefill.endpoint) {
+		ex.releaseUnusedPrefill()
+	}
+	if ex.unusedPrefill == nil && !ex.isQuarantined() {
+		ex.unusedPrefill = ex.runPrefill(ctx, decode)
+	}
+}
+
+// prefillSource returns where the result of the prefill is, nil if there is none. One of an
+// endpoint that has restarted is not used: its software version may be another one.
+func (ex *activeExchange) prefillSource() *Source {
+	if ex.unusedPrefill != nil && ex.hasRestarted(ex.unusedPrefill.endpoint) {
+		ex.releaseUnusedPrefill()
+	}
+	if ex.unusedPrefill == nil {
+		return nil
+	}
+	return &Source{Address: ex.unusedPrefill.endpoint.Address, Handle: ex.unusedPrefill.handle}
+}
+
 // runPrefill has a prefill endpoint prefill the prompt for a decode endpoint of the same software
 // version, which need not understand the KV cache of another one. It returns nil if none did; the
 // decode endpoint then prefills the prompt itself.
