--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -95,8 +95,9 @@
 		Exchange: ex.exchange.ID, Model: ex.model(), Zone: stats.Zone(), PromptTokens: tokens, OutputTokens: ex.exchange.Prompt.ReservedOutput(),
 		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedAnswerTime(),
 	}
-	if ex.software.set {
-		request.Software = &ex.software.version
+	if ex.software.IsSet() {
+		version := ex.software.Version()
+		request.Software = &version
 	}
 	if !ex.skipsPrefill() {
 		request.PrefillDuration = stats.EstimatePrefillDuration(ex.service, tokens, 0)
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -56,7 +56,7 @@
 	ex.writeDecisions()
 	ex.router.options.Part.Info("Broken off.", "request", ex.exchange.ID, "reason", reason, "after", ex.lastEventID,
 		"route", ex.route.Name, "version", ex.version, "service", ex.service, "endpoint", ex.lastEndpoint,
-		"software", ex.software.version, "resumes", ex.exchange.Resumes, "resumed_after", ex.exchange.LastEventID,
+		"software", ex.software.Version(), "resumes", ex.exchange.Resumes, "resumed_after", ex.exchange.LastEventID,
 		"took_ms", ex.msSinceArrival(time.Now()), "err", ex.lastErr, "left_by", context.Cause(ctx),
 		"close_delimited", ex.progress.closeDelimited, "partial_event", ex.progress.partialEventBytes)
 	ex.aborted = true
@@ -88,7 +88,7 @@
 		tokens, output = p.Tokens, p.MaxOutput
 	}
 	ex.router.options.Part.Info("Answered.", "request", ex.exchange.ID, "route", ex.route.Name, "team", teamName(ex.team), "version", ex.version,
-		"service", ex.service, "endpoint", ex.lastEndpoint, "software", ex.software.version,
+		"service", ex.service, "endpoint", ex.lastEndpoint, "software", ex.software.Version(),
 		"resumes", ex.exchange.Resumes, "resumed_after", ex.exchange.LastEventID, "outcome", ex.lastOutcome, "sends", ex.attempts, "runs", ex.runs,
 		"prompt", tokens, "output", output, "prefill_ms", ex.progress.prefillMs,
 		"sent_ms", ex.msSinceArrival(ex.progress.sentAt), "first_ms", ex.msSinceArrival(ex.progress.firstAt),
--- a/internal/relay/endpointfilter.go
+++ b/internal/relay/endpointfilter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 )
 
 // endpointFilter selects the endpoints that an exchange may be sent to.
@@ -11,28 +12,12 @@
 	service  string
 	stage    dispatch.Stage
 	model    string // empty for any
-	software requiredSoftware
+	software fleet.RequiredSoftware
 	tried    map[dispatch.Incarnation]bool // not selected
 }
 
-// requiredSoftware is the software version that an endpoint must run. The zero value requires
-// none.
-type requiredSoftware struct {
-	version string
-	set     bool
-}
-
-func requireSoftware(version string) requiredSoftware {
-	return requiredSoftware{version: version, set: true}
-}
-
-// allows reports whether an endpoint runs the required version.
-func (s requiredSoftware) allows(e *dispatch.Endpoint) bool {
-	return !s.set || e.Software == s.version
-}
-
 func (f endpointFilter) selects(e *dispatch.Endpoint) bool {
-	return e.Stage == f.stage && !f.tried[e.Incarnation()] && e.HasModel(f.model) && f.software.allows(e)
+	return e.Stage == f.stage && !f.tried[e.Incarnation()] && e.HasModel(f.model) && f.software.Allows(e.Software)
 }
 
 // candidates returns the endpoints that a filter selects and that are not blocked.
--- a/internal/relay/eventsource.go
+++ b/internal/relay/eventsource.go
@@ -1,6 +1,9 @@
 package relay
 
-import "github.com/hyssopsail/hyssopsail/internal/dispatch"
+import (
+	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
+)
 
 // Who resumed a stream, used as label values.
 const (
@@ -26,8 +29,8 @@
 	case isResumption(ex.exchange, ex.route):
 		ex.countResumed(resumedByCaller, from)
 	}
-	if !ex.software.set {
-		ex.software = requireSoftware(from.Software)
+	if !ex.software.IsSet() {
+		ex.software = fleet.RequireSoftware(from.Software)
 	}
 	if ex.beganAt == nil {
 		ex.beganAt = from
@@ -38,9 +41,9 @@
 func (ex *activeExchange) countResumed(by string, from *dispatch.Endpoint) {
 	software := softwareSame
 	switch {
-	case !ex.software.set:
+	case !ex.software.IsSet():
 		software = softwareUnknown
-	case !ex.software.allows(from):
+	case !ex.software.Allows(from.Software):
 		software = softwareOther
 	}
 	ex.router.metrics.resumedStreams.WithLabelValues(by, software).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
@@ -38,7 +39,7 @@
 	aborted          bool                          // the answer was broken off
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
-	software         requiredSoftware              // of the endpoint that began the stream
+	software         fleet.RequiredSoftware        // of the endpoint that began the stream
 	beganAt          *dispatch.Endpoint            // whose event was forwarded first; nil for none
 	lastOutcome      dispatch.Outcome              // of the latest attempt, without prefills
 	// lastAttemptOutcome is the outcome of the latest attempt or prefill.
--- a/internal/relay/incarnationcheck.go
+++ b/internal/relay/incarnationcheck.go
@@ -63,7 +63,7 @@
 	switch {
 	case ex.hasRestarted(e):
 		return false
-	case !ex.software.set || e.Born == 0:
+	case !ex.software.IsSet() || e.Born == 0:
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, restartCheckTimeout)
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
 	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
 )
@@ -35,7 +36,7 @@
 // target is the service and the software version that an exchange goes to.
 type target struct {
 	service  string
-	software requiredSoftware
+	software fleet.RequiredSoftware
 }
 
 // chooseTarget returns where an exchange goes. A stream goes on at the service and the software
@@ -51,7 +52,7 @@
 	case !a.route.HasBackend(origin.Service):
 		return target{}, r.refuseResumption(x, a, "the route no longer leads to the service that began the stream")
 	}
-	return target{service: origin.Service, software: requireSoftware(origin.Software)}, nil
+	return target{service: origin.Service, software: fleet.RequireSoftware(origin.Software)}, nil
 }
 
 // findOrigin returns where the stream began that an exchange resumes: by its record, or since
@@ -102,7 +103,7 @@
 
 // lacksSoftware reports whether no endpoint has the software version that began the stream.
 func (ex *activeExchange) lacksSoftware() bool {
-	if !ex.software.set {
+	if !ex.software.IsSet() {
 		return false
 	}
 	f := ex.filter(ex.stage())
--- a/internal/relay/prefill.go
+++ b/internal/relay/prefill.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
+	"github.com/hyssopsail/hyssopsail/internal/fleet"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 )
 
@@ -28,7 +29,7 @@
 // preparePrefill has the prompt prefilled for a decode endpoint, unless a result is left over that
 // it can use.
 func (ex *activeExchange) preparePrefill(ctx context.Context, decode *dispatch.Endpoint) {
-	if ex.unusedPrefill != nil && !requireSoftware(decode.Software).allows(ex.unusedPrefill.endpoint) {
+	if ex.unusedPrefill != nil && !fleet.RequireSoftware(decode.Software).Allows(ex.unusedPrefill.endpoint.Software) {
 		ex.releaseUnusedPrefill()
 	}
 	if ex.unusedPrefill == nil && !ex.isQuarantined() {
@@ -111,7 +112,7 @@
 // prefillEndpoint returns the prefill endpoint that the home named, or one chosen here.
 func (ex *activeExchange) prefillEndpoint(decode *dispatch.Endpoint) (dispatch.Choice, dispatch.PrefillMode) {
 	f := ex.filter(dispatch.StagePrefill)
-	f.tried, f.software = nil, requireSoftware(decode.Software)
+	f.tried, f.software = nil, fleet.RequireSoftware(decode.Software)
 	if ex.allocated == nil {
 		return ex.choosePrefillEndpoint(f)
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -24,10 +24,10 @@
 	earlyGrant   *earlyGrant // decode grant requested while prefill runs
 	kv           kvCache
 	plan         schedule.StartPlan
-	linkBooking  *linkBooking      // booking for the KV transfer; nil: none
-	tokens       int               // output tokens of this attempt
-	software     requiredSoftware  // of its engines
-	checkedState *membership.State // settings for which the decode engine's zone was last checked
+	linkBooking  *linkBooking           // booking for the KV transfer; nil: none
+	tokens       int                    // output tokens of this attempt
+	software     fleet.RequiredSoftware // of its engines
+	checkedState *membership.State      // settings for which the decode engine's zone was last checked
 }
 
 // kvCache is the result of a prefill and the time when it expires.
--- a/internal/route/run.go
+++ b/internal/route/run.go
@@ -33,7 +33,7 @@
 	attempts        int
 	passedTokens    int // output tokens passed to the sink
 	text            strings.Builder
-	software        requiredSoftware // of the engine that began the output
+	software        fleet.RequiredSoftware // of the engine that began the output
 	promptTokens    int
 	firstTokenAt    time.Time // arrival of the first chunk; zero: none yet
 	firstTokens     int       // tokens of the first chunk
