--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -150,6 +150,12 @@
 
 func (f *fakeEndpoints) HeardSince(time.Time) bool { return !f.hearsNone }
 
+func (f *fakeEndpoints) firstCall() Call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[0]
+}
+
 func (f *fakeEndpoints) keepOpen(open bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/software_test.go
+++ b/internal/relay/software_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,8 +207,11 @@
 }
 
 // relist replaces an endpoint in the view by its next incarnation.
-func (fx *fixture) relist(id, software string) {
-	list := slices.Clone(fx.view.Endpoints["s"])
+func (fx *fixture) relist(id, software string) { fx.view = relisted(fx.view, id, software) }
+
+// relisted returns a view in which an endpoint is replaced by its next incarnation.
+func relisted(view *View, id, software string) *View {
+	list := slices.Clone(view.Endpoints["s"])
 	for n, e := range list {
 		if e.ID == id {
 			next := *e
@@ -215,7 +219,9 @@
 			list[n] = &next
 		}
 	}
-	fx.view.Endpoints["s"] = list
+	changed := *view
+	changed.Endpoints = map[string][]*dispatch.Endpoint{"s": list}
+	return &changed
 }
 
 // Guards against a request that is sent by an old listing: while its prompt is prefilled, the
@@ -279,14 +285,17 @@
 					fx.relist(fmt.Sprint("e", n), "v1")
 				}
 				fx.view.Confirmed = &Confirmation{}
+				var view atomic.Pointer[View]
+				view.Store(fx.view)
+				fx.router.options.View = view.Load
 				began := time.Now()
 				fx.router.options.Uptime = func() time.Duration { return time.Since(began) }
 				go func() {
 					time.Sleep(registrationTime)
 					if software != "" {
-						fx.relist(fx.endpoints.calls[0].Endpoint.ID, software)
+						view.Store(relisted(view.Load(), fx.endpoints.firstCall().Endpoint.ID, software))
 					}
-					fx.view.Confirmed.Advance(registrationTime)
+					view.Load().Confirmed.Advance(registrationTime)
 				}()
 				caller, refusal := fx.serve(t, newExchange())
 				assert.Assert(t, refusal == nil)
