review: case 1, a stream cut by the crash of a leaving server ends as complete

Cause: relay.Router.hasEnded takes the end of the connection of any leaving endpoint for the end of its answer.

--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// serverOptions configure a server.
+type serverOptions struct {
+	ID, Service, IP, Stage string
+	Controls               []string
+	Record                 string // file for what it runs
+	Slots                  int
+	EventGapMs             int
+	// Unframed makes its streams end with their channel, with neither a length nor chunks.
+	Unframed bool
+	// LingerMs is how long it serves on after its leave was confirmed.
+	LingerMs int
+}
+
+// switchTime is how long a change of the stage takes (switch_s of the engine).
+const switchTime = 6 * time.Second
+
+// prefillTokensPerMs is the speed at which a prompt is read.
+const prefillTokensPerMs = 33.3
+
+// server is a model server.
+type server struct {
+	serverOptions
+	record *record
+
+	mu      sync.Mutex // guards the fields below
+	stage   string
+	busy    bool
+	orders  int64
+	active  int
+	seq     int
+	leaving bool
+}
+
+func runServer(args []string) {
+	s := &server{}
+	if err := json.Unmarshal([]byte(args[0]), &s.serverOptions); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	s.stage = s.Stage
+	var err error
+	if s.record, err = newRecord(s.Record); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	listener, err := net.Listen("tcp4", at(s.IP, serverPort))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
+	go func() { _ = http.Serve(listener, s) }() // ends with the process
+	for {
+		s.report("ready")
+		select {
+		case <-terminated:
+			s.leave()
+			return
+		case <-time.After(1200 * time.Millisecond):
+		}
+	}
+}
+
+// report sends a status report until a daemon confirms it; it tries each once.
+func (s *server) report(state string) bool {
+	s.mu.Lock()
+	s.seq++
+	body := map[string]any{
+		"service": s.Service, "address": at(s.IP, serverPort), "zone": "howrah", "version": "v1", "slots": s.Slots, "state": state,
+		"cold_remaining_ms": 0, "seq": s.seq,
+	}
+	if s.stage != "" {
+		body["stage"], body["models"] = s.stage, []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	s.mu.Unlock()
+	data, _ := json.Marshal(body) // plain values
+	for _, n := range rand.Perm(len(s.Controls)) {
+		if status, _ := call(http.MethodPut, "http://"+s.Controls[n]+"/instances/"+s.ID, data); status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// leave is a planned shutdown: it reports that it drains, serves on, says that it is gone, and
+// exits once what it runs has ended.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	for !s.report("draining") {
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.record.add("%s draining confirmed", s.ID)
+	time.Sleep(time.Duration(s.LingerMs) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		active := s.active
+		s.mu.Unlock()
+		if active == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, c := range s.Controls {
+		if status, _ := call(http.MethodDelete, "http://"+c+"/instances/"+s.ID, nil); status == http.StatusOK {
+			break
+		}
+	}
+	s.record.add("%s exits", s.ID)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	if id != "" {
+		w.Header().Set("Attempt-Id", id)
+	}
+	s.mu.Lock()
+	s.setLoad(w.Header())
+	s.mu.Unlock()
+	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
+		s.notRun(w, http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/healthz":
+		s.health(w)
+	case r.URL.Path == "/report":
+		s.writeReport(w)
+	case r.URL.Path == "/order" && r.Method == http.MethodPost:
+		s.order(w, r)
+	case r.URL.Path == "/hold-take":
+		writeBody(w, map[string]any{"hold": fmt.Sprintf("h%x", rand.Uint64())})
+	case strings.HasPrefix(r.URL.Path, "/hold-drop/"), strings.HasPrefix(r.URL.Path, "/kv-handle/"):
+		w.WriteHeader(http.StatusOK)
+	case id == "":
+		s.notRun(w, http.StatusBadRequest)
+	case r.Header.Get("Serving-Stage") == "prefill":
+		s.prefill(w, r, id)
+	default:
+		s.generate(w, r, id)
+	}
+}
+
+// setLoad sets the load that answers tell. It is called with s.mu held.
+func (s *server) setLoad(h http.Header) {
+	h.Set("Instance-Load", fmt.Sprintf("%d,0,%d", s.active, s.Slots))
+}
+
+func (s *server) notRun(w http.ResponseWriter, status int) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+func writeBody(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the sender may have left
+}
+
+func (s *server) health(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Instance-Id", s.ID)
+	if s.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *server) writeReport(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeBody(w, map[string]any{
+		"stage": s.stage, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": s.busy, "seq": s.orders,
+		"queued": 0, "active": s.active, "kv_used": 0, "kv_total": 39418, "kv_handles": 0,
+	})
+}
+
+// order takes an order to change the stage; the server is back after switchTime.
+func (s *server) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Op, Stage, Holder string
+		Token             *uint64 `json:"fencing_token"`
+		Expect            *int64
+	}
+	err := json.NewDecoder(r.Body).Decode(&order)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.add("%s gets order %+v", s.ID, order)
+	switch {
+	case err != nil || order.Op != "stage" || order.Holder == "" || order.Token == nil:
+		w.WriteHeader(http.StatusBadRequest)
+	case s.busy || order.Expect != nil && *order.Expect != s.orders:
+		w.WriteHeader(http.StatusConflict)
+	case order.Stage == s.stage:
+		w.WriteHeader(http.StatusOK)
+	default:
+		s.orders++
+		s.busy = true
+		w.WriteHeader(http.StatusAccepted)
+		go s.switchStage(order.Stage)
+	}
+}
+
+func (s *server) switchStage(stage string) {
+	time.Sleep(switchTime)
+	s.mu.Lock()
+	s.stage, s.busy = stage, false
+	s.mu.Unlock()
+	s.report("ready")
+}
+
+// mayRun reports whether the server takes a request for a stage, and counts it.
+func (s *server) mayRun(w http.ResponseWriter, stage string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stage != "" && s.stage != stage:
+		s.notRun(w, http.StatusMisdirectedRequest)
+	case s.busy || s.active >= s.Slots:
+		s.notRun(w, http.StatusServiceUnavailable)
+	default:
+		s.active++
+		return true
+	}
+	return false
+}
+
+func (s *server) ended() {
+	s.mu.Lock()
+	s.active--
+	s.mu.Unlock()
+}
+
+func (s *server) prefill(w http.ResponseWriter, r *http.Request, id string) {
+	if !s.mayRun(w, "prefill") {
+		return
+	}
+	defer s.ended()
+	prompt, _ := tokens(r)
+	time.Sleep(time.Duration(float64(prompt) / prefillTokensPerMs * float64(time.Millisecond)))
+	writeBody(w, map[string]any{"kv_handle": fmt.Sprintf("%s-%x", id, rand.Uint32()), "tokens": prompt, "version": 1})
+}
+
+// tokens returns the two numbers of Token-Count.
+func tokens(r *http.Request) (prompt, output int) {
+	a, b, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	prompt, _ = strconv.Atoi(a)
+	output, _ = strconv.Atoi(b)
+	return prompt, output
+}
+
+// event returns an event of a stream of last events.
+func event(id string, n, last int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", n, id, n, last)
+}
+
+// generate streams the answer to a request, an event for each token.
+func (s *server) generate(w http.ResponseWriter, r *http.Request, id string) {
+	if !s.mayRun(w, "decode") {
+		return
+	}
+	defer s.ended()
+	_, output := tokens(r)
+	first := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = after + 1
+	}
+	deadline := 14 * time.Second
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		deadline = time.Duration(ms) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline)
+	defer cancel()
+	s.record.add("%s runs %s from event %d", s.ID, id, first)
+	send, end := s.openStream(w, id)
+	defer end()
+	for n := first; n <= output; n++ {
+		select {
+		case <-ctx.Done():
+			s.record.add("%s stops %s after event %d", s.ID, id, n-1)
+			return
+		case <-time.After(time.Duration(s.EventGapMs) * time.Millisecond):
+		}
+		if !send(event(id, n, output)) {
+			s.record.add("%s stops %s after event %d", s.ID, id, n-1)
+			return
+		}
+	}
+	s.record.add("%s has sent all %d events of %s", s.ID, output, id)
+}
+
+// openStream sends the head of an answer and returns how to send its events.
+func (s *server) openStream(w http.ResponseWriter, id string) (send func(string) bool, end func()) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Response-Seal", "seal."+s.ID+"."+id)
+	if !s.Unframed {
+		controller := http.NewResponseController(w)
+		return func(part string) bool {
+			_, err := w.Write([]byte(part))
+			return err == nil && controller.Flush() == nil
+		}, func() {}
+	}
+	raw, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return func(string) bool { return false }, func() {}
+	}
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	for name := range w.Header() {
+		head += name + ": " + w.Header().Get(name) + "\r\n"
+	}
+	_, err = raw.Write([]byte(head + "\r\n"))
+	return func(part string) bool {
+		if err == nil {
+			_, err = raw.Write([]byte(part))
+		}
+		return err == nil
+	}, func() { _ = raw.Close() } // the end of the answer
+}
