review: case 2, a stream goes on at a second server while the first still works on it

Cause: relay sends a lost stream that may be resumed to another server without finding out whether the one before has stopped; over a channel that went silent it has not.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // play is one case: it starts a fleet, brings about the disruption if trouble is set, and returns
@@ -11,6 +12,7 @@
 
 var cases = map[string]play{
 	"crash-while-leaving": playCrashWhileLeaving,
+	"silent-channel":      playSilentChannel,
 }
 
 func runCase(p play) int {
@@ -18,7 +20,7 @@
 	if path == "" {
 		path = "record.txt"
 	}
-	r, err := newRecord(path)
+	r, err := newRecord(path, time.Now())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,11 +21,20 @@
 	laterRoute = "/pufi791/" // the same service, and its streams may be resumed
 )
 
-// siteConfig returns the configuration of the small site's model service.
-func siteConfig(version int) map[string]any {
+// siteObjective is target_latency_ms of the small site's streams.
+const siteObjective = 900 * time.Millisecond
+
+// maxGap returns how long a client waits for the next event: the longest of 2 s, four times the
+// route's objective and eight times its longest pause.
+func maxGap(objective time.Duration) time.Duration {
+	return max(2*time.Second, 4*objective, 8*300*time.Millisecond)
+}
+
+// siteConfig returns the configuration of the small site's model service, with routes of an objective.
+func siteConfig(version int, objective time.Duration) map[string]any {
 	route := func(name, prefix string, resumable bool, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "route_type": "streaming", "timeout_ms": 14000, "target_latency_ms": 900,
+			"name": name, "host": host, "path_prefix": prefix, "route_type": "streaming", "timeout_ms": 14000, "target_latency_ms": objective.Milliseconds(),
 			"priority": 1, "service": modelName, "max_attempts": attempts, "session_affinity": true, "resumable": resumable, "itl_target_ms": 300,
 		}
 	}
@@ -69,7 +79,7 @@
 var eventPattern = regexp.MustCompile(`^id: (\d+)\ndata: (\S+) (\d+) of (\d+)$`)
 
 // requestStream sends a model request to an entry over a new channel and reads its answer.
-func requestStream(entry, prefix, id string, prompt, output int) *stream {
+func requestStream(entry, prefix, id string, objective time.Duration, prompt, output int) *stream {
 	result := &stream{id: id, expected: output}
 	ctx, cancel := context.WithTimeout(context.Background(), 14*time.Second)
 	defer cancel()
@@ -94,8 +104,18 @@
 	}
 	defer func() { _ = response.Body.Close() }() // read whole
 	result.status = response.StatusCode
-	data, err := io.ReadAll(response.Body)
-	result.err = err
+	// A client leaves a stream after a gap of four times the objective, also before its first event.
+	patience := time.AfterFunc(maxGap(objective), cancel)
+	defer patience.Stop()
+	var data []byte
+	for buffer := make([]byte, 4<<10); result.err == nil; {
+		n, err := response.Body.Read(buffer)
+		data, result.err = append(data, buffer[:n]...), err
+		patience.Reset(maxGap(objective))
+	}
+	if errors.Is(result.err, io.EOF) {
+		result.err = nil
+	}
 	if response.StatusCode == http.StatusOK {
 		result.parse(string(data))
 	}
--- a/review/standin/crashwhileleaving.go
+++ b/review/standin/crashwhileleaving.go
@@ -35,7 +35,7 @@
 		wait.Go(func() {
 			id := fmt.Sprintf("a%015x", n)
 			f.record.add("client sends %s to %s%s", id, entries[n%len(entries)], prefix)
-			streams[n] = requestStream(entries[n%len(entries)], prefix, id, 3000, leavingEvents)
+			streams[n] = requestStream(entries[n%len(entries)], prefix, id, siteObjective, 3000, leavingEvents)
 			f.record.add("client got %v", streams[n])
 		})
 		time.Sleep(20 * time.Millisecond)
@@ -79,7 +79,7 @@
 	if err := f.start(5, 3); err != nil {
 		return err
 	}
-	if err := f.putConfig(siteConfig(3)); err != nil {
+	if err := f.putConfig(siteConfig(3, siteObjective)); err != nil {
 		return err
 	}
 	for n := range prefill + decode {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -41,6 +41,7 @@
 	controls []*process
 	entries  []*process
 	servers  map[string]*process // by ID
+	proxies  map[string]*proxy   // of servers behind one, by ID
 	started  []*process
 	self     string // this program
 }
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, folder: folder, self: self, servers: map[string]*process{}}
+	f := &fleet{record: r, folder: folder, self: self, servers: map[string]*process{}, proxies: map[string]*proxy{}}
 	for range 200 {
 		f.block = fmt.Sprintf("127.%d.%d", 90+rand.IntN(100), rand.IntN(250))
 		if f.claim, err = net.Listen("tcp4", f.ip(254)+":7390"); err == nil {
@@ -175,7 +176,7 @@
 	for _, c := range f.controls {
 		o.Controls = append(o.Controls, at(c.ip, controlPort))
 	}
-	o.Record = filepath.Join(f.folder, o.ID+".events")
+	o.Record, o.BeganMs = filepath.Join(f.folder, o.ID+".events"), f.record.began.UnixMilli()
 	data, err := json.Marshal(o)
 	if err != nil {
 		return err
@@ -258,6 +259,9 @@
 	for _, p := range f.started {
 		<-p.exited
 	}
+	for _, p := range f.proxies {
+		_ = p.listener.Close() // nothing more is accepted
+	}
 	_ = f.claim.Close() // nothing is accepted there
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.folder)
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -14,12 +14,13 @@
 	began time.Time
 }
 
-func newRecord(path string) (*record, error) {
+// newRecord creates a record whose times count from began.
+func newRecord(path string, began time.Time) (*record, error) {
 	file, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, began: time.Now()}, nil
+	return &record{file: file, began: began}, nil
 }
 
 func (r *record) add(format string, args ...any) {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,10 +20,13 @@
 // serverOptions configure a server.
 type serverOptions struct {
 	ID, Service, IP, Stage string
-	Controls               []string
-	Record                 string // file for what it runs
-	Slots                  int
-	EventGapMs             int
+	// PublicIP is where senders reach it, if that is not IP.
+	PublicIP   string
+	Controls   []string
+	Record     string // file for what it runs
+	BeganMs    int64  // Unix ms from which its times count
+	Slots      int
+	EventGapMs int
 	// Unframed makes its streams end with their channel, with neither a length nor chunks.
 	Unframed bool
 	// LingerMs is how long it serves on after its leave was confirmed.
@@ -41,6 +45,7 @@
 	record *record
 
 	mu      sync.Mutex // guards the fields below
+	runs    map[string]*run
 	stage   string
 	busy    bool
 	orders  int64
@@ -49,15 +54,21 @@
 	leaving bool
 }
 
+// run is a request that the server generates.
+type run struct {
+	made int // events
+	stop context.CancelFunc
+}
+
 func runServer(args []string) {
-	s := &server{}
+	s := &server{runs: map[string]*run{}}
 	if err := json.Unmarshal([]byte(args[0]), &s.serverOptions); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
 	s.stage = s.Stage
 	var err error
-	if s.record, err = newRecord(s.Record); err != nil {
+	if s.record, err = newRecord(s.Record, time.UnixMilli(s.BeganMs)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
@@ -85,7 +96,7 @@
 	s.mu.Lock()
 	s.seq++
 	body := map[string]any{
-		"service": s.Service, "address": at(s.IP, serverPort), "zone": "howrah", "version": "v1", "slots": s.Slots, "state": state,
+		"service": s.Service, "address": at(cmp.Or(s.PublicIP, s.IP), serverPort), "zone": "howrah", "version": "v1", "slots": s.Slots, "state": state,
 		"cold_remaining_ms": 0, "seq": s.seq,
 	}
 	if s.stage != "" {
@@ -149,6 +160,8 @@
 		s.writeReport(w)
 	case r.URL.Path == "/order" && r.Method == http.MethodPost:
 		s.order(w, r)
+	case r.URL.Path == "/kv-move":
+		s.move(w, r)
 	case r.URL.Path == "/hold-take":
 		writeBody(w, map[string]any{"hold": fmt.Sprintf("h%x", rand.Uint64())})
 	case strings.HasPrefix(r.URL.Path, "/hold-drop/"), strings.HasPrefix(r.URL.Path, "/kv-handle/"):
@@ -189,12 +202,38 @@
 func (s *server) writeReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	runs := [][]any{}
+	for id, r := range s.runs {
+		runs = append(runs, []any{id, 3000 + r.made, r.made, 5})
+	}
 	writeBody(w, map[string]any{
-		"stage": s.stage, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": s.busy, "seq": s.orders,
+		"state": "ready", "next": 0, "runs": runs, "stage": s.stage, "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": s.busy, "seq": s.orders,
 		"queued": 0, "active": s.active, "kv_used": 0, "kv_total": 39418, "kv_handles": 0,
 	})
 }
 
+// move takes a call to move a run. It has nowhere to copy memory to, but stops the run if asked to.
+func (s *server) move(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		ID   string
+		Last bool
+	}
+	err := json.NewDecoder(r.Body).Decode(&call)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.runs[call.ID]
+	if err != nil || found == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if call.Last {
+		found.stop()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(map[string]any{"kv_handle": call.ID, "made": found.made}) // the sender may have left
+}
+
 // order takes an order to change the stage; the server is back after switchTime.
 func (s *server) order(w http.ResponseWriter, r *http.Request) {
 	var order struct {
@@ -291,6 +330,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), deadline)
 	defer cancel()
+	s.mu.Lock()
+	s.runs[id] = &run{made: first - 1, stop: cancel}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.runs, id)
+		s.mu.Unlock()
+	}()
 	s.record.add("%s runs %s from event %d", s.ID, id, first)
 	send, end := s.openStream(w, id)
 	defer end()
@@ -301,6 +348,10 @@
 			return
 		case <-time.After(time.Duration(s.EventGapMs) * time.Millisecond):
 		}
+		s.mu.Lock()
+		s.runs[id].made = n
+		s.mu.Unlock()
+		s.record.add("%s makes %s event %d", s.ID, id, n)
 		if !send(event(id, n, output)) {
 			s.record.add("%s stops %s after event %d", s.ID, id, n-1)
 			return
