review: case 3, a request that takes its servers' machines down is sent on and on

Cause: relay counts a run against its request only if its connection ended; a machine that goes dark ends none.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -13,6 +13,7 @@
 var cases = map[string]play{
 	"crash-while-leaving": playCrashWhileLeaving,
 	"silent-channel":      playSilentChannel,
+	"dark-crashes":        playDarkCrashes,
 }
 
 func runCase(p play) int {
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,6 +18,11 @@
 	target   string
 	listener net.Listener
 
+	// trigger, if set, is called once for each request that has its text in the first bytes, after
+	// these were passed on to the server.
+	triggerText []byte
+	trigger     func()
+
 	mu    sync.Mutex // guards pairs
 	pairs map[*channelPair]bool
 }
@@ -26,7 +34,9 @@
 }
 
 func newProxy(host, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", at(host, serverPort))
+	plain := net.ListenConfig{}
+	plain.SetMultipathTCP(false) // its sockets take no filter
+	listener, err := plain.Listen(context.Background(), "tcp4", at(host, serverPort))
 	if err != nil {
 		return nil, err
 	}
@@ -73,6 +83,9 @@
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
+			if p.trigger != nil && from == pair.sender && bytes.Contains(buffer[:n], p.triggerText) {
+				p.trigger()
+			}
 		}
 		if err == nil {
 			continue
@@ -109,6 +122,29 @@
 	return len(p.pairs), nil
 }
 
+// setDark makes the server's machine dark: its open channels go silent, and nobody gets an answer to
+// a new one.
+func (p *proxy) setDark() error {
+	if _, err := p.silence(); err != nil {
+		return err
+	}
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	return filter(raw)
+}
+
+// dropPairs forgets the channels of a machine that was dark and is back.
+func (p *proxy) dropPairs() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pair := range p.pairs {
+		reset(pair.sender)
+		reset(pair.server)
+	}
+}
+
 // dropAll has the kernel drop whatever arrives for a connection of this process, before TCP sees
 // it, so that nothing is acknowledged and keep-alive probes get no answer.
 func dropAll(c net.Conn) error {
@@ -116,15 +152,17 @@
 	if err != nil {
 		return err
 	}
+	return filter(raw)
+}
+
+// filter sets the filter that drops all.
+func filter(raw syscall.RawConn) error {
 	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	var optionErr error
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		optionErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
-	if err != nil {
-		return err
-	}
-	return optionErr
+	return cmp.Or(err, optionErr)
 }
 
 func reset(c net.Conn) {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -36,6 +36,9 @@
 // switchTime is how long a change of the stage takes (switch_s of the engine).
 const switchTime = 6 * time.Second
 
+// plainWork is how long a request of the plain service takes (work ms of the sheet).
+const plainWork = 60 * time.Millisecond
+
 // prefillTokensPerMs is the speed at which a prompt is read.
 const prefillTokensPerMs = 33.3
 
@@ -168,6 +171,8 @@
 		w.WriteHeader(http.StatusOK)
 	case id == "":
 		s.notRun(w, http.StatusBadRequest)
+	case s.stage == "":
+		s.serve(w, r, id)
 	case r.Header.Get("Serving-Stage") == "prefill":
 		s.prefill(w, r, id)
 	default:
@@ -290,6 +295,18 @@
 	s.mu.Unlock()
 }
 
+// serve runs a request of a plain service.
+func (s *server) serve(w http.ResponseWriter, r *http.Request, id string) {
+	if !s.mayRun(w, "") {
+		return
+	}
+	defer s.ended()
+	s.record.add("%s runs %s %s", s.ID, id, r.URL.Path)
+	time.Sleep(plainWork)
+	w.Header().Set("Response-Seal", "seal."+s.ID+"."+id)
+	_, _ = w.Write([]byte("card of " + id)) // the sender may have left
+}
+
 func (s *server) prefill(w http.ResponseWriter, r *http.Request, id string) {
 	if !s.mayRun(w, "prefill") {
 		return
