--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,7 @@
 	"crash-while-leaving": playCrashWhileLeaving,
 	"silent-channel":      playSilentChannel,
 	"dark-crashes":        playDarkCrashes,
+	"lost-first-seed":     playLostFirstSeed,
 }
 
 func runCase(p play) int {
