review: case 2, an answer that is no response ends the entry by its memory

Cause: httpconn reads the head of a response without a limit on its bytes. A server that sends bytes without the end of a line takes an entry over its memory in 1.5 s, and all streams in flight there are lost.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,7 @@
 	"crash-while-leaving": playCrashWhileLeaving,
 	"silent-channel":      playSilentChannel,
 	"dark-crashes":        playDarkCrashes,
+	"endless-garbage":     playEndlessGarbage,
 	"lost-first-seed":     playLostFirstSeed,
 }
 
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,6 +27,9 @@
 	BeganMs    int64  // Unix ms from which its times count
 	Slots      int
 	EventGapMs int
+	// SpoilEach makes it send zero bytes in place of one answer in so many, for spoilFor at a time; 0
+	// for none.
+	SpoilEach int
 	// Unframed makes its streams end with their channel, with neither a length nor chunks.
 	Unframed bool
 	// LingerMs is how long it serves on after its leave was confirmed.
@@ -53,6 +56,7 @@
 	busy    bool
 	orders  int64
 	active  int
+	answers int
 	seq     int
 	leaving bool
 }
@@ -355,6 +359,11 @@
 		delete(s.runs, id)
 		s.mu.Unlock()
 	}()
+	if s.isSpoiled() {
+		s.record.add("%s spoils the answer to %s", s.ID, id)
+		s.sendZeros(ctx, w)
+		return
+	}
 	s.record.add("%s runs %s from event %d", s.ID, id, first)
 	send, end := s.openStream(w, id)
 	defer end()
@@ -377,6 +386,45 @@
 	s.record.add("%s has sent all %d events of %s", s.ID, output, id)
 }
 
+// Times in which a server spoils answers: for spoilFor, then not for spoilPause.
+const (
+	spoilFor   = 6 * time.Second
+	spoilPause = 2 * time.Second
+)
+
+// isSpoiled counts an answer and reports whether it is spoiled.
+func (s *server) isSpoiled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers++
+	now := time.Since(time.UnixMilli(s.BeganMs)) % (spoilFor + spoilPause)
+	if s.SpoilEach == 0 || s.answers < s.SpoilEach || now > spoilFor {
+		return false
+	}
+	s.answers = 0
+	return true
+}
+
+// The pace of zero bytes: 80 MB/s, less than the link of a machine (1,000 Mbit/s).
+const (
+	zerosPart  = 800 << 10
+	zerosPause = 10 * time.Millisecond
+)
+
+// sendZeros sends bytes that are no response until the channel ends.
+func (s *server) sendZeros(ctx context.Context, w http.ResponseWriter) {
+	raw, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = raw.Close() }() // it may have ended
+	zeros := make([]byte, zerosPart)
+	for err == nil && ctx.Err() == nil {
+		time.Sleep(zerosPause)
+		_, err = raw.Write(zeros)
+	}
+}
+
 // openStream sends the head of an answer and returns how to send its events.
 func (s *server) openStream(w http.ResponseWriter, id string) (send func(string) bool, end func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
