--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -42,8 +43,10 @@
 	entries  []*process
 	servers  map[string]*process // by ID
 	proxies  map[string]*proxy   // of servers behind one, by ID
-	started  []*process
-	self     string // this program
+	self     string              // this program
+
+	mu      sync.Mutex // guards started
+	started []*process
 }
 
 // process is one process that the case started.
@@ -122,7 +125,9 @@
 		_ = cmd.Wait() // a killed process ends with an error
 		close(exited)
 	}(p.cmd, p.exited)
+	f.mu.Lock()
 	f.started = append(f.started, p)
+	f.mu.Unlock()
 	f.record.add("started %s (pid %d)", p.name, p.cmd.Process.Pid)
 	return nil
 }
@@ -253,6 +258,8 @@
 
 // end ends all processes that this case started.
 func (f *fleet) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, p := range f.started {
 		p.signal(syscall.SIGKILL)
 	}
