httpserver: a server that stops answers what has arrived

What callers saw: a request written whole to an entry about 3 s after its SIGTERM, often over a connection that had not been used, ended with an end of file or a reset; no server saw it and no log has it.

Cause: http.Server.Shutdown sets a flag first, and conn.serve closes each connection whose next request it has just read while the flag is set; a connection opened before that sends its first request seconds later meets it for sure. It also closes the listener with connections that wait to be accepted, and kept connections with a request on them that wasn't read.

Change: Server.Drain takes the connections that wait, closes the listener, and releases each connection without a request: the goroutine that reads ends it only after a look that nothing has arrived. The same servers are those of control, addresses and metrics, and the product's daemon.

Evidence: TestDrainAnswersTheFirstRequestOfAConnection, TestDrainAnswersWhatHasArrivedOnAKeptConnection and TestDrainTakesConnectionsThatWait fail with Drain replaced by Shutdown (unexpected EOF, unexpected EOF, connection reset), the second also with the look taken out.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/config"
 	"github.com/hyssopsail/hyssopsail/internal/entry"
+	"github.com/hyssopsail/hyssopsail/internal/httpserver"
 	"github.com/hyssopsail/hyssopsail/internal/operator"
 	"github.com/hyssopsail/hyssopsail/internal/settings"
 )
@@ -19,9 +20,9 @@
 // are nil.
 type servers struct {
 	listeners listeners
-	callers   *http.Server
-	endpoints *http.Server
-	operators *http.Server
+	callers   *httpserver.Server
+	endpoints *httpserver.Server
+	operators *httpserver.Server
 }
 
 func newServers(b *base, e *entryRole, c *controlRole) (servers, error) {
@@ -89,17 +90,17 @@
 }
 
 func (s servers) start(group *errgroup.Group) {
-	group.Go(func() error { return serveHTTP(s.operators, s.listeners.operators) })
+	group.Go(func() error { return s.operators.Serve(s.listeners.operators) })
 	if s.callers == nil {
 		return
 	}
-	group.Go(func() error { return serveHTTP(s.callers, s.listeners.callers) })
-	group.Go(func() error { return serveHTTP(s.endpoints, s.listeners.endpoints) })
+	group.Go(func() error { return s.callers.Serve(s.listeners.callers) })
+	group.Go(func() error { return s.endpoints.Serve(s.listeners.endpoints) })
 }
 
-// shutdown stops all servers, waiting for responses in flight until ctx ends.
+// shutdown drains all servers, waiting for responses in flight until ctx ends.
 func (s servers) shutdown(ctx context.Context) {
-	shutdownHTTP(ctx, s.callers)
-	shutdownHTTP(ctx, s.endpoints)
-	shutdownHTTP(ctx, s.operators)
+	drainHTTP(ctx, s.callers)
+	drainHTTP(ctx, s.endpoints)
+	drainHTTP(ctx, s.operators)
 }
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -33,7 +33,7 @@
 	assert.NilError(t, err)
 	server := newHTTPServer(http.HandlerFunc(serveHealth), config.DefaultDaemon().Bounds, tlsConfig)
 	ended := make(chan error, 1)
-	go func() { ended <- serveHTTP(server, listener) }()
+	go func() { ended <- server.Serve(listener) }()
 	t.Cleanup(func() {
 		assert.NilError(t, server.Close())
 		assert.NilError(t, <-ended)
--- a/internal/httpserver/group.go
+++ b/internal/httpserver/group.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -37,7 +36,7 @@
 
 	mu      sync.Mutex // guards the fields below
 	stopped bool
-	servers []*http.Server
+	servers []*Server
 }
 
 // NewGroup returns an empty Group. Its servers run as goroutines of workers, which ends with the
@@ -50,11 +49,11 @@
 
 // Serve starts a server at an address, whose handler bounds the time of a call. It returns nil if
 // the address is empty.
-func (g *Group) Serve(ctx context.Context, address string, handler http.Handler) (*http.Server, error) {
+func (g *Group) Serve(ctx context.Context, address string, handler http.Handler) (*Server, error) {
 	return g.serve(ctx, address, handler, 0)
 }
 
-func (g *Group) serve(ctx context.Context, address string, handler http.Handler, readTimeout time.Duration) (*http.Server, error) {
+func (g *Group) serve(ctx context.Context, address string, handler http.Handler, readTimeout time.Duration) (*Server, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -62,16 +61,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	server := &http.Server{
+	server := NewServer(&http.Server{
 		Handler: endHeads(handler), ConnContext: withHeadConn, ConnState: beginHead, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
-	}
-	g.workers.Go(func() error {
-		if err := server.Serve(headListener{listener, g.heads}); !errors.Is(err, http.ErrServerClosed) {
-			return trace.Wrap(err)
-		}
-		return nil
 	})
+	g.workers.Go(func() error { return server.Serve(headListener{listener, g.heads}) })
 	return server, nil
 }
 
@@ -89,7 +83,7 @@
 	return err
 }
 
-// Stop shuts down the servers of ServeUntilStop and waits for calls in flight for at most a
+// Stop drains the servers of ServeUntilStop, which takes at most a
 // second. The error tells that some were cut off.
 func (g *Group) Stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
@@ -97,9 +91,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
-	var errs []error
-	for _, server := range g.servers {
-		errs = append(errs, server.Shutdown(ctx))
+	errs := make([]error, len(g.servers))
+	var draining sync.WaitGroup
+	for n, server := range g.servers {
+		draining.Go(func() { errs[n] = server.Drain(ctx) })
 	}
+	draining.Wait()
 	return trace.NewAggregate(errs...)
 }
--- a/internal/httpserver/headconn.go
+++ b/internal/httpserver/headconn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/hyssopsail/hyssopsail/internal/readlimit"
 )
@@ -54,6 +55,9 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *headConn) SyscallConn() (syscall.RawConn, error) { return rawConnOf(c.Conn) }
+
 func (c *headConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,6 +87,17 @@
 	return &headConn{Conn: accepted, reads: l.reads, peer: hostOf(accepted.RemoteAddr().String())}, nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l headListener) SyscallConn() (syscall.RawConn, error) { return rawConnOf(l.Listener) }
+
+func rawConnOf(socket any) (syscall.RawConn, error) {
+	source, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return source.SyscallConn()
+}
+
 // headConnKey is the key of a request's headConn in its context.
 type headConnKey struct{}
 
