relay: a stopping entry takes nothing that may last longer than it does

What callers saw: a stream that an entry took about 3 s after its SIGTERM was cut, seconds into its events, when the entry ended.

Cause: an entry took everything until AcceptDuration, 3 s by its own clock, which begins when the process learns of its signal and ends when its server has begun to shut down. A busy process learns late; callers count from the signal. A bound on when to take was used for how long it lasts.

Change: from LongDuration on (a quarter of a second before AcceptDuration) the router refuses an exchange whose own time ends after the entry's, as not run, to be repeated at once: it isn't on the address lists any more. What ends in time, such as a plain call, is served until the end.

--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -44,6 +44,8 @@
 	// Parts is nil where parts of prompts that crash endpoints are not tracked.
 	Parts   suspect.PartFindings
 	Origins StreamOrigins // nil: streams can't be resumed by their callers
+	// Shutdown is that of the entry; nil: it never shuts down.
+	Shutdown *Shutdown
 	// Limits are those that endpoints name; nil: an endpoint that names one gets no requests.
 	Limits *endpointlimit.Client
 	// Reads bounds and records what is read from endpoints; nil for no bound on its memory.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -61,6 +61,10 @@
 		deadline = x.Received.Add(x.CallerTimeout)
 	}
 	deadline = deadline.Add(-timeoutMargin)
+	if !r.options.Shutdown.accepts(x.Received, deadline) {
+		r.options.Part.Info("Refused by the shutdown.", "request", x.ID, "route", route.Name, "may_last_ms", deadline.Sub(x.Received).Milliseconds())
+		return &Refusal{Verdict: VerdictNotRun, Reason: errShutdown.Error(), RetryAfter: shutdownRetryAfter}, false
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, deadline, errDeadline)
 	defer cancel()
 	to, refusal := r.chooseTarget(ctx, x, a)
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"errors"
+	"sync"
+	"time"
+)
 
 // MaxAddressTTL is the maximum time that callers are asked to cache an address.
 const MaxAddressTTL = time.Second
@@ -12,8 +16,19 @@
 	// shutdownMargin is how long before the end of the shutdown's time the process ends by
 	// itself.
 	shutdownMargin = 500 * time.Millisecond
+	// signalDelay is how late a busy process may learn of the signal to stop. Callers count their
+	// time from the signal.
+	signalDelay = 250 * time.Millisecond
+	// finalAnswerMargin is how long before MaxDuration requests without an answer get a final one.
+	finalAnswerMargin = 250 * time.Millisecond
+	// shutdownRetryAfter is when a caller may come back that this entry refuses since it shuts
+	// down: the others serve it at once.
+	shutdownRetryAfter = 50 * time.Millisecond
 )
 
+// errShutdown is why an exchange is refused that may last longer than the entry.
+var errShutdown = errors.New("the entry shuts down")
+
 // ShutdownPlan plans an entry's shutdown: it leaves the address lists, keeps serving until
 // callers have moved, and ends when nothing is in flight or its time is up.
 //
@@ -32,3 +47,44 @@
 func (p ShutdownPlan) AcceptDuration() time.Duration {
 	return min(addressTTLFactor*MaxAddressTTL, p.MaxDuration()*3/4)
 }
+
+// LongDuration returns how long to accept requests that may last beyond FinalAnswerDuration.
+func (p ShutdownPlan) LongDuration() time.Duration { return max(0, p.AcceptDuration()-signalDelay) }
+
+// FinalAnswerDuration returns when requests that have no answer yet get a final one.
+func (p ShutdownPlan) FinalAnswerDuration() time.Duration {
+	return max(0, p.MaxDuration()-finalAnswerMargin)
+}
+
+// Shutdown is the shutdown of an entry, by which its router accepts exchanges: what may last longer than
+// the entry does is refused. A nil
+// Shutdown never begins. It is safe for concurrent use.
+type Shutdown struct {
+	plan ShutdownPlan
+
+	mu    sync.Mutex // guards began
+	began time.Time  // zero before the shutdown
+}
+
+// NewShutdown returns a Shutdown that has not begun.
+func NewShutdown(plan ShutdownPlan) *Shutdown {
+	return &Shutdown{plan: plan}
+}
+
+// Begin begins the shutdown. It is called once.
+func (s *Shutdown) Begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = time.Now()
+}
+
+// accepts reports whether an exchange that was received at a time, and lasts until deadline at most,
+// may be served.
+func (s *Shutdown) accepts(received, deadline time.Time) bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began.IsZero() || received.Before(s.began.Add(s.plan.LongDuration())) || deadline.Before(s.began.Add(s.plan.FinalAnswerDuration()))
+}
