relay: a stopping entry answers what still waits before it ends

What callers would see: a request that waits at a stopping entry for a place, or for the first event of its answer, until the entry ends at 7.5 s, gets no answer at all, though the entry knows whether it has run.

Cause: the exchange's own time alone ended it; a stream has 14 s.

Change: a quarter of a second before the entry's end, exchanges without an answer get a final one: not run, or unknown where they were sent. Answers under way go on.

Evidence: by reading, and TestStoppingEntryAnswersWhatStillWaits, which fails without the change (the answer comes after 9.98 s, the entry ends at 7.5 s). Not seen among real processes. TestStoppingEntryLetsAnswersGoOn fails if answers under way are ended too. The log of a stop tells how many connections it cut.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -88,12 +88,12 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.beginDraining()
 	s.closeListener(ctx)
-	for s.connCount() > 0 {
+	for n := s.connCount(); n > 0; n = s.connCount() {
 		select {
 		case <-s.left:
 		case <-ctx.Done():
 			_ = s.http.Close() // it fails only on connections that have ended
-			return trace.Wrap(ctx.Err())
+			return trace.Wrap(ctx.Err(), "%d connections were cut off", n)
 		}
 	}
 	// What is left are connections of HTTP/2, which tell their callers that they end.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -45,6 +45,7 @@
 
 // forwardHead forwards the head of an answer.
 func (ex *activeExchange) forwardHead(reply *Reply, length int64) {
+	ex.unanswered.begin()
 	ex.headSent, ex.progress.firstAt = true, time.Now()
 	ex.caller.Begin(reply.Status, reply.Header, length)
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -35,6 +35,9 @@
 		return nil
 	}
 	if !ex.mayHaveRun {
+		if errors.Is(context.Cause(ctx), errShutdown) {
+			return &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: shutdownRetryAfter}
+		}
 		after := max(retryAfter(ex.exchange.CallerTimeout, ex.router.options.Random()), ex.blockedFor(), ex.crashes.quarantinedFor, ex.parts.refusal.Wait)
 		return &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: after}
 	}
@@ -46,8 +49,11 @@
 
 // endReason returns why an exchange's context ended.
 func endReason(ctx context.Context) string {
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
 		return "the time is up"
+	case errors.Is(cause, errShutdown):
+		return errShutdown.Error()
 	}
 	return "the caller has left"
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,15 +16,16 @@
 
 // activeExchange is the state of one exchange while it is being served.
 type activeExchange struct {
-	router   *Router
-	exchange *Exchange
-	caller   Caller
-	route    *routetable.Route
-	team     *routetable.Team // nil where callers need no key
-	version  int64            // of the configuration that has the route
-	service  string
-	engine   *routetable.Engine
-	deadline time.Time
+	router     *Router
+	exchange   *Exchange
+	caller     Caller
+	unanswered *unanswered
+	route      *routetable.Route
+	team       *routetable.Team // nil where callers need no key
+	version    int64            // of the configuration that has the route
+	service    string
+	engine     *routetable.Engine
+	deadline   time.Time
 	// readyAt is when its service and software version were known. A caller that returns may have
 	// to wait for that, which is not held against what it waits for next.
 	readyAt time.Time
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -38,6 +38,8 @@
 // Serve serves an exchange. It returns nil when the caller got an answer, whole or broken
 // off, and a refusal when nothing was forwarded. ctx must end when the caller leaves.
 func (r *Router) Serve(ctx context.Context, x *Exchange, caller Caller) *Refusal {
+	ctx, unanswered, stop := r.options.Shutdown.watch(ctx)
+	defer stop()
 	a, refusal := r.admit(ctx, x)
 	if refusal != nil {
 		return r.metrics.countRefused(refusal)
@@ -46,7 +48,7 @@
 	if refusal != nil {
 		return r.metrics.countRefused(refusal)
 	}
-	refusal, ran := r.run(ctx, x, caller, a)
+	refusal, ran := r.run(ctx, x, caller, a, unanswered)
 	if !ran {
 		r.returnQuota(x, taken)
 	}
@@ -54,7 +56,7 @@
 }
 
 // run serves an admitted exchange. ran reports whether it may have run.
-func (r *Router) run(ctx context.Context, x *Exchange, caller Caller, a admitted) (refusal *Refusal, ran bool) {
+func (r *Router) run(ctx context.Context, x *Exchange, caller Caller, a admitted, unanswered *unanswered) (refusal *Refusal, ran bool) {
 	route := a.route
 	deadline := x.Received.Add(route.Timeout)
 	if x.CallerTimeout > 0 && x.CallerTimeout < route.Timeout {
@@ -72,7 +74,7 @@
 		return refusal, false
 	}
 	active := &activeExchange{
-		router: r, exchange: x, caller: caller, route: route, team: a.team, version: a.view.Table.Version,
+		router: r, exchange: x, caller: caller, unanswered: unanswered, route: route, team: a.team, version: a.view.Table.Version,
 		service: to.service, software: to.software, engine: engineOf(a.view.Table, to.service), deadline: deadline, readyAt: time.Now(),
 		budgetAccount: r.options.Budget.OpenAccount(time.Now(), to.service),
 	}
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -26,7 +27,7 @@
 	shutdownRetryAfter = 50 * time.Millisecond
 )
 
-// errShutdown is why an exchange is refused that may last longer than the entry.
+// errShutdown is why an exchange's context ends that has no answer when the entry is about to end.
 var errShutdown = errors.New("the entry shuts down")
 
 // ShutdownPlan plans an entry's shutdown: it leaves the address lists, keeps serving until
@@ -56,11 +57,13 @@
 	return max(0, p.MaxDuration()-finalAnswerMargin)
 }
 
-// Shutdown is the shutdown of an entry, by which its router accepts exchanges: what may last longer than
-// the entry does is refused. A nil
+// Shutdown is the shutdown of an entry, by which its router accepts and ends exchanges: what may last
+// longer than the entry does is refused, and what has no answer when it ends gets a final one. A nil
 // Shutdown never begins. It is safe for concurrent use.
 type Shutdown struct {
-	plan ShutdownPlan
+	plan   ShutdownPlan
+	ending context.Context // ends when unanswered exchanges get a final answer
+	end    context.CancelFunc
 
 	mu    sync.Mutex // guards began
 	began time.Time  // zero before the shutdown
@@ -68,7 +71,9 @@
 
 // NewShutdown returns a Shutdown that has not begun.
 func NewShutdown(plan ShutdownPlan) *Shutdown {
-	return &Shutdown{plan: plan}
+	s := &Shutdown{plan: plan}
+	s.ending, s.end = context.WithCancel(context.Background())
+	return s
 }
 
 // Begin begins the shutdown. It is called once.
@@ -76,6 +81,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.began = time.Now()
+	time.AfterFunc(s.plan.FinalAnswerDuration(), s.end)
 }
 
 // accepts reports whether an exchange that was received at a time, and lasts until deadline at most,
@@ -88,3 +94,37 @@
 	defer s.mu.Unlock()
 	return s.began.IsZero() || received.Before(s.began.Add(s.plan.LongDuration())) || deadline.Before(s.began.Add(s.plan.FinalAnswerDuration()))
 }
+
+// unanswered is an exchange without an answer, which the shutdown of its entry ends.
+type unanswered struct {
+	mu        sync.Mutex // guards answering
+	answering bool
+	cancel    context.CancelCauseFunc
+}
+
+// watch returns a context that ends with the shutdown, unless the answer has begun. stop must be
+// called when the exchange has ended.
+func (s *Shutdown) watch(ctx context.Context) (_ context.Context, u *unanswered, stop func()) {
+	u = &unanswered{}
+	if s == nil {
+		return ctx, u, func() {}
+	}
+	ctx, u.cancel = context.WithCancelCause(ctx)
+	unwatch := context.AfterFunc(s.ending, u.end)
+	return ctx, u, func() { unwatch(); u.cancel(nil) }
+}
+
+// begin tells that the answer begins.
+func (u *unanswered) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answering = true
+}
+
+func (u *unanswered) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.answering {
+		u.cancel(errShutdown)
+	}
+}
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/routetable"
 )
 
 func TestShutdownPlan(t *testing.T) {
@@ -57,3 +61,89 @@
 		})
 	}
 }
+
+// Guards against a request that waits at a stopping entry, or at an endpoint, until the entry ends,
+// and then gets no answer at all.
+func TestStoppingEntryAnswersWhatStillWaits(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent    bool
+		verdict Verdict
+	}{
+		"for an endpoint": {false, VerdictNotRun},
+		"at an endpoint":  {true, VerdictUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := shuttingDown(time.Second)
+				fx.router.options.Endpoints = &hangingUnsent{hanging{fakeEndpoints: fx.endpoints}, test.sent}
+				began := time.Now()
+				x := newExchange()
+				x.CallerTimeout = 10 * time.Second
+				_, refusal := fx.serve(t, x)
+				assert.Equal(t, refusal.Verdict, test.verdict)
+				assert.Equal(t, time.Since(began), 6250*time.Millisecond) // 7.25 s after the stop began
+			})
+		})
+	}
+}
+
+// hangingUnsent endpoints never answer; a call may not have been sent to them.
+type hangingUnsent struct {
+	hanging
+	sent bool
+}
+
+func (h *hangingUnsent) Send(ctx context.Context, c *Call) (*Reply, error) {
+	_, err := h.hanging.Send(ctx, c)
+	return nil, &SendError{Sent: h.sent, Cause: err}
+}
+
+// Guards against an answer under way that a stopping entry ends before its own end.
+func TestStoppingEntryLetsAnswersGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := shuttingDown(time.Second)
+		fx.router.options.Endpoints = &pausing{fakeEndpoints: fx.endpoints, pause: 6400 * time.Millisecond}
+		fx.route.Kind = routetable.KindStream
+		x := newExchange()
+		x.CallerTimeout = 10 * time.Second
+		caller, refusal := fx.serve(t, x)
+		assert.Assert(t, refusal == nil && !caller.aborted)
+		assert.Equal(t, caller.text.String(), "id: 1\n\nid: 2\n\n")
+	})
+}
+
+// pausing endpoints answer with two events, and pause between them.
+type pausing struct {
+	*fakeEndpoints
+	pause time.Duration
+}
+
+func (p *pausing) Send(ctx context.Context, _ *Call) (*Reply, error) {
+	r := ok()
+	r.Body = &pausingBody{ctx: ctx, pause: p.pause}
+	return r, nil
+}
+
+type pausingBody struct {
+	ctx   context.Context
+	pause time.Duration
+	reads int
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	b.reads++
+	switch b.reads {
+	case 1:
+		return copy(p, "id: 1\n\n"), nil
+	case 2:
+		select {
+		case <-time.After(b.pause):
+			return copy(p, "id: 2\n\n"), nil
+		case <-b.ctx.Done():
+			return 0, context.Cause(b.ctx)
+		}
+	}
+	return 0, io.EOF
+}
+
+func (b *pausingBody) Close() {}
