--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -76,12 +76,22 @@
 	return s
 }
 
-// Begin begins the shutdown. It is called once.
-func (s *Shutdown) Begin() {
+// Begin begins the shutdown. It is called once. The context ends when the entry must end.
+func (s *Shutdown) Begin() (context.Context, context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.began = time.Now()
 	time.AfterFunc(s.plan.FinalAnswerDuration(), s.end)
+	return context.WithDeadline(context.Background(), s.began.Add(s.plan.MaxDuration()))
+}
+
+// AwaitCallers returns when callers that keep an address have moved, or the entry must end its
+// connections so that the requests in flight can finish.
+func (s *Shutdown) AwaitCallers() {
+	s.mu.Lock()
+	began := s.began
+	s.mu.Unlock()
+	time.Sleep(time.Until(began.Add(s.plan.AcceptDuration())))
 }
 
 // accepts reports whether an exchange that was received at a time, and lasts until deadline at most,
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -28,7 +28,8 @@
 func shuttingDown(ago time.Duration, answers ...answer) *fixture {
 	fx := newFixture(idempotent, answers...)
 	fx.router.options.Shutdown = NewShutdown(ShutdownPlan{Timeout: 8 * time.Second})
-	fx.router.options.Shutdown.Begin()
+	_, cancel := fx.router.options.Shutdown.Begin()
+	cancel()
 	time.Sleep(ago)
 	return fx
 }
