--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -42,6 +42,7 @@
 	zones        []string // one for each instance, in order
 	control      int      // the number of first instances that are control instances too
 	timeoutsYAML string   // YAML lines below "timeouts:"
+	daemonYAML   string   // YAML lines of each daemon's own file
 }
 
 // maxParallelFleets bounds the fleets that run at the same time, so that no lease
@@ -91,7 +92,7 @@
 	}
 	f.writeKeys(t)
 	for _, i := range f.instances {
-		f.writeDaemonConfig(t, i)
+		f.writeDaemonConfig(t, i, p.daemonYAML)
 	}
 	f.operator = f.newOperator(t)
 	return f
@@ -134,7 +135,7 @@
 
 func (f *testFleet) keyPath(name string) string { return filepath.Join(f.folder, "keys", name) }
 
-func (f *testFleet) writeDaemonConfig(t *testing.T, i *instance) {
+func (f *testFleet) writeDaemonConfig(t *testing.T, i *instance, more string) {
 	t.Helper()
 	var control []string
 	for _, other := range f.instances {
@@ -165,9 +166,9 @@
 tls: {authority: %s, certificate: %s, key: %s}
 fleet_secret_file: %s
 log_level: debug
-%s`, i.id, i.zone, i.roles, data, strings.Join(control, ", "),
+%s%s`, i.id, i.zone, i.roles, data, strings.Join(control, ", "),
 		i.address(rpcPort), f.advertisedAddress(i), i.address(callersPort), i.address(endpointsPort), i.address(operatorsPort),
-		f.keyPath("authority.pem"), f.keyPath(i.id+".pem"), f.keyPath(i.id+"-key.pem"), f.keyPath("fleet-secret.hex"), retries)
+		f.keyPath("authority.pem"), f.keyPath(i.id+".pem"), f.keyPath(i.id+"-key.pem"), f.keyPath("fleet-secret.hex"), retries, more)
 	assert.NilError(t, os.WriteFile(filepath.Join(i.folder, "daemon.yaml"), []byte(text), 0o644))
 }
 
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -142,6 +143,19 @@
 	return string(text)
 }
 
+// latestLines returns the last lines of the log that contain a text.
+func (i *instance) latestLines(text string, count int) string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(i.log.String()) {
+		if strings.Contains(line, text) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found[max(0, len(found)-count):], "")
+}
+
 // loseDisk empties the data folder of a stopped instance.
 func (i *instance) loseDisk(t *testing.T) {
 	t.Helper()
