relay, dispatch: refused resumptions are told apart by cause, in logs and metrics

Change: a wait for memory says why it ends; "Refused." has cause=, and hyssopsail_relay_refused_resumptions_total counts by it: no-version, no-room, no-time, unknown-origin, moved-route and others. No decision changes.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -161,24 +161,24 @@
 	for _, test := range []struct {
 		waited time.Duration
 		pause  time.Duration
-		giveUp bool
+		end    WaitEnd
 	}{
-		{0, pollInterval, false},
-		{649 * time.Millisecond, pollInterval, false},
-		{650 * time.Millisecond, 0, true},
-		{2700 * time.Millisecond, 0, true},
+		{0, pollInterval, WaitGoesOn},
+		{649 * time.Millisecond, pollInterval, WaitGoesOn},
+		{650 * time.Millisecond, 0, WaitIsTooLong},
+		{2700 * time.Millisecond, 0, WaitIsTooLong},
 	} {
-		pause, giveUp := w.NextPoll(test.waited)
+		pause, end := w.NextPoll(test.waited)
 		assert.Equal(t, pause, test.pause, "%v", test.waited)
-		assert.Equal(t, giveUp, test.giveUp, "%v", test.waited)
+		assert.Equal(t, end, test.end, "%v", test.waited)
 	}
 	w.TargetLatency = 0
-	_, giveUp := w.NextPoll(2700 * time.Millisecond)
-	assert.Assert(t, !giveUp, "without a target nothing is late")
-	_, giveUp = w.NextPoll(2801 * time.Millisecond)
-	assert.Assert(t, giveUp, "the caller is about to disconnect")
-	_, giveUp = MemoryWait{CallerTimeout: time.Second, StartLatency: 250 * time.Millisecond, AnswerDuration: 4 * time.Second}.NextPoll(0)
-	assert.Assert(t, giveUp, "an answer can't end in time")
+	_, end := w.NextPoll(2700 * time.Millisecond)
+	assert.Equal(t, end, WaitGoesOn, "without a target nothing is late")
+	_, end = w.NextPoll(2801 * time.Millisecond)
+	assert.Equal(t, end, WaitIsTooLong, "the caller is about to disconnect")
+	_, end = MemoryWait{CallerTimeout: time.Second, StartLatency: 250 * time.Millisecond, AnswerDuration: 4 * time.Second}.NextPoll(0)
+	assert.Equal(t, end, WaitLacksTime, "an answer can't end in time")
 }
 
 func TestPrefillPlacement(t *testing.T) {
--- a/internal/dispatch/memory_wait.go
+++ b/internal/dispatch/memory_wait.go
@@ -38,16 +38,31 @@
 	return left - w.StartLatency - waited
 }
 
-// NextPoll returns the delay until a request that has waited for the given time polls
-// again; giveUp is true if its answer can no longer be in time.
-func (w MemoryWait) NextPoll(waited time.Duration) (delay time.Duration, giveUp bool) {
+// WaitEnd is why a wait for memory ends.
+type WaitEnd int
+
+// Why a wait ends.
+const (
+	WaitGoesOn    WaitEnd = iota
+	WaitLacksTime         // the answer can't end before its caller leaves
+	WaitIsTooLong         // its first part can't come while the caller waits for it, or within its target
+)
+
+// String returns the name used in logs.
+func (e WaitEnd) String() string {
+	return [...]string{"goes-on", "no-time", "too-long"}[e]
+}
+
+// NextPoll returns the delay until a request that has waited for the given time polls again, or
+// why it doesn't: its answer can no longer be in time.
+func (w MemoryWait) NextPoll(waited time.Duration) (time.Duration, WaitEnd) {
 	switch {
 	case w.CallerTimeout > 0 && waited+w.StartLatency+w.AnswerDuration > w.CallerTimeout:
-		return 0, true
+		return 0, WaitLacksTime
 	case w.IdleTimeout > 0 && waited+lateStartLatency > w.IdleTimeout:
-		return 0, true
+		return 0, WaitIsTooLong
 	case w.TargetLatency > 0 && waited+w.StartLatency >= w.TargetLatency:
-		return 0, true
+		return 0, WaitIsTooLong
 	}
-	return pollInterval, false
+	return pollInterval, WaitGoesOn
 }
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -72,26 +72,3 @@
 func (ex *activeExchange) budgetLeft() float64 {
 	return rounded(ex.budgetAccount.Remaining(time.Now()))
 }
-
-// unsentReason returns why there is no endpoint to send to.
-func (ex *activeExchange) unsentReason() string {
-	if ex.crashes.quarantinedFor > 0 {
-		return "it crashes the endpoints that run it"
-	}
-	if ex.parts.refusal.Refused {
-		return "a part of its prompt crashes the endpoints that run it"
-	}
-	if !ex.budgetAccount.MaySend(time.Now()) {
-		return "the fleet may not send it again"
-	}
-	if ex.overloaded {
-		return "its endpoints are too loaded to answer in time"
-	}
-	if ex.lacksSoftware() {
-		return "no endpoint runs the software version that began its stream"
-	}
-	if ex.blockedFor() > 0 {
-		return "its endpoints take no more for now"
-	}
-	return "no endpoint can take it"
-}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -76,7 +76,7 @@
 		return
 	}
 	ex.writeDecisions()
-	ex.router.options.Part.Info("Refused.", "request", ex.exchange.ID, "verdict", refusal.Verdict, "reason", refusal.Reason,
+	ex.router.options.Part.Info("Refused.", "request", ex.exchange.ID, "verdict", refusal.Verdict, "reason", refusal.Reason, "cause", ex.refusalCause,
 		"route", ex.route.Name, "team", teamName(ex.team), "version", ex.version, "service", ex.service, "endpoint", ex.lastEndpoint, "sends", ex.attempts,
 		"runs", ex.runs, "resumes", ex.exchange.Resumes, "resumed_after", ex.exchange.LastEventID,
 		"prompt_parts", ex.promptParts(), "crashing_part", ex.parts.refusal.Part,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,6 +39,8 @@
 	abandoned        *dispatch.Endpoint            // of a lost run that may go on there; nil for none
 	prefillAttempted bool                          // a second prefill would be an extra arrival
 	overloaded       bool                          // refused since its service is overloaded
+	waitEnd          dispatch.WaitEnd              // why the latest wait for memory ended without any
+	refusalCause     refusalCause                  // why the latest attempt was not made
 	aborted          bool                          // the answer was broken off
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -24,7 +24,7 @@
 	}{
 		"refused for want of memory": {
 			func() *fixture { return newFixture(stream).withModel() },
-			[]string{`"relay: No room."`, `"relay: Refused."`, "verdict=not-run", `reason="no endpoint can take it"`, "sends=0"},
+			[]string{`"relay: No room."`, `"relay: Refused."`, "verdict=not-run", `reason="no endpoint has room for it in time"`, "cause=no-room", "sends=0"},
 		},
 		"refused for want of a place, by the home": {
 			func() *fixture {
@@ -32,7 +32,7 @@
 				fx.router.options.Allocator = fullHome{}
 				return fx
 			},
-			[]string{`"relay: No place came free."`, "home=10.1.0.1:7000", "among=9", "most_free=5100", `"relay: Refused."`, "verdict=not-run", "sends=0"},
+			[]string{`"relay: No place came free."`, "home=10.1.0.1:7000", "among=9", "most_free=5100", `"relay: Waits no longer."`, "why=too-long", `"relay: Refused."`, "cause=no-room", "verdict=not-run", "sends=0"},
 		},
 		"lost after it was sent": {
 			func() *fixture { return newFixture(atMostOnce, fails(true)) },
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,7 +21,9 @@
 	running       prometheus.Gauge
 	// resumedStreams counts endpoints that continued a stream which another one began.
 	resumedStreams *prometheus.CounterVec
-	extraArrivals  *prometheus.CounterVec
+	// refusedResumptions counts refusals of exchanges whose callers have a part of the answer.
+	refusedResumptions *prometheus.CounterVec
+	extraArrivals      *prometheus.CounterVec
 	// retriesDenied counts attempts that were not made because the retry budget was spent.
 	retriesDenied prometheus.Counter
 	// lostAttempts counts attempts whose connection broke before the answer was complete.
@@ -160,6 +162,10 @@
 			Name: "hyssopsail_relay_resumed_streams_total",
 			Help: "Streams that an endpoint continued after another one, by who resumed them (entry, caller) and by the software version (same, other, unknown).",
 		}, []string{"by", "software"}),
+		refusedResumptions: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_relay_refused_resumptions_total",
+			Help: "Streams that callers resume and that were refused, by why (no-version, no-room, no-time, unknown-origin and others).",
+		}, []string{"cause"}),
 		running: with.NewGauge(prometheus.GaugeOpts{
 			Name: "hyssopsail_relay_running_exchanges",
 			Help: "Exchanges in flight.",
@@ -180,6 +186,9 @@
 		m.firstPart.WithLabelValues(kind).Observe(ex.progress.firstAt.Sub(ex.exchange.Received).Seconds())
 	}
 	m.ended.WithLabelValues(kind, ex.endName(refusal)).Inc()
+	if refusal != nil && isResumption(ex.exchange, ex.route) {
+		m.refusedResumptions.WithLabelValues(string(ex.refusalCause)).Inc()
+	}
 	if ex.crashes.quarantinedFor > 0 {
 		m.quarantined.Inc()
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -76,9 +76,10 @@
 	since, waiting := ex.waitState()
 	defer ex.router.metrics.observePlacementWait(time.Now())
 	for {
-		pause, giveUp := waiting.NextPoll(time.Since(since))
-		if giveUp {
-			ex.logDecision("Waits no longer.", "waited_ms", time.Since(since).Milliseconds(), "target_ms", waiting.TargetLatency.Milliseconds(),
+		pause, end := waiting.NextPoll(time.Since(since))
+		if end != dispatch.WaitGoesOn {
+			ex.waitEnd = end
+			ex.logDecision("Waits no longer.", "why", end, "waited_ms", time.Since(since).Milliseconds(), "target_ms", waiting.TargetLatency.Milliseconds(),
 				"patience_ms", waiting.CallerTimeout.Milliseconds(), "answer_ms", waiting.AnswerDuration.Milliseconds())
 			return nil
 		}
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -49,9 +49,9 @@
 	origin, ok := r.findOrigin(ctx, x, a)
 	switch {
 	case !ok:
-		return target{}, r.refuseResumption(x, a, "it is not known which software version began the stream")
+		return target{}, r.refuseResumption(x, a, causeUnknownOrigin, "it is not known which software version began the stream")
 	case !a.route.HasBackend(origin.Service):
-		return target{}, r.refuseResumption(x, a, "the route no longer leads to the service that began the stream")
+		return target{}, r.refuseResumption(x, a, causeMovedRoute, "the route no longer leads to the service that began the stream")
 	}
 	return target{service: origin.Service, software: fleet.RequireSoftware(origin.Software)}, nil
 }
@@ -76,11 +76,12 @@
 	return streamorigin.Origin{Service: service, Software: software}, ok
 }
 
-func (r *Router) refuseResumption(x *Exchange, a admitted, reason string) *Refusal {
+func (r *Router) refuseResumption(x *Exchange, a admitted, cause refusalCause, reason string) *Refusal {
 	refusal := &Refusal{Verdict: VerdictNotRun, Reason: reason, RetryAfter: retryAfter(x.CallerTimeout, r.options.Random())}
-	r.options.Part.Info("Refused.", "request", x.ID, "verdict", refusal.Verdict, "reason", reason, "route", a.route.Name,
+	r.options.Part.Info("Refused.", "request", x.ID, "verdict", refusal.Verdict, "reason", reason, "cause", cause, "route", a.route.Name,
 		"team", teamName(a.team), "version", a.view.Table.Version, "resumes", x.Resumes, "resumed_after", x.LastEventID)
 	r.metrics.ended.WithLabelValues(a.route.Kind.String(), refusal.Verdict.String()).Inc()
+	r.metrics.refusedResumptions.WithLabelValues(string(cause)).Inc()
 	return refusal
 }
 
