--- /dev/null
+++ b/internal/allocation/resume_test.go
@@ -0,0 +1,82 @@
+package allocation_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hyssopsail/hyssopsail/internal/allocation"
+	"github.com/hyssopsail/hyssopsail/internal/pb"
+)
+
+// waitingRequest asks for the whole memory of an endpoint and waits for it.
+func waitingRequest(exchange string) *pb.AllotRequest {
+	return &pb.AllotRequest{Exchange: exchange, Service: "s", Entry: "entry", Prompt: 10, Capacity: 10, LengthMs: 3000, PatienceMs: 6000, WaitMs: 400}
+}
+
+// resuming returns the request of a caller that has a part of a stream.
+func resuming(exchange string, stream uint64) *pb.AllotRequest {
+	r := waitingRequest(exchange)
+	r.Resumes, r.Fingerprint = true, stream
+	return r
+}
+
+// served returns the exchanges in the order in which a home with one endpoint serves them, each for
+// a moment. They ask in the given order, while the endpoint is busy.
+func served(t *testing.T, requests ...*pb.AllotRequest) []string {
+	home := allocation.NewServer(&fleet{size: 1}, nil)
+	_, err := home.Allot(t.Context(), waitingRequest("busy"))
+	assert.NilError(t, err)
+	var mu sync.Mutex
+	var order []string
+	var all sync.WaitGroup
+	settle := func(exchange string) {
+		_, err := home.Settle(t.Context(), &pb.SettleRequest{Service: "s", Endpoint: "e0", Exchange: exchange, Entry: "entry"})
+		assert.Check(t, err)
+	}
+	for n, r := range requests {
+		all.Go(func() {
+			time.Sleep(time.Duration(n) * time.Millisecond)
+			reply, err := home.Allot(t.Context(), r)
+			if assert.Check(t, err); reply.Endpoint == "" {
+				return
+			}
+			mu.Lock()
+			order = append(order, r.Exchange)
+			mu.Unlock()
+			time.Sleep(time.Millisecond)
+			settle(r.Exchange)
+		})
+	}
+	time.Sleep(time.Duration(len(requests)) * time.Millisecond)
+	settle("busy")
+	all.Wait()
+	return order
+}
+
+// Guards against resumed streams that wait behind all requests that came before, and whose callers
+// leave meanwhile.
+func TestResumedStreamsGoBeforeNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		order := served(t, waitingRequest("new"), waitingRequest("newer"), resuming("resumed", 1))
+		assert.Equal(t, order[0], "resumed", "%v", order)
+	})
+}
+
+// Guards against new requests that starve behind resumed streams.
+func TestNewRequestsDontStarveBehindResumedStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		requests := []*pb.AllotRequest{waitingRequest("new")}
+		for n := range 20 {
+			requests = append(requests, resuming(fmt.Sprint("resumed-", n), uint64(n+1)))
+		}
+		order := served(t, requests...)
+		assert.Equal(t, len(order), len(requests))
+		assert.Assert(t, slices.Index(order, "new") <= 1, "%v", order)
+	})
+}
