relay, dispatch: a resumed stream waits by the rest of its answer

What callers saw: a stream that broke and that they resume is refused at once, as its answer "can't end while its caller waits", though they have most of it.

Change: what is left is estimated from the number of the last event that the caller has, by the time per event, which an entry learns from the first events of any answer; at least two fifths of what was expected, as estimates are off, and at most what the maximum leaves. A stream that has begun is refused for want of time only if half of that would not fit: a refusal loses what its caller has. The same estimate serves a stream that goes on within its answer, and the home's account. Durations of resumed answers are no longer recorded as those of whole ones.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -157,7 +157,7 @@
 }
 
 func TestMemoryWait(t *testing.T) {
-	w := MemoryWait{TargetLatency: 900 * time.Millisecond, CallerTimeout: 14 * time.Second, IdleTimeout: 3600 * time.Millisecond, StartLatency: 250 * time.Millisecond, AnswerDuration: 4 * time.Second}
+	w := MemoryWait{TargetLatency: 900 * time.Millisecond, CallerTimeout: 14 * time.Second, IdleTimeout: 3600 * time.Millisecond, StartLatency: 250 * time.Millisecond, Rest: 4 * time.Second}
 	for _, test := range []struct {
 		waited time.Duration
 		pause  time.Duration
@@ -177,8 +177,14 @@
 	assert.Equal(t, end, WaitGoesOn, "without a target nothing is late")
 	_, end = w.NextPoll(2801 * time.Millisecond)
 	assert.Equal(t, end, WaitIsTooLong, "the caller is about to disconnect")
-	_, end = MemoryWait{CallerTimeout: time.Second, StartLatency: 250 * time.Millisecond, AnswerDuration: 4 * time.Second}.NextPoll(0)
+	_, end = MemoryWait{CallerTimeout: time.Second, StartLatency: 250 * time.Millisecond, Rest: 4 * time.Second}.NextPoll(0)
 	assert.Equal(t, end, WaitLacksTime, "an answer can't end in time")
+	rest := MemoryWait{CallerTimeout: 3 * time.Second, StartLatency: 250 * time.Millisecond, Rest: 4 * time.Second}
+	_, end = rest.NextPoll(0)
+	assert.Equal(t, end, WaitLacksTime)
+	rest.Begun = true
+	_, end = rest.NextPoll(0)
+	assert.Equal(t, end, WaitGoesOn, "the rest of a stream may end in time, though that isn't expected")
 }
 
 func TestPrefillPlacement(t *testing.T) {
--- a/internal/dispatch/endpoint_stats.go
+++ b/internal/dispatch/endpoint_stats.go
@@ -19,6 +19,8 @@
 	prefillSpeeds map[string]*prefillSpeed // by service
 	// tokenDurationsNs is the average generation time per estimated token, by service.
 	tokenDurationsNs map[string]float64
+	// eventDurationsNs is the average time per event of an answer, by service.
+	eventDurationsNs map[string]float64
 	// blockedUntil is the latest blockedUntil of all endpoints.
 	blockedUntil time.Time
 	cooldowns    map[string]requestedCooldown // latest of each endpoint, by endpoint ID
@@ -27,7 +29,7 @@
 // NewEndpointStats returns empty statistics for an entry in the given zone. seed seeds the random
 // part of choices.
 func NewEndpointStats(zone string, seed uint64, policy Policy) *EndpointStats {
-	return &EndpointStats{zone: zone, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), states: map[Incarnation]*endpointState{}, pools: map[poolKey]*pool{}, prefillSpeeds: map[string]*prefillSpeed{}, tokenDurationsNs: map[string]float64{}, cooldowns: map[string]requestedCooldown{}}
+	return &EndpointStats{zone: zone, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), states: map[Incarnation]*endpointState{}, pools: map[poolKey]*pool{}, prefillSpeeds: map[string]*prefillSpeed{}, tokenDurationsNs: map[string]float64{}, eventDurationsNs: map[string]float64{}, cooldowns: map[string]requestedCooldown{}}
 }
 
 func (stats *EndpointStats) stateOf(id Incarnation) *endpointState {
--- a/internal/dispatch/memory_wait.go
+++ b/internal/dispatch/memory_wait.go
@@ -11,11 +11,12 @@
 // for memory while its target can be met, at any entry and without coordination
 // between entries, and after that its caller is told at once when to repeat.
 type MemoryWait struct {
-	TargetLatency  time.Duration // until the first part of the answer; 0 for none
-	CallerTimeout  time.Duration // until the end of the answer
-	IdleTimeout    time.Duration // after which a caller that received nothing disconnects
-	StartLatency   time.Duration // usual time from reserved memory to the first part
-	AnswerDuration time.Duration // expected duration of the answer
+	TargetLatency time.Duration // until the first part of the answer; 0 for none
+	CallerTimeout time.Duration // until the end of the answer
+	IdleTimeout   time.Duration // after which a caller that received nothing disconnects
+	StartLatency  time.Duration // usual time from reserved memory to the first part
+	Rest          time.Duration // expected duration of what is left of the answer
+	Begun         bool          // the caller has a part of the answer already
 }
 
 // The parameters of a wait for memory.
@@ -27,11 +28,23 @@
 	// has filled the prefill endpoints. A request without that much time left is given
 	// up: its caller would disconnect first, and its prefill would be wasted.
 	lateStartLatency = 800 * time.Millisecond
+	// shortRestShare is the share of the expected rest of an answer that may well be all of it:
+	// estimates are right in the median only. A caller that has a part of the answer and is refused
+	// has lost that part, so it is refused only if even so short a rest would not end in time.
+	shortRestShare = 0.5
 )
 
+// requiredTime returns how much time the rest of the answer must have.
+func (w MemoryWait) requiredTime() time.Duration {
+	if w.Begun {
+		return time.Duration(shortRestShare * float64(w.Rest))
+	}
+	return w.Rest
+}
+
 // Remaining returns how long a request that has waited for the given time may still wait.
 func (w MemoryWait) Remaining(waited time.Duration) time.Duration {
-	left := w.CallerTimeout - w.AnswerDuration
+	left := w.CallerTimeout - w.requiredTime()
 	if w.TargetLatency > 0 {
 		left = min(left, w.TargetLatency)
 	}
@@ -57,7 +70,7 @@
 // why it doesn't: its answer can no longer be in time.
 func (w MemoryWait) NextPoll(waited time.Duration) (time.Duration, WaitEnd) {
 	switch {
-	case w.CallerTimeout > 0 && waited+w.StartLatency+w.AnswerDuration > w.CallerTimeout:
+	case w.CallerTimeout > 0 && waited+w.StartLatency+w.requiredTime() > w.CallerTimeout:
 		return 0, WaitLacksTime
 	case w.IdleTimeout > 0 && waited+lateStartLatency > w.IdleTimeout:
 		return 0, WaitIsTooLong
--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -93,7 +93,7 @@
 	stats, tokens := ex.router.options.Stats, ex.exchange.Prompt.Tokens
 	request := allocation.ReservationRequest{
 		Exchange: ex.exchange.ID, Model: ex.model(), Zone: stats.Zone(), PromptTokens: tokens, OutputTokens: ex.exchange.Prompt.ReservedOutput(),
-		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedAnswerTime(),
+		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedRest(),
 	}
 	if software := ex.placementSoftware(); software.IsSet() {
 		version := software.Version()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -253,7 +253,7 @@
 	case dispatch.OutcomeServed:
 		ex.recordAnswered(c.Endpoint, a.reply)
 	}
-	if a.outcome == dispatch.OutcomeServed && c.LastEventID == "" {
+	if a.outcome == dispatch.OutcomeServed && c.LastEventID == "" && !isResumption(ex.exchange, ex.route) {
 		stats.RecordAnswer(ex.service, ex.estimatedOutput(), time.Since(ex.progress.firstAt))
 	}
 	ex.settleUnusedPrefill(a.outcome)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -80,7 +80,8 @@
 		if end != dispatch.WaitGoesOn {
 			ex.waitEnd = end
 			ex.logDecision("Waits no longer.", "why", end, "waited_ms", time.Since(since).Milliseconds(), "target_ms", waiting.TargetLatency.Milliseconds(),
-				"patience_ms", waiting.CallerTimeout.Milliseconds(), "answer_ms", waiting.AnswerDuration.Milliseconds())
+				"patience_ms", waiting.CallerTimeout.Milliseconds(), "answer_ms", ex.expectedAnswer().Expected.Milliseconds(),
+				"rest_ms", waiting.Rest.Milliseconds(), "events_had", ex.eventsAtCaller())
 			return nil
 		}
 		at, asked := ex.allocate(ctx, waiting.Remaining(time.Since(since)))
@@ -109,28 +110,17 @@
 // that target; its caller now waits for the next part.
 func (ex *activeExchange) waitState() (since time.Time, w dispatch.MemoryWait) {
 	since = ex.readyAt
-	w = dispatch.MemoryWait{TargetLatency: ex.route.Target, IdleTimeout: maxEventWait(ex.route), StartLatency: typicalStartTime, AnswerDuration: ex.expectedAnswerTime()}
+	w = dispatch.MemoryWait{TargetLatency: ex.route.Target, IdleTimeout: maxEventWait(ex.route), StartLatency: typicalStartTime, Rest: ex.expectedRest(), Begun: ex.eventsAtCaller() > 0}
 	if ex.attempts > 0 || !ex.router.options.Policy.Has(dispatch.EndWaitAtTarget) {
 		w.TargetLatency = 0
 	}
 	if ex.headSent {
 		since = ex.progress.writtenAt
-		w.AnswerDuration = max(0, w.AnswerDuration-since.Sub(ex.progress.firstAt))
 	}
 	w.CallerTimeout = ex.deadline.Sub(since)
 	return since, w
 }
 
-// expectedAnswerTime returns the approximate time from the first part of the answer to its
-// end. A repeat with little time left and a long answer would be cut off in the middle,
-// and the memory that it held would be wasted.
-func (ex *activeExchange) expectedAnswerTime() time.Duration {
-	if ex.estimatedOutput() <= 0 {
-		return typicalAnswerTime
-	}
-	return ex.router.options.Stats.EstimateAnswerDuration(ex.service, ex.estimatedOutput())
-}
-
 // estimatedOutput returns how many tokens the caller expects; 0 if it doesn't say. Some
 // callers expect more than the maximum that they ask for.
 func (ex *activeExchange) estimatedOutput() int {
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -12,6 +12,8 @@
 	pause     time.Duration // longest one between two parts
 	pauseAt   time.Time     // when it began
 
+	pace eventPace
+
 	closeDelimited    bool   // the latest answer ends with its connection
 	endedBy           string // why the end of that connection is regular, or not; empty before it ends
 	partialEventBytes int    // received of an event that was incomplete at the end of the latest answer
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -34,6 +34,7 @@
 			events.discard(len(whole))
 			if lastID != "" {
 				ex.lastEventID = lastID
+				ex.recordEventPace(lastID)
 			}
 		}
 		ex.progress.partialEventBytes = len(events.buffered)
