allocation, relay: resumed streams go before new requests in the home's line, each second place

What callers saw: a stream that they resume waits at the home of its service behind every request that came before, and at each poll anew at the tail, until it is refused for want of room.

Cause: the line of a home knew no order but that of the latest poll. A resumed stream can use the endpoints of its version alone, a new one any, and a refusal loses what its caller has.

Change: a request for the rest of a stream names it to the home (fields that the wire has had), by the record that was found for it; one that goes on within its answer, by its own. Such requests wait before new ones, the one that has to start first first; each second place goes to a new one. A stream gets three such places at most, and one without a record none, so that a false Resumes gains nothing. hyssopsail_allocation_resumed_total counts them.

--- a/internal/allocation/metrics.go
+++ b/internal/allocation/metrics.go
@@ -15,22 +15,34 @@
 // metrics are the metrics of a home.
 type metrics struct {
 	requests *prometheus.CounterVec
+	resumed  *prometheus.CounterVec
 }
 
 func newMetrics(to prometheus.Registerer) *metrics {
-	return &metrics{requests: promauto.With(to).NewCounterVec(prometheus.CounterOpts{
-		Name: "hyssopsail_allocation_asked_total",
-		Help: "Questions of entries for a place at a model endpoint, by result.",
-	}, []string{"result"})}
+	with := promauto.With(to)
+	return &metrics{
+		requests: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_allocation_asked_total",
+			Help: "Questions of entries for a place at a model endpoint, by result.",
+		}, []string{"result"}),
+		resumed: with.NewCounterVec(prometheus.CounterOpts{
+			Name: "hyssopsail_allocation_resumed_total",
+			Help: "Questions of resumed streams that waited before new requests, by result (waited, none).",
+		}, []string{"result"}),
+	}
 }
 
-func (m *metrics) count(placement Placement, waited bool) {
+// count counts a question; w is nil if it did not wait.
+func (m *metrics) count(placement Placement, w *waiter) {
 	result := resultImmediate
 	switch {
 	case placement.Endpoint == "":
 		result = resultNone
-	case waited:
+	case w != nil:
 		result = resultWaited
 	}
 	m.requests.WithLabelValues(result).Inc()
+	if w != nil && w.isResumed {
+		m.resumed.WithLabelValues(result).Inc()
+	}
 }
--- a/internal/allocation/request.go
+++ b/internal/allocation/request.go
@@ -29,6 +29,10 @@
 	MaxBacklog                 time.Duration // maximum wait at a prefill endpoint
 	AllowLocalPrefill          bool          // the decode endpoint may prefill the prompt itself
 	Excluded                   []string      // IDs of endpoints
+	// Stream identifies the stream whose rest the request asks for, as recorded when it began; 0 for
+	// none.
+	Stream   uint64
+	Patience time.Duration // until the caller leaves; 0 if unknown
 }
 
 // Placement is the choice of endpoints for a request. The zero Placement means that there is no
--- a/internal/allocation/resume_test.go
+++ b/internal/allocation/resume_test.go
@@ -29,7 +29,10 @@
 // served returns the exchanges in the order in which a home with one endpoint serves them, each for
 // a moment. They ask in the given order, while the endpoint is busy.
 func served(t *testing.T, requests ...*pb.AllotRequest) []string {
-	home := allocation.NewServer(&fleet{size: 1}, nil)
+	return servedBy(t, allocation.NewServer(&fleet{size: 1}, nil), requests...)
+}
+
+func servedBy(t *testing.T, home *allocation.Server, requests ...*pb.AllotRequest) []string {
 	_, err := home.Allot(t.Context(), waitingRequest("busy"))
 	assert.NilError(t, err)
 	var mu sync.Mutex
@@ -80,3 +83,28 @@
 		assert.Assert(t, slices.Index(order, "new") <= 1, "%v", order)
 	})
 }
+
+// Guards against a stream that ends too late since others, which have more time, go before it.
+func TestResumedStreamThatMustStartFirstIsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		patient, urgent := resuming("patient", 1), resuming("urgent", 2)
+		patient.PatienceMs, urgent.PatienceMs = 9000, 3500
+		order := served(t, patient, urgent)
+		assert.DeepEqual(t, order, []string{"urgent", "patient"})
+	})
+}
+
+// Guards against a caller that gets ahead of others by naming one stream again and again, or none that
+// is recorded.
+func TestOneStreamGetsAheadOnlyAFewTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home := allocation.NewServer(&fleet{size: 1}, nil)
+		for range 3 { // the places that it may have
+			assert.Equal(t, servedBy(t, home, waitingRequest("new"), resuming("same", 7))[0], "same")
+		}
+		assert.Equal(t, servedBy(t, home, waitingRequest("new"), resuming("same", 7))[0], "new")
+		assert.Equal(t, servedBy(t, home, waitingRequest("new"), resuming("unknown", 0))[0], "new")
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, servedBy(t, home, waitingRequest("new"), resuming("same", 7))[0], "same")
+	})
+}
--- a/internal/allocation/server.go
+++ b/internal/allocation/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -44,7 +43,7 @@
 	if w != nil {
 		placement = s.await(ctx, r.Service, w, min(maxWait, durationOfMillis(r.WaitMs)))
 	}
-	s.metrics.count(placement, w != nil)
+	s.metrics.count(placement, w)
 	reply := &pb.AllotReply{Endpoint: placement.Endpoint, Reader: placement.PrefillEndpoint, BacklogMs: uint32(placement.PrefillBacklog.Milliseconds())}
 	if placement.Endpoint == "" {
 		free := s.freeCapacity(r.Service, request)
@@ -65,9 +64,18 @@
 		Exchange: r.Exchange, Entry: r.Entry, Model: r.Model, Zone: r.Zone, PromptTokens: int(r.Prompt), OutputTokens: int(r.Output),
 		CapacityTokens: int(r.Capacity), AnswerDuration: durationOfMillis(r.LengthMs), PrefillDuration: durationOfMillis(r.ReadingMs),
 		MaxBacklog: durationOfMillis(r.LongestBacklogMs), AllowLocalPrefill: r.ReadsOwn, Excluded: r.Excluded, Software: r.Software,
+		Stream: streamFromWire(r), Patience: durationOfMillis(r.PatienceMs),
 	}
 }
 
+// streamFromWire returns the stream that a request continues; 0 for none.
+func streamFromWire(r *pb.AllotRequest) uint64 {
+	if !r.Resumes {
+		return 0
+	}
+	return r.Fingerprint
+}
+
 // reserveOrQueue returns a reservation, or a waiter in the queue, or neither if the queue
 // is full.
 func (s *Server) reserveOrQueue(service string, request ReservationRequest) (Placement, *waiter) {
@@ -79,11 +87,11 @@
 	if placement := q.tracker.Reserve(time.Now(), endpoints, request); placement.Endpoint != "" {
 		return placement, nil
 	}
-	if len(q.waiters) >= maxWaiters {
+	if q.line.len() >= maxWaiters {
 		return Placement{}, nil
 	}
-	w := &waiter{request: request, placement: make(chan Placement, 1)}
-	q.waiters = append(q.waiters, w)
+	w := q.newWaiter(time.Now(), request)
+	q.line.add(w)
 	return Placement{}, w
 }
 
@@ -135,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := s.queueOf(service)
-	q.waiters = slices.DeleteFunc(q.waiters, func(other *waiter) bool { return other == w })
+	q.line.remove(w)
 	select {
 	case placement := <-w.placement:
 		if ctx.Err() == nil {
--- a/internal/allocation/service_queue.go
+++ b/internal/allocation/service_queue.go
@@ -7,25 +7,29 @@
 	tracker   *UsageTracker
 	cleanedAt time.Time  // last cleanup of dead entries and removed endpoints
 	retained  []Endpoint // endpoints at the last removal of others
-	waiters   []*waiter  // oldest first
+	line      waitLine
+	places    streamPlaces
 }
 
-// waiter is a request that waits for capacity.
-type waiter struct {
-	request   ReservationRequest
-	placement chan Placement // buffered, holds one
+// newWaiter returns a request that is about to wait.
+func (q *serviceQueue) newWaiter(now time.Time, request ReservationRequest) *waiter {
+	return &waiter{
+		request: request, latestStart: now.Add(request.Patience - request.AnswerDuration),
+		isResumed: q.places.mayTake(now, request.Stream), placement: make(chan Placement, 1),
+	}
 }
 
-// serveWaiters makes reservations for waiting requests, the oldest first.
+// serveWaiters makes reservations for waiting requests.
 func (q *serviceQueue) serveWaiters(now time.Time, endpoints []Endpoint) {
-	remaining := q.waiters[:0]
-	for _, w := range q.waiters {
-		if placement := q.tracker.Reserve(now, endpoints, w.request); placement.Endpoint != "" {
-			w.placement <- placement
-			continue
+	q.line.serve(func(w *waiter) bool {
+		placement := q.tracker.Reserve(now, endpoints, w.request)
+		if placement.Endpoint == "" {
+			return false
 		}
-		remaining = append(remaining, w)
-	}
-	clear(q.waiters[len(remaining):])
-	q.waiters = remaining
+		if w.isResumed {
+			q.places.record(now, w.request.Stream)
+		}
+		w.placement <- placement
+		return true
+	})
 }
--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -94,6 +94,7 @@
 	request := allocation.ReservationRequest{
 		Exchange: ex.exchange.ID, Model: ex.model(), Zone: stats.Zone(), PromptTokens: tokens, OutputTokens: ex.exchange.Prompt.ReservedOutput(),
 		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedRest(),
+		Stream: ex.continuedStream().Uint64(), Patience: time.Until(ex.deadline),
 	}
 	if software := ex.placementSoftware(); software.IsSet() {
 		version := software.Version()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopsail/hyssopsail/internal/readlimit"
 	"github.com/hyssopsail/hyssopsail/internal/retrybudget"
 	"github.com/hyssopsail/hyssopsail/internal/routetable"
+	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
 )
 
 // activeExchange is the state of one exchange while it is being served.
@@ -45,6 +46,7 @@
 	headSent         bool                          // the caller got the head of the answer
 	lastEventID      string                        // of the last event forwarded
 	software         fleet.RequiredSoftware        // of the endpoint that began the stream
+	stream           streamorigin.Key              // whose record was found; zero if the caller resumes none
 	beganAt          *dispatch.Endpoint            // whose event was forwarded first; nil for none
 	lastOutcome      dispatch.Outcome              // of the latest attempt, without prefills
 	// lastAttemptOutcome is the outcome of the latest attempt or prefill.
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -38,6 +38,8 @@
 type target struct {
 	service  string
 	software fleet.RequiredSoftware
+	// stream is the key of the stream whose record was found; zero if none was.
+	stream streamorigin.Key
 }
 
 // chooseTarget returns where an exchange goes. A stream goes on at the service and the software
@@ -46,34 +48,35 @@
 	if !isResumption(x, a.route) {
 		return target{service: a.route.ChooseService(r.options.Random())}, nil
 	}
-	origin, ok := r.findOrigin(ctx, x, a)
+	origin, stream, ok := r.findOrigin(ctx, x, a)
 	switch {
 	case !ok:
 		return target{}, r.refuseResumption(x, a, causeUnknownOrigin, "it is not known which software version began the stream")
 	case !a.route.HasBackend(origin.Service):
 		return target{}, r.refuseResumption(x, a, causeMovedRoute, "the route no longer leads to the service that began the stream")
 	}
-	return target{service: origin.Service, software: fleet.RequireSoftware(origin.Software)}, nil
+	return target{service: origin.Service, software: fleet.RequireSoftware(origin.Software), stream: stream}, nil
 }
 
-// findOrigin returns where the stream began that an exchange resumes: by its record, or since
-// nothing else can have begun it.
-func (r *Router) findOrigin(ctx context.Context, x *Exchange, a admitted) (origin streamorigin.Origin, ok bool) {
+// findOrigin returns where the stream began that an exchange resumes: by its record, whose key it
+// returns too, or since nothing else can have begun it.
+func (r *Router) findOrigin(ctx context.Context, x *Exchange, a admitted) (origin streamorigin.Origin, recorded streamorigin.Key, ok bool) {
 	origins := r.options.Origins
 	if origins == nil {
-		return streamorigin.Origin{}, false
+		return streamorigin.Origin{}, recorded, false
 	}
 	if x.Resumes != "" {
-		if origin, ok = origins.Find(ctx, streamKey(a.team, x.Host, x.Resumes)); ok {
-			return origin, true
+		key := streamKey(a.team, x.Host, x.Resumes)
+		if origin, ok = origins.Find(ctx, key); ok {
+			return origin, key, true
 		}
 	}
 	service, ok := a.route.SoleBackend()
 	if !ok {
-		return streamorigin.Origin{}, false
+		return streamorigin.Origin{}, recorded, false
 	}
 	software, ok := origins.SoleSoftware(ctx, service, resumeWindow(a.route))
-	return streamorigin.Origin{Service: service, Software: software}, ok
+	return streamorigin.Origin{Service: service, Software: software}, recorded, ok
 }
 
 func (r *Router) refuseResumption(x *Exchange, a admitted, cause refusalCause, reason string) *Refusal {
@@ -85,6 +88,15 @@
 	return refusal
 }
 
+// continuedStream returns the key of the recorded stream that an attempt continues, for its caller or
+// within this answer; zero if it begins one, or if no record was found.
+func (ex *activeExchange) continuedStream() streamorigin.Key {
+	if ex.stream == (streamorigin.Key{}) && ex.headSent && ex.route.Resumable {
+		return streamKey(ex.team, ex.exchange.Host, ex.exchange.ID)
+	}
+	return ex.stream
+}
+
 func streamKey(team *routetable.Team, host, exchange string) streamorigin.Key {
 	return streamorigin.KeyOf(teamName(team), host, exchange)
 }
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hyssopsail/hyssopsail/internal/allocation"
 	"github.com/hyssopsail/hyssopsail/internal/streamorigin"
 )
 
@@ -66,3 +68,47 @@
 		})
 	}
 }
+
+// keptRequest is a home that keeps the latest request.
+type keptRequest struct {
+	fullHome
+	request allocation.ReservationRequest
+}
+
+func (k *keptRequest) Allot(ctx context.Context, service string, request allocation.ReservationRequest, wait time.Duration) (allocation.Reservation, error) {
+	k.request = request
+	return k.fullHome.Allot(ctx, service, request, wait)
+}
+
+// Guards against a caller that gets ahead of others since it names a stream that it doesn't have.
+func TestOnlyRecordedStreamsAreNamedToTheHome(t *testing.T) {
+	sole := "v1"
+	for name, row := range map[string]struct {
+		recorded, resumes, after string
+		named                    bool
+	}{
+		"its record names it":          {recorded: "x0", resumes: "x0", after: "2", named: true},
+		"another stream":               {recorded: "x0", resumes: "x9", after: "2"},
+		"no stream is named":           {recorded: "x0", after: "2"},
+		"no event of it is at the end": {recorded: "x0", resumes: "x0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(stream).withModel()
+				fx.route.Resumable = true
+				fx.origins.sole = &sole
+				for _, e := range fx.view.Endpoints["s"] {
+					e.Software = sole
+				}
+				home := &keptRequest{}
+				fx.router.options.Allocator = home
+				fx.began(row.recorded, streamorigin.Origin{Service: "s", Software: sole})
+				x := newModelExchange()
+				x.LastEventID, x.Resumes = row.after, row.resumes
+				fx.serve(t, x)
+				assert.Equal(t, home.request.Stream != 0, row.named)
+				assert.Assert(t, home.request.Patience > 0)
+			})
+		})
+	}
+}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -75,7 +75,7 @@
 	}
 	active := &activeExchange{
 		router: r, exchange: x, caller: caller, unanswered: unanswered, route: route, team: a.team, version: a.view.Table.Version,
-		service: to.service, software: to.software, engine: engineOf(a.view.Table, to.service), deadline: deadline, readyAt: time.Now(), refusalCause: causeNone,
+		service: to.service, software: to.software, stream: to.stream, engine: engineOf(a.view.Table, to.service), deadline: deadline, readyAt: time.Now(), refusalCause: causeNone,
 		budgetAccount: r.options.Budget.OpenAccount(time.Now(), to.service),
 	}
 	r.metrics.running.Inc()
--- a/internal/streamorigin/key.go
+++ b/internal/streamorigin/key.go
@@ -10,6 +10,9 @@
 // Key identifies a stream.
 type Key [8]byte
 
+// Uint64 returns the key as a number; 0 for the zero key.
+func (k Key) Uint64() uint64 { return binary.BigEndian.Uint64(k[:]) }
+
 // KeyOf returns the key of the stream that a request began. team is empty where callers need no
 // key. exchange is the ID of the request.
 func KeyOf(team, host, exchange string) Key {
