responsehead, httpconn, engine, operator, caller: answers that are none, and answers reset under an upload

What callers saw: an endpoint answered a long upload at once without a length, sent a part and reset the connection: the part came as the whole answer. Others sent status 000, or a field whose name has a blank: it came as an answer, or what followed an ignored length or chunk size came as its body.

Cause of the first: the kernel reports a reset once. If the goroutine that writes the body takes it, the reader sees a regular end, and the check of an answer without a length finds the endpoint running. Cause of the others: net/http's parser accepts them. Our loop over interim responses skipped everything under 200; names with a blank stand in the header under those names, so that "Content-Length : 2" is no length; chunks under HTTP/1.0 are read as they are.

Change: package responsehead checks heads and trailers, and tells the end of a body from a reset by whether the request was written; a writer that has not run yet has 50 ms. httpconn uses it for endpoints; engine, operator and caller through a transport. A malformed response is a lost one: retried by the route's rules, else 502. Chunks with a length beside them, which net/http reads as chunks, pass as before.

--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hyssopsail/hyssopsail/internal/callerapi"
+	"github.com/hyssopsail/hyssopsail/internal/responsehead"
 )
 
 // Client sends requests to the entries of one fleet with one team's key. It is safe for
@@ -34,11 +35,13 @@
 // team's key. tlsConfig is nil for plain HTTP; all entries of a fleet must use the same
 // scheme.
 func New(seeds []string, key string, tlsConfig *tls.Config) *Client {
-	c := &Client{seeds: seeds, key: key, scheme: "http://", http: &http.Client{}}
+	c := &Client{seeds: seeds, key: key, scheme: "http://"}
+	transport := http.DefaultTransport
 	if tlsConfig != nil {
 		c.scheme = "https://"
-		c.http.Transport = &http.Transport{TLSClientConfig: tlsConfig}
+		transport = &http.Transport{TLSClientConfig: tlsConfig}
 	}
+	c.http = &http.Client{Transport: responsehead.Transport{Base: transport}}
 	return c
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/fleet"
+	"github.com/hyssopsail/hyssopsail/internal/responsehead"
 )
 
 // maxHeaderBytes bounds the header of an endpoint's answer.
@@ -17,6 +18,7 @@
 type HTTPClient struct {
 	options   Options
 	transport *http.Transport
+	checked   responsehead.Transport // transport, for well-formed responses alone
 	scheme    string
 	metrics   *metrics
 	canceller *canceller
@@ -32,6 +34,7 @@
 		c.scheme = "https"
 	}
 	c.transport = newTransport(o)
+	c.checked = responsehead.Transport{Base: c.transport}
 	// Idle connections over a lost link are dead, and those through a relay not wanted once it
 	// works again.
 	o.Reachability.OnChange(c.transport.CloseIdleConnections)
--- a/internal/engine/exchange.go
+++ b/internal/engine/exchange.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hyssopsail/hyssopsail/internal/dispatch"
 	"github.com/hyssopsail/hyssopsail/internal/engineapi"
 	"github.com/hyssopsail/hyssopsail/internal/readlimit"
@@ -94,7 +96,7 @@
 		cancel(err)
 		return nil, s, &Error{Target: t, Op: op, Err: err}
 	}
-	response, err := c.transport.RoundTrip(request.WithContext(s.withTrace(withTarget(ctx, t))))
+	response, err := c.checked.RoundTrip(request.WithContext(s.withTrace(withTarget(ctx, t))))
 	if err == nil {
 		response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
 		return response, s, nil
@@ -125,6 +127,9 @@
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
+	if trace.IsBadParameter(err) {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
 	return err
 }
 
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/reachability"
 	"github.com/hyssopsail/hyssopsail/internal/readlimit"
+	"github.com/hyssopsail/hyssopsail/internal/responsehead"
 )
 
 // Buffer sizes of a connection. A body longer than maxInlineBodyBytes is written
@@ -36,20 +37,20 @@
 
 // conn is a connection that carries one request at a time.
 type conn struct {
-	raw         net.Conn
-	head        *headReader // between raw and reader
-	reader      *bufio.Reader
-	reads       *readlimit.Guard
-	maxBody     int64 // bytes
-	address     string
-	acks        *reachability.AckWatch
-	tag         string // of the latest request
-	served      bool   // an earlier request got a response
-	idleUntil   time.Time
-	isClosed    atomic.Bool
-	openedAt    time.Time
-	onClose     func()     // called once, when the connection is closed; may be nil
-	bodyWritten chan error // result of writing a body in the background; nil if none
+	raw       net.Conn
+	head      *headReader // between raw and reader
+	reader    *bufio.Reader
+	reads     *readlimit.Guard
+	maxBody   int64 // bytes
+	address   string
+	acks      *reachability.AckWatch
+	tag       string // of the latest request
+	served    bool   // an earlier request got a response
+	idleUntil time.Time
+	isClosed  atomic.Bool
+	openedAt  time.Time
+	onClose   func()               // called once, when the connection is closed; may be nil
+	upload    *responsehead.Upload // body that is written in the background; nil if none
 }
 
 // newConn returns a connection over a link, nil for a relayed one. suspect is called if bytes
@@ -171,8 +172,8 @@
 	}
 	c.served = true
 	return &Response{
-		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, CloseDelimited: isCloseDelimited(head),
-		conn: c, body: body, closeRequested: head.Close, stopCancel: stop,
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, CloseDelimited: responsehead.IsCloseDelimited(head),
+		conn: c, body: body, head: head, closeRequested: head.Close, stopCancel: stop,
 	}, nil
 }
 
@@ -188,10 +189,6 @@
 	return c.acks.Arrived()
 }
 
-func isCloseDelimited(head *http.Response) bool {
-	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
-}
-
 // contextCauseOr returns the cause of ctx's end if it has ended, and err otherwise.
 func contextCauseOr(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -206,7 +203,7 @@
 	if err := r.appendHead(&b); err != nil {
 		return err
 	}
-	c.bodyWritten = nil
+	c.upload = nil
 	if len(r.Body) <= maxInlineBodyBytes {
 		b.Write(r.Body)
 		_, err := c.raw.Write(b.Bytes())
@@ -215,11 +212,12 @@
 	if _, err := c.raw.Write(b.Bytes()); err != nil {
 		return err
 	}
-	c.bodyWritten = make(chan error, 1)
-	go func(done chan<- error) {
+	upload := responsehead.NewUpload()
+	c.upload = upload
+	go func() {
 		_, err := c.raw.Write(r.Body)
-		done <- err
-	}(c.bodyWritten)
+		upload.End(err)
+	}()
 	return nil
 }
 
@@ -256,7 +254,7 @@
 	defer c.head.end()
 	request := &http.Request{Method: r.Method}
 	for {
-		head, err := http.ReadResponse(c.reader, request)
+		head, err := c.parseHead(request)
 		switch {
 		case c.head.err != nil:
 			return nil, c.head.err
@@ -279,20 +277,6 @@
 	return err
 }
 
-// bodySent reports whether the whole body of the latest request was written.
-func (c *conn) bodySent() bool {
-	if c.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-c.bodyWritten:
-		c.bodyWritten = nil
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepAliveTimeout returns how long the endpoint keeps an idle connection, from the
 // timeout parameter of the Keep-Alive header; 0 when there is none.
 func keepAliveTimeout(header http.Header) time.Duration {
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/hyssopsail/hyssopsail/internal/responsehead"
 )
 
 // Response is the status and header of a response; Read returns its body. io.EOF from
@@ -17,6 +20,7 @@
 	CloseDelimited bool
 
 	conn           *conn
+	head           *http.Response
 	pool           *Pool
 	body           io.Reader
 	closeRequested bool
@@ -31,17 +35,37 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) && !r.conn.isClosed.Load() {
+	if errors.Is(err, io.EOF) {
+		err = r.checkEnd()
+	}
+	if errors.Is(err, io.EOF) {
 		r.complete = true
 	} else {
 		r.failed = true
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
 	}
 	return n, err
 }
 
+// errClosed is why a body is incomplete whose connection was closed on this side.
+var errClosed = fmt.Errorf("the connection was closed here: %w", io.ErrUnexpectedEOF)
+
+// checkEnd returns io.EOF if the body that has just ended is complete, and another error, which is
+// not io.EOF, if it isn't or if its trailer is malformed.
+func (r *Response) checkEnd() error {
+	if r.conn.isClosed.Load() {
+		return errClosed
+	}
+	if r.CloseDelimited {
+		if err := r.conn.upload.CheckEnd(); err != nil {
+			return err
+		}
+	}
+	if err := responsehead.CheckTrailer(r.head); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. The connection is kept for reuse if the response was read
 // completely, and closed otherwise, so that the endpoint can stop its work.
 func (r *Response) Close() {
@@ -51,7 +75,7 @@
 	c := r.conn
 	r.conn = nil
 	alive := r.stopCancel()
-	if !alive || !r.complete || r.failed || r.closeRequested || !c.bodySent() || c.reader.Buffered() > 0 {
+	if !alive || !r.complete || r.failed || r.closeRequested || !c.upload.IsWritten() || c.reader.Buffered() > 0 {
 		c.close()
 		return
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopsail/hyssopsail/internal/keyhash"
 	"github.com/hyssopsail/hyssopsail/internal/pb"
+	"github.com/hyssopsail/hyssopsail/internal/responsehead"
 )
 
 // ClientOptions configures a Client.
@@ -48,7 +49,7 @@
 	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	transport.TLSClientConfig = options.TLS
 	transport.TLSHandshakeTimeout = dialTimeout
-	return &Client{options: options, http: &http.Client{Transport: transport}, addressTimeout: callTimeout + replyMargin, retryTimeout: defaultRetryTimeout}
+	return &Client{options: options, http: &http.Client{Transport: responsehead.Transport{Base: transport}}, addressTimeout: callTimeout + replyMargin, retryTimeout: defaultRetryTimeout}
 }
 
 // KeyHash returns the hash of the client's key.
