tunnel, pb: a reset that a sibling's writer is told of is no regular end

Cause: the sibling's goroutine that writes to the endpoint takes the socket's error, the one that reads sees a regular end and passes it on.

Change: the end tells how many bytes were written to the endpoint; fewer than were sent into the tunnel make it a broken one. Older siblings don't tell, and count as before.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hyssopsail/hyssopsail/internal/pb"
@@ -23,7 +24,8 @@
 	parts  chan []byte // received, in order; closed at the end
 	closed chan struct{}
 	once   sync.Once
-	unread []byte // of the last part; only Read uses it
+	unread []byte        // of the last part; only Read uses it
+	sent   atomic.Uint64 // bytes
 
 	mu       sync.Mutex // guards the fields below
 	end      error      // set before parts is closed
@@ -52,7 +54,7 @@
 		case part.Draining:
 			c.setDraining()
 		case part.End:
-			c.setEnd(io.EOF)
+			c.setEnd(c.endOf(part))
 			return
 		case len(part.Data) > 0 && !c.deliver(part.Data):
 			return
@@ -60,6 +62,15 @@
 	}
 }
 
+// endOf returns how the endpoint's connection ended: regularly only if all bytes were written to it, as
+// the kernel of the sibling tells of a reset once, perhaps to the writer.
+func (c *Conn) endOf(part *pb.TunnelPart) error {
+	if part.Written > 0 && part.Written < c.sent.Load() {
+		return errBroken
+	}
+	return io.EOF
+}
+
 // deliver hands bytes to Read; it returns false if the connection was closed.
 func (c *Conn) deliver(data []byte) bool {
 	c.count(1)
@@ -122,6 +133,7 @@
 	written := 0
 	for written < len(p) {
 		part := p[written:min(len(p), written+maxPartBytes)]
+		c.sent.Add(uint64(len(part)))
 		if err := c.stream.Send(&pb.TunnelPart{Data: part}); err != nil {
 			return written, errBroken
 		}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,6 +23,8 @@
 	// maxTunnels bounds the tunnels that an entry carries for others; each takes two
 	// descriptors and some 100 kB at most.
 	maxTunnels = 128
+	// writeEndWait is how long a write may take to end once its connection has.
+	writeEndWait = 50 * time.Millisecond
 )
 
 // ServerOptions configures a Server.
@@ -68,6 +71,9 @@
 	stream pb.DRPCTunnel_ConnectStream
 	conn   net.Conn
 	sendMu sync.Mutex // held while a part is sent
+	// writing holds one element while bytes are written to the endpoint.
+	writing chan struct{}
+	written atomic.Uint64 // bytes, to the endpoint
 }
 
 func (s *session) send(part *pb.TunnelPart) error {
@@ -83,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	t := &session{stream: stream}
+	t := &session{stream: stream, writing: make(chan struct{}, 1)}
 	if !s.begin(t) {
 		return s.refuse(t, pb.TunnelStatus_TUNNEL_STATUS_UNAVAILABLE)
 	}
@@ -152,14 +158,34 @@
 			_ = t.conn.Close() // ends forwardToSibling, and tells the endpoint to stop
 			return
 		}
-		if _, err := t.conn.Write(part.Data); err != nil {
-			return // forwardToSibling finds out why
+		if err := t.write(part.Data); err != nil {
+			return // forwardToSibling tells how much was written
 		}
 	}
 }
 
+// write writes bytes to the endpoint and counts them.
+func (t *session) write(p []byte) error {
+	t.writing <- struct{}{}
+	defer func() { <-t.writing }()
+	n, err := t.conn.Write(p)
+	t.written.Add(uint64(n))
+	return err
+}
+
+// writtenAtEnd returns how many bytes were written once the endpoint's connection has ended, which ends
+// a write that is under way.
+func (t *session) writtenAtEnd() uint64 {
+	select {
+	case t.writing <- struct{}{}:
+		<-t.writing
+	case <-time.After(writeEndWait):
+	}
+	return t.written.Load()
+}
+
 // forwardToSibling passes the endpoint's bytes on until its connection ends. A connection that
-// was reset ends the tunnel with an error.
+// was reset ends the tunnel with an error, unless forwardToEndpoint was told of the reset.
 func (t *session) forwardToSibling() error {
 	buffer := make([]byte, maxPartBytes)
 	for {
@@ -170,7 +196,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return t.send(&pb.TunnelPart{End: true})
+			return t.send(&pb.TunnelPart{End: true, Written: t.writtenAtEnd()})
 		}
 		if err != nil {
 			return err
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -293,3 +293,30 @@
 	assert.Equal(t, len(e.accepted), 0)
 	open(t, newClient(t, frozen, newSibling(t, nil)), e)
 }
+
+// Guards against a reset that the sibling's writer alone is told of, while its reader sees a regular
+// end: a part of an answer would pass as all of it.
+func TestResetUnderAnUploadIsNoRegularEnd(t *testing.T) {
+	e := newEndpoint(t)
+	by := newSibling(t, nil)
+	regular := 0
+	for range 20 {
+		conn, at := open(t, newClient(t, by), e)
+		uploaded := make(chan struct{})
+		go func() {
+			defer close(uploaded)
+			_, _ = conn.Write(make([]byte, 8<<20)) // fails once the endpoint's connection has ended
+		}()
+		_, err := io.ReadFull(at, make([]byte, 100))
+		assert.NilError(t, err)
+		_, err = at.Write([]byte("part"))
+		assert.NilError(t, err)
+		assert.NilError(t, at.Close()) // resets, since there are unread bytes
+		if _, err := io.ReadAll(conn); err == nil {
+			regular++
+		}
+		assert.NilError(t, conn.Close())
+		<-uploaded
+	}
+	assert.Equal(t, regular, 0, "of 20 resets passed for regular ends")
+}
