originlog, streamorigin, platform: records of streams outlive the end of all processes

What callers saw: after all entries and all control instances were killed at the same moment, hardly a stream goes on: "it is not known which software version began the stream", for as long as two versions serve.

Cause: control instances held in memory alone where streams began, and got it again from living entries. With both gone nothing is known, and a service of two versions has no sole one.

Change: a control instance appends the records that it gets to a file, in the background and without a sync, and reads it at its start. Frames have checksums; the file is replaced when it has grown, at each start and after a fault of the disk. A loss of power may lose the latest records: then the stream is unknown, as before, never one of another version. For a record of an earlier process its time isn't known: it counts if its endpoint runs that version alone now, as an entry may take a process for the one before it under its ID, not for a later one. The catalog keeps retired endpoints for longer than that; softwareHistory counts them as present at the start of the process, so no version that is gone is taken for the sole one's.

--- a/internal/streamorigin/doc.go
+++ b/internal/streamorigin/doc.go
@@ -10,7 +10,7 @@
 //     of another version.
 //   - Control instances hold records in memory and don't exchange them. One that restarts gets
 //     the records of all living entries again. While one holder of an entry lives, the entry's
-//     streams are known after its death.
+//     streams are known after its death. A Journal keeps them where all processes end at once.
 //   - An endpoint that starts again under its ID, with other software, is known by that ID as
 //     the old process until it has registered. Streams recorded around that time are in doubt, and
 //     only an instance in contact with the leader tells where a stream began.
--- a/internal/streamorigin/holder.go
+++ b/internal/streamorigin/holder.go
@@ -117,7 +117,6 @@
 }
 
 // take returns the streams to send next: all, if the holder may lack some, else the new ones.
-// Ambiguous ones are left out: they are as good as unknown.
 func (c *Client) take(h *holder) (streams []stream, why string) {
 	now := time.Now()
 	c.mu.Lock()
@@ -127,13 +126,7 @@
 		return streams, sentNew
 	}
 	h.complete = true // unless the call fails
-	streams = nil
-	for key, r := range c.own.records {
-		if now.Before(r.expires) && !r.ambiguous {
-			streams = append(streams, stream{key: key, origin: r.origin, endpoint: r.endpoint, ttl: r.expires.Sub(now)})
-		}
-	}
-	return streams, sentAgain
+	return c.own.live(now), sentAgain
 }
 
 // errRestarted means that a holder restarted between two calls.
--- a/internal/streamorigin/server.go
+++ b/internal/streamorigin/server.go
@@ -20,6 +20,7 @@
 	epoch   uint64
 	history SoftwareHistory
 	metrics *serverMetrics
+	journal Journal // nil for none
 
 	mu    sync.Mutex // guards table
 	table *table
@@ -27,6 +28,34 @@
 
 var _ pb.DRPCStreamOriginsServer = (*Server)(nil)
 
+// Journal keeps records beyond the process. It is safe for concurrent use.
+type Journal interface {
+	// Append keeps records in the background.
+	Append(batches []*pb.StreamBatch)
+}
+
+// SetJournal sets where records are kept, before the Server is used.
+func (s *Server) SetJournal(j Journal) { s.journal = j }
+
+// Restore adds records of an earlier process of this instance.
+func (s *Server) Restore(batches []*pb.StreamBatch) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, batch := range batches {
+		for _, added := range streamsFromWire(batch) {
+			s.table.restore(now, added.key, added.origin.Value(), added.endpoint, added.ttl)
+		}
+	}
+}
+
+// Live returns the records that have not expired.
+func (s *Server) Live() []*pb.StreamBatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return batchesToWire(s.table.live(time.Now()))
+}
+
 // NewServer returns a Server without records. epoch must differ from that of any other process,
 // also of an earlier one of this instance; registerer may be nil.
 func NewServer(epoch uint64, history SoftwareHistory, registerer prometheus.Registerer) *Server {
@@ -46,6 +75,9 @@
 		}
 	}
 	s.metrics.records.Set(float64(len(s.table.records)))
+	if s.journal != nil && len(r.Batches) > 0 {
+		s.journal.Append(r.Batches)
+	}
 	return &pb.RecordStreamsReply{Epoch: s.epoch}, nil
 }
 
@@ -60,7 +92,7 @@
 		return reply, nil
 	}
 	origin := known.origin.Value()
-	if known.ambiguous || s.history.MayHaveRunOther(known.endpoint, origin.Software, known.recorded) {
+	if known.ambiguous || s.history.MayHaveRunOther(known.endpoint, origin.Software, known.doubtfulAt(time.Now())) {
 		reply.Result = pb.FindStreamResult_FIND_STREAM_RESULT_DOUBTFUL
 		return reply, nil
 	}
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -39,6 +39,27 @@
 	return true
 }
 
+// restore adds a record of an earlier process, as if it had just been made.
+func (t *table) restore(now time.Time, key Key, origin Origin, endpoint EndpointSum, ttl time.Duration) {
+	if t.put(now, key, origin, endpoint, ttl) {
+		r := t.records[key]
+		r.restored = true
+		t.records[key] = r
+	}
+}
+
+// live returns the records that have not expired. Ambiguous ones are left out: they are as good as
+// unknown.
+func (t *table) live(now time.Time) []stream {
+	var streams []stream
+	for key, r := range t.records {
+		if now.Before(r.expires) && !r.ambiguous {
+			streams = append(streams, stream{key: key, origin: r.origin, endpoint: r.endpoint, ttl: r.expires.Sub(now)})
+		}
+	}
+	return streams
+}
+
 // get returns the record of a stream.
 func (t *table) get(now time.Time, key Key) (r record, found bool) {
 	r, found = t.records[key]
