allocation, relay: the home forgets the broken run of a stream that its caller resumes

What callers saw: half of the entries or all of them end under load, and for seconds their streams, which other entries could go on with, are refused: "no endpoint has room for it in time". New requests too.

Cause: the home of a service keeps account of the memory that runs hold. The runs of an entry that has died count until the entry is missed, seconds later, while the endpoints have freed that memory at once.

Change: a reservation names the stream that it begins or continues (fields that the wire has had). A request that resumes a stream, by its record, ends the account of the run before: that run broke, or its caller would not be back. Older entries name none, and are served as before.

Evidence: allocation.TestBrokenRunOfAResumedStreamHoldsNoMemory fails without the change.

--- a/internal/allocation/client.go
+++ b/internal/allocation/client.go
@@ -86,7 +86,7 @@
 		Prompt: uint32(request.PromptTokens), Output: uint32(request.OutputTokens), Capacity: uint32(request.CapacityTokens),
 		LengthMs: wireMillis(request.AnswerDuration), ReadingMs: wireMillis(request.PrefillDuration), LongestBacklogMs: wireMillis(request.MaxBacklog),
 		ReadsOwn: request.AllowLocalPrefill, Excluded: request.Excluded, Software: request.Software, WaitMs: wireMillis(wait),
-		Resumes: request.Stream != 0, Fingerprint: request.Stream, PatienceMs: wireMillis(request.Patience),
+		Resumes: request.Resumes, Fingerprint: request.Stream, PatienceMs: wireMillis(request.Patience),
 	}
 }
 
--- a/internal/allocation/endpoint_usage.go
+++ b/internal/allocation/endpoint_usage.go
@@ -9,6 +9,7 @@
 type activeReservation struct {
 	exchange                   string
 	entry                      string
+	stream                     uint64 // that it begins or continues; 0 for none
 	promptTokens, outputTokens int
 	capacityTokens             int           // of the endpoint
 	prefillEndpoint            string        // empty for none
--- a/internal/allocation/request.go
+++ b/internal/allocation/request.go
@@ -29,9 +29,9 @@
 	MaxBacklog                 time.Duration // maximum wait at a prefill endpoint
 	AllowLocalPrefill          bool          // the decode endpoint may prefill the prompt itself
 	Excluded                   []string      // IDs of endpoints
-	// Stream identifies the stream whose rest the request asks for, as recorded when it began; 0 for
-	// none.
+	// Stream identifies the stream that the request begins or continues, as it is recorded; 0 for none.
 	Stream   uint64
+	Resumes  bool          // its caller has a part of the stream, by its record
 	Patience time.Duration // until the caller leaves; 0 if unknown
 }
 
--- a/internal/allocation/resume_test.go
+++ b/internal/allocation/resume_test.go
@@ -108,3 +108,27 @@
 		assert.Equal(t, servedBy(t, home, waitingRequest("new"), resuming("same", 7))[0], "same")
 	})
 }
+
+// Guards against callers that find no room for streams whose entry has died, as the home counts their
+// broken runs until it misses that entry.
+func TestBrokenRunOfAResumedStreamHoldsNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home := allocation.NewServer(&fleet{size: 1}, nil)
+		ask := func(r *pb.AllotRequest) string {
+			reply, err := home.Allot(t.Context(), r)
+			assert.NilError(t, err)
+			return reply.Endpoint
+		}
+		broken := waitingRequest("broken")
+		broken.Fingerprint = 7
+		assert.Equal(t, ask(broken), "e0")
+		assert.Equal(t, ask(resuming("another", 8)), "", "its run holds the memory")
+		repeated := waitingRequest("repeated")
+		repeated.Fingerprint = 7
+		assert.Equal(t, ask(repeated), "", "its caller has no part of it")
+		began := time.Now()
+		assert.Equal(t, ask(resuming("resumed", 7)), "e0")
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, ask(resuming("resumed", 8)), "", "the run that goes on holds it")
+	})
+}
--- a/internal/allocation/server.go
+++ b/internal/allocation/server.go
@@ -64,18 +64,10 @@
 		Exchange: r.Exchange, Entry: r.Entry, Model: r.Model, Zone: r.Zone, PromptTokens: int(r.Prompt), OutputTokens: int(r.Output),
 		CapacityTokens: int(r.Capacity), AnswerDuration: durationOfMillis(r.LengthMs), PrefillDuration: durationOfMillis(r.ReadingMs),
 		MaxBacklog: durationOfMillis(r.LongestBacklogMs), AllowLocalPrefill: r.ReadsOwn, Excluded: r.Excluded, Software: r.Software,
-		Stream: streamFromWire(r), Patience: durationOfMillis(r.PatienceMs),
+		Stream: r.Fingerprint, Resumes: r.Resumes, Patience: durationOfMillis(r.PatienceMs),
 	}
 }
 
-// streamFromWire returns the stream that a request continues; 0 for none.
-func streamFromWire(r *pb.AllotRequest) uint64 {
-	if !r.Resumes {
-		return 0
-	}
-	return r.Fingerprint
-}
-
 // reserveOrQueue returns a reservation, or a waiter in the queue, or neither if the queue
 // is full.
 func (s *Server) reserveOrQueue(service string, request ReservationRequest) (Placement, *waiter) {
@@ -84,6 +76,9 @@
 	defer s.mu.Unlock()
 	q := s.queueOf(service)
 	s.cleanUp(q, endpoints)
+	if request.Resumes {
+		q.tracker.ReleaseBroken(request)
+	}
 	if placement := q.tracker.Reserve(time.Now(), endpoints, request); placement.Endpoint != "" {
 		return placement, nil
 	}
--- a/internal/allocation/service_queue.go
+++ b/internal/allocation/service_queue.go
@@ -15,7 +15,7 @@
 func (q *serviceQueue) newWaiter(now time.Time, request ReservationRequest) *waiter {
 	return &waiter{
 		request: request, latestStart: now.Add(request.Patience - request.AnswerDuration),
-		isResumed: q.places.mayTake(now, request.Stream), placement: make(chan Placement, 1),
+		isResumed: request.Resumes && q.places.mayTake(now, request.Stream), placement: make(chan Placement, 1),
 	}
 }
 
--- a/internal/allocation/usage_tracker.go
+++ b/internal/allocation/usage_tracker.go
@@ -99,7 +99,7 @@
 func (t *UsageTracker) add(now time.Time, request ReservationRequest, placement Placement) {
 	decode := t.usageOf(placement.Endpoint)
 	decode.reservations = append(decode.reservations, activeReservation{
-		exchange: request.Exchange, entry: request.Entry,
+		exchange: request.Exchange, entry: request.Entry, stream: request.Stream,
 		promptTokens: request.PromptTokens, outputTokens: request.OutputTokens, capacityTokens: request.CapacityTokens,
 		prefillEndpoint: placement.PrefillEndpoint, prefillDuration: request.PrefillDuration,
 		since: now, expectedDuration: placement.PrefillBacklog + request.PrefillDuration + request.AnswerDuration,
@@ -215,6 +215,22 @@
 	}
 }
 
+// ReleaseBroken ends the reservation of the run whose stream a request continues: the stream broke, and
+// its endpoint has freed the memory.
+//
+// Guards against this failure: entries end under load, and all memory that their runs held counts as
+// used until they are missed. Their callers are back before that, and find no room.
+func (t *UsageTracker) ReleaseBroken(request ReservationRequest) {
+	if request.Stream == 0 {
+		return
+	}
+	for _, u := range t.usage {
+		u.reservations = slices.DeleteFunc(u.reservations, func(r activeReservation) bool {
+			return r.stream == request.Stream && r.exchange != request.Exchange
+		})
+	}
+}
+
 // cancelPrefill frees the time reserved at a prefill endpoint for a request whose decode
 // endpoint did not take it.
 func (t *UsageTracker) cancelPrefill(r activeReservation) {
--- a/internal/relay/allocate.go
+++ b/internal/relay/allocate.go
@@ -94,8 +94,9 @@
 	request := allocation.ReservationRequest{
 		Exchange: ex.exchange.ID, Model: ex.model(), Zone: stats.Zone(), PromptTokens: tokens, OutputTokens: ex.exchange.Prompt.ReservedOutput(),
 		CapacityTokens: ex.engine.KVTokens, AnswerDuration: ex.expectedRest(),
-		Stream: ex.continuedStream().Uint64(), Patience: time.Until(ex.deadline),
+		Patience: time.Until(ex.deadline),
 	}
+	request.Stream, request.Resumes = ex.allocatedStream()
 	if software := ex.placementSoftware(); software.IsSet() {
 		version := software.Version()
 		request.Software = &version
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -88,13 +88,16 @@
 	return refusal
 }
 
-// continuedStream returns the key of the recorded stream that an attempt continues, for its caller or
-// within this answer; zero if it begins one, or if no record was found.
-func (ex *activeExchange) continuedStream() streamorigin.Key {
-	if ex.stream == (streamorigin.Key{}) && ex.headSent && ex.route.Resumable {
-		return streamKey(ex.team, ex.exchange.Host, ex.exchange.ID)
+// allocatedStream returns the stream that an attempt begins or continues, 0 for one that is not
+// recorded, and whether its caller has a part of it.
+func (ex *activeExchange) allocatedStream() (stream uint64, resumes bool) {
+	switch {
+	case ex.stream != (streamorigin.Key{}):
+		return ex.stream.Uint64(), true
+	case !ex.route.Resumable || isResumption(ex.exchange, ex.route):
+		return 0, false
 	}
-	return ex.stream
+	return streamKey(ex.team, ex.exchange.Host, ex.exchange.ID).Uint64(), ex.headSent
 }
 
 func streamKey(team *routetable.Team, host, exchange string) streamorigin.Key {
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -106,7 +106,7 @@
 				x := newModelExchange()
 				x.LastEventID, x.Resumes = row.after, row.resumes
 				fx.serve(t, x)
-				assert.Equal(t, home.request.Stream != 0, row.named)
+				assert.Equal(t, home.request.Resumes, row.named)
 				assert.Assert(t, home.request.Patience > 0)
 			})
 		})
