--- a/internal/dispatch/answer_duration.go
+++ b/internal/dispatch/answer_duration.go
@@ -22,7 +22,12 @@
 	stats.mu.Lock()
 	defer stats.mu.Unlock()
 	average := stats.tokenDurationNs(service)
-	stats.tokenDurationsNs[service] = average + tokenDurationWeight*(min(measured, 3*average)-average)
+	stats.tokenDurationsNs[service] = movedAverage(average, measured, tokenDurationWeight)
+}
+
+// movedAverage returns a moving average with a new value, of which three times the average counts at most.
+func movedAverage(average, measured, weight float64) float64 {
+	return average + weight*(min(measured, 3*average)-average)
 }
 
 // EstimateAnswerDuration returns the expected generation time of an answer of estimate tokens.
--- a/internal/dispatch/answer_rest.go
+++ b/internal/dispatch/answer_rest.go
@@ -23,7 +23,7 @@
 	if !ok {
 		average = measured
 	}
-	stats.eventDurationsNs[service] = average + eventDurationWeight*(min(measured, 3*average)-average)
+	stats.eventDurationsNs[service] = movedAverage(average, measured, eventDurationWeight)
 }
 
 // EstimateEvents returns how long the given number of events took; 0 before the first ones were
--- a/internal/originlog/log.go
+++ b/internal/originlog/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	iofs "io/fs"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -95,11 +97,14 @@
 	return all
 }
 
-// files returns the numbers of the files that there are, the oldest first.
+// files returns the numbers of the files that there are, the oldest first. The next file gets a higher one.
 func (l *Log) files() []uint64 {
 	names, err := l.options.FS.ReadDir(l.folder)
 	if err != nil {
-		return nil // there is no folder before the first start
+		if !errors.Is(err, iofs.ErrNotExist) { // there is no folder before the first start
+			l.options.Part.Warn("The folder of recorded streams can't be read.", "err", err)
+		}
+		return nil
 	}
 	var numbers []uint64
 	for _, name := range names {
