--- a/review/fleet2/server.go
+++ b/review/fleet2/server.go
@@ -34,10 +34,17 @@
 	plain func(s *server, w http.ResponseWriter, r *http.Request)
 	// onRun, if set, is called with each caller's request that arrives for this server.
 	onRun func(s *server, attempt string, at time.Time)
+	// onOrder, if set, is called with each order that is accepted.
+	onOrder func()
+	// stream, if set, writes the answer of a model server.
+	stream func(s *server, w http.ResponseWriter, r *http.Request, attempt string, output int)
 	// eventGap is the time between two events of a stream.
 	eventGap time.Duration
+	// silentFor is how long after its start it takes channels and neither answers nor reports.
+	silentFor time.Duration
 
-	http *http.Server
+	http    *http.Server
+	started time.Time
 
 	mu       sync.Mutex // guards the fields below
 	slowness float64    // factor of the work's time
@@ -47,15 +54,17 @@
 	held     map[string]int
 	used     int
 	nextName int
-	orders   int
+	orders   int  // accepted
+	busy     bool // an order is in progress
 	ended    chan struct{}
-	prefills sync.Mutex // prompts are read one after the other
+	unframed map[net.Conn]bool // channels of answers without a length
+	prefills sync.Mutex        // prompts are read one after the other
 }
 
 func (f *fleet) newServer(id, service, stage string, host int) *server {
 	return &server{
 		fleet: f, id: id, service: service, stage: stage, ip: f.ip(host), slowness: 1, state: "ready",
-		held: map[string]int{}, ended: make(chan struct{}), eventGap: 20 * time.Millisecond,
+		held: map[string]int{}, unframed: map[net.Conn]bool{}, ended: make(chan struct{}), eventGap: 20 * time.Millisecond,
 	}
 }
 
@@ -67,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	s.http = &http.Server{Handler: s}
+	s.http, s.started = &http.Server{Handler: s}, time.Now()
 	go func() { _ = s.http.Serve(listener) }() // returns at the end
 	go s.sendBeats()
 	return nil
@@ -84,6 +93,9 @@
 	}
 	close(s.ended)
 	_ = s.http.Close()
+	for conn := range s.unframed {
+		_ = conn.Close()
+	}
 }
 
 func (s *server) isEnded() bool {
@@ -96,6 +108,7 @@
 }
 
 func (s *server) sendBeats() {
+	s.awaitVoice()
 	for {
 		s.beat()
 		select {
@@ -106,6 +119,9 @@
 	}
 }
 
+// awaitVoice waits until the server is no longer silent after its start.
+func (s *server) awaitVoice() { time.Sleep(time.Until(s.started.Add(s.silentFor))) }
+
 // beat sends one status report, to another daemon if one doesn't answer, and reports whether it was acknowledged.
 func (s *server) beat() bool {
 	s.mu.Lock()
@@ -189,6 +205,7 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	s.awaitVoice()
 	if want := r.Header.Get("Target-Instance"); want != "" && want != s.id {
 		w.Header().Set("Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -200,7 +217,18 @@
 	attempt := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", attempt)
 	_, _ = io.Copy(io.Discard, r.Body)
-	if r.Header.Get("Serving-Stage") == stagePrefill {
+	s.mu.Lock()
+	stage, busy := s.stage, s.busy
+	s.mu.Unlock()
+	switch {
+	case stage != "" && (r.Header.Get("Serving-Stage") == stagePrefill) != (stage == stagePrefill):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case busy:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case stage == stagePrefill:
 		s.servePrefill(w, r, attempt)
 		return
 	}
@@ -208,7 +236,7 @@
 	if s.onRun != nil {
 		s.onRun(s, attempt, arrived)
 	}
-	if s.stage == "" {
+	if stage == "" {
 		s.plain(s, w, r)
 		return
 	}
@@ -238,15 +266,39 @@
 func (s *server) serveReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":%d,"queued":0,"active":0,"kv_used":%d,"kv_total":%d,"kv_handles":0}`,
-		s.stage, s.orders, s.used, kvCapacity)
+	_, _ = fmt.Fprintf(w, `{"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],"busy":%t,"seq":%d,"queued":0,"active":0,"kv_used":%d,"kv_total":%d,"kv_handles":0}`,
+		s.stage, s.busy, s.orders, s.used, kvCapacity)
 }
 
-// serveOrder refuses orders: these fleets have the stages that they need.
+// switchTime is how long a server takes to change its stage.
+const switchTime = 6 * time.Second
+
+// serveOrder accepts an order to change the stage; running work goes on.
 func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body) // only shown
+	var order struct {
+		Stage  string `json:"stage"`
+		Expect int    `json:"expect"`
+	}
+	body, _ := io.ReadAll(r.Body) // an order that can't be read is refused
 	s.fleet.record.logf("server %s: order %s", s.id, body)
-	w.WriteHeader(http.StatusConflict)
+	err := json.Unmarshal(body, &order)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || s.busy || order.Expect != s.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.orders++
+	s.busy = true
+	time.AfterFunc(switchTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.busy, s.stage = false, order.Stage
+	})
+	if s.onOrder != nil {
+		go s.onOrder()
+	}
+	w.WriteHeader(http.StatusAccepted)
 }
 
 func (s *server) serveHold(w http.ResponseWriter, r *http.Request) {
@@ -332,6 +384,10 @@
 		return
 	}
 	s.fleet.record.logf("server %s: %s runs, source %q", s.id, attempt, r.Header.Get("Kv-Source"))
+	if s.stream != nil {
+		s.stream(s, w, r, attempt, output)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Response-Seal", "seal."+attempt)
 	w.WriteHeader(http.StatusOK)
