--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// pid returns the process's id.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// isRunning reports whether the process has not ended.
+func (p *process) isRunning() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // kill kills the process and waits for its end.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/review/fleet2/server.go
+++ b/review/fleet2/server.go
@@ -32,6 +32,8 @@
 	ip      string
 	// plain serves a request of a plain server.
 	plain func(s *server, w http.ResponseWriter, r *http.Request)
+	// quiet keeps each arrival out of the record.
+	quiet bool
 	// onRun, if set, is called with each caller's request that arrives for this server.
 	onRun func(s *server, attempt string, at time.Time)
 	// onOrder, if set, is called with each order that is accepted.
@@ -232,7 +234,9 @@
 		s.servePrefill(w, r, attempt)
 		return
 	}
-	s.fleet.record.logf("server %s: %s arrives, deadline %s", s.id, attempt, r.Header.Get("Deadline-Ms"))
+	if !s.quiet {
+		s.fleet.record.logf("server %s: %s arrives, deadline %s", s.id, attempt, r.Header.Get("Deadline-Ms"))
+	}
 	if s.onRun != nil {
 		s.onRun(s, attempt, arrived)
 	}
