--- a/review/fleet2/server.go
+++ b/review/fleet2/server.go
@@ -100,15 +100,6 @@
 	}
 }
 
-func (s *server) isEnded() bool {
-	select {
-	case <-s.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 func (s *server) sendBeats() {
 	s.awaitVoice()
 	for {
