review: a case that is told to stop ends its processes

Cause: the processes of a case outlived its stand-ins when these got a SIGTERM. Change: SIGINT and SIGTERM end the fleet first.

--- a/review/fleet2/fleet.go
+++ b/review/fleet2/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -79,6 +80,7 @@
 		return nil, err
 	}
 	f.folder = folder
+	f.endOnSignal()
 	for n := range controls {
 		f.controls = append(f.controls, &process{fleet: f, name: fmt.Sprintf("core-%d", n), role: "control", ip: f.ip(1 + n)})
 	}
@@ -120,6 +122,17 @@
 	}
 }
 
+// endOnSignal ends all processes if this one is told to stop.
+func (f *fleet) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.end()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // settings returns what deploy/settings.yaml makes of the settings of a small deployment.
 func (p *process) settings(bootstrap bool) string {
 	at := func(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
